Land the workspace skeleton, configuration objects and link frames

Cause: nothing stood yet; everything else is split along these crates.

Ruled out: generated types re-exported by a glob, because the generator's own error module then hides the crate's. Conclusion: ready to be split; nothing is served yet.

--- /dev/null
+++ b/crates/backend/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of backend servers.
--- /dev/null
+++ b/crates/contract/src/config.rs
@@ -0,0 +1,178 @@
+//! A snapshot of the whole configuration.
+
+use crate::{
+    Contract, Error, Member, Model, Object, ObjectKey, Revision, Rollout, Service, Version,
+};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The configuration at one revision. Cloning is cheap in proportion to the number of objects.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    revision: Revision,
+    objects: BTreeMap<ObjectKey, Arc<Object>>,
+}
+
+impl Config {
+    /// Builds a snapshot from objects read in one go.
+    ///
+    /// ```
+    /// let config = contract::Config::new(3, Vec::new());
+    /// assert_eq!(config.revision(), 3);
+    /// ```
+    pub fn new(revision: Revision, objects: Vec<Object>) -> Self {
+        let objects = objects
+            .into_iter()
+            .map(|object| (object.key(), Arc::new(object)))
+            .collect();
+        Self { revision, objects }
+    }
+
+    /// Revision of this snapshot.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// All objects in the order of their keys.
+    pub fn objects(&self) -> impl Iterator<Item = (&ObjectKey, &Arc<Object>)> {
+        self.objects.iter()
+    }
+
+    /// The object under a key.
+    pub fn get(&self, key: &str) -> Option<&Arc<Object>> {
+        self.objects.get(key)
+    }
+
+    /// Applies the next revision: each entry puts an object or removes it.
+    ///
+    /// ```
+    /// let mut config = contract::Config::default();
+    /// let body = r#"{"zone":{"name":"a","out":true}}"#;
+    /// config.apply(1, &[("zone/a", Some(body))])?;
+    /// assert!(config.zone_out("a"));
+    /// assert!(config.apply(1, &[]).is_err());
+    /// # Ok::<(), contract::Error>(())
+    /// ```
+    pub fn apply(
+        &mut self,
+        revision: Revision,
+        entries: &[(&str, Option<&str>)],
+    ) -> Result<(), Error> {
+        if revision != self.revision + 1 {
+            return Err(Error::Revision {
+                current: self.revision,
+                found: revision,
+            });
+        }
+        let read = entries
+            .iter()
+            .map(|(key, body)| body.map(|body| Object::read(key, body)).transpose())
+            .collect::<Result<Vec<_>, _>>()?;
+        for ((key, _), object) in entries.iter().zip(read) {
+            match object {
+                Some(object) => self.objects.insert((*key).to_owned(), Arc::new(object)),
+                None => self.objects.remove(*key),
+            };
+        }
+        self.revision = revision;
+        Ok(())
+    }
+
+    /// All contracts.
+    pub fn contracts(&self) -> impl Iterator<Item = &Contract> {
+        self.of_kind("contract/").filter_map(|object| match object {
+            Object::Contract(contract) => Some(contract),
+            _ => None,
+        })
+    }
+
+    /// Contract of a customer.
+    pub fn contract(&self, customer: &str) -> Option<&Contract> {
+        match self.get(&format!("contract/{customer}"))?.as_ref() {
+            Object::Contract(contract) => Some(contract),
+            _ => None,
+        }
+    }
+
+    /// All members of the fleet.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.of_kind("member/").filter_map(|object| match object {
+            Object::Member(member) => Some(member),
+            _ => None,
+        })
+    }
+
+    /// All models.
+    pub fn models(&self) -> impl Iterator<Item = &Model> {
+        self.of_kind("model/").filter_map(|object| match object {
+            Object::Model(model) => Some(model),
+            _ => None,
+        })
+    }
+
+    /// A version of a model, also when it is withdrawn.
+    pub fn version(&self, model: &str, version: &str) -> Option<&Version> {
+        match self.get(&format!("model/{model}"))?.as_ref() {
+            Object::Model(model) => model.versions.iter().find(|one| one.name == version),
+            _ => None,
+        }
+    }
+
+    /// A plain service.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        match self.get(&format!("service/{name}"))?.as_ref() {
+            Object::Service(service) => Some(service),
+            _ => None,
+        }
+    }
+
+    /// The roll-out under way for a model.
+    pub fn rollout(&self, model: &str) -> Option<&Rollout> {
+        match self.get(&format!("rollout/{model}"))?.as_ref() {
+            Object::Rollout(rollout) => Some(rollout),
+            _ => None,
+        }
+    }
+
+    /// Whether a version is withdrawn.
+    pub fn withdrawn(&self, model: &str, version: &str) -> bool {
+        self.objects
+            .contains_key(&format!("withdrawal/{model}@{version}"))
+    }
+
+    /// Whether operators have taken an availability zone out.
+    pub fn zone_out(&self, zone: &str) -> bool {
+        match self.get(&format!("zone/{zone}")).map(Arc::as_ref) {
+            Some(Object::Zone(zone)) => zone.out,
+            _ => false,
+        }
+    }
+
+    /// Whether a contract allows a version that isn't withdrawn.
+    ///
+    /// ```
+    /// let contract: contract::Contract = serde_json::from_str(
+    ///     r#"{"customer":"c","keys":[],"models":["small@1","large"]}"#).unwrap();
+    /// let config = contract::Config::default();
+    /// assert!(config.allowed(&contract, "small", "1"));
+    /// assert!(config.allowed(&contract, "large", "7"));
+    /// assert!(!config.allowed(&contract, "small", "2"));
+    /// ```
+    pub fn allowed(&self, contract: &Contract, model: &str, version: &str) -> bool {
+        let named = contract
+            .models
+            .iter()
+            .any(|allowed| match allowed.split_once('@') {
+                Some((name, only)) => name == model && only == version,
+                None => allowed == model,
+            });
+        named && !self.withdrawn(model, version)
+    }
+
+    fn of_kind(&self, prefix: &'static str) -> impl Iterator<Item = &Object> {
+        self.objects
+            .range(prefix.to_owned()..)
+            .take_while(move |(key, _)| key.starts_with(prefix))
+            .map(|(_, object)| object.as_ref())
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Run records and bills.
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Slots, ramps, retry budgets and load shedding.
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,3 @@
+//! The sardinebank node.
+
+fn main() {}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing decisions.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings from flags and environment.
--- /dev/null
+++ b/crates/view/src/lib.rs
@@ -0,0 +1,1 @@
+//! A node's view of configuration and members.
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,50 @@
+//! Frames as CBOR.
+
+use crate::{Error, Frame};
+use bytes::Bytes;
+
+/// Longest frame in bytes.
+pub const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+
+/// Deepest nesting in a frame.
+const MAX_DEPTH: usize = 16;
+
+/// Writes a frame as CBOR.
+///
+/// ```
+/// let frame = wire::Frame::Fetch(wire::Fetch { after: 7 });
+/// let bytes = wire::encode(&frame)?;
+/// assert!(matches!(wire::decode(&bytes)?, wire::Frame::Fetch(fetch) if fetch.after == 7));
+/// # Ok::<(), wire::Error>(())
+/// ```
+pub fn encode(frame: &Frame) -> Result<Bytes, Error> {
+    let mut buffer = Vec::new();
+    ciborium::into_writer(frame, &mut buffer)?;
+    check(buffer.len())?;
+    Ok(buffer.into())
+}
+
+/// Reads a frame from CBOR; nothing may follow it.
+///
+/// ```
+/// assert!(wire::decode(b"not a frame").is_err());
+/// ```
+pub fn decode(bytes: &[u8]) -> Result<Frame, Error> {
+    check(bytes.len())?;
+    let mut rest = bytes;
+    let frame = ciborium::de::from_reader_with_recursion_limit(&mut rest, MAX_DEPTH)?;
+    if !rest.is_empty() {
+        return Err(Error::Trailing(rest.len()));
+    }
+    Ok(frame)
+}
+
+fn check(found: usize) -> Result<(), Error> {
+    if found > MAX_FRAME_BYTES {
+        return Err(Error::Size {
+            found,
+            limit: MAX_FRAME_BYTES,
+        });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/wire/src/generated.rs
@@ -0,0 +1,948 @@
+#![allow(clippy::redundant_closure_call)]
+#![allow(clippy::needless_lifetimes)]
+#![allow(clippy::match_single_binding)]
+#![allow(clippy::clone_on_copy)]
+
+#[doc = r" Error types."]
+pub mod error {
+    #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
+#[doc = "A member has applied all revisions up to this one; relayed towards the node that waits for it."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"A member has applied all revisions up to this one; relayed towards the node that waits for it.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"incarnation\","]
+#[doc = "    \"node\","]
+#[doc = "    \"revision\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"incarnation\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"node\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"revision\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Ack {
+    pub incarnation: u64,
+    pub node: ::std::string::String,
+    pub revision: u64,
+}
+impl ::std::convert::From<&Ack> for Ack {
+    fn from(value: &Ack) -> Self {
+        value.clone()
+    }
+}
+#[doc = "Heartbeat: the sender is alive and has applied this revision."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"Heartbeat: the sender is alive and has applied this revision.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"echo\","]
+#[doc = "    \"revision\","]
+#[doc = "    \"sequence\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"echo\": {"]
+#[doc = "      \"description\": \"The last sequence received from the other end.\","]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"platform_age_ms\": {"]
+#[doc = "      \"description\": \"Milliseconds since the sender itself last read the head from the platform; absent when it never did.\","]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"revision\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"sequence\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Beat {
+    #[doc = "The last sequence received from the other end."]
+    pub echo: u64,
+    #[doc = "Milliseconds since the sender itself last read the head from the platform; absent when it never did."]
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub platform_age_ms: ::std::option::Option<u64>,
+    pub revision: u64,
+    pub sequence: u64,
+}
+impl ::std::convert::From<&Beat> for Beat {
+    fn from(value: &Beat) -> Self {
+        value.clone()
+    }
+}
+#[doc = "Decayed counts of good and bad answers."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"Decayed counts of good and bad answers.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"bad\","]
+#[doc = "    \"customer\","]
+#[doc = "    \"good\","]
+#[doc = "    \"model\","]
+#[doc = "    \"sequence\","]
+#[doc = "    \"task\","]
+#[doc = "    \"version\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"bad\": {"]
+#[doc = "      \"type\": \"number\""]
+#[doc = "    },"]
+#[doc = "    \"customer\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"good\": {"]
+#[doc = "      \"type\": \"number\""]
+#[doc = "    },"]
+#[doc = "    \"model\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"sequence\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"task\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"version\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Cell {
+    pub bad: f64,
+    pub customer: ::std::string::String,
+    pub good: f64,
+    pub model: ::std::string::String,
+    pub sequence: u64,
+    pub task: ::std::string::String,
+    pub version: ::std::string::String,
+}
+impl ::std::convert::From<&Cell> for Cell {
+    fn from(value: &Cell) -> Self {
+        value.clone()
+    }
+}
+#[doc = "One revision: the objects it put or removed."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"One revision: the objects it put or removed.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"change\","]
+#[doc = "    \"entries\","]
+#[doc = "    \"revision\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"change\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"entries\": {"]
+#[doc = "      \"type\": \"array\","]
+#[doc = "      \"items\": {"]
+#[doc = "        \"$ref\": \"#/definitions/Entry\""]
+#[doc = "      }"]
+#[doc = "    },"]
+#[doc = "    \"revision\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Delta {
+    pub change: ::std::string::String,
+    pub entries: ::std::vec::Vec<Entry>,
+    pub revision: u64,
+}
+impl ::std::convert::From<&Delta> for Delta {
+    fn from(value: &Delta) -> Self {
+        value.clone()
+    }
+}
+#[doc = "One object of the configuration; no body means removed."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"One object of the configuration; no body means removed.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"key\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"body\": {"]
+#[doc = "      \"description\": \"The object as JSON text.\","]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"key\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    #[doc = "The object as JSON text."]
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub body: ::std::option::Option<::std::string::String>,
+    pub key: ::std::string::String,
+}
+impl ::std::convert::From<&Entry> for Entry {
+    fn from(value: &Entry) -> Self {
+        value.clone()
+    }
+}
+#[doc = "Asks for the revisions after this one."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"Asks for the revisions after this one.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"after\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"after\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Fetch {
+    pub after: u64,
+}
+impl ::std::convert::From<&Fetch> for Fetch {
+    fn from(value: &Fetch) -> Self {
+        value.clone()
+    }
+}
+#[doc = "One message on a link between two nodes. CBOR on the wire; times in milliseconds."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"title\": \"Frame\","]
+#[doc = "  \"description\": \"One message on a link between two nodes. CBOR on the wire; times in milliseconds.\","]
+#[doc = "  \"oneOf\": ["]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"hello\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"hello\": {"]
+#[doc = "          \"$ref\": \"#/definitions/Hello\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"beat\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"beat\": {"]
+#[doc = "          \"$ref\": \"#/definitions/Beat\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"proof\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"proof\": {"]
+#[doc = "          \"$ref\": \"#/definitions/Proof\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"delta\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"delta\": {"]
+#[doc = "          \"$ref\": \"#/definitions/Delta\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"fetch\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"fetch\": {"]
+#[doc = "          \"$ref\": \"#/definitions/Fetch\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"ack\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"ack\": {"]
+#[doc = "          \"$ref\": \"#/definitions/Ack\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"slot_request\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"slot_request\": {"]
+#[doc = "          \"$ref\": \"#/definitions/SlotRequest\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"slot_grant\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"slot_grant\": {"]
+#[doc = "          \"$ref\": \"#/definitions/SlotGrant\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"ratings\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"ratings\": {"]
+#[doc = "          \"$ref\": \"#/definitions/Ratings\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"suspect\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"suspect\": {"]
+#[doc = "          \"$ref\": \"#/definitions/Suspect\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"spend\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"spend\": {"]
+#[doc = "          \"$ref\": \"#/definitions/Spend\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"leave\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"leave\": {"]
+#[doc = "          \"$ref\": \"#/definitions/Leave\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    }"]
+#[doc = "  ]"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub enum Frame {
+    #[serde(rename = "hello")]
+    Hello(Hello),
+    #[serde(rename = "beat")]
+    Beat(Beat),
+    #[serde(rename = "proof")]
+    Proof(Proof),
+    #[serde(rename = "delta")]
+    Delta(Delta),
+    #[serde(rename = "fetch")]
+    Fetch(Fetch),
+    #[serde(rename = "ack")]
+    Ack(Ack),
+    #[serde(rename = "slot_request")]
+    SlotRequest(SlotRequest),
+    #[serde(rename = "slot_grant")]
+    SlotGrant(SlotGrant),
+    #[serde(rename = "ratings")]
+    Ratings(Ratings),
+    #[serde(rename = "suspect")]
+    Suspect(Suspect),
+    #[serde(rename = "spend")]
+    Spend(Spend),
+    #[serde(rename = "leave")]
+    Leave(Leave),
+}
+impl ::std::convert::From<&Self> for Frame {
+    fn from(value: &Frame) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<Hello> for Frame {
+    fn from(value: Hello) -> Self {
+        Self::Hello(value)
+    }
+}
+impl ::std::convert::From<Beat> for Frame {
+    fn from(value: Beat) -> Self {
+        Self::Beat(value)
+    }
+}
+impl ::std::convert::From<Proof> for Frame {
+    fn from(value: Proof) -> Self {
+        Self::Proof(value)
+    }
+}
+impl ::std::convert::From<Delta> for Frame {
+    fn from(value: Delta) -> Self {
+        Self::Delta(value)
+    }
+}
+impl ::std::convert::From<Fetch> for Frame {
+    fn from(value: Fetch) -> Self {
+        Self::Fetch(value)
+    }
+}
+impl ::std::convert::From<Ack> for Frame {
+    fn from(value: Ack) -> Self {
+        Self::Ack(value)
+    }
+}
+impl ::std::convert::From<SlotRequest> for Frame {
+    fn from(value: SlotRequest) -> Self {
+        Self::SlotRequest(value)
+    }
+}
+impl ::std::convert::From<SlotGrant> for Frame {
+    fn from(value: SlotGrant) -> Self {
+        Self::SlotGrant(value)
+    }
+}
+impl ::std::convert::From<Ratings> for Frame {
+    fn from(value: Ratings) -> Self {
+        Self::Ratings(value)
+    }
+}
+impl ::std::convert::From<Suspect> for Frame {
+    fn from(value: Suspect) -> Self {
+        Self::Suspect(value)
+    }
+}
+impl ::std::convert::From<Spend> for Frame {
+    fn from(value: Spend) -> Self {
+        Self::Spend(value)
+    }
+}
+impl ::std::convert::From<Leave> for Frame {
+    fn from(value: Leave) -> Self {
+        Self::Leave(value)
+    }
+}
+#[doc = "First frame in each direction: who is at this end."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"First frame in each direction: who is at this end.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"incarnation\","]
+#[doc = "    \"key\","]
+#[doc = "    \"node\","]
+#[doc = "    \"protocol\","]
+#[doc = "    \"revision\","]
+#[doc = "    \"zone\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"incarnation\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"key\": {"]
+#[doc = "      \"description\": \"Proof of the shared link key.\","]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"node\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"protocol\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint32\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"revision\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"zone\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Hello {
+    pub incarnation: u64,
+    #[doc = "Proof of the shared link key."]
+    pub key: ::std::string::String,
+    pub node: ::std::string::String,
+    pub protocol: u32,
+    pub revision: u64,
+    pub zone: ::std::string::String,
+}
+impl ::std::convert::From<&Hello> for Hello {
+    fn from(value: &Hello) -> Self {
+        value.clone()
+    }
+}
+#[doc = "The sender stops: callers are no longer sent to it."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"The sender stops: callers are no longer sent to it.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"incarnation\","]
+#[doc = "    \"node\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"incarnation\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"node\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Leave {
+    pub incarnation: u64,
+    pub node: ::std::string::String,
+}
+impl ::std::convert::From<&Leave> for Leave {
+    fn from(value: &Leave) -> Self {
+        value.clone()
+    }
+}
+#[doc = "Revision was the head of the configuration age_ms ago, as read from the platform."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"Revision was the head of the configuration age_ms ago, as read from the platform.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"age_ms\","]
+#[doc = "    \"revision\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"age_ms\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"revision\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Proof {
+    pub age_ms: u64,
+    pub revision: u64,
+}
+impl ::std::convert::From<&Proof> for Proof {
+    fn from(value: &Proof) -> Self {
+        value.clone()
+    }
+}
+#[doc = "A node's own rating counters, complete for the cells named; receivers keep the newest per node."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"A node's own rating counters, complete for the cells named; receivers keep the newest per node.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"cells\","]
+#[doc = "    \"incarnation\","]
+#[doc = "    \"node\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"cells\": {"]
+#[doc = "      \"type\": \"array\","]
+#[doc = "      \"items\": {"]
+#[doc = "        \"$ref\": \"#/definitions/Cell\""]
+#[doc = "      }"]
+#[doc = "    },"]
+#[doc = "    \"incarnation\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"node\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Ratings {
+    pub cells: ::std::vec::Vec<Cell>,
+    pub incarnation: u64,
+    pub node: ::std::string::String,
+}
+impl ::std::convert::From<&Ratings> for Ratings {
+    fn from(value: &Ratings) -> Self {
+        value.clone()
+    }
+}
+#[doc = "Slots granted by the home until they expire, ttl_ms after the request was sent."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"Slots granted by the home until they expire, ttl_ms after the request was sent.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"backend\","]
+#[doc = "    \"fence\","]
+#[doc = "    \"sequence\","]
+#[doc = "    \"slots\","]
+#[doc = "    \"ttl_ms\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"backend\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"fence\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"sequence\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"slots\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint32\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"ttl_ms\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SlotGrant {
+    pub backend: ::std::string::String,
+    pub fence: u64,
+    pub sequence: u64,
+    pub slots: u32,
+    pub ttl_ms: u64,
+}
+impl ::std::convert::From<&SlotGrant> for SlotGrant {
+    fn from(value: &SlotGrant) -> Self {
+        value.clone()
+    }
+}
+#[doc = "Asks the home of a backend server for slots; held counts requests in flight there now."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"Asks the home of a backend server for slots; held counts requests in flight there now.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"backend\","]
+#[doc = "    \"held\","]
+#[doc = "    \"sequence\","]
+#[doc = "    \"wanted\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"backend\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"held\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint32\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"sequence\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"wanted\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint32\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SlotRequest {
+    pub backend: ::std::string::String,
+    pub held: u32,
+    pub sequence: u64,
+    pub wanted: u32,
+}
+impl ::std::convert::From<&SlotRequest> for SlotRequest {
+    fn from(value: &SlotRequest) -> Self {
+        value.clone()
+    }
+}
+#[doc = "What a node has spent for a customer in a budget period."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"What a node has spent for a customer in a budget period.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"customer\","]
+#[doc = "    \"incarnation\","]
+#[doc = "    \"micros\","]
+#[doc = "    \"node\","]
+#[doc = "    \"period\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"customer\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"incarnation\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"micros\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"node\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"period\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Spend {
+    pub customer: ::std::string::String,
+    pub incarnation: u64,
+    pub micros: u64,
+    pub node: ::std::string::String,
+    pub period: u64,
+}
+impl ::std::convert::From<&Spend> for Spend {
+    fn from(value: &Spend) -> Self {
+        value.clone()
+    }
+}
+#[doc = "A request fingerprint during which a backend server died."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"A request fingerprint during which a backend server died.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"age_ms\","]
+#[doc = "    \"backend\","]
+#[doc = "    \"fingerprint\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"age_ms\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"backend\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"fingerprint\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Suspect {
+    pub age_ms: u64,
+    pub backend: ::std::string::String,
+    pub fingerprint: ::std::string::String,
+}
+impl ::std::convert::From<&Suspect> for Suspect {
+    fn from(value: &Suspect) -> Self {
+        value.clone()
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,13 @@
+//! Messages between nodes.
+
+mod codec;
+mod error;
+#[allow(dead_code, missing_docs)]
+mod generated;
+
+pub use codec::{MAX_FRAME_BYTES, decode, encode};
+pub use error::Error;
+pub use generated::{
+    Ack, Beat, Cell, Delta, Entry, Fetch, Frame, Hello, Leave, Proof, Ratings, SlotGrant,
+    SlotRequest, Spend, Suspect,
+};
--- /dev/null
+++ b/schema/generate.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Generates the Rust types of the messages and configuration objects from the JSON schemas.
+set -eu
+cd "$(dirname "$0")/.."
+for pair in link:wire contract:contract; do
+  schema=${pair%%:*} crate=${pair##*:} out=crates/${pair##*:}/src/generated.rs
+  cargo typify --no-builder -a PartialEq --map-type "::std::collections::BTreeMap" --output "$out" "schema/$schema.json"
+  rustfmt --edition 2024 "$out"
+done
