Add clients of model engines and plain services

Cause: the request path needs backend servers, and each failure has to say whether the work ran. Ruled out: one HTTP client for all backend servers, because its connections to a single silent server can't be dropped; unstreamed calls of engines, because a stream shows progress and a whole answer shows silence only at the deadline. Change: Engine (always streamed, progress timeout), Service, Pool with a client per backend server, Error::ran. Before / after: nothing before; doc examples pass. Conclusion: the node can be written against it.

--- /dev/null
+++ b/crates/backend/src/engine/chunk.rs
@@ -0,0 +1,77 @@
+//! One event of a streamed answer.
+
+use crate::{Error, Usage};
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+/// A chunk as the engine sent it, with what the router looks at.
+#[derive(Clone, Debug)]
+pub struct Chunk {
+    /// The event's JSON, unchanged.
+    pub data: Bytes,
+    /// Text that the chunk adds to the first choice.
+    pub text: String,
+    /// Token counts, in the last chunk.
+    pub usage: Option<Usage>,
+    /// Whether any choice of the chunk says why it ended.
+    pub finished: bool,
+}
+
+#[derive(Deserialize)]
+struct Shape {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    #[serde(default)]
+    usage: Option<Usage>,
+    #[serde(default)]
+    error: Option<Box<RawValue>>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    index: u64,
+    #[serde(default)]
+    delta: Delta,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+#[derive(Default, Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+impl Chunk {
+    /// Reads one event.
+    ///
+    /// ```
+    /// let chunk = backend::Chunk::read(r#"{"choices":[{"index":0,"delta":{"content":"Hi"}}]}"#.into())?;
+    /// assert_eq!(chunk.text, "Hi");
+    /// # Ok::<(), backend::Error>(())
+    /// ```
+    pub fn read(data: Bytes) -> Result<Self, Error> {
+        let shape: Shape = serde_json::from_slice(&data)?;
+        if shape.error.is_some() {
+            return Err(Error::Failed { status: 500 });
+        }
+        let finished = shape
+            .choices
+            .iter()
+            .any(|choice| choice.finish_reason.is_some());
+        let text = shape
+            .choices
+            .into_iter()
+            .filter(|choice| choice.index == 0)
+            .filter_map(|choice| choice.delta.content)
+            .collect();
+        Ok(Self {
+            data,
+            text,
+            usage: shape.usage,
+            finished,
+        })
+    }
+}
--- /dev/null
+++ b/crates/backend/src/engine/client.rs
@@ -0,0 +1,106 @@
+//! Sends calls and reads the streamed answers.
+
+use crate::{Chat, Chunk, Error, Pool};
+use eventsource_stream::{EventStreamError, Eventsource};
+use futures::{Stream, StreamExt};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Marks the end of a streamed answer.
+const DONE: &str = "[DONE]";
+
+/// Longest part of an engine's refusal that is read, in bytes.
+const MAX_REFUSAL_BYTES: usize = 16 * 1024;
+
+/// Client of model engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Engine<'a> {
+    pool: &'a Pool,
+}
+
+impl<'a> Engine<'a> {
+    /// Uses the connections of a pool.
+    ///
+    /// ```
+    /// let pool = backend::Pool::default();
+    /// let engine = backend::Engine::new(&pool);
+    /// # let _ = engine;
+    /// ```
+    pub fn new(pool: &'a Pool) -> Self {
+        Self { pool }
+    }
+
+    /// Sends a call; the answer is a stream of chunks that ends after the engine's own end mark.
+    ///
+    /// A stream that ends without the mark gives [`Error::Truncated`]. Dropping the stream closes
+    /// the connection, which cancels the work at the engine.
+    pub async fn chat(
+        &self,
+        backend: &str,
+        chat: Chat,
+    ) -> Result<impl Stream<Item = Result<Chunk, Error>> + Send + Unpin + 'static, Error> {
+        let settings = self.pool.settings();
+        let request = self
+            .pool
+            .client(backend)
+            .post(format!("http://{backend}/v1/chat/completions"))
+            .header("content-type", "application/json")
+            .header("x-request-id", chat.request_id)
+            .header("x-sardinebank-customer", chat.customer)
+            .header("x-fencing-token", chat.fence)
+            .body(chat.body)
+            .send();
+        let response = match timeout(settings.first_byte_timeout, request).await {
+            Ok(sent) => sent.map_err(Error::sending)?,
+            Err(_) => {
+                self.pool.reset(backend);
+                return Err(Error::Silent(settings.first_byte_timeout));
+            }
+        };
+        let response = refuse(response).await?;
+        Ok(chunks(response, settings.progress_timeout))
+    }
+}
+
+async fn refuse(response: reqwest::Response) -> Result<reqwest::Response, Error> {
+    let status = response.status().as_u16();
+    match status {
+        200..300 => Ok(response),
+        409 | 429 | 503 => Err(Error::Refused { status }),
+        400..500 => {
+            let mut body = response.bytes().await.unwrap_or_default();
+            body.truncate(MAX_REFUSAL_BYTES);
+            Err(Error::Rejected { status, body })
+        }
+        _ => Err(Error::Failed { status }),
+    }
+}
+
+fn chunks(
+    response: reqwest::Response,
+    progress_timeout: Duration,
+) -> impl Stream<Item = Result<Chunk, Error>> + Send + Unpin + 'static {
+    let events = Box::pin(response.bytes_stream().eventsource());
+    Box::pin(futures::stream::unfold(
+        Some(events),
+        move |state| async move {
+            let mut events = state?;
+            let event = match timeout(progress_timeout, events.next()).await {
+                Ok(event) => event,
+                Err(_) => return Some((Err(Error::Silent(progress_timeout)), None)),
+            };
+            match event {
+                Some(Ok(event)) if event.data == DONE => None,
+                Some(Ok(event)) => {
+                    let chunk = Chunk::read(event.data.into());
+                    let rest = chunk.is_ok().then_some(events);
+                    Some((chunk, rest))
+                }
+                Some(Err(EventStreamError::Transport(source))) => {
+                    Some((Err(Error::Broken(source)), None))
+                }
+                Some(Err(_)) | None => Some((Err(Error::Truncated), None)),
+            }
+        },
+    ))
+}
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -1,1 +1,13 @@
-//! Clients of backend servers.
+//! Clients of backend servers: model engines and plain services.
+
+mod engine;
+mod error;
+mod pool;
+mod service;
+mod settings;
+
+pub use engine::{Chat, Chunk, Engine, Usage};
+pub use error::{Error, Ran};
+pub use pool::Pool;
+pub use service::{Call, Reply, Service};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/backend/src/service/client.rs
@@ -0,0 +1,80 @@
+//! Sends calls and reads whole answers.
+
+use crate::{Call, Error, Pool, Reply};
+use bytes::BytesMut;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Client of plain services.
+#[derive(Clone, Copy, Debug)]
+pub struct Service<'a> {
+    pool: &'a Pool,
+}
+
+impl<'a> Service<'a> {
+    /// Uses the connections of a pool.
+    ///
+    /// ```
+    /// let pool = backend::Pool::default();
+    /// let service = backend::Service::new(&pool);
+    /// # let _ = service;
+    /// ```
+    pub fn new(pool: &'a Pool) -> Self {
+        Self { pool }
+    }
+
+    /// Sends a call and reads the answer within a time limit.
+    pub async fn call(&self, backend: &str, call: Call, limit: Duration) -> Result<Reply, Error> {
+        match timeout(limit, self.exchange(backend, call)).await {
+            Ok(reply) => reply,
+            Err(_) => {
+                self.pool.reset(backend);
+                Err(Error::Silent(limit))
+            }
+        }
+    }
+
+    async fn exchange(&self, backend: &str, call: Call) -> Result<Reply, Error> {
+        let method = reqwest::Method::from_bytes(call.method.as_bytes()).unwrap_or_default();
+        let mut request = self
+            .pool
+            .client(backend)
+            .request(method, format!("http://{backend}{}", call.path))
+            .header("x-request-id", call.request_id)
+            .header("x-sardinebank-customer", call.customer)
+            .body(call.body);
+        if let Some(content_type) = call.content_type {
+            request = request.header("content-type", content_type);
+        }
+        if let Some(key) = call.idempotency_key {
+            request = request.header("idempotency-key", key);
+        }
+        let response = request.send().await.map_err(Error::sending)?;
+        self.read(response).await
+    }
+
+    async fn read(&self, mut response: reqwest::Response) -> Result<Reply, Error> {
+        let status = response.status().as_u16();
+        if status == 503 || status == 429 {
+            return Err(Error::Refused { status });
+        }
+        let content_type = response
+            .headers()
+            .get("content-type")
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned);
+        let limit = self.pool.settings().max_reply_bytes;
+        let mut body = BytesMut::new();
+        while let Some(part) = response.chunk().await.map_err(Error::Broken)? {
+            if body.len() + part.len() > limit {
+                return Err(Error::Oversized { limit });
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(Reply {
+            status,
+            content_type,
+            body: body.freeze(),
+        })
+    }
+}
