settings: read a node's settings from flags and environment

Cause: crates need one place that reads, checks and prints settings. Ruled out: bpaf's own `.env()`, which can't say whether a value came from the environment; cargo-typify for settings, which knows neither flags nor std time types, so that each field would stand three times. Change: schema/settings.json lists every setting with type, unit, bounds, default and help; the generator in crates/settings/examples writes `settings::node::Settings`, its `Default` and the table of flags.

--- /dev/null
+++ b/crates/settings/examples/generate.rs
@@ -0,0 +1,159 @@
+//! Generates the settings of a node from schema/settings.json.
+//!
+//! Usage: `generate SCHEMA` writes Rust to standard output.
+
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// The parts of the schema that are used.
+#[derive(Deserialize)]
+pub struct Schema {
+    required: Vec<String>,
+    #[serde(rename = "x-order")]
+    order: Vec<String>,
+    properties: BTreeMap<String, Property>,
+}
+
+/// One setting.
+#[derive(Deserialize)]
+struct Property {
+    #[serde(rename = "x-kind")]
+    kind: String,
+    description: String,
+    default: Option<serde_json::Value>,
+    #[serde(default)]
+    minimum: u64,
+    #[serde(default)]
+    maximum: u64,
+}
+
+impl Property {
+    /// Name of the variant of `Kind`, and the Rust type of the field.
+    fn types(&self) -> (&'static str, &'static str) {
+        match self.kind.as_str() {
+            "address" => ("Address", "SocketAddr"),
+            "bytes" => ("Bytes", "u64"),
+            "count" => ("Count", "usize"),
+            "filter" => ("Filter", "String"),
+            "keys" => ("Keys", "Vec<Secret>"),
+            "log-format" => ("LogFormat", "Format"),
+            "milliseconds" => ("Milliseconds", "Duration"),
+            "name" => ("Name", "String"),
+            "optional-address" => ("Address", "Option<SocketAddr>"),
+            "url" => ("Url", "String"),
+            other => panic!("unknown x-kind {other}"),
+        }
+    }
+
+    fn default_text(&self) -> String {
+        match &self.default {
+            Some(serde_json::Value::String(text)) => text.clone(),
+            Some(other) => other.to_string(),
+            None => String::new(),
+        }
+    }
+
+    fn default_code(&self) -> String {
+        let text = self.default_text();
+        match self.kind.as_str() {
+            "address" => {
+                let (ip, port) = text.rsplit_once(':').expect("ip:port");
+                let ip = ip.replace('.', ", ");
+                format!("SocketAddr::from(([{ip}], {port}))")
+            }
+            "bytes" | "count" => text,
+            "log-format" => "Format::Text".to_owned(),
+            "milliseconds" => format!("Duration::from_millis({text})"),
+            "optional-address" => "None".to_owned(),
+            "keys" => "Vec::new()".to_owned(),
+            _ if text.is_empty() => "String::new()".to_owned(),
+            _ => format!("{text:?}.to_owned()"),
+        }
+    }
+}
+
+fn field(flag: &str) -> String {
+    let name = flag.strip_suffix("-ms").unwrap_or(flag);
+    name.replace('-', "_")
+}
+
+/// Writes the Rust code of the settings.
+pub fn generate(schema: &str) -> String {
+    let schema: Schema = serde_json::from_str(schema).expect("schema/settings.json");
+    assert_eq!(schema.order.len(), schema.properties.len(), "x-order");
+    let mut out = String::from(
+        "//! Generated from schema/settings.json by schema/generate.sh.\n\n\
+         use crate::log::Format;\n\
+         use crate::secret::Secret;\n\
+         use crate::spec::{Kind, Spec};\n\
+         use crate::value::Value;\n\
+         use std::net::SocketAddr;\n\
+         use std::time::Duration;\n\n",
+    );
+    write_struct(&mut out, &schema);
+    write_default(&mut out, &schema);
+    write_field(&mut out, &schema);
+    write_specs(&mut out, &schema);
+    out
+}
+
+fn write_struct(out: &mut String, schema: &Schema) {
+    out.push_str(
+        "/// Settings of a node.\n#[derive(Clone, Debug, PartialEq)]\npub struct Settings {\n",
+    );
+    for flag in &schema.order {
+        let property = &schema.properties[flag];
+        let (_, kind) = property.types();
+        let _ = writeln!(
+            out,
+            "/// {}.\npub {}: {kind},",
+            property.description,
+            field(flag)
+        );
+    }
+    out.push_str("}\n\n");
+}
+
+fn write_default(out: &mut String, schema: &Schema) {
+    out.push_str("impl Default for Settings {\nfn default() -> Self {\nSelf {\n");
+    for flag in &schema.order {
+        let code = schema.properties[flag].default_code();
+        let _ = writeln!(out, "{}: {code},", field(flag));
+    }
+    out.push_str("}\n}\n}\n\n");
+}
+
+fn write_field(out: &mut String, schema: &Schema) {
+    out.push_str("impl Settings {\n/// The field that a flag sets.\npub(crate) fn field(&mut self, flag: &str) -> Option<&mut dyn Value> {\nSome(match flag {\n");
+    for flag in &schema.order {
+        let _ = writeln!(out, "{flag:?} => &mut self.{},", field(flag));
+    }
+    out.push_str("_ => return None,\n})\n}\n}\n\n");
+}
+
+fn write_specs(out: &mut String, schema: &Schema) {
+    out.push_str("/// All settings in the order of the help.\npub const SPECS: &[Spec] = &[\n");
+    for flag in &schema.order {
+        let property = &schema.properties[flag];
+        let (kind, _) = property.types();
+        let env = format!("SARDINEBANK_{}", flag.replace('-', "_").to_uppercase());
+        let _ = writeln!(
+            out,
+            "Spec {{\nflag: {flag:?},\nenv: {env:?},\nkind: Kind::{kind},\ndefault: {:?},\nrequired: {},\nminimum: {},\nmaximum: {},\nhelp: {:?},\n}},",
+            property.default_text(),
+            schema.required.contains(flag),
+            property.minimum,
+            property.maximum,
+            property.description,
+        );
+    }
+    out.push_str("];\n");
+}
+
+#[allow(dead_code)]
+fn main() {
+    let path = std::env::args().nth(1).expect("path of the schema");
+    let schema = std::fs::read_to_string(&path).expect("schema");
+    print!("{}", generate(&schema));
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,12 @@
-//! Settings from flags and environment.
+//! Settings from flags and environment, and the logger that they configure.
+
+pub mod error;
+mod generated;
+pub mod log;
+pub mod node;
+pub mod secret;
+pub mod spec;
+mod value;
+
+pub use error::{Error, Problem};
+pub use secret::Secret;
--- /dev/null
+++ b/crates/settings/src/log.rs
@@ -0,0 +1,85 @@
+//! Logger with numbered events, as text or as JSON lines.
+
+use crate::Error;
+use env_logger::fmt::Formatter;
+use log::Record;
+use log::kv::{Key, VisitSource};
+use serde_json::{Map, json};
+use std::io::{self, Write};
+
+/// Form of log events.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Format {
+    /// One JSON object a line.
+    Json,
+    /// One line for people.
+    #[default]
+    Text,
+}
+
+/// Starts the logger on standard error.
+///
+/// ```
+/// settings::log::init("info", settings::log::Format::Json)?;
+/// assert!(settings::log::init("info", settings::log::Format::Json).is_err());
+/// # Ok::<(), settings::Error>(())
+/// ```
+pub fn init(filter: &str, format: Format) -> Result<(), Error> {
+    let mut builder = env_logger::Builder::new();
+    builder.parse_filters(filter);
+    match format {
+        Format::Json => builder.format(write_json),
+        Format::Text => builder.format(write_text),
+    };
+    builder.try_init()?;
+    Ok(())
+}
+
+/// Collects the key-value pairs of a record.
+#[derive(Default)]
+struct Pairs(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Pairs {
+    fn visit_pair(
+        &mut self,
+        key: Key<'kvs>,
+        value: log::kv::Value<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        let value = match value.to_u64() {
+            Some(number) => json!(number),
+            None => json!(value.to_string()),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+fn pairs(record: &Record) -> Map<String, serde_json::Value> {
+    let mut pairs = Pairs::default();
+    // A pair that can't be shown is left out; the event itself is still written.
+    let _ = record.key_values().visit(&mut pairs);
+    pairs.0
+}
+
+fn write_json(out: &mut Formatter, record: &Record) -> io::Result<()> {
+    let mut line = pairs(record);
+    line.insert("time".into(), json!(out.timestamp_millis().to_string()));
+    line.insert("level".into(), json!(record.level().as_str()));
+    line.insert("target".into(), json!(record.target()));
+    line.insert("message".into(), json!(record.args().to_string()));
+    writeln!(out, "{}", serde_json::Value::Object(line))
+}
+
+fn write_text(out: &mut Formatter, record: &Record) -> io::Result<()> {
+    let time = out.timestamp_millis();
+    let (level, target) = (record.level(), record.target());
+    let mut pairs = pairs(record);
+    let event = pairs
+        .remove("event")
+        .map_or(String::new(), |event| format!(" {event}"));
+    write!(out, "{time} {level:<5}{event} {target}: {}", record.args())?;
+    for (key, value) in &pairs {
+        write!(out, " {key}={value}")?;
+    }
+    writeln!(out)
+}
--- /dev/null
+++ b/crates/settings/src/spec.rs
@@ -0,0 +1,105 @@
+//! What is known of each setting.
+
+/// Shortest key in characters.
+pub const MIN_KEY_CHARS: usize = 16;
+
+/// Longest name in characters.
+pub const MAX_NAME_CHARS: usize = 64;
+
+/// Type of a setting's value.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// An IP address and a port.
+    Address,
+    /// A number of bytes.
+    Bytes,
+    /// A number of things.
+    Count,
+    /// A filter of log events.
+    Filter,
+    /// Keys; the flag may be repeated.
+    Keys,
+    /// Form of log events.
+    LogFormat,
+    /// A time in milliseconds.
+    Milliseconds,
+    /// A name.
+    Name,
+    /// A URL.
+    Url,
+}
+
+/// One setting: its flag, environment variable, bounds and default.
+#[derive(Clone, Copy, Debug)]
+pub struct Spec {
+    /// Long flag without dashes.
+    pub flag: &'static str,
+    /// Environment variable.
+    pub env: &'static str,
+    /// Type of the value.
+    pub kind: Kind,
+    /// Default as text; empty if there is none.
+    pub default: &'static str,
+    /// Whether a value must be given.
+    pub required: bool,
+    /// Smallest number allowed.
+    pub minimum: u64,
+    /// Largest number allowed.
+    pub maximum: u64,
+    /// What the setting is for.
+    pub help: &'static str,
+}
+
+impl Spec {
+    /// What a value must look like.
+    ///
+    /// ```
+    /// let spec = settings::node::SPECS.iter().find(|spec| spec.flag == "http").unwrap();
+    /// assert_eq!(spec.expected(), "an address ip:port");
+    /// ```
+    pub fn expected(&self) -> String {
+        let (low, high) = (self.minimum, self.maximum);
+        match self.kind {
+            Kind::Address => "an address ip:port".to_owned(),
+            Kind::Bytes => format!("a number of bytes from {low} to {high}"),
+            Kind::Count => format!("a number from {low} to {high}"),
+            Kind::Filter => "a filter such as info or warn,sardinebank=debug".to_owned(),
+            Kind::Keys => format!("a key of at least {MIN_KEY_CHARS} printable characters"),
+            Kind::LogFormat => "text or json".to_owned(),
+            Kind::Milliseconds => format!("milliseconds from {low} to {high}"),
+            Kind::Name => format!(
+                "a name of 1 to {MAX_NAME_CHARS} letters, digits, dots, dashes or underscores"
+            ),
+            Kind::Url => "a URL that starts with http:// or https://".to_owned(),
+        }
+    }
+
+    /// Word that stands for the value in the help.
+    pub(crate) fn metavar(&self) -> &'static str {
+        match self.kind {
+            Kind::Address => "IP:PORT",
+            Kind::Bytes => "BYTES",
+            Kind::Count => "N",
+            Kind::Filter => "FILTER",
+            Kind::Keys => "KEY",
+            Kind::LogFormat => "text|json",
+            Kind::Milliseconds => "MS",
+            Kind::Name => "NAME",
+            Kind::Url => "URL",
+        }
+    }
+
+    /// Unit of the value, if it has one.
+    pub(crate) fn unit(&self) -> &'static str {
+        match self.kind {
+            Kind::Bytes => " bytes",
+            Kind::Milliseconds => " ms",
+            _ => "",
+        }
+    }
+
+    /// Whether the value is a key.
+    pub(crate) fn secret(&self) -> bool {
+        self.kind == Kind::Keys
+    }
+}
--- /dev/null
+++ b/crates/settings/src/value.rs
@@ -0,0 +1,154 @@
+//! Reading and showing the value of one setting.
+
+use crate::log::Format;
+use crate::secret::Secret;
+use crate::spec::{Kind, MAX_NAME_CHARS, MIN_KEY_CHARS, Spec};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A field that can be set from text.
+pub(crate) trait Value {
+    /// Sets the field; `None` if the text isn't what the setting expects.
+    fn set(&mut self, texts: &[String], spec: &Spec) -> Option<()>;
+
+    /// The value as text, without its unit; keys are redacted.
+    fn show(&self) -> String;
+}
+
+fn single(texts: &[String]) -> Option<&str> {
+    match texts {
+        [one] => Some(one),
+        _ => None,
+    }
+}
+
+fn number(texts: &[String], spec: &Spec) -> Option<u64> {
+    let number = single(texts)?.parse().ok()?;
+    (spec.minimum..=spec.maximum)
+        .contains(&number)
+        .then_some(number)
+}
+
+fn is_name(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b".-_".contains(&byte);
+    (1..=MAX_NAME_CHARS).contains(&text.len()) && text.bytes().all(allowed)
+}
+
+fn is_url(text: &str) -> bool {
+    let rest = text
+        .strip_prefix("http://")
+        .or_else(|| text.strip_prefix("https://"));
+    rest.is_some_and(|rest| {
+        !rest.is_empty()
+            && !rest.starts_with('/')
+            && rest.bytes().all(|byte| byte.is_ascii_graphic())
+    })
+}
+
+impl Value for String {
+    fn set(&mut self, texts: &[String], spec: &Spec) -> Option<()> {
+        let text = single(texts)?;
+        let valid = match spec.kind {
+            Kind::Name => is_name(text),
+            Kind::Url => is_url(text),
+            _ => !text.is_empty(),
+        };
+        *self = valid.then(|| text.trim_end_matches('/').to_owned())?;
+        Some(())
+    }
+
+    fn show(&self) -> String {
+        self.clone()
+    }
+}
+
+impl Value for SocketAddr {
+    fn set(&mut self, texts: &[String], _: &Spec) -> Option<()> {
+        *self = single(texts)?.parse().ok()?;
+        Some(())
+    }
+
+    fn show(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl Value for Option<SocketAddr> {
+    fn set(&mut self, texts: &[String], _: &Spec) -> Option<()> {
+        *self = Some(single(texts)?.parse().ok()?);
+        Some(())
+    }
+
+    fn show(&self) -> String {
+        self.map(|address| address.to_string()).unwrap_or_default()
+    }
+}
+
+impl Value for Duration {
+    fn set(&mut self, texts: &[String], spec: &Spec) -> Option<()> {
+        *self = Duration::from_millis(number(texts, spec)?);
+        Some(())
+    }
+
+    fn show(&self) -> String {
+        self.as_millis().to_string()
+    }
+}
+
+impl Value for u64 {
+    fn set(&mut self, texts: &[String], spec: &Spec) -> Option<()> {
+        *self = number(texts, spec)?;
+        Some(())
+    }
+
+    fn show(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl Value for usize {
+    fn set(&mut self, texts: &[String], spec: &Spec) -> Option<()> {
+        *self = number(texts, spec)?.try_into().ok()?;
+        Some(())
+    }
+
+    fn show(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl Value for Format {
+    fn set(&mut self, texts: &[String], _: &Spec) -> Option<()> {
+        *self = match single(texts)? {
+            "json" => Format::Json,
+            "text" => Format::Text,
+            _ => return None,
+        };
+        Some(())
+    }
+
+    fn show(&self) -> String {
+        match self {
+            Format::Json => "json".to_owned(),
+            Format::Text => "text".to_owned(),
+        }
+    }
+}
+
+impl Value for Vec<Secret> {
+    fn set(&mut self, texts: &[String], _: &Spec) -> Option<()> {
+        let valid = |text: &String| {
+            text.len() >= MIN_KEY_CHARS && text.bytes().all(|byte| byte.is_ascii_graphic())
+        };
+        if texts.is_empty() || !texts.iter().all(valid) {
+            return None;
+        }
+        *self = texts.iter().map(Secret::new).collect();
+        Some(())
+    }
+
+    fn show(&self) -> String {
+        let shown: Vec<_> = self.iter().map(Secret::to_string).collect();
+        shown.join(" ")
+    }
+}
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -7,3 +7,7 @@
   cargo typify --no-builder -a PartialEq --map-type "::std::collections::BTreeMap" --output "$out" "schema/$schema.json"
   rustfmt --edition 2024 "$out"
 done
+out=crates/settings/src/generated.rs
+cargo run --quiet -p settings --example generate -- schema/settings.json >"$out.new"
+mv "$out.new" "$out"
+rustfmt --edition 2024 "$out"
