Add clients of the platform's services

Cause: no part could read or write the table, the object store, the VM list or the rating service. Ruled out: one error type per client (callers need one question answered: did the write take effect); a vendor SDK (its retries would hide lost answers from the callers that must settle them). Change: crate platform with table::Client and the trait Table, an in-memory table with faults, store, vms and ratings clients; errors say exactly whether a write was executed. Conclusion: configuration, ledger and bills can stand on Table.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,11 @@
-//! Clients of the platform's services.
+//! Clients of the platform's services: table, object store, VM list and rating service.
+
+mod error;
+mod http;
+pub mod ratings;
+pub mod store;
+pub mod table;
+pub mod vms;
+
+pub use error::{Error, Lost};
+pub use table::Table;
--- /dev/null
+++ b/crates/platform/src/ratings/client.rs
@@ -0,0 +1,77 @@
+//! The client over HTTP.
+
+use super::Settings;
+use crate::{Error, Lost, http};
+use serde::{Deserialize, Serialize};
+
+#[derive(Debug, Serialize)]
+struct Request<'a> {
+    model: &'a str,
+    text_1: &'a str,
+    text_2: &'a str,
+}
+
+#[derive(Debug, Deserialize)]
+struct Answer {
+    data: Vec<Score>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Score {
+    score: f64,
+}
+
+/// Client of the rating service. Clones share their connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: reqwest::Client,
+    url: String,
+}
+
+impl Client {
+    /// Makes a client; no connection is made yet.
+    ///
+    /// ```
+    /// let client = platform::ratings::Client::new(platform::ratings::Settings::default());
+    /// assert!(client.is_ok());
+    /// ```
+    pub fn new(settings: Settings) -> Result<Self, Error> {
+        let http = http::client(settings.connect_timeout, settings.timeout)?;
+        let url = format!("{}/score", settings.url);
+        Ok(Self { http, url })
+    }
+
+    /// Rates an answer to a prompt of a task, from 0 to 1.
+    ///
+    /// ```no_run
+    /// # async fn run(client: platform::ratings::Client) -> Result<(), platform::Error> {
+    /// let score = client.score("tag", "Is it urgent?", "yes").await?;
+    /// assert!((0.0..=1.0).contains(&score));
+    /// # Ok(()) }
+    /// ```
+    pub async fn score(&self, task: &str, prompt: &str, answer: &str) -> Result<f64, Error> {
+        let request = Request {
+            model: task,
+            text_1: prompt,
+            text_2: answer,
+        };
+        let response = self
+            .http
+            .post(&self.url)
+            .json(&request)
+            .send()
+            .await
+            .map_err(Error::transport)?;
+        let status = response.status().as_u16();
+        match status {
+            200 => {}
+            429 => return Err(Error::Throttled),
+            _ => return Err(Error::Unknown(Lost::Status(status))),
+        }
+        let bytes = response.bytes().await.map_err(Error::transport)?;
+        let answer: Answer =
+            serde_json::from_slice(&bytes).map_err(|source| Error::Unknown(Lost::Body(source)))?;
+        let first = answer.data.first().map(|score| score.score);
+        first.ok_or(Error::Unknown(Lost::Status(status)))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/store/client.rs
@@ -0,0 +1,80 @@
+//! The client over HTTP.
+
+use super::Settings;
+use crate::{Error, Lost, http};
+use bytes::Bytes;
+use reqwest::Response;
+
+/// Client of the object store. Clones share their connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: reqwest::Client,
+    base: String,
+}
+
+impl Client {
+    /// Makes a client; no connection is made yet.
+    ///
+    /// ```
+    /// let client = platform::store::Client::new(platform::store::Settings::default());
+    /// assert!(client.is_ok());
+    /// ```
+    pub fn new(settings: Settings) -> Result<Self, Error> {
+        let http = http::client(settings.connect_timeout, settings.timeout)?;
+        let base = format!("{}/{}", settings.url, settings.bucket);
+        Ok(Self { http, base })
+    }
+
+    /// Puts an object unless one stands under the key, which is a conflict.
+    ///
+    /// ```no_run
+    /// # async fn run(client: platform::store::Client) -> Result<(), platform::Error> {
+    /// client.put_absent("bills/n1/1/1", "{}".into()).await?;
+    /// # Ok(()) }
+    /// ```
+    pub async fn put_absent(&self, key: &str, body: Bytes) -> Result<(), Error> {
+        let response = self
+            .http
+            .put(format!("{}/{key}", self.base))
+            .header("if-none-match", "*")
+            .body(body)
+            .send()
+            .await
+            .map_err(Error::transport)?;
+        check(&response)
+    }
+
+    /// Reads an object.
+    ///
+    /// ```no_run
+    /// # async fn run(client: platform::store::Client) -> Result<(), platform::Error> {
+    /// assert!(client.get("bills/none").await?.is_none());
+    /// # Ok(()) }
+    /// ```
+    pub async fn get(&self, key: &str) -> Result<Option<Bytes>, Error> {
+        let response = self
+            .http
+            .get(format!("{}/{key}", self.base))
+            .send()
+            .await
+            .map_err(Error::transport)?;
+        if response.status().as_u16() == 404 {
+            return Ok(None);
+        }
+        check(&response)?;
+        response.bytes().await.map(Some).map_err(Error::transport)
+    }
+}
+
+fn check(response: &Response) -> Result<(), Error> {
+    match response.status().as_u16() {
+        200..=299 => Ok(()),
+        409 | 412 => Err(Error::Conflict { failed: vec![0] }),
+        429 => Err(Error::Throttled),
+        status @ 500.. => Err(Error::Unknown(Lost::Status(status))),
+        status => Err(Error::Rejected {
+            status,
+            kind: String::new(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/store/mod.rs
@@ -0,0 +1,7 @@
+//! Objects by key, over the published S3 protocol.
+
+mod client;
+mod settings;
+
+pub use client::Client;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/platform/src/store/settings.rs
@@ -0,0 +1,27 @@
+//! Settings of the object store's client.
+
+use std::time::Duration;
+
+/// Where the store is and how long a call may take.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Base address, `http://ip:port`.
+    pub url: String,
+    /// Name of the bucket.
+    pub bucket: String,
+    /// Limit for making a connection.
+    pub connect_timeout: Duration,
+    /// Limit for a whole call.
+    pub timeout: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            url: "http://127.0.0.1:8000".into(),
+            bucket: "sardinebank".into(),
+            connect_timeout: Duration::from_millis(500),
+            timeout: Duration::from_secs(5),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/table/item.rs
@@ -0,0 +1,36 @@
+//! One row.
+
+/// A row of the table, named by its partition and sort key.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Item {
+    /// Partition key.
+    pub partition: String,
+    /// Sort key within the partition.
+    pub sort: String,
+    /// Number that conditional writes compare.
+    pub rev: u64,
+    /// Content as JSON text.
+    pub body: String,
+}
+
+impl Item {
+    /// Makes a row.
+    ///
+    /// ```
+    /// let item = platform::table::Item::new("config", "head", 1, "{}");
+    /// assert_eq!(item.rev, 1);
+    /// ```
+    pub fn new(
+        partition: impl Into<String>,
+        sort: impl Into<String>,
+        rev: u64,
+        body: impl Into<String>,
+    ) -> Self {
+        Self {
+            partition: partition.into(),
+            sort: sort.into(),
+            rev,
+            body: body.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/table/memory.rs
@@ -0,0 +1,147 @@
+//! A table kept in memory, for tests of what stands on [`Table`].
+
+use super::{Condition, Item, Range, Table, Write};
+use crate::{Error, Lost};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// What happens to a coming call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// The call is executed as usual.
+    None,
+    /// The call is executed and its answer lost.
+    AnswerLost,
+    /// The call is lost before it is executed; the caller can't tell.
+    CallLost,
+    /// Refused for its rate.
+    Throttled,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<(String, String), Item>,
+    tokens: Vec<String>,
+    faults: VecDeque<Fault>,
+    down: bool,
+}
+
+/// A table in memory whose clones share their rows. Faults are given for coming calls in order.
+///
+/// ```
+/// use platform::table::{Fault, Memory};
+/// let table = Memory::default();
+/// table.fail(Fault::AnswerLost);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    state: Arc<Mutex<State>>,
+}
+
+impl Memory {
+    /// Adds a fault for the next call that has none.
+    ///
+    /// ```
+    /// let table = platform::table::Memory::default();
+    /// table.fail(platform::table::Fault::Throttled);
+    /// ```
+    pub fn fail(&self, fault: Fault) {
+        self.lock().faults.push_back(fault);
+    }
+
+    /// Starts or ends an outage in which each call is lost unexecuted.
+    ///
+    /// ```
+    /// platform::table::Memory::default().set_down(true);
+    /// ```
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn call<A>(&self, run: impl FnOnce(&mut State) -> Result<A, Error>) -> Result<A, Error> {
+        let mut state = self.lock();
+        if state.down {
+            return Err(Error::Unknown(Lost::Dropped));
+        }
+        match state.faults.pop_front().unwrap_or(Fault::None) {
+            Fault::None => run(&mut state),
+            Fault::Throttled => Err(Error::Throttled),
+            Fault::CallLost => Err(Error::Unknown(Lost::Dropped)),
+            Fault::AnswerLost => {
+                let _ = run(&mut state);
+                Err(Error::Unknown(Lost::Dropped))
+            }
+        }
+    }
+}
+
+impl State {
+    fn rev(&self, key: (&str, &str)) -> Option<u64> {
+        let key = (key.0.to_owned(), key.1.to_owned());
+        self.rows.get(&key).map(|item| item.rev)
+    }
+
+    fn execute(&mut self, writes: &[Write]) -> Result<(), Error> {
+        let failed: Vec<usize> = writes
+            .iter()
+            .enumerate()
+            .filter(|(_, write)| !write.condition().holds(self.rev(write.key())))
+            .map(|(index, _)| index)
+            .collect();
+        if !failed.is_empty() {
+            return Err(Error::Conflict { failed });
+        }
+        for write in writes {
+            let key = (write.key().0.to_owned(), write.key().1.to_owned());
+            match write {
+                Write::Put { item, .. } => self.rows.insert(key, item.clone()),
+                Write::Delete { .. } => self.rows.remove(&key),
+            };
+        }
+        Ok(())
+    }
+}
+
+impl Table for Memory {
+    async fn get(&self, partition: &str, sort: &str) -> Result<Option<Item>, Error> {
+        let key = (partition.to_owned(), sort.to_owned());
+        self.call(|state| Ok(state.rows.get(&key).cloned()))
+    }
+
+    async fn put(&self, item: Item, condition: Condition) -> Result<(), Error> {
+        self.call(|state| state.execute(&[Write::Put { item, condition }]))
+    }
+
+    async fn delete(&self, partition: &str, sort: &str, condition: Condition) -> Result<(), Error> {
+        let write = Write::Delete {
+            partition: partition.to_owned(),
+            sort: sort.to_owned(),
+            condition,
+        };
+        self.call(|state| state.execute(&[write]))
+    }
+
+    async fn list(&self, partition: &str, range: &Range, limit: usize) -> Result<Vec<Item>, Error> {
+        self.call(|state| {
+            let rows = state.rows.values();
+            let inside =
+                rows.filter(|item| item.partition == partition && range.contains(&item.sort));
+            Ok(inside.take(limit).cloned().collect())
+        })
+    }
+
+    async fn transact(&self, writes: &[Write], token: &str) -> Result<(), Error> {
+        self.call(|state| {
+            if state.tokens.iter().any(|done| done == token) {
+                return Ok(());
+            }
+            state.execute(writes)?;
+            state.tokens.push(token.to_owned());
+            Ok(())
+        })
+    }
+}
--- /dev/null
+++ b/crates/platform/src/table/mod.rs
@@ -0,0 +1,21 @@
+//! Rows with revisions and conditional writes, over the published DynamoDB protocol.
+
+mod answer;
+mod client;
+mod codec;
+mod condition;
+mod item;
+mod memory;
+mod range;
+mod settings;
+mod store;
+mod write;
+
+pub use client::Client;
+pub use condition::Condition;
+pub use item::Item;
+pub use memory::{Fault, Memory};
+pub use range::Range;
+pub use settings::Settings;
+pub use store::Table;
+pub use write::Write;
--- /dev/null
+++ b/crates/platform/src/vms/client.rs
@@ -0,0 +1,54 @@
+//! The client over HTTP.
+
+use super::target::Group;
+use super::{Settings, Vm};
+use crate::{Error, Lost, http};
+
+/// Client of the VM list. Clones share their connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: reqwest::Client,
+    url: String,
+}
+
+impl Client {
+    /// Makes a client; no connection is made yet.
+    ///
+    /// ```
+    /// let client = platform::vms::Client::new(platform::vms::Settings::default());
+    /// assert!(client.is_ok());
+    /// ```
+    pub fn new(settings: Settings) -> Result<Self, Error> {
+        let http = http::client(settings.connect_timeout, settings.timeout)?;
+        Ok(Self {
+            http,
+            url: settings.url,
+        })
+    }
+
+    /// Reads the whole list.
+    ///
+    /// ```no_run
+    /// # async fn run(client: platform::vms::Client) -> Result<(), platform::Error> {
+    /// for vm in client.list().await? {
+    ///     println!("{} in {}", vm.address, vm.zone);
+    /// }
+    /// # Ok(()) }
+    /// ```
+    pub async fn list(&self) -> Result<Vec<Vm>, Error> {
+        let response = self
+            .http
+            .get(&self.url)
+            .send()
+            .await
+            .map_err(Error::transport)?;
+        let status = response.status().as_u16();
+        if status != 200 {
+            return Err(Error::Unknown(Lost::Status(status)));
+        }
+        let bytes = response.bytes().await.map_err(Error::transport)?;
+        let groups: Vec<Group> =
+            serde_json::from_slice(&bytes).map_err(|source| Error::Unknown(Lost::Body(source)))?;
+        Ok(groups.into_iter().flat_map(Group::vms).collect())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/vms/target.rs
@@ -0,0 +1,41 @@
+//! Groups of targets as Prometheus HTTP service discovery writes them.
+
+use super::{Kind, State, Vm};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+
+/// Targets that share their labels.
+#[derive(Debug, Deserialize)]
+pub(super) struct Group {
+    targets: Vec<String>,
+    #[serde(default)]
+    labels: BTreeMap<String, String>,
+}
+
+impl Group {
+    /// VMs of the group; none when its kind is of no concern here.
+    pub(super) fn vms(self) -> Vec<Vm> {
+        let label = |name: &str| self.labels.get(name).cloned();
+        let kind = match label("kind").as_deref() {
+            Some("engine") => Kind::Engine,
+            Some("service") => Kind::Service,
+            Some("entry") => Kind::Entry,
+            _ => return Vec::new(),
+        };
+        let state = match label("state").as_deref() {
+            Some("leaving") => State::Leaving,
+            _ => State::Live,
+        };
+        let vm = |address: &String| Vm {
+            address: address.clone(),
+            kind,
+            zone: label("zone").unwrap_or_default(),
+            state,
+            model: label("model"),
+            version: label("version"),
+            service: label("service"),
+            node: label("node"),
+        };
+        self.targets.iter().map(vm).collect()
+    }
+}
