Add the node's request path: caller routes, dispatch and the fleet list

Cause: callers had nothing to talk to. Ruled out: unstreamed calls to engines for whole answers, because silence would show only at the deadline; whole answers are assembled from the stream instead. Change: entries, models, chat completions (whole and streamed) and plain services; typed errors with `ran`; signed sessions; retries before the first chunk; one bill a request, also when the caller goes away. Before / after: nothing before; doc examples of node pass; not yet run against stand-ins.

--- /dev/null
+++ b/crates/node/src/caller/body.rs
@@ -0,0 +1,21 @@
+//! Bodies of requests, read within a size and a time.
+
+use crate::Error;
+use bytes::Bytes;
+use rocket::Data;
+use rocket::data::ToByteUnit;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Reads a whole body.
+pub(super) async fn read(data: Data<'_>, limit: usize, time: Duration) -> Result<Bytes, Error> {
+    let body = data.open(limit.bytes()).into_bytes();
+    let body = timeout(time, body)
+        .await
+        .map_err(|_| Error::SlowBody(time))?
+        .map_err(|error| Error::Malformed(error.to_string()))?;
+    if !body.is_complete() {
+        return Err(Error::Oversized { limit });
+    }
+    Ok(body.into_inner().into())
+}
--- /dev/null
+++ b/crates/node/src/caller/chat.rs
@@ -0,0 +1,91 @@
+//! Chat completions in the OpenAI shape.
+
+use super::{Caller, Failure, body};
+use crate::app::App;
+use crate::dispatch::{self, Answer, Ask, Flight, Receipt};
+use rocket::data::Data;
+use rocket::http::ContentType;
+use rocket::request::Request;
+use rocket::response::stream::ByteStream;
+use rocket::response::{Responder, Response, Result};
+use rocket::{State, request};
+use std::io::Cursor;
+use std::sync::Arc;
+
+/// Header that carries the session token both ways.
+pub(super) const SESSION: &str = "X-Sardinebank-Session";
+
+/// The session token of a request.
+pub(super) struct Token<'r>(Option<&'r str>);
+
+/// An answer with its headers.
+pub(super) struct Reply(Answer);
+
+#[rocket::async_trait]
+impl<'r> request::FromRequest<'r> for Token<'r> {
+    type Error = std::convert::Infallible;
+
+    async fn from_request(request: &'r Request<'_>) -> request::Outcome<Self, Self::Error> {
+        request::Outcome::Success(Self(request.headers().get_one(SESSION)))
+    }
+}
+
+/// `POST /v1/chat/completions`.
+#[rocket::post("/v1/chat/completions", data = "<data>")]
+pub(super) async fn chat(
+    app: &State<Arc<App>>,
+    caller: Caller,
+    token: Token<'_>,
+    data: Data<'_>,
+) -> std::result::Result<Reply, Failure> {
+    let limit = app.settings.body_limit_bytes as usize;
+    let bytes = body::read(data, limit, app.settings.header_timeout).await?;
+    let ask = Ask::read(&bytes)?;
+    let answer = dispatch::chat(app, &caller.customer, ask, token.0).await?;
+    Ok(Reply(answer))
+}
+
+impl<'r> Responder<'r, 'r> for Reply {
+    fn respond_to(self, request: &'r Request<'_>) -> Result<'r> {
+        match self.0 {
+            Answer::Whole {
+                body,
+                receipt,
+                session,
+                why,
+            } => {
+                let mut response = Response::build();
+                response
+                    .header(ContentType::JSON)
+                    .sized_body(body.len(), Cursor::new(body));
+                headers(&mut response, &receipt, &session);
+                response.raw_header("X-Sardinebank-Cost-Micros", receipt.cost_micros.to_string());
+                if !why.is_empty() {
+                    response.raw_header("X-Sardinebank-Why", why);
+                }
+                response.ok()
+            }
+            Answer::Stream(flight) => stream(*flight, request),
+        }
+    }
+}
+
+fn stream<'r>(flight: Flight, request: &'r Request<'_>) -> Result<'r> {
+    let receipt = flight.receipt.clone();
+    let session = flight.session.clone();
+    let events = ByteStream::from(flight.events()).respond_to(request)?;
+    let mut response = Response::build_from(events);
+    response
+        .header(ContentType::EventStream)
+        .raw_header("Cache-Control", "no-cache");
+    headers(&mut response, &receipt, &session);
+    response.ok()
+}
+
+fn headers(response: &mut rocket::response::Builder<'_>, receipt: &Receipt, session: &str) {
+    response
+        .raw_header("X-Request-Id", receipt.request_id.clone())
+        .raw_header("X-Sardinebank-Model", receipt.model.clone())
+        .raw_header("X-Sardinebank-Version", receipt.version.clone())
+        .raw_header(SESSION, session.to_owned());
+}
--- /dev/null
+++ b/crates/node/src/caller/key.rs
@@ -0,0 +1,42 @@
+//! Who is calling.
+
+use crate::app::App;
+use contract::CustomerId;
+use rocket::http::Status;
+use rocket::outcome::Outcome;
+use rocket::request::{FromRequest, Request};
+use std::sync::Arc;
+
+const SCHEME: &str = "Bearer ";
+
+/// A caller whose bearer key names a customer.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Customer of the key.
+    pub customer: CustomerId,
+}
+
+/// The bearer key of a request.
+pub(crate) fn bearer<'r>(request: &'r Request<'_>) -> Option<&'r str> {
+    request
+        .headers()
+        .get_one("Authorization")?
+        .strip_prefix(SCHEME)
+        .map(str::trim)
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Caller {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, (Status, ()), Status> {
+        let app = request.rocket().state::<Arc<App>>();
+        let customer = app
+            .zip(bearer(request))
+            .and_then(|(app, key)| app.customer_of(key));
+        match customer {
+            Some(customer) => Outcome::Success(Self { customer }),
+            None => Outcome::Error((Status::Unauthorized, ())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/dispatch/ask.rs
@@ -0,0 +1,129 @@
+//! A chat request as the caller sent it.
+
+use crate::Error;
+use bytes::Bytes;
+use serde_json::{Map, Value, json};
+
+/// Bytes of text that count as one token where no engine has counted yet.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// A parsed chat request.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Model, `model@version` or task.
+    pub target: String,
+    /// Whether the caller wants the answer as events.
+    pub stream: bool,
+    /// Whether the caller wants token counts as the last event.
+    pub include_usage: bool,
+    /// Text of all messages.
+    pub prompt: String,
+    /// Longest answer the caller asked for, in tokens.
+    pub max_tokens: Option<u64>,
+    body: Map<String, Value>,
+}
+
+impl Ask {
+    /// Reads a request.
+    ///
+    /// ```
+    /// let ask = node::dispatch::Ask::read(
+    ///     br#"{"model":"tag","messages":[{"role":"user","content":"Hello"}]}"#)?;
+    /// assert_eq!(ask.target, "tag");
+    /// assert_eq!(ask.prompt, "Hello");
+    /// # Ok::<(), node::Error>(())
+    /// ```
+    pub fn read(bytes: &[u8]) -> Result<Self, Error> {
+        let body: Map<String, Value> =
+            serde_json::from_slice(bytes).map_err(|error| Error::Malformed(error.to_string()))?;
+        let target = text(&body, "model")?.to_owned();
+        let messages = body
+            .get("messages")
+            .and_then(Value::as_array)
+            .filter(|messages| !messages.is_empty())
+            .ok_or_else(|| Error::Malformed("`messages` must be a list of messages".into()))?;
+        let prompt = messages
+            .iter()
+            .map(content)
+            .collect::<Result<Vec<_>, _>>()?
+            .join("\n");
+        let include_usage = body
+            .get("stream_options")
+            .and_then(|options| options.get("include_usage"))
+            .and_then(Value::as_bool)
+            .unwrap_or(false);
+        Ok(Self {
+            target,
+            stream: flag(&body, "stream")?,
+            include_usage,
+            prompt,
+            max_tokens: count(&body)?,
+            body,
+        })
+    }
+
+    /// The request as an engine gets it.
+    pub fn engine_body(&self, served: &str, priority: u8, max_tokens: u64) -> Bytes {
+        let mut body = self.body.clone();
+        body.insert("model".into(), json!(served));
+        body.insert("stream".into(), json!(true));
+        body.insert("stream_options".into(), json!({ "include_usage": true }));
+        body.insert("priority".into(), json!(priority));
+        body.remove("max_completion_tokens");
+        body.insert("max_tokens".into(), json!(max_tokens));
+        serde_json::to_vec(&body).unwrap_or_default().into()
+    }
+
+    /// Estimated tokens of the prompt.
+    pub fn prompt_tokens(&self) -> u64 {
+        (self.prompt.len() / BYTES_PER_TOKEN + 1) as u64
+    }
+}
+
+fn text<'a>(body: &'a Map<String, Value>, name: &str) -> Result<&'a str, Error> {
+    body.get(name)
+        .and_then(Value::as_str)
+        .ok_or_else(|| Error::Malformed(format!("`{name}` must be a text")))
+}
+
+fn flag(body: &Map<String, Value>, name: &str) -> Result<bool, Error> {
+    match body.get(name) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(value)) => Ok(*value),
+        Some(_) => Err(Error::Malformed(format!("`{name}` must be true or false"))),
+    }
+}
+
+fn count(body: &Map<String, Value>) -> Result<Option<u64>, Error> {
+    for name in ["max_completion_tokens", "max_tokens"] {
+        match body.get(name) {
+            None | Some(Value::Null) => {}
+            Some(value) => {
+                return value
+                    .as_u64()
+                    .filter(|tokens| *tokens > 0)
+                    .map(Some)
+                    .ok_or_else(|| Error::Malformed(format!("`{name}` must be a count above 0")));
+            }
+        }
+    }
+    Ok(None)
+}
+
+fn content(message: &Value) -> Result<String, Error> {
+    let Some(message) = message.as_object() else {
+        return Err(Error::Malformed("a message must be an object".into()));
+    };
+    if !message.get("role").is_some_and(Value::is_string) {
+        return Err(Error::Malformed("a message needs a `role`".into()));
+    }
+    Ok(match message.get("content") {
+        Some(Value::String(text)) => text.clone(),
+        Some(Value::Array(parts)) => parts
+            .iter()
+            .filter_map(|part| part.get("text").and_then(Value::as_str))
+            .collect::<Vec<_>>()
+            .join("\n"),
+        _ => String::new(),
+    })
+}
--- /dev/null
+++ b/crates/node/src/dispatch/mod.rs
@@ -0,0 +1,24 @@
+//! Carries a request from its contract to a backend server and back.
+
+mod answer;
+mod ask;
+mod assembly;
+mod chat;
+mod cost;
+mod flight;
+mod leg;
+mod place;
+mod service;
+mod session;
+mod target;
+
+pub use answer::{Answer, Receipt};
+pub use ask::Ask;
+pub use assembly::Assembly;
+pub use chat::chat;
+pub use cost::micros;
+pub use flight::Flight;
+pub use place::{Load, Permit};
+pub use service::{Request, service};
+pub use session::{Session, Signer};
+pub use target::{Candidate, Choice, resolve};
--- /dev/null
+++ b/crates/node/src/error.rs
@@ -0,0 +1,197 @@
+//! Why a request is refused or fails, and whether its work ran.
+
+use backend::Ran;
+use std::time::Duration;
+
+/// Stable name of an error, for programs.
+pub type Code = &'static str;
+
+/// Wait that is suggested to callers when capacity may be back soon.
+const RETRY_SOON: Duration = Duration::from_millis(500);
+
+/// Why a request isn't answered.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No bearer key, or one that names nobody.
+    #[error("the bearer key is missing or names no customer")]
+    Unauthenticated,
+    /// The request isn't in the expected form.
+    #[error("{0}")]
+    Malformed(String),
+    /// The body is over the limit.
+    #[error("the body is over {limit} bytes")]
+    Oversized {
+        /// Longest body in bytes.
+        limit: usize,
+    },
+    /// The body didn't arrive in time.
+    #[error("the body didn't arrive within {0:?}")]
+    SlowBody(Duration),
+    /// Neither a model nor a task of the contract.
+    #[error("`{0}` is neither a model nor a task of the contract")]
+    UnknownTarget(String),
+    /// The contract doesn't allow it.
+    #[error("the contract doesn't allow `{0}`")]
+    Forbidden(String),
+    /// The version was withdrawn.
+    #[error("`{0}` is withdrawn")]
+    Withdrawn(String),
+    /// The session token isn't one of ours or belongs to another customer.
+    #[error("the session token isn't valid")]
+    Session,
+    /// No such path.
+    #[error("no such path")]
+    NotFound,
+    /// The contract's spend for the period is used up.
+    #[error("the contract's spend for this period is used up")]
+    Spent {
+        /// Time to the next period.
+        retry_after: Duration,
+    },
+    /// No backend server can take the request now.
+    #[error("no backend server has capacity for `{0}`")]
+    Capacity(String),
+    /// The node sheds load.
+    #[error("too many requests of this priority")]
+    Overloaded {
+        /// When to try again.
+        retry_after: Duration,
+    },
+    /// The node's configuration isn't proved to be current.
+    #[error("this node can't tell whether its configuration is current")]
+    Stale,
+    /// The node is stopping.
+    #[error("this node is stopping")]
+    Stopping,
+    /// The request's deadline passed.
+    #[error("the deadline of {limit:?} passed")]
+    Deadline {
+        /// Time that the request had.
+        limit: Duration,
+        /// Whether a backend server may have run it.
+        ran: Ran,
+    },
+    /// Backend servers failed.
+    #[error("backend servers failed: {source}")]
+    Backend {
+        /// The last failure.
+        #[source]
+        source: backend::Error,
+    },
+    /// The request crashed backend servers and is refused.
+    #[error("the request is refused since backend servers died of it")]
+    Crashing {
+        /// When the refusal ends.
+        retry_after: Duration,
+        /// Whether it ran in this call.
+        ran: Ran,
+    },
+    /// A call that may not be repeated came without a key.
+    #[error("this call may not be repeated: it needs an Idempotency-Key")]
+    KeyMissing,
+    /// The key was used for another call.
+    #[error("the Idempotency-Key was used for a different call")]
+    KeyReused,
+    /// The call of that key is under way.
+    #[error("the call with this Idempotency-Key is in progress")]
+    InProgress,
+    /// It can't be told whether the call of that key ran.
+    #[error("whether the call with this Idempotency-Key ran is unknown")]
+    UnknownOutcome,
+    /// The platform's table service can't be reached.
+    #[error("the table service can't be reached, and the call may not run without a record")]
+    Platform,
+}
+
+impl Error {
+    /// Stable name.
+    ///
+    /// ```
+    /// assert_eq!(node::Error::Stale.code(), "stale");
+    /// ```
+    pub fn code(&self) -> Code {
+        match self {
+            Self::Unauthenticated => "unauthenticated",
+            Self::Malformed(_) => "invalid_request",
+            Self::Oversized { .. } => "body_too_large",
+            Self::SlowBody(_) => "body_timeout",
+            Self::UnknownTarget(_) => "unknown_model",
+            Self::Forbidden(_) => "forbidden",
+            Self::Withdrawn(_) => "version_withdrawn",
+            Self::Session => "invalid_session",
+            Self::NotFound => "not_found",
+            Self::Spent { .. } => "spend_limit",
+            Self::Capacity(_) => "no_capacity",
+            Self::Overloaded { .. } => "overloaded",
+            Self::Stale => "stale",
+            Self::Stopping => "stopping",
+            Self::Deadline { .. } => "deadline",
+            Self::Backend { .. } => "backend_failed",
+            Self::Crashing { .. } => "crashing_request",
+            Self::KeyMissing => "idempotency_key_missing",
+            Self::KeyReused => "idempotency_key_reused",
+            Self::InProgress => "in_progress",
+            Self::UnknownOutcome => "unknown_outcome",
+            Self::Platform => "platform_unreachable",
+        }
+    }
+
+    /// HTTP status.
+    ///
+    /// ```
+    /// assert_eq!(node::Error::Stale.status(), 503);
+    /// ```
+    pub fn status(&self) -> u16 {
+        match self {
+            Self::Malformed(_) | Self::KeyMissing | Self::Session => 400,
+            Self::Unauthenticated => 401,
+            Self::Forbidden(_) => 403,
+            Self::UnknownTarget(_) | Self::NotFound => 404,
+            Self::SlowBody(_) => 408,
+            Self::InProgress => 409,
+            Self::Withdrawn(_) => 410,
+            Self::Oversized { .. } => 413,
+            Self::KeyReused => 422,
+            Self::Spent { .. } | Self::Overloaded { .. } => 429,
+            Self::Backend {
+                source: backend::Error::Rejected { status, .. },
+            } => *status,
+            Self::Backend { .. } | Self::Crashing { .. } | Self::UnknownOutcome => 502,
+            Self::Capacity(_) | Self::Stale | Self::Stopping | Self::Platform => 503,
+            Self::Deadline { .. } => 504,
+        }
+    }
+
+    /// Whether a backend server ran the request.
+    ///
+    /// ```
+    /// assert_eq!(node::Error::UnknownOutcome.ran(), backend::Ran::Unknown);
+    /// ```
+    pub fn ran(&self) -> Ran {
+        match self {
+            Self::Deadline { ran, .. } | Self::Crashing { ran, .. } => *ran,
+            Self::Backend { source } => source.ran(),
+            Self::InProgress | Self::UnknownOutcome => Ran::Unknown,
+            _ => Ran::No,
+        }
+    }
+
+    /// When to try again, where that may help.
+    ///
+    /// ```
+    /// assert!(node::Error::KeyMissing.retry_after().is_none());
+    /// ```
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::Spent { retry_after }
+            | Self::Overloaded { retry_after }
+            | Self::Crashing { retry_after, .. } => Some(*retry_after),
+            Self::Capacity(_)
+            | Self::Stale
+            | Self::Stopping
+            | Self::Platform
+            | Self::InProgress => Some(RETRY_SOON),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/fleet.rs
@@ -0,0 +1,59 @@
+//! The list of backend servers, read from the platform again and again.
+
+use crate::fleet::{Kind, Server};
+use platform::vms::{self, State, Vm};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+/// Backend servers as last listed. A list that can't be read leaves the one before it in force.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    servers: RwLock<Arc<Vec<Server>>>,
+}
+
+impl Fleet {
+    /// Backend servers as last listed.
+    ///
+    /// ```
+    /// assert!(node::fleet::Fleet::default().servers().is_empty());
+    /// ```
+    pub fn servers(&self) -> Arc<Vec<Server>> {
+        let servers = self.servers.read().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&servers)
+    }
+
+    /// Puts a new list in force.
+    pub fn replace(&self, servers: Vec<Server>) {
+        let mut current = self.servers.write().unwrap_or_else(PoisonError::into_inner);
+        *current = Arc::new(servers);
+    }
+
+    /// Reads the list at an interval, for as long as the node runs.
+    pub async fn run(&self, client: &vms::Client, interval: Duration) {
+        let mut ticks = tokio::time::interval(interval);
+        loop {
+            ticks.tick().await;
+            match client.list().await {
+                Ok(vms) => self.replace(vms.into_iter().filter_map(server).collect()),
+                Err(error) => log::warn!(event = 1301; "VM list can't be read: {error}"),
+            }
+        }
+    }
+}
+
+fn server(vm: Vm) -> Option<Server> {
+    let kind = match vm.kind {
+        vms::Kind::Engine => Kind::Engine {
+            model: vm.model?,
+            version: vm.version?,
+        },
+        vms::Kind::Service => Kind::Service(vm.service?),
+        vms::Kind::Entry => return None,
+    };
+    Some(Server {
+        id: vm.address,
+        zone: vm.zone,
+        kind,
+        leaving: vm.state == State::Leaving,
+    })
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,11 @@
+//! The sardinebank node: everything between callers and backend servers.
+
+pub mod app;
+pub mod caller;
+pub mod dispatch;
+mod error;
+pub mod fleet;
+mod run;
+
+pub use error::{Code, Error};
+pub use run::{Error as RunError, run};
