Add slot homes, holders and crash suspects

Cause: nothing bounds what the nodes together send to one backend server, and a request that crashes its servers can be sent again without end. Ruled out: trusting `held` in a report alone (a report sent before the last start under an older grant hides that start); a report that names the newest grant received closes this, so SlotRequest gains `using`. Cold starts can't be inferred at the home without `completed` and `chills` in the report. Change: limits::slot (Home, Holder, Permit, Ramp, home_of), limits::suspect, contract::Owner; three fields in the schema of SlotRequest.

--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -7,6 +7,7 @@
 mod ids;
 mod key;
 mod object;
+mod owner;
 
 pub use config::Config;
 pub use error::Error;
@@ -15,3 +16,4 @@
     Withdrawal, Zone,
 };
 pub use ids::*;
+pub use owner::Owner;
--- /dev/null
+++ b/crates/limits/src/slot/holding.rs
@@ -0,0 +1,96 @@
+//! What a home knows of one holder of one backend server's slots.
+
+use super::{Grant, Request};
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Unconfirmed grants remembered for each holder; older ones are folded together.
+const MAX_GRANTS: usize = 8;
+
+/// One holder's grants and last report.
+#[derive(Debug)]
+pub(super) struct Holding {
+    /// Granted slots by sequence, from the newest confirmed one on.
+    grants: VecDeque<(u64, u32)>,
+    report: Request,
+    /// When the newest request arrived. Its grant can't last longer than the TTL from here.
+    heard: Instant,
+    /// Since when demand isn't met.
+    pub(super) waiting: Option<Instant>,
+    /// Completed requests already counted, once the holder has a grant newer than `base_from`.
+    base: Option<u64>,
+    base_from: u64,
+}
+
+impl Holding {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            grants: VecDeque::new(),
+            report: Request::default(),
+            heard: now,
+            waiting: None,
+            base: None,
+            base_from: 0,
+        }
+    }
+
+    /// Slots that the holder may occupy at the backend server now: what it reported in flight,
+    /// or what any grant that it may still be using allows.
+    pub(super) fn charge(&self, now: Instant, ttl: Duration, silent: Duration) -> u32 {
+        if now >= self.heard + ttl + silent {
+            return 0;
+        }
+        let granted = self.grants.iter().map(|(_, slots)| *slots).max();
+        self.report.held.max(granted.unwrap_or(0))
+    }
+
+    /// Whether the holder has asked within the lifetime of a grant.
+    pub(super) fn recent(&self, now: Instant, ttl: Duration) -> bool {
+        now < self.heard + ttl
+    }
+
+    pub(super) fn report(&self) -> &Request {
+        &self.report
+    }
+
+    /// Takes a newer report; forgets grants that the holder has replaced.
+    pub(super) fn hear(&mut self, now: Instant, request: &Request) {
+        self.heard = now;
+        self.report = request.clone();
+        while self
+            .grants
+            .front()
+            .is_some_and(|(sequence, _)| *sequence < request.using)
+        {
+            self.grants.pop_front();
+        }
+    }
+
+    /// Remembers a grant until the holder confirms a newer one.
+    pub(super) fn grant(&mut self, grant: &Grant) {
+        self.grants.push_back((grant.sequence, grant.slots));
+        if self.grants.len() > MAX_GRANTS {
+            let oldest = self.grants.pop_front().map_or(0, |(_, slots)| slots);
+            if let Some((_, slots)) = self.grants.front_mut() {
+                *slots = (*slots).max(oldest);
+            }
+        }
+    }
+
+    /// Completed requests that are news and certainly ended after the last chill.
+    pub(super) fn completions(&mut self) -> u64 {
+        if self.report.using < self.base_from {
+            return 0;
+        }
+        let total = self.report.completed;
+        let news = self.base.map_or(0, |base| total.saturating_sub(base));
+        self.base = Some(total);
+        news
+    }
+
+    /// Counts no completion before the holder has a grant made after now.
+    pub(super) fn rebase(&mut self) {
+        self.base = None;
+        self.base_from = self.report.sequence + 1;
+    }
+}
--- /dev/null
+++ b/crates/limits/src/slot/home.rs
@@ -0,0 +1,170 @@
+//! The node that grants a backend server's slots.
+
+use super::{Grant, Request, Server, Settings, book::Book};
+use contract::{BackendId, Map, Owner, Revision, Set};
+use std::time::{Duration, Instant};
+
+/// The backend servers whose home this node is.
+///
+/// A new home grants nothing until every grant of an earlier home has ended, and nothing at a
+/// server in cold start until every earlier holder has reported, the server itself has shown
+/// that nothing else runs there, or the longest request has ended.
+///
+/// ```
+/// use limits::slot::{Home, Request, Server, Settings};
+/// use contract::Owner;
+/// use std::time::Instant;
+/// let mut home = Home::new(Settings::default());
+/// let mut now = Instant::now();
+/// let n1 = Owner::new("n1", 1);
+/// home.assign("e1", Server::steady(4), 7, [n1.clone()]);
+/// home.settle(now, 7);
+/// let request = Request { sequence: 1, wanted: 2, ..Request::default() };
+/// assert_eq!(home.request(now, &n1, "e1", &request, true).slots, 0);
+/// now += Settings::default().handover();
+/// let request = Request { sequence: 2, ..request };
+/// assert_eq!(home.request(now, &n1, "e1", &request, true).slots, 2);
+/// ```
+#[derive(Debug)]
+pub struct Home {
+    settings: Settings,
+    books: Map<BackendId, Book>,
+    revocations: Vec<(Owner, BackendId, Grant)>,
+}
+
+impl Home {
+    /// Home of no backend server.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            books: Map::default(),
+            revocations: Vec::new(),
+        }
+    }
+
+    /// Makes this node the home of a backend server from a revision on, or brings the server's
+    /// description up to date. `owners` may have work in flight there under an earlier home.
+    pub fn assign<I>(&mut self, backend: &str, server: Server, revision: Revision, owners: I)
+    where
+        I: IntoIterator<Item = Owner>,
+    {
+        let Some(book) = self.books.get_mut(backend) else {
+            let owners: Set<Owner> = owners.into_iter().collect();
+            self.books
+                .insert(backend.to_owned(), Book::new(server, revision, owners));
+            return;
+        };
+        let closes = book.server.open && !server.open;
+        book.ramp.adjust(&server);
+        book.server = server;
+        if closes {
+            self.revoke(backend, None);
+        }
+    }
+
+    /// This node is no longer the home. Becoming it again starts over.
+    pub fn resign(&mut self, backend: &str) {
+        self.books.remove(backend);
+    }
+
+    /// All revisions up to this one are accepted: no node acts on an older one after the horizon.
+    pub fn settle(&mut self, now: Instant, accepted: Revision) {
+        self.books
+            .values_mut()
+            .filter(|book| book.fence <= accepted)
+            .for_each(|book| book.settle(now));
+    }
+
+    /// Answers a holder. `fresh` tells whether this node's view allows new work.
+    pub fn request(
+        &mut self,
+        now: Instant,
+        owner: &Owner,
+        backend: &str,
+        request: &Request,
+        fresh: bool,
+    ) -> Grant {
+        let none = Grant {
+            sequence: request.sequence,
+            slots: 0,
+            ttl: self.settings.ttl,
+            fence: 0,
+        };
+        let Some(book) = self.books.get_mut(backend) else {
+            return none;
+        };
+        if book.stale(owner, request) {
+            return none;
+        }
+        let before = book.ramp.limit();
+        let grant = book.answer(now, owner, request, fresh, &self.settings);
+        if book.ramp.limit() < before {
+            self.revoke(backend, Some(owner));
+        }
+        grant
+    }
+
+    /// Takes a server's own report of running requests, `age` old, to learn whether work of
+    /// owners that haven't reported is still there.
+    pub fn observe(&mut self, now: Instant, backend: &str, running: u32, age: Duration) {
+        let Some(book) = self.books.get_mut(backend) else {
+            return;
+        };
+        let ended = now
+            .checked_sub(age)
+            .is_some_and(|taken| book.ready(taken, &self.settings));
+        if ended {
+            book.observe(now, running, &self.settings);
+        }
+    }
+
+    /// The server shows that it is cold: its ramp starts again.
+    pub fn chill(&mut self, backend: &str) {
+        if let Some(book) = self.books.get_mut(backend) {
+            book.chill();
+            self.revoke(backend, None);
+        }
+    }
+
+    /// Grants to send unasked since the last call: they withdraw slots.
+    pub fn revocations(&mut self) -> Vec<(Owner, BackendId, Grant)> {
+        std::mem::take(&mut self.revocations)
+    }
+
+    /// Backend servers whose work in flight isn't fully known.
+    pub fn uncertain(&self) -> impl Iterator<Item = &BackendId> {
+        self.books
+            .iter()
+            .filter(|(_, book)| book.unheard() > 0)
+            .map(|(backend, _)| backend)
+    }
+
+    /// Backend servers of this home.
+    pub fn backends(&self) -> impl Iterator<Item = &BackendId> {
+        self.books.keys()
+    }
+
+    /// Requests that a backend server may carry at once now.
+    pub fn limit(&self, backend: &str) -> Option<u32> {
+        self.books.get(backend).map(|book| book.ramp.limit())
+    }
+
+    /// Slots that may be occupied at a backend server now.
+    pub fn occupied(&self, now: Instant, backend: &str) -> Option<u32> {
+        self.books
+            .get(backend)
+            .map(|book| book.occupied(now, &self.settings))
+    }
+
+    fn revoke(&mut self, backend: &str, except: Option<&Owner>) {
+        let Some(book) = self.books.get(backend) else {
+            return;
+        };
+        let found = book.revocations(except, &self.settings);
+        self.revocations.extend(
+            found
+                .into_iter()
+                .map(|(owner, grant)| (owner, backend.to_owned(), grant)),
+        );
+    }
+}
--- /dev/null
+++ b/crates/limits/src/slot/lane.rs
@@ -0,0 +1,218 @@
+//! What a holder keeps for one backend server.
+
+use super::{Grant, Outcome, Refusal, Request, Settings};
+use contract::Revision;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Requests to a home that may still be answered.
+const MAX_UNANSWERED: usize = 64;
+/// Refused sends that one request asks slots for.
+const MAX_REFUSED: u32 = 4;
+/// Weight of the newest first-byte time in its moving average is one in this many.
+const FIRST_BYTE_WEIGHT: u32 = 8;
+/// Slow first bytes in a row that are a sign of a cold start.
+const SLOW_IN_A_ROW: u32 = 2;
+
+/// Grant, use and health of one backend server as this node sees them.
+#[derive(Debug)]
+pub(super) struct Lane {
+    slots: u32,
+    expires: Option<Instant>,
+    fence: Revision,
+    using: u64,
+    sequence: u64,
+    sent: VecDeque<(u64, Instant)>,
+    due: Option<Instant>,
+    held: u32,
+    peak: u32,
+    refused: u32,
+    used: Option<Instant>,
+    completed: u64,
+    chills: u64,
+    chilled: Option<Instant>,
+    first_byte: Option<Duration>,
+    slow: u32,
+}
+
+impl Lane {
+    pub(super) fn new() -> Self {
+        Self {
+            slots: 0,
+            expires: None,
+            fence: 0,
+            using: 0,
+            sequence: 0,
+            sent: VecDeque::new(),
+            due: None,
+            held: 0,
+            peak: 0,
+            refused: 0,
+            used: None,
+            completed: 0,
+            chills: 0,
+            chilled: None,
+            first_byte: None,
+            slow: 0,
+        }
+    }
+
+    /// Free slots now.
+    pub(super) fn free(&self, now: Instant) -> u32 {
+        match self.expires {
+            Some(expires) if now < expires => self.slots.saturating_sub(self.held),
+            _ => 0,
+        }
+    }
+
+    pub(super) fn held(&self) -> u32 {
+        self.held
+    }
+
+    /// Occupies a slot; gives the end and the fencing number of its grant.
+    pub(super) fn acquire(
+        &mut self,
+        now: Instant,
+        backend: &str,
+        settings: &Settings,
+    ) -> Result<(Instant, Revision), Refusal> {
+        self.used = Some(now);
+        let refusal = match self.expires {
+            Some(expires) if now < expires && self.held < self.slots => {
+                self.held += 1;
+                self.peak = self.peak.max(self.held);
+                self.hasten(now + settings.renew);
+                return Ok((expires, self.fence));
+            }
+            Some(expires) if now < expires => Refusal::Full(backend.to_owned()),
+            _ => Refusal::Expired(backend.to_owned()),
+        };
+        self.refused = (self.refused + 1).min(MAX_REFUSED);
+        let last = self.sent.back().map(|(_, sent)| *sent + settings.retry);
+        self.hasten(last.unwrap_or(now));
+        Err(refusal)
+    }
+
+    /// Frees a slot; true when the outcome is a sign of a cold start.
+    pub(super) fn release(&mut self, now: Instant, outcome: &Outcome, settings: &Settings) -> bool {
+        self.held = self.held.saturating_sub(1);
+        let cold = match outcome {
+            Outcome::Completed { first_byte } => {
+                self.completed += 1;
+                self.slow_down(*first_byte, settings)
+            }
+            Outcome::Refused | Outcome::Dropped => true,
+            Outcome::Silent | Outcome::Cancelled | Outcome::Failed => false,
+        };
+        if cold {
+            self.chills += 1;
+            self.chilled = Some(now);
+            self.slots = 0;
+            self.hasten(now);
+        }
+        cold
+    }
+
+    /// Takes a grant; answers that cross are told apart by their sequence.
+    pub(super) fn grant(&mut self, grant: &Grant, settings: &Settings) {
+        if grant.sequence == self.using {
+            self.slots = self.slots.min(grant.slots);
+            return;
+        }
+        let found = self
+            .sent
+            .iter()
+            .find(|(number, _)| *number == grant.sequence);
+        let Some((_, sent)) = found.copied() else {
+            return;
+        };
+        let reduced = grant.slots < self.slots;
+        self.using = grant.sequence;
+        self.slots = grant.slots;
+        self.fence = grant.fence;
+        self.expires = Some(sent + grant.ttl);
+        self.sent.retain(|(number, _)| *number >= grant.sequence);
+        if reduced || self.refused > 0 {
+            self.hasten(sent + settings.retry);
+        }
+    }
+
+    /// A new home must hear of this lane, also when nothing is wanted.
+    pub(super) fn report(&mut self, now: Instant) {
+        self.due = Some(now);
+    }
+
+    /// Stops asking, as when the node leaves.
+    pub(super) fn close(&mut self, now: Instant) {
+        self.used = None;
+        self.slots = 0;
+        self.due = Some(now);
+    }
+
+    /// The request to send now, if one is due.
+    pub(super) fn request_due(&mut self, now: Instant, settings: &Settings) -> Option<Request> {
+        if self.due.is_none_or(|due| now < due) {
+            return None;
+        }
+        self.calm(now, settings);
+        let wanted = self.wanted(now, settings);
+        self.sequence += 1;
+        let request = Request {
+            sequence: self.sequence,
+            using: self.using,
+            held: self.held,
+            wanted,
+            completed: self.completed,
+            chills: self.chills,
+        };
+        let unmet = self.refused > 0 || self.free(now) + self.held < wanted;
+        self.due = match (wanted, unmet) {
+            (0, _) => None,
+            (_, true) => Some(now + settings.retry),
+            (_, false) => Some(now + settings.renew),
+        };
+        self.sent.push_back((self.sequence, now));
+        if self.sent.len() > MAX_UNANSWERED {
+            self.sent.pop_front();
+        }
+        self.peak = self.held;
+        self.refused = 0;
+        Some(request)
+    }
+
+    fn wanted(&self, now: Instant, settings: &Settings) -> u32 {
+        let idle = self.used.is_none_or(|used| now >= used + settings.idle);
+        if idle {
+            return self.held;
+        }
+        let peak = self.peak.max(self.held);
+        peak + peak / 2 + self.refused.max(1)
+    }
+
+    /// Forgets signs of a cold start after a time without any.
+    fn calm(&mut self, now: Instant, settings: &Settings) {
+        if self.chilled.is_some_and(|at| now >= at + settings.silent) {
+            self.chilled = None;
+            self.chills = 0;
+        }
+    }
+
+    /// Follows first-byte times; true when they have become many times the usual.
+    fn slow_down(&mut self, found: Duration, settings: &Settings) -> bool {
+        let Some(usual) = self.first_byte else {
+            self.first_byte = Some(found);
+            return false;
+        };
+        if found > settings.slow_floor && found > usual * settings.slow_factor {
+            self.slow += 1;
+            return self.slow >= SLOW_IN_A_ROW;
+        }
+        self.slow = 0;
+        self.first_byte = Some((usual * (FIRST_BYTE_WEIGHT - 1) + found) / FIRST_BYTE_WEIGHT);
+        false
+    }
+
+    fn hasten(&mut self, due: Instant) {
+        self.due = Some(self.due.map_or(due, |set| set.min(due)));
+    }
+}
--- /dev/null
+++ b/crates/limits/src/slot/settings.rs
@@ -0,0 +1,58 @@
+//! Times that homes and holders of slots agree on.
+
+use std::time::Duration;
+
+/// Times that must be the same on all nodes.
+///
+/// ```
+/// use limits::slot::Settings;
+/// use std::time::Duration;
+/// let settings = Settings { ttl: Duration::from_secs(1), ..Default::default() };
+/// assert!(settings.ttl < settings.silent);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// How long a grant lasts, counted from when its request was sent.
+    pub ttl: Duration,
+    /// How long after a change is accepted a node that missed it may still act on its old view.
+    pub horizon: Duration,
+    /// How long a request may run; bounds what a silent holder still has in flight.
+    pub silent: Duration,
+    /// Time between requests to a home while grants are in use.
+    pub renew: Duration,
+    /// Time between requests to a home while demand isn't met.
+    pub retry: Duration,
+    /// Time without use after which a holder stops asking.
+    pub idle: Duration,
+    /// First tokens that take this many times the usual are a sign of a cold start.
+    pub slow_factor: u32,
+    /// First tokens faster than this are never a sign of a cold start.
+    pub slow_floor: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            ttl: Duration::from_secs(2),
+            horizon: Duration::from_secs(3),
+            silent: Duration::from_secs(60),
+            renew: Duration::from_millis(500),
+            retry: Duration::from_millis(50),
+            idle: Duration::from_secs(5),
+            slow_factor: 8,
+            slow_floor: Duration::from_millis(500),
+        }
+    }
+}
+
+impl Settings {
+    /// Time that a new home waits before its first grant.
+    ///
+    /// ```
+    /// let settings = limits::slot::Settings::default();
+    /// assert_eq!(settings.handover(), settings.ttl + settings.horizon);
+    /// ```
+    pub fn handover(&self) -> Duration {
+        self.ttl + self.horizon
+    }
+}
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -807,14 +807,29 @@
 #[doc = "  \"type\": \"object\","]
 #[doc = "  \"required\": ["]
 #[doc = "    \"backend\","]
+#[doc = "    \"chills\","]
+#[doc = "    \"completed\","]
 #[doc = "    \"held\","]
 #[doc = "    \"sequence\","]
+#[doc = "    \"using\","]
 #[doc = "    \"wanted\""]
 #[doc = "  ],"]
 #[doc = "  \"properties\": {"]
 #[doc = "    \"backend\": {"]
 #[doc = "      \"type\": \"string\""]
 #[doc = "    },"]
+#[doc = "    \"chills\": {"]
+#[doc = "      \"description\": \"Signs of a cold start that the sender saw there, back to 0 after a time without any.\","]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"completed\": {"]
+#[doc = "      \"description\": \"Requests completed there since the sender started.\","]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
 #[doc = "    \"held\": {"]
 #[doc = "      \"type\": \"integer\","]
 #[doc = "      \"format\": \"uint32\","]
@@ -825,6 +840,12 @@
 #[doc = "      \"format\": \"uint64\","]
 #[doc = "      \"minimum\": 0.0"]
 #[doc = "    },"]
+#[doc = "    \"using\": {"]
+#[doc = "      \"description\": \"Sequence of the newest grant that the sender received.\","]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
 #[doc = "    \"wanted\": {"]
 #[doc = "      \"type\": \"integer\","]
 #[doc = "      \"format\": \"uint32\","]
@@ -839,8 +860,14 @@
 #[serde(deny_unknown_fields)]
 pub struct SlotRequest {
     pub backend: ::std::string::String,
+    #[doc = "Signs of a cold start that the sender saw there, back to 0 after a time without any."]
+    pub chills: u64,
+    #[doc = "Requests completed there since the sender started."]
+    pub completed: u64,
     pub held: u32,
     pub sequence: u64,
+    #[doc = "Sequence of the newest grant that the sender received."]
+    pub using: u64,
     pub wanted: u32,
 }
 impl ::std::convert::From<&SlotRequest> for SlotRequest {
