Add quality estimates, plans, trials and placement to policy

Cause: the request path had nothing to decide with; the crate was empty. Ruled out: one flat table keyed by four owned strings, which allocates on each look-up; rendezvous hashing over all backend servers, which is linear in 12,000; decay of peers' counters by resending. Change: policy::quality::Table (decayed counters, idempotent merge by sequence per origin, Beta posterior with the prior, other customers capped), policy::plan::choose (single or cascade, session, trial, low budget, best effort, each with a verdict per plan), policy::rollout::Watch (sequential test, budget of bad answers, demotion with growing cooling times), policy::place::Pool (ring for prefix affinity, a few random draws, load asked only of the servers that are weighed).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,12 @@
-//! Routing decisions.
+//! Routing decisions: quality estimates, plans, roll-outs and placement.
+//!
+//! Nothing here reads a clock, takes a lock or does I/O: time and random numbers are passed in, and
+//! each decision is a value that can explain itself.
+
+mod error;
+pub mod place;
+pub mod plan;
+pub mod quality;
+pub mod rollout;
+
+pub use error::Refusal;
--- /dev/null
+++ b/crates/policy/src/place/mod.rs
@@ -0,0 +1,11 @@
+//! Which backend server runs a request.
+
+mod load;
+mod pool;
+mod query;
+mod settings;
+
+pub use load::Load;
+pub use pool::Pool;
+pub use query::{Query, prefix};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/policy/src/place/settings.rs
@@ -0,0 +1,28 @@
+//! Settings of placement.
+
+/// What a backend server's distance, cache and temperature are worth, as shares of its full load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Gain of a backend server that likely holds the prompt's prefix.
+    pub affinity: f64,
+    /// Loss of a backend server in another availability zone.
+    pub distance: f64,
+    /// Loss of a backend server in cold start.
+    pub cold: f64,
+    /// Backend servers that share a prefix.
+    pub replicas: usize,
+    /// Backend servers drawn at random for each choice.
+    pub draws: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            affinity: 0.35,
+            distance: 0.1,
+            cold: 0.5,
+            replicas: 2,
+            draws: 2,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan/request.rs
@@ -0,0 +1,47 @@
+//! What a plan must meet.
+
+use contract::Micros;
+use std::time::Duration;
+
+/// What is left of a customer's budget.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Funds {
+    /// No limit, or far from it.
+    #[default]
+    Ample,
+    /// Near the end: cheaper plans go first.
+    Low(Micros),
+}
+
+/// What a plan must meet.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// Share of answers that must be good, 0 to 1.
+    pub target: f64,
+    /// Time left for the whole answer.
+    pub deadline: Duration,
+    /// Whether an answer may be rated and escalated before the caller sees it.
+    pub cascade: bool,
+    /// Expected time of a rating; none while the rating service is out of reach.
+    pub rating: Option<Duration>,
+    /// Model and version of the request's session.
+    pub session: Option<(&'a str, &'a str)>,
+    /// What is left of the customer's budget.
+    pub funds: Funds,
+    /// The candidate on trial that this request is drawn for.
+    pub trial: Option<usize>,
+}
+
+impl Default for Request<'_> {
+    fn default() -> Self {
+        Self {
+            target: 0.9,
+            deadline: Duration::from_secs(60),
+            cascade: true,
+            rating: None,
+            session: None,
+            funds: Funds::Ample,
+            trial: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/quality/estimate.rs
@@ -0,0 +1,50 @@
+//! Estimated quality with its uncertainty.
+
+use crate::quality::Counts;
+use serde::Serialize;
+
+/// Share of good answers that a version is expected to give.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Estimate {
+    /// Mean of the posterior, 0 to 1.
+    pub mean: f64,
+    /// Lower bound of the posterior, 0 to 1.
+    pub lower: f64,
+    /// Ratings behind the estimate, the prior included.
+    pub weight: f64,
+}
+
+impl Estimate {
+    /// A share that is taken for certain.
+    ///
+    /// ```
+    /// let estimate = policy::quality::Estimate::certain(0.9);
+    /// assert_eq!(estimate.mean, estimate.lower);
+    /// ```
+    pub fn certain(share: f64) -> Self {
+        Self {
+            mean: share,
+            lower: share,
+            weight: f64::INFINITY,
+        }
+    }
+
+    /// Mean and lower bound of a Beta posterior.
+    ///
+    /// ```
+    /// use policy::quality::{Counts, Estimate};
+    /// let estimate = Estimate::beta(Counts { good: 9.0, bad: 1.0 }, 1.0);
+    /// assert_eq!(estimate.mean, 0.9);
+    /// assert!(estimate.lower < 0.9);
+    /// ```
+    pub fn beta(counts: Counts, deviations: f64) -> Self {
+        let weight = counts.total();
+        let mean = counts.good / weight;
+        let deviation = (mean * (1.0 - mean) / (weight + 1.0)).sqrt();
+        Self {
+            mean,
+            lower: (mean - deviations * deviation).max(0.0),
+            weight,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/quality/settings.rs
@@ -0,0 +1,27 @@
+//! Settings of the quality estimates.
+
+use std::time::Duration;
+
+/// How ratings turn into estimates.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Time after which a rating counts half.
+    pub half_life: Duration,
+    /// Weight of the version's prior, in ratings.
+    pub prior: f64,
+    /// Most that other customers' ratings may weigh, in ratings.
+    pub shared: f64,
+    /// Standard deviations between the mean and the lower bound.
+    pub deviations: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            half_life: Duration::from_secs(600),
+            prior: 8.0,
+            shared: 40.0,
+            deviations: 1.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/quality/table.rs
@@ -0,0 +1,227 @@
+//! All that is known about the quality of versions.
+
+use crate::quality::pool::{Entry, Pool};
+use crate::quality::{Cell, Counts, Estimate, Origin, Settings, Subject};
+use contract::{Map, ModelId, TaskId, VersionId};
+use std::time::Instant;
+
+/// Counts below this are dropped, in ratings.
+const NEGLIGIBLE: f64 = 0.01;
+
+/// Decayed ratings of each version by task and customer, from this node and its peers.
+#[derive(Debug, Default)]
+pub struct Table {
+    settings: Settings,
+    sequence: u64,
+    models: Map<ModelId, Map<VersionId, Map<TaskId, Pool>>>,
+}
+
+impl Table {
+    /// An empty table.
+    ///
+    /// ```
+    /// use policy::quality::{Settings, Table};
+    /// let table = Table::new(Settings { prior: 4.0, ..Default::default() });
+    /// assert_eq!(table.sequence(), 0);
+    /// ```
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            ..Default::default()
+        }
+    }
+
+    /// Number of the last change to this node's own counts.
+    ///
+    /// ```
+    /// assert_eq!(policy::quality::Table::default().sequence(), 0);
+    /// ```
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Adds a rating that this node received.
+    ///
+    /// ```
+    /// use policy::quality::{Subject, Table};
+    /// let now = std::time::Instant::now();
+    /// let subject = Subject { model: "small", version: "1", task: "tag", customer: "c" };
+    /// let mut table = Table::default();
+    /// for _ in 0..90 {
+    ///     table.observe(now, subject, true);
+    /// }
+    /// assert!(table.estimate(now, subject, 0.5).mean > 0.9);
+    /// ```
+    pub fn observe(&mut self, now: Instant, subject: Subject, good: bool) {
+        let half_life = self.settings.half_life;
+        let counts = Counts::one(good);
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let pool = self.pool(now, subject);
+        let entry = pool.entry(now, subject.customer);
+        entry.own.add(now, half_life, counts);
+        entry.total.add(now, half_life, counts);
+        entry.sequence = sequence;
+        pool.all.add(now, half_life, counts);
+    }
+
+    /// Takes in a peer's cell and returns by how much its counts grew. The newest sequence of each
+    /// origin wins, so that duplicates and late cells change nothing.
+    ///
+    /// ```
+    /// use policy::quality::{Cell, Origin, Table};
+    /// let now = std::time::Instant::now();
+    /// let origin = Origin { node: "n2".into(), incarnation: 1 };
+    /// let cell = Cell {
+    ///     model: "small".into(), version: "1".into(), task: "tag".into(), customer: "c".into(),
+    ///     sequence: 1, good: 3.0, bad: 1.0,
+    /// };
+    /// let mut table = Table::default();
+    /// assert!(table.merge(now, &origin, &cell).is_some());
+    /// assert!(table.merge(now, &origin, &cell).is_none());
+    /// ```
+    pub fn merge(&mut self, now: Instant, origin: &Origin, cell: &Cell) -> Option<Counts> {
+        let half_life = self.settings.half_life;
+        let counts = Counts {
+            good: cell.good,
+            bad: cell.bad,
+        };
+        if !counts.good.is_finite() || !counts.bad.is_finite() {
+            return None;
+        }
+        let counts = counts.clamped();
+        let pool = self.pool(now, cell.subject());
+        let entry = pool.entry(now, &cell.customer);
+        let growth = entry.replace(now, half_life, origin, cell.sequence, counts)?;
+        pool.all.add(now, half_life, growth);
+        Some(growth)
+    }
+
+    /// This node's own cells that changed after a sequence.
+    ///
+    /// ```
+    /// use policy::quality::{Subject, Table};
+    /// let now = std::time::Instant::now();
+    /// let subject = Subject { model: "small", version: "1", task: "tag", customer: "c" };
+    /// let mut table = Table::default();
+    /// table.observe(now, subject, true);
+    /// assert_eq!(table.cells(now, 0).len(), 1);
+    /// assert!(table.cells(now, table.sequence()).is_empty());
+    /// ```
+    pub fn cells(&self, now: Instant, after: u64) -> Vec<Cell> {
+        let mut cells = Vec::new();
+        for (subject, entry) in self.entries() {
+            if entry.sequence <= after {
+                continue;
+            }
+            let counts = entry.own.read(now, self.settings.half_life);
+            cells.push(Cell {
+                model: subject.model.to_owned(),
+                version: subject.version.to_owned(),
+                task: subject.task.to_owned(),
+                customer: subject.customer.to_owned(),
+                sequence: entry.sequence,
+                good: counts.good,
+                bad: counts.bad,
+            });
+        }
+        cells
+    }
+
+    /// Quality of a version for a customer: the prior, other customers' ratings with a capped weight,
+    /// and the customer's own.
+    ///
+    /// ```
+    /// use policy::quality::{Subject, Table};
+    /// let now = std::time::Instant::now();
+    /// let subject = Subject { model: "small", version: "1", task: "tag", customer: "c" };
+    /// assert_eq!(Table::default().estimate(now, subject, 0.75).mean, 0.75);
+    /// ```
+    pub fn estimate(&self, now: Instant, subject: Subject, prior: f64) -> Estimate {
+        let settings = &self.settings;
+        let prior = Counts {
+            good: prior * settings.prior,
+            bad: (1.0 - prior) * settings.prior,
+        };
+        let Some(pool) = self.find(subject) else {
+            return Estimate::beta(prior, settings.deviations);
+        };
+        let own = pool
+            .customers
+            .get(subject.customer)
+            .map(|entry| entry.total.read(now, settings.half_life))
+            .unwrap_or_default();
+        let others = (pool.all.read(now, settings.half_life) - own).clamped();
+        let weight = (settings.shared / others.total()).min(1.0);
+        let counts = prior + own + others.scaled(weight);
+        Estimate::beta(counts, settings.deviations)
+    }
+
+    /// Ratings of a version at a task, of all customers and nodes.
+    ///
+    /// ```
+    /// use policy::quality::{Counts, Subject, Table};
+    /// let now = std::time::Instant::now();
+    /// let subject = Subject { model: "small", version: "1", task: "tag", customer: "c" };
+    /// assert_eq!(Table::default().counts(now, subject), Counts::default());
+    /// ```
+    pub fn counts(&self, now: Instant, subject: Subject) -> Counts {
+        self.find(subject)
+            .map(|pool| pool.all.read(now, self.settings.half_life))
+            .unwrap_or_default()
+    }
+
+    /// Drops peers' counts that have decayed to nothing.
+    ///
+    /// ```
+    /// policy::quality::Table::default().prune(std::time::Instant::now());
+    /// ```
+    pub fn prune(&mut self, now: Instant) {
+        let half_life = self.settings.half_life;
+        let pools = self.models.values_mut().flat_map(Map::values_mut);
+        for pool in pools.flat_map(Map::values_mut) {
+            for entry in pool.customers.values_mut() {
+                entry
+                    .peers
+                    .retain(|_, peer| peer.counter.read(now, half_life).total() > NEGLIGIBLE);
+            }
+            pool.customers
+                .retain(|_, entry| entry.total.read(now, half_life).total() > NEGLIGIBLE);
+        }
+    }
+
+    fn find(&self, subject: Subject) -> Option<&Pool> {
+        self.models
+            .get(subject.model)?
+            .get(subject.version)?
+            .get(subject.task)
+    }
+
+    fn pool(&mut self, now: Instant, subject: Subject) -> &mut Pool {
+        self.models
+            .entry(subject.model.to_owned())
+            .or_default()
+            .entry(subject.version.to_owned())
+            .or_default()
+            .entry(subject.task.to_owned())
+            .or_insert_with(|| Pool::new(now))
+    }
+
+    fn entries(&self) -> impl Iterator<Item = (Subject<'_>, &Entry)> {
+        self.models.iter().flat_map(|(model, versions)| {
+            versions.iter().flat_map(move |(version, tasks)| {
+                tasks.iter().flat_map(move |(task, pool)| {
+                    pool.customers.iter().map(move |(customer, entry)| {
+                        let subject = Subject {
+                            model,
+                            version,
+                            task,
+                            customer,
+                        };
+                        (subject, entry)
+                    })
+                })
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/rollout/mod.rs
@@ -0,0 +1,9 @@
+//! Trials of new versions, and demotion of versions that turn bad.
+
+mod settings;
+mod test;
+mod watch;
+
+pub use settings::Settings;
+pub use test::Test;
+pub use watch::{Event, Intent, Stage, Watch};
--- /dev/null
+++ b/crates/policy/src/rollout/settings.rs
@@ -0,0 +1,39 @@
+//! Settings of trials and of the watch over versions in service.
+
+use std::time::Duration;
+
+/// When a version is promoted and demoted.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Rise of the share of bad answers that must be found, 0 to 1.
+    pub rise: f64,
+    /// Smallest share of bad answers that is expected of a sound version, 0 to 1.
+    pub floor: f64,
+    /// Probability that a trial ends the wrong way.
+    pub error: f64,
+    /// Log likelihood ratio at which a version in service is demoted.
+    pub alarm: f64,
+    /// Bad answers that a demoted version may give in a new trial.
+    pub retrial: f64,
+    /// Time until a demoted version's first new trial; it doubles with each demotion.
+    pub cooling: Duration,
+    /// Longest time until a new trial.
+    pub longest_cooling: Duration,
+    /// Time in service after which earlier demotions are forgotten.
+    pub calm: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            rise: 0.15,
+            floor: 0.05,
+            error: 0.01,
+            alarm: 9.0,
+            retrial: 8.0,
+            cooling: Duration::from_secs(60),
+            longest_cooling: Duration::from_secs(3600),
+            calm: Duration::from_secs(1800),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/rollout/test.rs
@@ -0,0 +1,45 @@
+//! Log likelihood ratio of "turned bad" against "as good as expected".
+
+use crate::quality::Counts;
+use crate::rollout::Settings;
+
+/// Highest share of bad answers that the test tells apart, 0 to 1.
+const MAX_BAD: f64 = 0.98;
+
+/// A sequential probability ratio test on the share of bad answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Test {
+    good: f64,
+    bad: f64,
+}
+
+impl Test {
+    /// A test against a reference share of good answers.
+    ///
+    /// ```
+    /// use policy::{quality::Counts, rollout::{Settings, Test}};
+    /// let test = Test::new(&Settings::default(), 0.95);
+    /// assert!(test.score(Counts::one(false)) > 0.0);
+    /// assert!(test.score(Counts::one(true)) < 0.0);
+    /// ```
+    pub fn new(settings: &Settings, reference: f64) -> Self {
+        let ceiling = MAX_BAD - settings.rise;
+        let sound = (1.0 - reference).clamp(settings.floor, ceiling);
+        let turned = sound + settings.rise;
+        Self {
+            good: ((1.0 - turned) / (1.0 - sound)).ln(),
+            bad: (turned / sound).ln(),
+        }
+    }
+
+    /// Log likelihood ratio of counts; above zero speaks for "turned bad".
+    ///
+    /// ```
+    /// use policy::{quality::Counts, rollout::{Settings, Test}};
+    /// let test = Test::new(&Settings::default(), 0.9);
+    /// assert_eq!(test.score(Counts::default()), 0.0);
+    /// ```
+    pub fn score(&self, counts: Counts) -> f64 {
+        counts.good * self.good + counts.bad * self.bad
+    }
+}
--- /dev/null
+++ b/crates/policy/src/rollout/watch.rs
@@ -0,0 +1,266 @@
+//! The life of one version at one task.
+
+use crate::plan::Standing;
+use crate::quality::Counts;
+use crate::rollout::{Settings, Test};
+use rand::Rng;
+use std::time::{Duration, Instant};
+
+/// Where a version stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// In service.
+    Serving,
+    /// On trial under a budget of bad answers.
+    Trial,
+    /// Found bad; a new trial begins at the time given.
+    Demoted {
+        /// When the next trial begins.
+        until: Instant,
+    },
+}
+
+/// What changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// The trial found the version sound.
+    Promoted,
+    /// The trial or the watch found the version bad.
+    Demoted,
+    /// The budget of bad answers was spent before the trial ended.
+    Exhausted,
+    /// A demoted version is tried again.
+    Retried,
+}
+
+/// What operators ask for; it goes before what the watch finds.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Intent {
+    /// No roll-out names the version.
+    #[default]
+    None,
+    /// The version is rolled out under a budget of bad answers.
+    Rollout {
+        /// Bad answers that may be spent.
+        bad_answers: u32,
+    },
+    /// The roll-out is paused: the version takes no requests.
+    Paused,
+}
+
+/// Watches one version at one task.
+#[derive(Clone, Debug)]
+pub struct Watch {
+    settings: Settings,
+    intent: Intent,
+    stage: Stage,
+    since: Instant,
+    /// Ratings since the stage began.
+    counts: Counts,
+    score: f64,
+    budget: f64,
+    demotions: u32,
+}
+
+impl Watch {
+    /// Starts watching. A version that no roll-out names is in service.
+    ///
+    /// ```
+    /// use policy::{plan::Standing, rollout::{Intent, Settings, Watch}};
+    /// let now = std::time::Instant::now();
+    /// let watch = Watch::new(Settings::default(), Intent::Rollout { bad_answers: 20 }, now);
+    /// assert_eq!(watch.standing(), Standing::Trial);
+    /// ```
+    pub fn new(settings: Settings, intent: Intent, now: Instant) -> Self {
+        let mut watch = Self {
+            settings,
+            intent: Intent::None,
+            stage: Stage::Serving,
+            since: now,
+            counts: Counts::default(),
+            score: 0.0,
+            budget: 0.0,
+            demotions: 0,
+        };
+        watch.declare(now, intent);
+        watch
+    }
+
+    /// Takes over what operators ask for. A changed roll-out starts the trial anew; a pause keeps
+    /// what was learned.
+    ///
+    /// ```
+    /// use policy::{plan::Standing, rollout::{Intent, Settings, Watch}};
+    /// let now = std::time::Instant::now();
+    /// let mut watch = Watch::new(Settings::default(), Intent::None, now);
+    /// watch.declare(now, Intent::Paused);
+    /// assert_eq!(watch.standing(), Standing::Demoted);
+    /// watch.declare(now, Intent::None);
+    /// assert_eq!(watch.standing(), Standing::Serving);
+    /// ```
+    pub fn declare(&mut self, now: Instant, intent: Intent) {
+        if self.intent == intent {
+            return;
+        }
+        let resumed = self.intent == Intent::Paused;
+        self.intent = intent;
+        match intent {
+            Intent::Rollout { bad_answers } => {
+                self.budget = f64::from(bad_answers);
+                if !resumed || self.stage == Stage::Serving {
+                    self.enter(now, Stage::Trial);
+                }
+            }
+            Intent::None if !resumed => self.enter(now, Stage::Serving),
+            Intent::None | Intent::Paused => (),
+        }
+    }
+
+    /// Where the version stands.
+    ///
+    /// ```
+    /// # use policy::rollout::{Intent, Settings, Stage, Watch};
+    /// let watch = Watch::new(Settings::default(), Intent::None, std::time::Instant::now());
+    /// assert_eq!(watch.stage(), Stage::Serving);
+    /// ```
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// How plans treat the version.
+    ///
+    /// ```
+    /// # use policy::{plan::Standing, rollout::{Intent, Settings, Watch}};
+    /// let watch = Watch::new(Settings::default(), Intent::None, std::time::Instant::now());
+    /// assert_eq!(watch.standing(), Standing::Serving);
+    /// ```
+    pub fn standing(&self) -> Standing {
+        match self.stage {
+            _ if self.intent == Intent::Paused => Standing::Demoted,
+            Stage::Serving => Standing::Serving,
+            Stage::Trial => Standing::Trial,
+            Stage::Demoted { .. } => Standing::Demoted,
+        }
+    }
+
+    /// Whether ratings speak against the version, so that every answer should be rated.
+    ///
+    /// ```
+    /// # use policy::rollout::{Intent, Settings, Watch};
+    /// let watch = Watch::new(Settings::default(), Intent::None, std::time::Instant::now());
+    /// assert!(!watch.suspicious());
+    /// ```
+    pub fn suspicious(&self) -> bool {
+        self.stage != Stage::Serving || self.score > self.settings.alarm / 4.0
+    }
+
+    /// Takes in ratings. The reference is the share of good answers expected of a sound version: in
+    /// service its own from before, on trial that of the version it replaces.
+    ///
+    /// ```
+    /// use policy::{quality::Counts, rollout::{Event, Intent, Settings, Watch}};
+    /// let now = std::time::Instant::now();
+    /// let mut watch = Watch::new(Settings::default(), Intent::None, now);
+    /// let bad = (0..20).find_map(|_| watch.observe(now, Counts::one(false), 0.95));
+    /// assert_eq!(bad, Some(Event::Demoted));
+    /// ```
+    pub fn observe(&mut self, now: Instant, counts: Counts, reference: f64) -> Option<Event> {
+        let test = Test::new(&self.settings, reference);
+        self.counts = (self.counts + counts).clamped();
+        match self.stage {
+            Stage::Serving => self.guard(now, test.score(counts)),
+            Stage::Trial => self.judge(now, test.score(self.counts)),
+            Stage::Demoted { .. } => None,
+        }
+    }
+
+    /// Begins a new trial when the time of a demotion is over.
+    ///
+    /// ```
+    /// # use policy::rollout::{Intent, Settings, Watch};
+    /// let now = std::time::Instant::now();
+    /// let mut watch = Watch::new(Settings::default(), Intent::None, now);
+    /// assert_eq!(watch.tick(now), None);
+    /// ```
+    pub fn tick(&mut self, now: Instant) -> Option<Event> {
+        match self.stage {
+            Stage::Demoted { until } if now >= until => {
+                self.budget = self.settings.retrial;
+                self.enter(now, Stage::Trial);
+                Some(Event::Retried)
+            }
+            Stage::Serving if now.saturating_duration_since(self.since) > self.settings.calm => {
+                self.demotions = 0;
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether this node may start one more answer of the version on trial. The bad answers left are
+    /// shared out between the nodes; answers that run or aren't rated yet count as bad.
+    ///
+    /// ```
+    /// use policy::rollout::{Intent, Settings, Watch};
+    /// use rand::{rngs::SmallRng, SeedableRng};
+    /// let mut rng = SmallRng::seed_from_u64(1);
+    /// let watch = Watch::new(
+    ///     Settings::default(), Intent::Rollout { bad_answers: 14 }, std::time::Instant::now());
+    /// assert!(watch.admits(1, 7, &mut rng));
+    /// assert!(!watch.admits(2, 7, &mut rng));
+    /// ```
+    pub fn admits(&self, outstanding: u32, nodes: u32, rng: &mut impl Rng) -> bool {
+        if self.standing() != Standing::Trial {
+            return false;
+        }
+        let left = (self.budget - self.counts.bad).max(0.0);
+        let share = left / f64::from(nodes.max(1));
+        let more = share - f64::from(outstanding);
+        more >= 1.0 || (more > 0.0 && rng.random_bool(more))
+    }
+
+    fn guard(&mut self, now: Instant, step: f64) -> Option<Event> {
+        self.score = (self.score + step).max(0.0);
+        if self.score < self.settings.alarm {
+            return None;
+        }
+        self.demote(now);
+        Some(Event::Demoted)
+    }
+
+    fn judge(&mut self, now: Instant, score: f64) -> Option<Event> {
+        let bound = ((1.0 - self.settings.error) / self.settings.error).ln();
+        if score >= bound {
+            self.demote(now);
+            return Some(Event::Demoted);
+        }
+        if score <= -bound {
+            self.enter(now, Stage::Serving);
+            return Some(Event::Promoted);
+        }
+        if self.counts.bad >= self.budget {
+            self.demote(now);
+            return Some(Event::Exhausted);
+        }
+        None
+    }
+
+    fn demote(&mut self, now: Instant) {
+        let until = now + self.cooling();
+        self.demotions += 1;
+        self.enter(now, Stage::Demoted { until });
+    }
+
+    fn cooling(&self) -> Duration {
+        let factor = 2_u32.saturating_pow(self.demotions);
+        let cooling = self.settings.cooling.saturating_mul(factor);
+        cooling.min(self.settings.longest_cooling)
+    }
+
+    fn enter(&mut self, now: Instant, stage: Stage) {
+        self.stage = stage;
+        self.since = now;
+        self.counts = Counts::default();
+        self.score = 0.0;
+    }
+}
