Add changes of the configuration by conditional writes

Cause: a change had no way into the log, and a lost answer or a race no defined end. Ruled out: reading the head back to settle a lost answer (another change may have moved it; only the change id's own row tells); refusing a change whenever the head moved (operators of other objects would fight: 20 racing proposers would need 20 rounds by hand); one row for the whole configuration. Change: sync::Replica reads the head, objects and revisions and proposes changes in one transaction on head, revision, objects and change id; typed errors say whether anything is written. link::Hub and view have their public shape; links, members and freshness aren't carried out yet. Conclusion: the node can read and change configuration through the table alone.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod dispatch;
 mod error;
 pub mod fleet;
+pub mod link;
 mod run;
+pub mod sync;
 
 pub use error::{Code, Error};
 pub use run::{Error as RunError, run};
--- /dev/null
+++ b/crates/node/src/sync/log.rs
@@ -0,0 +1,77 @@
+//! Reads of the log in the table.
+
+use super::{Error, rows};
+use contract::{Config, Object, Revision};
+use platform::Table;
+use platform::table::Range;
+use wire::Delta;
+
+/// Most revisions read in one call.
+const PAGE: usize = 200;
+/// Most objects in the configuration.
+const MAX_OBJECTS: usize = 100_000;
+
+/// Reads of the log, for one table.
+#[derive(Clone, Debug)]
+pub(super) struct Log<T> {
+    pub table: T,
+}
+
+impl<T: Table> Log<T> {
+    /// Newest revision; zero before the first change.
+    pub async fn head(&self) -> Result<Revision, Error> {
+        let item = self.table.get(rows::HEAD.0, rows::HEAD.1).await;
+        let item = item.map_err(Error::Platform)?;
+        Ok(item.map_or(0, |item| item.rev))
+    }
+
+    /// Revisions after one, at most a page.
+    pub async fn after(&self, revision: Revision) -> Result<Vec<Delta>, Error> {
+        let range = Range::After(rows::sort(revision));
+        let items = self.table.list(rows::REVISIONS, &range, PAGE).await;
+        items
+            .map_err(Error::Platform)?
+            .iter()
+            .map(|item| rows::read(rows::REVISIONS, item))
+            .collect()
+    }
+
+    /// The revision that a change id was given, if it is in the log.
+    pub async fn change(&self, change: &str) -> Result<Option<Revision>, Error> {
+        let item = self.table.get(rows::CHANGES, change).await;
+        let Some(item) = item.map_err(Error::Platform)? else {
+            return Ok(None);
+        };
+        let change: rows::Change = rows::read(rows::CHANGES, &item)?;
+        Ok(Some(change.revision))
+    }
+
+    /// One revision.
+    pub async fn revision(&self, revision: Revision) -> Result<Delta, Error> {
+        let sort = rows::sort(revision);
+        let item = self.table.get(rows::REVISIONS, &sort).await;
+        let missing = Error::Row {
+            partition: rows::REVISIONS,
+            sort,
+        };
+        rows::read(
+            rows::REVISIONS,
+            &item.map_err(Error::Platform)?.ok_or(missing)?,
+        )
+    }
+
+    /// The objects as of the head or newer: replaying the revisions after it makes them exact.
+    pub async fn snapshot(&self) -> Result<Config, Error> {
+        let head = self.head().await?;
+        let items = self
+            .table
+            .list(rows::OBJECTS, &Range::All, MAX_OBJECTS)
+            .await;
+        let objects = items
+            .map_err(Error::Platform)?
+            .iter()
+            .map(|item| Object::read(&item.sort, &item.body))
+            .collect::<Result<Vec<_>, _>>()?;
+        Ok(Config::new(head, objects))
+    }
+}
--- /dev/null
+++ b/crates/node/src/sync/rows.rs
@@ -0,0 +1,108 @@
+//! Rows of the configuration in the table.
+
+use super::Error;
+use contract::{ChangeId, Revision};
+use platform::table::{Condition, Item, Write};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::fmt::Write as _;
+use wire::{Delta, Entry};
+
+/// Partition of the head and its sort key.
+pub(super) const HEAD: (&str, &str) = ("config", "head");
+/// Partition of the revisions.
+pub(super) const REVISIONS: &str = "config-rev";
+/// Partition of the objects.
+pub(super) const OBJECTS: &str = "config-obj";
+/// Partition of the change ids.
+pub(super) const CHANGES: &str = "config-change";
+/// Length of a transaction's token.
+const TOKEN_BYTES: usize = 16;
+
+#[derive(Deserialize, Serialize)]
+struct Head {
+    change: ChangeId,
+}
+
+/// Content of a change id's row.
+#[derive(Deserialize, Serialize)]
+pub(super) struct Change {
+    pub revision: Revision,
+}
+
+/// Sort key of a revision.
+pub(super) fn sort(revision: Revision) -> String {
+    format!("{revision:020}")
+}
+
+/// Reads the content of a row.
+pub(super) fn read<T: for<'a> Deserialize<'a>>(
+    partition: &'static str,
+    item: &Item,
+) -> Result<T, Error> {
+    serde_json::from_str(&item.body).map_err(|_| Error::Row {
+        partition,
+        sort: item.sort.clone(),
+    })
+}
+
+/// Writes that put a revision on top of the one before it, all or none.
+pub(super) fn writes(delta: &Delta) -> Vec<Write> {
+    let base = delta.revision - 1;
+    let on_base = match base {
+        0 => Condition::Absent,
+        base => Condition::Rev(base),
+    };
+    let head = Head {
+        change: delta.change.clone(),
+    };
+    let change = Change {
+        revision: delta.revision,
+    };
+    let rev = delta.revision;
+    let mut writes = vec![
+        put(HEAD.0, HEAD.1, rev, text(&head), on_base),
+        put(REVISIONS, &sort(rev), rev, text(delta), Condition::Absent),
+        put(
+            CHANGES,
+            &delta.change,
+            rev,
+            text(&change),
+            Condition::Absent,
+        ),
+    ];
+    writes.extend(delta.entries.iter().map(|entry| object(rev, entry)));
+    writes
+}
+
+/// Token that makes a repeated transaction the same transaction.
+pub(super) fn token(delta: &Delta) -> String {
+    let digest = Sha256::digest(text(delta).as_bytes());
+    let mut token = String::with_capacity(2 * TOKEN_BYTES);
+    for byte in &digest[..TOKEN_BYTES] {
+        let _ = write!(token, "{byte:02x}");
+    }
+    token
+}
+
+fn object(rev: Revision, entry: &Entry) -> Write {
+    match &entry.body {
+        Some(body) => put(OBJECTS, &entry.key, rev, body.clone(), Condition::Any),
+        None => Write::Delete {
+            partition: OBJECTS.to_owned(),
+            sort: entry.key.clone(),
+            condition: Condition::Any,
+        },
+    }
+}
+
+fn put(partition: &str, sort: &str, rev: u64, body: String, condition: Condition) -> Write {
+    Write::Put {
+        item: Item::new(partition, sort, rev, body),
+        condition,
+    }
+}
+
+fn text(content: &impl Serialize) -> String {
+    serde_json::to_string(content).unwrap_or_default()
+}
