Add the view: revisions, freshness, acceptance and members without I/O

Cause: a node couldn't tell whether its configuration is still in force, nor when a change is accepted.

--- a/crates/view/src/error.rs
+++ b/crates/view/src/error.rs
@@ -8,3 +8,11 @@
     /// Revision that this node has applied.
     pub revision: contract::Revision,
 }
+
+/// A revision has to be accepted before another may follow it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("revision {revision} has to be accepted first")]
+pub struct Pending {
+    /// Revision that is waited for.
+    pub revision: contract::Revision,
+}
--- /dev/null
+++ b/crates/view/tests/view/main.rs
@@ -0,0 +1,5 @@
+//! The view, driven without sockets.
+
+mod scenarios;
+mod schedules;
+mod world;
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -552,10 +552,9 @@
 #[doc = "  \"required\": ["]
 #[doc = "    \"incarnation\","]
 #[doc = "    \"key\","]
+#[doc = "    \"link\","]
 #[doc = "    \"node\","]
-#[doc = "    \"protocol\","]
-#[doc = "    \"revision\","]
-#[doc = "    \"zone\""]
+#[doc = "    \"protocol\""]
 #[doc = "  ],"]
 #[doc = "  \"properties\": {"]
 #[doc = "    \"incarnation\": {"]
@@ -567,6 +566,10 @@
 #[doc = "      \"description\": \"HMAC over the other end's nonce, node and incarnation with a shared link key.\","]
 #[doc = "      \"type\": \"string\""]
 #[doc = "    },"]
+#[doc = "    \"link\": {"]
+#[doc = "      \"description\": \"Address on which the sender accepts links, ip:port.\","]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
 #[doc = "    \"node\": {"]
 #[doc = "      \"type\": \"string\""]
 #[doc = "    },"]
@@ -574,14 +577,6 @@
 #[doc = "      \"type\": \"integer\","]
 #[doc = "      \"format\": \"uint32\","]
 #[doc = "      \"minimum\": 0.0"]
-#[doc = "    },"]
-#[doc = "    \"revision\": {"]
-#[doc = "      \"type\": \"integer\","]
-#[doc = "      \"format\": \"uint64\","]
-#[doc = "      \"minimum\": 0.0"]
-#[doc = "    },"]
-#[doc = "    \"zone\": {"]
-#[doc = "      \"type\": \"string\""]
 #[doc = "    }"]
 #[doc = "  },"]
 #[doc = "  \"additionalProperties\": false"]
@@ -594,10 +589,10 @@
     pub incarnation: u64,
     #[doc = "HMAC over the other end's nonce, node and incarnation with a shared link key."]
     pub key: ::std::string::String,
+    #[doc = "Address on which the sender accepts links, ip:port."]
+    pub link: ::std::string::String,
     pub node: ::std::string::String,
     pub protocol: u32,
-    pub revision: u64,
-    pub zone: ::std::string::String,
 }
 impl ::std::convert::From<&Hello> for Hello {
     fn from(value: &Hello) -> Self {
