Add the stand-ins of the platform and the backend servers, and a TCP proxy

Ruled out: `noxious` 1.0.4 as the proxy library. It can't silence only the connections that are open while new ones work, can't reset a connection in place of an answer, and brings tokio-util 0.6, rand 0.8 and mockall_double. `toxiproxy_rust` is a client of a program that would have to be started. Change: A folder for each stand-in with `Settings` and `Server`; a seeded fault-injecting proxy on tokio; examples `standin` (one process each, prints its addresses as JSON) and `measure` (dispatcher, a module for each subcommand). bpaf and env_logger, already in the workspace, become dev-dependencies of standin. Conclusion: The whole path can be run against these. Measurements answer with a typed error until they are built.

--- /dev/null
+++ b/crates/standin/src/proxy/mod.rs
@@ -0,0 +1,8 @@
+//! Fault-injecting TCP proxy between any two parties.
+
+mod faults;
+mod pump;
+mod server;
+
+pub use faults::{Direction, Faults};
+pub use server::{Proxy, Settings};
--- /dev/null
+++ b/crates/standin/src/proxy/server.rs
@@ -0,0 +1,228 @@
+//! The listening side of the proxy.
+
+use super::Faults;
+use super::pump::{Pump, Way};
+use crate::Error;
+use crate::serve::loopback;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// Settings of a proxy.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address to bind.
+    pub listen: SocketAddr,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: loopback(0),
+            seed: 1,
+        }
+    }
+}
+
+/// A running proxy; it stops and cuts its connections when dropped.
+#[derive(Debug)]
+pub struct Proxy {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    accept: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    faults: watch::Sender<Faults>,
+    target: watch::Sender<SocketAddr>,
+    /// Replaced by `silence_open`, so that it holds only connections opened before.
+    frozen: Mutex<watch::Sender<bool>>,
+    /// Kept so that frozen connections stay so.
+    kept: Mutex<Vec<watch::Sender<bool>>>,
+    cut: watch::Sender<u64>,
+    connections: AtomicU64,
+    seed: u64,
+}
+
+impl Proxy {
+    /// Starts a proxy towards an address.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// use standin::proxy::{Faults, Proxy};
+    /// let table = standin::table::Server::start(Default::default()).await?;
+    /// let proxy = Proxy::start(table.address(), Default::default()).await?;
+    /// let url = format!("http://{}/stats", proxy.address());
+    /// assert!(reqwest::get(&url).await.is_ok());
+    /// proxy.set(Faults::lose_answers());
+    /// assert!(reqwest::get(&url).await.is_err());
+    /// # Ok::<(), standin::Error>(()) }).unwrap();
+    /// ```
+    pub async fn start(target: SocketAddr, settings: Settings) -> Result<Self, Error> {
+        let listener = bind(settings.listen).await?;
+        let address = listener.local_addr().map_err(|source| Error::Socket {
+            address: settings.listen,
+            source,
+        })?;
+        let shared = Arc::new(Shared {
+            faults: watch::Sender::new(Faults::default()),
+            target: watch::Sender::new(target),
+            frozen: Mutex::new(watch::Sender::new(false)),
+            kept: Mutex::default(),
+            cut: watch::Sender::new(0),
+            connections: AtomicU64::new(0),
+            seed: settings.seed,
+        });
+        let accept = tokio::spawn(Arc::clone(&shared).accept(listener, address));
+        Ok(Self {
+            address,
+            shared,
+            accept,
+        })
+    }
+
+    /// Address to connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Base URL for HTTP through the proxy.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Sets the faults, for open connections too.
+    pub fn set(&self, faults: Faults) {
+        self.shared.faults.send_replace(faults);
+        if faults.refuse {
+            self.cut();
+        }
+    }
+
+    /// Removes all faults. Connections silenced by `silence_open` stay silent.
+    pub fn heal(&self) {
+        self.set(Faults::default());
+    }
+
+    /// Sends later connections elsewhere.
+    pub fn retarget(&self, target: SocketAddr) {
+        self.shared.target.send_replace(target);
+    }
+
+    /// Cuts all open connections.
+    pub fn cut(&self) {
+        self.shared.cut.send_modify(|count| *count += 1);
+    }
+
+    /// Open connections go silent for good, while new ones work.
+    pub fn silence_open(&self) {
+        let fresh = watch::Sender::new(false);
+        let mut frozen = lock(&self.shared.frozen);
+        let old = std::mem::replace(&mut *frozen, fresh);
+        old.send_replace(true);
+        lock(&self.shared.kept).push(old);
+    }
+
+    /// Connections accepted so far.
+    pub fn connections(&self) -> u64 {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.accept.abort();
+        self.cut();
+    }
+}
+
+impl Shared {
+    async fn accept(self: Arc<Self>, listener: TcpListener, address: SocketAddr) {
+        let mut listener = Some(listener);
+        let mut faults = self.faults.subscribe();
+        loop {
+            if faults.borrow_and_update().refuse {
+                listener = None;
+                let _ = faults.changed().await;
+                continue;
+            }
+            let Some(open) = &listener else {
+                listener = bind(address).await.ok();
+                tokio::time::sleep(REBIND_PAUSE).await;
+                continue;
+            };
+            tokio::select! {
+                accepted = open.accept() => {
+                    if let Ok((stream, _)) = accepted {
+                        tokio::spawn(Arc::clone(&self).relay(stream));
+                    }
+                }
+                _ = faults.changed() => {}
+            }
+        }
+    }
+
+    async fn relay(self: Arc<Self>, client: TcpStream) {
+        let mut cut = self.cut.subscribe();
+        let frozen = lock(&self.frozen).subscribe();
+        let number = self.connections.fetch_add(1, Ordering::Relaxed);
+        let target = *self.target.borrow();
+        let Ok(server) = TcpStream::connect(target).await else {
+            reset(&client);
+            return;
+        };
+        let _ = client.set_nodelay(true);
+        let _ = server.set_nodelay(true);
+        let (mut client, mut server) = (client, server);
+        let seed = self.seed.wrapping_add(number.wrapping_mul(2));
+        let up = Pump::new(Way::Up, self.faults.subscribe(), frozen.clone(), seed);
+        let down = Pump::new(Way::Down, self.faults.subscribe(), frozen, seed + 1);
+        let must_cut = {
+            let (client_read, client_write) = client.split();
+            let (server_read, server_write) = server.split();
+            let up = up.run(client_read, server_write);
+            let down = down.run(server_read, client_write);
+            tokio::select! {
+                _ = cut.changed() => true,
+                broken = both(up, down) => broken,
+            }
+        };
+        if must_cut {
+            reset(&client);
+            reset(&server);
+        }
+    }
+}
+
+/// Waits for both directions, or for the first that breaks.
+async fn both(up: impl Future<Output = bool>, down: impl Future<Output = bool>) -> bool {
+    tokio::pin!(up, down);
+    tokio::select! {
+        broken = &mut up => broken || down.await,
+        broken = &mut down => broken || up.await,
+    }
+}
+
+/// Makes the close that follows a reset, as when a process dies.
+fn reset(stream: &TcpStream) {
+    let _ = stream.set_zero_linger();
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Socket { address, source })
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standin/src/rating/answer.rs
@@ -0,0 +1,114 @@
+//! The text that stand-in engines answer with: it names its origin, so that it can be rated and
+//! checked at the far end.
+
+use sha2::{Digest, Sha256};
+use std::fmt;
+use std::str::FromStr;
+
+const WORDS: [&str; 8] = [
+    "floor", "route", "hire", "tanker", "plan", "venue", "farm", "booking",
+];
+const END: &str = "end";
+
+/// An answer of a stand-in engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// `model@version` that ran.
+    pub served: String,
+    /// Digest of the prompt that was answered.
+    pub prompt: String,
+    /// Share of good answers of the version when it ran.
+    pub quality: f64,
+    /// Number of words.
+    pub words: usize,
+}
+
+/// Short digest of a prompt.
+///
+/// ```
+/// assert_eq!(standin::rating::digest("a").len(), 12);
+/// ```
+pub fn digest(prompt: &str) -> String {
+    let hash = Sha256::digest(prompt.as_bytes());
+    hash.iter()
+        .take(6)
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
+
+/// A number from 0 to 1 that depends only on the parts.
+///
+/// ```
+/// use standin::rating::chance;
+/// assert_eq!(chance(&["a", "b"]), chance(&["a", "b"]));
+/// assert_ne!(chance(&["a", "b"]), chance(&["ab", ""]));
+/// ```
+pub fn chance(parts: &[&str]) -> f64 {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part.as_bytes());
+    }
+    let hash = hasher.finalize();
+    let top = hash
+        .iter()
+        .take(4)
+        .fold(0_u32, |sum, byte| (sum << 8) | u32::from(*byte));
+    f64::from(top) / f64::from(u32::MAX)
+}
+
+impl Answer {
+    /// The pieces that are streamed, one token each.
+    ///
+    /// ```
+    /// use standin::rating::Answer;
+    /// let answer = Answer { served: "small@1".into(), prompt: "0".into(), quality: 0.5, words: 2 };
+    /// let text: String = answer.tokens().collect();
+    /// assert_eq!(text.parse::<Answer>().ok(), Some(answer));
+    /// assert!("small@1 0 0.5 2: floor".parse::<Answer>().is_err());
+    /// ```
+    pub fn tokens(&self) -> impl Iterator<Item = String> + use<> {
+        let head = format!(
+            "{} {} {} {}:",
+            self.served, self.prompt, self.quality, self.words
+        );
+        let words = (0..self.words).map(|index| format!(" {}", WORDS[index % WORDS.len()]));
+        std::iter::once(head)
+            .chain(words)
+            .chain(std::iter::once(format!(" {END}")))
+    }
+}
+
+impl fmt::Display for Answer {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.tokens()
+            .try_for_each(|token| formatter.write_str(&token))
+    }
+}
+
+/// The text isn't a whole answer of a stand-in engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("not a whole answer of a stand-in engine")]
+pub struct NotWhole;
+
+impl FromStr for Answer {
+    type Err = NotWhole;
+
+    fn from_str(text: &str) -> Result<Self, NotWhole> {
+        let (head, body) = text.split_once(':').ok_or(NotWhole)?;
+        let mut parts = head.split(' ');
+        let mut part = || parts.next().ok_or(NotWhole);
+        let answer = Self {
+            served: part()?.to_owned(),
+            prompt: part()?.to_owned(),
+            quality: part()?.parse().map_err(|_| NotWhole)?,
+            words: part()?.parse().map_err(|_| NotWhole)?,
+        };
+        let whole: String = answer.tokens().skip(1).collect();
+        if body == whole {
+            Ok(answer)
+        } else {
+            Err(NotWhole)
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/rating/mod.rs
@@ -0,0 +1,7 @@
+//! Rating service: vLLM's score API with qualities that are set by version and task.
+
+mod answer;
+mod server;
+
+pub use answer::{Answer, chance, digest};
+pub use server::{Quality, Server, Settings};
--- /dev/null
+++ b/crates/standin/src/rating/server.rs
@@ -0,0 +1,168 @@
+//! HTTP face of the rating service.
+
+use super::{Answer, chance};
+use crate::fault::{self, Switch};
+use crate::serve::loopback;
+use crate::{Error, serve};
+use rocket::http::Status;
+use rocket::serde::json::Json;
+use rocket::{State, post, put};
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Least score of a good answer.
+const GOOD: f64 = 0.5;
+
+/// Settings of the rating service.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address to bind.
+    pub listen: SocketAddr,
+    /// Time that a rating takes.
+    pub latency: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: loopback(0),
+            latency: Duration::from_millis(5),
+        }
+    }
+}
+
+/// Share of good answers of a version at a task; it goes before what the answer says itself.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Quality {
+    /// `model@version`.
+    pub version: String,
+    /// Task, or any.
+    #[serde(default)]
+    pub task: Option<String>,
+    /// Share of good answers, or none to forget it.
+    pub quality: Option<f64>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    latency: Duration,
+    qualities: Mutex<FxHashMap<(String, Option<String>), f64>>,
+    switch: Arc<Switch>,
+}
+
+/// A running rating service.
+#[derive(Debug)]
+pub struct Server {
+    server: serve::Server,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Score {
+    model: String,
+    text_1: String,
+    text_2: String,
+}
+
+impl Server {
+    /// Starts the service.
+    pub async fn start(settings: Settings) -> Result<Self, Error> {
+        let shared = Arc::new(Shared {
+            latency: settings.latency,
+            qualities: Mutex::default(),
+            switch: Arc::default(),
+        });
+        let rocket = rocket::build()
+            .manage(Arc::clone(&shared))
+            .manage(Arc::clone(&shared.switch))
+            .mount("/", rocket::routes![score, set_quality])
+            .mount("/", fault::routes());
+        let server = serve::Server::start(rocket, settings.listen).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Address that was bound.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Base URL.
+    pub fn url(&self) -> String {
+        self.server.url()
+    }
+
+    /// Faults of the service.
+    pub fn switch(&self) -> &Switch {
+        &self.shared.switch
+    }
+
+    /// Sets the share of good answers of a version at a task.
+    pub fn set(&self, quality: Quality) {
+        self.shared.set(quality);
+    }
+}
+
+impl Shared {
+    fn set(&self, quality: Quality) {
+        let mut qualities = self
+            .qualities
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let key = (quality.version, quality.task);
+        match quality.quality {
+            Some(share) => qualities.insert(key, share),
+            None => qualities.remove(&key),
+        };
+    }
+
+    fn quality(&self, answer: &Answer, task: &str) -> f64 {
+        let qualities = self
+            .qualities
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let at = |task: Option<&str>| {
+            let key = (answer.served.clone(), task.map(str::to_owned));
+            qualities.get(&key).copied()
+        };
+        at(Some(task))
+            .or_else(|| at(None))
+            .unwrap_or(answer.quality)
+    }
+
+    fn score(&self, score: &Score) -> f64 {
+        let Ok(answer) = score.text_2.parse::<Answer>() else {
+            return 0.0;
+        };
+        let drawn = chance(&[&answer.served, &score.model, &score.text_1]);
+        let quality = self.quality(&answer, &score.model);
+        if drawn < quality {
+            GOOD + (1.0 - GOOD) * (1.0 - drawn)
+        } else {
+            GOOD * (1.0 - drawn)
+        }
+    }
+}
+
+#[post("/score", data = "<score>")]
+async fn score(score: Json<Score>, shared: &State<Arc<Shared>>) -> Result<Json<Value>, Status> {
+    let effect = shared.switch.strike(&score.model, Instant::now());
+    tokio::time::sleep(effect.delay + shared.latency).await;
+    if effect.refuse || effect.lose {
+        return Err(Status::ServiceUnavailable);
+    }
+    let value = shared.score(&score);
+    Ok(Json(json!({
+        "object": "list",
+        "model": score.model,
+        "data": [{ "index": 0, "object": "score", "score": value }],
+    })))
+}
+
+#[put("/quality", data = "<quality>")]
+fn set_quality(quality: Json<Quality>, shared: &State<Arc<Shared>>) {
+    shared.set(quality.into_inner());
+}
--- /dev/null
+++ b/crates/standin/src/reservation/server.rs
@@ -0,0 +1,140 @@
+//! HTTP face of the reservation service.
+
+use crate::engine::Headers;
+use crate::journal::Recorder;
+use crate::serve::loopback;
+use crate::{Error, serve};
+use rocket::http::{ContentType, Status};
+use rocket::{State, get, post};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::time::Duration;
+
+const BODY_LIMIT_KIB: usize = 64;
+
+/// Settings of the reservation service.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address to bind.
+    pub listen: SocketAddr,
+    /// Name reported with each run.
+    pub service: String,
+    /// Time that a call takes.
+    pub latency: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: loopback(0),
+            service: "reservations".to_owned(),
+            latency: Duration::from_millis(5),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    latency: Duration,
+    recorder: Recorder,
+    address: OnceLock<String>,
+    bookings: Mutex<Vec<String>>,
+    runs: Mutex<BTreeMap<String, u64>>,
+}
+
+/// A running reservation service.
+#[derive(Debug)]
+pub struct Server {
+    server: serve::Server,
+    shared: Arc<Shared>,
+}
+
+impl Server {
+    /// Starts the service.
+    pub async fn start(settings: Settings, recorder: Recorder) -> Result<Self, Error> {
+        let shared = Arc::new(Shared {
+            latency: settings.latency,
+            recorder,
+            address: OnceLock::new(),
+            bookings: Mutex::default(),
+            runs: Mutex::default(),
+        });
+        let rocket = rocket::build()
+            .manage(Arc::clone(&shared))
+            .mount("/", rocket::routes![read, book, health]);
+        let server = serve::Server::start(rocket, settings.listen).await?;
+        let _ = shared.address.set(server.address().to_string());
+        Ok(Self { server, shared })
+    }
+
+    /// Address that was bound.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Base URL.
+    pub fn url(&self) -> String {
+        self.server.url()
+    }
+
+    /// How often each idempotency key ran.
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        let runs = self.shared.runs.lock();
+        runs.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+impl Shared {
+    fn record(&self, headers: &Headers) {
+        let backend = self.address.get().map(String::as_str).unwrap_or_default();
+        self.recorder.record(headers.run(backend, "service"));
+    }
+}
+
+#[get("/bookings/<id>")]
+async fn read(
+    id: usize,
+    headers: Headers,
+    shared: &State<Arc<Shared>>,
+) -> Result<(ContentType, String), Status> {
+    shared.record(&headers);
+    tokio::time::sleep(shared.latency).await;
+    let bookings = shared
+        .bookings
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    let text = bookings.get(id).cloned().ok_or(Status::NotFound)?;
+    let body = json!({ "id": id, "booking": text });
+    Ok((ContentType::JSON, body.to_string()))
+}
+
+#[post("/bookings", data = "<body>")]
+async fn book(
+    body: rocket::Data<'_>,
+    headers: Headers,
+    shared: &State<Arc<Shared>>,
+) -> (Status, (ContentType, String)) {
+    let limit = rocket::data::ToByteUnit::kibibytes(BODY_LIMIT_KIB);
+    let text = body.open(limit).into_string().await;
+    let text = text.map(|text| text.into_inner()).unwrap_or_default();
+    shared.record(&headers);
+    {
+        let mut runs = shared.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        *runs.entry(headers.idempotency_key.clone()).or_default() += 1;
+    }
+    tokio::time::sleep(shared.latency).await;
+    let mut bookings = shared
+        .bookings
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    bookings.push(text);
+    let body = json!({ "id": bookings.len() - 1, "confirmed": true });
+    (Status::Created, (ContentType::JSON, body.to_string()))
+}
+
+#[get("/health")]
+fn health() -> Status {
+    Status::Ok
+}
--- /dev/null
+++ b/crates/standin/src/serve/mod.rs
@@ -0,0 +1,7 @@
+//! HTTP servers of the stand-ins.
+
+mod clock;
+mod server;
+
+pub use clock::unix_ms;
+pub use server::{Server, loopback};
--- /dev/null
+++ b/crates/standin/src/table/limit.rs
@@ -0,0 +1,44 @@
+//! Rate limit of the table service.
+
+use std::time::Instant;
+
+/// A bucket that holds at most one second's worth of operations.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    per_second: f64,
+    available: f64,
+    refilled: Instant,
+}
+
+impl Limit {
+    /// A full bucket.
+    pub fn new(per_second: u32, now: Instant) -> Self {
+        Self {
+            per_second: per_second.into(),
+            available: per_second.into(),
+            refilled: now,
+        }
+    }
+
+    /// Takes a number of operations, or none of them.
+    ///
+    /// ```
+    /// use standin::table::Limit;
+    /// use std::time::{Duration, Instant};
+    /// let now = Instant::now();
+    /// let mut limit = Limit::new(2, now);
+    /// assert!(limit.take(2, now));
+    /// assert!(!limit.take(1, now));
+    /// assert!(limit.take(1, now + Duration::from_millis(500)));
+    /// ```
+    pub fn take(&mut self, count: usize, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.refilled).as_secs_f64();
+        self.available = (self.available + elapsed * self.per_second).min(self.per_second);
+        self.refilled = now;
+        if self.available < count as f64 {
+            return false;
+        }
+        self.available -= count as f64;
+        true
+    }
+}
--- /dev/null
+++ b/crates/standin/src/table/mod.rs
@@ -0,0 +1,16 @@
+//! Table service: a linearizable subset of DynamoDB's JSON protocol in memory.
+
+mod condition;
+mod failure;
+mod limit;
+mod message;
+mod server;
+mod settings;
+mod store;
+
+pub use failure::Failure;
+pub use limit::Limit;
+pub use message::{Item, Key, Query, Write};
+pub use server::{Server, Stats};
+pub use settings::Settings;
+pub use store::{Page, Store};
--- /dev/null
+++ b/crates/standin/src/vms/server.rs
@@ -0,0 +1,116 @@
+//! HTTP face of the list.
+
+use super::{List, Target};
+use crate::fault::{self, Switch};
+use crate::serve::loopback;
+use crate::{Error, serve};
+use rocket::http::Status;
+use rocket::serde::json::Json;
+use rocket::{State, delete, get, put};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Settings of the list.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address to bind.
+    pub listen: SocketAddr,
+    /// Time until readers see a change.
+    pub lag: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: loopback(0),
+            lag: Duration::ZERO,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    list: Mutex<List>,
+    switch: Arc<Switch>,
+}
+
+/// A running list of VMs.
+#[derive(Debug)]
+pub struct Server {
+    server: serve::Server,
+    shared: Arc<Shared>,
+}
+
+impl Server {
+    /// Starts the list.
+    pub async fn start(settings: Settings) -> Result<Self, Error> {
+        let shared = Arc::new(Shared {
+            list: Mutex::new(List::new(settings.lag)),
+            switch: Arc::default(),
+        });
+        let rocket = rocket::build()
+            .manage(Arc::clone(&shared))
+            .manage(Arc::clone(&shared.switch))
+            .mount("/", rocket::routes![list, put_target, remove])
+            .mount("/", fault::routes());
+        let server = serve::Server::start(rocket, settings.listen).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Address that was bound.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Base URL.
+    pub fn url(&self) -> String {
+        self.server.url()
+    }
+
+    /// Faults of the list.
+    pub fn switch(&self) -> &Switch {
+        &self.shared.switch
+    }
+
+    /// Puts an entry.
+    pub fn put(&self, target: Target) {
+        self.shared.lock().put(target, Instant::now());
+    }
+
+    /// Changes the state of an address to `live` or `leaving`.
+    pub fn set_state(&self, address: &str, state: &str) {
+        self.shared.lock().set_state(address, state, Instant::now());
+    }
+
+    /// Removes an address.
+    pub fn remove(&self, address: &str) {
+        self.shared.lock().remove(address, Instant::now());
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, List> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[get("/v1/vms")]
+async fn list(shared: &State<Arc<Shared>>) -> Result<Json<Vec<Target>>, Status> {
+    let effect = shared.switch.strike("GET vms", Instant::now());
+    tokio::time::sleep(effect.delay).await;
+    if effect.refuse || effect.lose {
+        return Err(Status::ServiceUnavailable);
+    }
+    Ok(Json(shared.lock().visible(Instant::now()).to_vec()))
+}
+
+#[put("/admin/vms", data = "<target>")]
+fn put_target(target: Json<Target>, shared: &State<Arc<Shared>>) {
+    shared.lock().put(target.into_inner(), Instant::now());
+}
+
+#[delete("/admin/vms/<address>")]
+fn remove(address: &str, shared: &State<Arc<Shared>>) {
+    shared.lock().remove(address, Instant::now());
+}
