Add admission, retry, quarantine and spend limits, and answer profiles

Cause: nothing kept load, retries or spend within bounds, and plans had no learned cost or latency. Ruled out: budgets rebalanced from gossiped spend, because two nodes with old news of each other can together pass the limit; shares taken from one account by conditional write can't. A queue for each customer with round robin, because weights and priorities need a second mechanism there. Change: limits::admission (priorities, start-time fair queueing, refusal of what would be late), limits::retry (token bucket as a share of first requests, also for hedging), limits::quarantine (breaker with probes), limits::spend (account row and purse); policy::answer (length, duration and 95th percentile of answers).

--- /dev/null
+++ b/crates/limits/src/quarantine/breaker.rs
@@ -0,0 +1,137 @@
+//! A circuit breaker before one backend server.
+
+use crate::quarantine::Settings;
+use rand::Rng;
+use std::time::{Duration, Instant};
+
+/// Whether requests go to a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum State {
+    /// They do.
+    Closed,
+    /// They don't until the time given.
+    Open {
+        /// When a probe may go.
+        until: Instant,
+    },
+    /// One probe is under way.
+    Probing {
+        /// When the probe began.
+        since: Instant,
+    },
+}
+
+/// A circuit breaker before one backend server.
+#[derive(Clone, Debug)]
+pub struct Breaker {
+    settings: Settings,
+    state: State,
+    failures: u32,
+    openings: u32,
+}
+
+impl Breaker {
+    /// A closed breaker.
+    ///
+    /// ```
+    /// use limits::quarantine::{Breaker, Settings, State};
+    /// assert_eq!(Breaker::new(Settings::default()).state(), State::Closed);
+    /// ```
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            state: State::Closed,
+            failures: 0,
+            openings: 0,
+        }
+    }
+
+    /// Whether requests go to the backend server.
+    ///
+    /// ```
+    /// # use limits::quarantine::{Breaker, Settings, State};
+    /// assert_eq!(Breaker::new(Settings::default()).state(), State::Closed);
+    /// ```
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Whether a request could go now.
+    ///
+    /// ```
+    /// # use limits::quarantine::{Breaker, Settings};
+    /// assert!(Breaker::new(Settings::default()).open(std::time::Instant::now()));
+    /// ```
+    pub fn open(&self, now: Instant) -> bool {
+        match self.state {
+            State::Closed => true,
+            State::Open { until } => now >= until,
+            State::Probing { since } => now.saturating_duration_since(since) >= self.settings.probe,
+        }
+    }
+
+    /// Asks for one request to go; in quarantine, the one that may is the probe.
+    ///
+    /// ```
+    /// use limits::quarantine::{Breaker, Settings};
+    /// use rand::{rngs::SmallRng, SeedableRng};
+    /// let now = std::time::Instant::now();
+    /// let mut rng = SmallRng::seed_from_u64(1);
+    /// let mut breaker = Breaker::new(Settings { failures: 1, ..Default::default() });
+    /// breaker.fail(now, &mut rng);
+    /// assert!(!breaker.begin(now));
+    /// let later = now + std::time::Duration::from_secs(2);
+    /// assert!(breaker.begin(later), "the probe");
+    /// assert!(!breaker.begin(later), "one probe at a time");
+    /// ```
+    pub fn begin(&mut self, now: Instant) -> bool {
+        if !self.open(now) {
+            return false;
+        }
+        if self.state != State::Closed {
+            self.state = State::Probing { since: now };
+        }
+        true
+    }
+
+    /// A request succeeded: the quarantine ends.
+    ///
+    /// ```
+    /// # use limits::quarantine::{Breaker, Settings, State};
+    /// let mut breaker = Breaker::new(Settings::default());
+    /// breaker.succeed();
+    /// assert_eq!(breaker.state(), State::Closed);
+    /// ```
+    pub fn succeed(&mut self) {
+        self.state = State::Closed;
+        self.failures = 0;
+        self.openings = 0;
+    }
+
+    /// A request failed by the backend server's fault.
+    ///
+    /// ```
+    /// # use limits::quarantine::{Breaker, Settings, State};
+    /// # use rand::{rngs::SmallRng, SeedableRng};
+    /// let mut breaker = Breaker::new(Settings::default());
+    /// breaker.fail(std::time::Instant::now(), &mut SmallRng::seed_from_u64(1));
+    /// assert_eq!(breaker.state(), State::Closed);
+    /// ```
+    pub fn fail(&mut self, now: Instant, rng: &mut impl Rng) {
+        self.failures = self.failures.saturating_add(1);
+        let probing = matches!(self.state, State::Probing { .. });
+        let tripped = self.state == State::Closed && self.failures >= self.settings.failures;
+        if probing || tripped {
+            let until = now + self.pause(rng);
+            self.openings = self.openings.saturating_add(1);
+            self.state = State::Open { until };
+        }
+    }
+
+    fn pause(&self, rng: &mut impl Rng) -> Duration {
+        let factor = 2_u32.saturating_pow(self.openings);
+        let pause = self.settings.pause.saturating_mul(factor);
+        let pause = pause.min(self.settings.longest_pause);
+        pause.mul_f64(1.0 + self.settings.jitter * rng.random::<f64>())
+    }
+}
--- /dev/null
+++ b/crates/limits/src/quarantine/settings.rs
@@ -0,0 +1,30 @@
+//! Settings of quarantine.
+
+use std::time::Duration;
+
+/// When a backend server is left alone, and for how long.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Failures in a row after which a backend server is left alone.
+    pub failures: u32,
+    /// Time until the first probe; it doubles with each probe that fails.
+    pub pause: Duration,
+    /// Longest time between probes.
+    pub longest_pause: Duration,
+    /// Time after which a probe that has not ended counts as failed.
+    pub probe: Duration,
+    /// Share of the pause that is random, so that nodes don't probe together.
+    pub jitter: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            failures: 3,
+            pause: Duration::from_secs(1),
+            longest_pause: Duration::from_secs(30),
+            probe: Duration::from_secs(30),
+            jitter: 0.3,
+        }
+    }
+}
--- /dev/null
+++ b/crates/limits/src/retry/mod.rs
@@ -0,0 +1,7 @@
+//! Budgets for retries and hedged requests, so that they can't multiply load.
+
+mod budget;
+mod settings;
+
+pub use budget::Budget;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/limits/src/spend/purse.rs
@@ -0,0 +1,202 @@
+//! A node's share of one customer's budget.
+
+use crate::Refusal;
+use crate::spend::Settings;
+use contract::Micros;
+
+/// Money set aside for one request.
+#[derive(Debug, Eq, PartialEq)]
+#[must_use = "a hold is settled with what the request cost"]
+pub struct Hold {
+    period: u64,
+    micros: Micros,
+}
+
+/// How much is left.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum State {
+    /// Far from the end.
+    Ample,
+    /// Near the end, with so many micro-units of money at this node.
+    Low(Micros),
+}
+
+/// A node's share of one customer's budget in one period.
+#[derive(Clone, Debug)]
+pub struct Purse {
+    settings: Settings,
+    budget: Micros,
+    period: u64,
+    /// Granted to all nodes, as last seen.
+    granted: Micros,
+    share: Micros,
+    held: Micros,
+    spent: Micros,
+}
+
+impl Purse {
+    /// An empty share of a budget.
+    ///
+    /// ```
+    /// use limits::spend::{Purse, Settings};
+    /// let mut purse = Purse::new(Settings::default(), 1_000, 7);
+    /// assert!(purse.hold(10).is_err());
+    /// purse.grant(7, 100, 100);
+    /// let hold = purse.hold(10)?;
+    /// purse.settle(hold, 4);
+    /// assert_eq!(purse.left(), 96);
+    /// # Ok::<(), limits::Refusal>(())
+    /// ```
+    pub fn new(settings: Settings, budget: Micros, period: u64) -> Self {
+        Self {
+            settings,
+            budget,
+            period,
+            granted: 0,
+            share: 0,
+            held: 0,
+            spent: 0,
+        }
+    }
+
+    /// Number of the period.
+    ///
+    /// ```
+    /// # use limits::spend::{Purse, Settings};
+    /// assert_eq!(Purse::new(Settings::default(), 1, 7).period(), 7);
+    /// ```
+    pub fn period(&self) -> u64 {
+        self.period
+    }
+
+    /// What this node may still spend.
+    ///
+    /// ```
+    /// # use limits::spend::{Purse, Settings};
+    /// assert_eq!(Purse::new(Settings::default(), 1, 7).left(), 0);
+    /// ```
+    pub fn left(&self) -> Micros {
+        self.share.saturating_sub(self.held + self.spent)
+    }
+
+    /// What this node has spent in the period.
+    ///
+    /// ```
+    /// # use limits::spend::{Purse, Settings};
+    /// assert_eq!(Purse::new(Settings::default(), 1, 7).spent(), 0);
+    /// ```
+    pub fn spent(&self) -> Micros {
+        self.spent
+    }
+
+    /// Starts a new period or a changed budget; shares of the old one end.
+    ///
+    /// ```
+    /// # use limits::spend::{Purse, Settings};
+    /// let mut purse = Purse::new(Settings::default(), 1, 7);
+    /// purse.renew(2, 8);
+    /// assert_eq!(purse.period(), 8);
+    /// ```
+    pub fn renew(&mut self, budget: Micros, period: u64) {
+        self.budget = budget;
+        if period > self.period {
+            *self = Self::new(self.settings.clone(), budget, period);
+        }
+    }
+
+    /// Adds a share that the platform has granted, with what all nodes have been granted.
+    ///
+    /// ```
+    /// # use limits::spend::{Purse, Settings};
+    /// let mut purse = Purse::new(Settings::default(), 1_000, 7);
+    /// purse.grant(6, 100, 100);
+    /// assert_eq!(purse.left(), 0, "a share of an old period is void");
+    /// ```
+    pub fn grant(&mut self, period: u64, granted: Micros, share: Micros) {
+        if period == self.period {
+            self.granted = granted;
+            self.share += share;
+        }
+    }
+
+    /// The share to ask the platform for now, with so many nodes and so dear a request. None while
+    /// half of the usual share is left or the budget is granted in full.
+    ///
+    /// ```
+    /// use limits::spend::{Purse, Settings};
+    /// let mut purse = Purse::new(Settings::default(), 1_000, 7);
+    /// assert_eq!(purse.wants(5, 10), Some(100));
+    /// purse.grant(7, 100, 100);
+    /// assert_eq!(purse.wants(5, 10), None);
+    /// ```
+    pub fn wants(&self, nodes: u32, dearest: Micros) -> Option<Micros> {
+        let rest = self.budget.saturating_sub(self.granted);
+        if rest == 0 {
+            return None;
+        }
+        let fair = rest as f64 / f64::from(nodes.max(1));
+        let part = (fair * self.settings.part) as Micros;
+        let smallest = dearest.saturating_mul(self.settings.smallest);
+        let wanted = part.max(smallest).min(rest);
+        (self.left() < wanted.div_ceil(2)).then_some(wanted)
+    }
+
+    /// Whether the budget nears its end.
+    ///
+    /// ```
+    /// use limits::spend::{Purse, Settings, State};
+    /// let mut purse = Purse::new(Settings::default(), 1_000, 7);
+    /// assert_eq!(purse.state(), State::Ample);
+    /// purse.grant(7, 960, 50);
+    /// assert_eq!(purse.state(), State::Low(50));
+    /// ```
+    pub fn state(&self) -> State {
+        let rest = self.budget.saturating_sub(self.granted) + self.left();
+        if (rest as f64) < self.budget as f64 * self.settings.low {
+            State::Low(self.left())
+        } else {
+            State::Ample
+        }
+    }
+
+    /// Sets money aside for a request that may cost so much.
+    ///
+    /// ```
+    /// # use limits::spend::{Purse, Settings};
+    /// assert!(Purse::new(Settings::default(), 1_000, 7).hold(1).is_err());
+    /// ```
+    pub fn hold(&mut self, micros: Micros) -> Result<Hold, Refusal> {
+        if micros > self.left() {
+            let left = self.budget.saturating_sub(self.granted);
+            let refusal = match left {
+                0 => Refusal::Spent { left: self.left() },
+                _ => Refusal::Unfunded,
+            };
+            return Err(refusal);
+        }
+        self.held += micros;
+        let period = self.period;
+        Ok(Hold { period, micros })
+    }
+
+    /// Turns a hold into what the request cost. No more than the hold is charged here; the hold is
+    /// the most that a request can cost.
+    ///
+    /// ```
+    /// # use limits::spend::{Purse, Settings};
+    /// let mut purse = Purse::new(Settings::default(), 1_000, 7);
+    /// purse.grant(7, 10, 10);
+    /// let hold = purse.hold(10)?;
+    /// purse.settle(hold, 3);
+    /// assert_eq!((purse.left(), purse.spent()), (7, 3));
+    /// # Ok::<(), limits::Refusal>(())
+    /// ```
+    pub fn settle(&mut self, hold: Hold, cost: Micros) {
+        if hold.period != self.period {
+            return;
+        }
+        debug_assert!(cost <= hold.micros, "a hold covers the dearest outcome");
+        self.held = self.held.saturating_sub(hold.micros);
+        self.spent += cost.min(hold.micros);
+    }
+}
--- /dev/null
+++ b/crates/limits/tests/admission.rs
@@ -0,0 +1,165 @@
+//! Admission: priorities, fair shares, and no request that can't be answered in time.
+
+use limits::Refusal;
+use limits::admission::{Next, Offer, Queue, Request, Settings};
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+mod case;
+
+const RUN: Duration = Duration::from_millis(100);
+
+fn request(now: Instant, ticket: u64, customer: &'static str) -> Request<'static> {
+    Request {
+        ticket,
+        customer,
+        priority: 5,
+        weight: 1,
+        deadline: now + Duration::from_secs(600),
+        expected: RUN,
+    }
+}
+
+/// A queue of one runner that is taken, so that all later requests wait.
+fn taken(now: Instant, waiting: usize) -> Queue {
+    let settings = Settings {
+        waiting,
+        ..Default::default()
+    };
+    let mut queue = Queue::new(settings, 1);
+    assert_eq!(queue.offer(now, request(now, 0, "x")), Ok(Offer::Run));
+    queue
+}
+
+fn order(now: Instant, queue: &mut Queue) -> Vec<u64> {
+    let mut order = Vec::new();
+    loop {
+        queue.finish(RUN);
+        match queue.next(now) {
+            Some(Next::Run(ticket)) => order.push(ticket),
+            Some(Next::Shed(ticket)) => panic!("{ticket} is in time"),
+            None => return order,
+        }
+    }
+}
+
+type Arrival = (&'static str, u8, u32);
+
+fn served(arrivals: &[Arrival], expected: &[u64]) {
+    let now = Instant::now();
+    let mut queue = taken(now, 100);
+    for (ticket, (customer, priority, weight)) in (1..).zip(arrivals) {
+        let offer = Request {
+            priority: *priority,
+            weight: *weight,
+            ..request(now, ticket, customer)
+        };
+        assert_eq!(queue.offer(now, offer), Ok(Offer::Wait));
+    }
+    assert_eq!(order(now, &mut queue), expected);
+}
+
+cases! { served =>
+    one_customer_in_order: &[("a", 5, 1), ("a", 5, 1), ("a", 5, 1)], &[1, 2, 3];
+    priorities_first: &[("a", 5, 1), ("b", 0, 1), ("c", 9, 1)], &[2, 1, 3];
+    a_large_customer_doesnt_starve_a_small_one:
+        &[("a", 5, 1), ("a", 5, 1), ("a", 5, 1), ("b", 5, 1), ("b", 5, 1)], &[1, 4, 2, 5, 3];
+    weights_share: &[("a", 5, 2), ("a", 5, 2), ("a", 5, 2), ("a", 5, 2), ("b", 5, 1), ("b", 5, 1)],
+        &[1, 5, 2, 3, 6, 4];
+}
+
+#[test]
+fn a_request_that_would_be_late_is_refused_at_once() {
+    let now = Instant::now();
+    let mut queue = taken(now, 100);
+    for ticket in 1..=20 {
+        queue.offer(now, request(now, ticket, "a")).expect("room");
+    }
+    let hasty = Request {
+        deadline: now + Duration::from_secs(1),
+        ..request(now, 21, "a")
+    };
+    let refusal = queue.offer(now, hasty);
+    assert!(matches!(refusal, Err(Refusal::Late { .. })), "{refusal:?}");
+    assert_eq!(queue.waiting(), 20);
+}
+
+#[test]
+fn a_request_that_waited_too_long_is_shed() {
+    let now = Instant::now();
+    let mut queue = taken(now, 100);
+    let hasty = Request {
+        deadline: now + Duration::from_secs(1),
+        ..request(now, 1, "a")
+    };
+    queue.offer(now, hasty).expect("room");
+    queue.finish(RUN);
+    assert_eq!(
+        queue.next(now + Duration::from_secs(1)),
+        Some(Next::Shed(1))
+    );
+    assert_eq!(queue.running(), 0);
+}
+
+#[test]
+fn a_full_queue_evicts_the_customer_that_fills_it() {
+    let now = Instant::now();
+    let mut queue = taken(now, 3);
+    for ticket in 1..=3 {
+        queue.offer(now, request(now, ticket, "a")).expect("room");
+    }
+    let more = queue.offer(now, request(now, 4, "a"));
+    assert!(matches!(more, Err(Refusal::Full { .. })), "{more:?}");
+    assert_eq!(queue.offer(now, request(now, 5, "b")), Ok(Offer::Evict(3)));
+    assert_eq!(order(now, &mut queue), [1, 5, 2]);
+}
+
+#[test]
+fn a_cancelled_request_gives_up_its_place() {
+    let now = Instant::now();
+    let mut queue = taken(now, 3);
+    queue.offer(now, request(now, 1, "a")).expect("room");
+    assert!(queue.cancel(1));
+    assert!(!queue.cancel(1));
+    assert!(order(now, &mut queue).is_empty());
+}
+
+proptest! {
+    #[test]
+    fn bounds_hold_and_no_request_is_lost(
+        capacity in 1..5_u32,
+        waiting in 0..10_usize,
+        steps in proptest::collection::vec((0..4_u8, 0..3_usize, 0..10_u8), 0..200),
+    ) {
+        let now = Instant::now();
+        let settings = Settings { waiting, ..Default::default() };
+        let mut queue = Queue::new(settings, capacity);
+        let (mut running, mut held) = (0_u32, 0_usize);
+        for (ticket, (step, customer, priority)) in (0..).zip(steps) {
+            let offered = Request {
+                priority,
+                ..request(now, ticket, ["a", "b", "c"][customer])
+            };
+            match step {
+                0 if running > 0 => {
+                    queue.finish(RUN);
+                    running -= 1;
+                }
+                1 => {
+                    if let Some(Next::Run(_)) = queue.next(now) {
+                        running += 1;
+                        held -= 1;
+                    }
+                }
+                _ => match queue.offer(now, offered) {
+                    Ok(Offer::Run) => running += 1,
+                    Ok(Offer::Wait) => held += 1,
+                    Ok(Offer::Evict(_)) | Err(_) => (),
+                },
+            }
+            prop_assert!(running <= capacity);
+            prop_assert!(held <= waiting);
+            prop_assert_eq!((queue.running(), queue.waiting()), (running, held));
+        }
+    }
+}
--- /dev/null
+++ b/crates/limits/tests/budgets.rs
@@ -0,0 +1,120 @@
+//! Budgets that are never exceeded: retries, spend and probes.
+
+use limits::Refusal;
+use limits::quarantine::{self, Breaker};
+use limits::retry::{self, Budget};
+use limits::spend::{Account, Purse, Settings};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::time::{Duration, Instant};
+
+proptest! {
+    #[test]
+    fn retries_keep_to_their_share(
+        steps in proptest::collection::vec((any::<bool>(), 0..50_u64), 0..400),
+    ) {
+        let start = Instant::now();
+        let settings = retry::Settings::default();
+        let mut budget = Budget::new(settings.clone(), start);
+        let (mut now, mut first, mut extra) = (start, 0, 0);
+        for (retry, pause) in steps {
+            now += Duration::from_millis(pause);
+            if retry {
+                extra += u32::from(budget.take(now));
+            } else {
+                first += 1;
+                budget.fill();
+            }
+            let seconds = (now - start).as_secs_f64();
+            let most = settings.burst + settings.ratio * f64::from(first) + settings.floor * seconds;
+            prop_assert!(f64::from(extra) <= most + 1e-6);
+        }
+    }
+
+    #[test]
+    fn nodes_together_never_exceed_a_budget(
+        budget in 1..10_000_u64,
+        steps in proptest::collection::vec((0..4_usize, 0..4_u8, 1..200_u64), 0..200),
+    ) {
+        let mut account = Account::default();
+        let mut purses = vec![Purse::new(Settings::default(), budget, 1); 4];
+        let mut spent = 0;
+        for (node, step, cost) in steps {
+            let purse = &mut purses[node];
+            match step {
+                0 => {
+                    let Some(wanted) = purse.wants(4, cost) else { continue };
+                    let (after, share) = account.take(budget, wanted);
+                    account = after;
+                    purse.grant(1, account.granted, share);
+                }
+                // A node is replaced and forgets what it held.
+                1 => *purse = Purse::new(Settings::default(), budget, 1),
+                _ => {
+                    let Ok(hold) = purse.hold(cost) else { continue };
+                    purse.settle(hold, cost);
+                    spent += cost;
+                }
+            }
+            prop_assert!(spent <= budget);
+            prop_assert!(account.granted <= budget);
+        }
+    }
+}
+
+#[test]
+fn a_node_without_a_share_says_so() {
+    let mut purse = Purse::new(Settings::default(), 100, 1);
+    assert_eq!(purse.hold(1), Err(Refusal::Unfunded));
+    purse.grant(1, 100, 0);
+    assert_eq!(purse.hold(1), Err(Refusal::Spent { left: 0 }));
+}
+
+#[test]
+fn a_hold_of_an_old_period_settles_nothing() -> Result<(), Refusal> {
+    let mut purse = Purse::new(Settings::default(), 100, 1);
+    purse.grant(1, 50, 50);
+    let hold = purse.hold(10)?;
+    purse.renew(100, 2);
+    purse.grant(2, 50, 50);
+    purse.settle(hold, 10);
+    assert_eq!((purse.left(), purse.spent()), (50, 0));
+    Ok(())
+}
+
+#[test]
+fn a_failing_backend_server_gets_rarer_probes() {
+    let mut now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut breaker = Breaker::new(quarantine::Settings::default());
+    let (mut requests, end) = (0, now + Duration::from_secs(120));
+    while now < end {
+        if breaker.begin(now) {
+            requests += 1;
+            breaker.fail(now, &mut rng);
+        }
+        now += Duration::from_millis(100);
+    }
+    assert!((5..15).contains(&requests), "{requests}");
+    now += Duration::from_secs(60);
+    assert!(breaker.begin(now));
+    breaker.succeed();
+    assert!(breaker.begin(now) && breaker.begin(now), "closed again");
+}
+
+#[test]
+fn a_probe_that_never_ends_makes_room_for_another() {
+    let now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let settings = quarantine::Settings {
+        failures: 1,
+        ..Default::default()
+    };
+    let mut breaker = Breaker::new(settings.clone());
+    breaker.fail(now, &mut rng);
+    let probe = now + settings.pause * 2;
+    assert!(breaker.begin(probe));
+    assert!(!breaker.begin(probe + settings.probe / 2));
+    assert!(breaker.begin(probe + settings.probe));
+}
--- /dev/null
+++ b/crates/policy/src/answer/mod.rs
@@ -0,0 +1,9 @@
+//! Learned length and duration of answers.
+
+mod mean;
+mod profile;
+mod quantile;
+
+pub use mean::Mean;
+pub use profile::{Prior, Profile};
+pub use quantile::Quantile;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here reads a clock, takes a lock or does I/O: time and random numbers are passed in, and
 //! each decision is a value that can explain itself.
 
+pub mod answer;
 mod error;
 pub mod place;
 pub mod plan;
--- /dev/null
+++ b/crates/policy/tests/place.rs
@@ -0,0 +1,153 @@
+//! Placement on backend servers.
+
+use policy::place::{Load, Pool, Query, Settings, prefix};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+mod case;
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+fn pool(count: usize) -> Pool {
+    let servers = (0..count).map(|index| {
+        let name = format!("10.0.{}.{}:80", index / 250, index % 250);
+        (name, ZONES[index % 3].to_owned())
+    });
+    Pool::new(Settings::default(), servers)
+}
+
+fn idle(_: usize) -> Option<Load> {
+    Some(Load {
+        free: 8,
+        capacity: 8,
+        ..Default::default()
+    })
+}
+
+fn busy(share: u32) -> Load {
+    Load {
+        free: 1,
+        capacity: 10,
+        reported: share,
+        ..Default::default()
+    }
+}
+
+/// Share of 400 choices that a property holds for.
+fn share(
+    query: Query,
+    load: impl Fn(usize) -> Option<Load>,
+    holds: impl Fn(usize) -> bool,
+    expected: std::ops::RangeInclusive<f64>,
+) {
+    let pool = pool(24);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let count = (0..400)
+        .filter(|_| pool.choose(&query, &load, &mut rng).is_some_and(&holds))
+        .count();
+    let share = count as f64 / 400.0;
+    assert!(expected.contains(&share), "{share}");
+}
+
+fn in_zone(zone: &'static str) -> Query<'static> {
+    Query {
+        zone,
+        ..Default::default()
+    }
+}
+
+cases! { share =>
+    the_own_zone_is_preferred: in_zone("a"), idle, |index| index % 3 == 0, 0.99..=1.0;
+    another_zone_helps_a_busy_one: in_zone("a"),
+        |index| Some(busy(if index % 3 == 0 { 10 } else { 0 })), |index| index % 3 != 0, 0.6..=1.0;
+    a_session_returns_to_its_server: Query { preferred: Some("10.0.0.4:80"), ..in_zone("a") }, idle,
+        |index| index == 4, 0.99..=1.0;
+    a_busy_server_loses_its_session: Query { preferred: Some("10.0.0.4:80"), ..in_zone("a") },
+        |index| Some(busy(if index == 4 { 10 } else { 0 })), |index| index == 4, 0.0..=0.0;
+    a_server_that_failed_is_avoided: Query { avoid: Some("10.0.0.0:80"), ..in_zone("a") }, idle,
+        |index| index == 0, 0.0..=0.0;
+    cold_servers_wait_for_warm_ones: in_zone("a"),
+        |index| Some(Load { cold: index % 6 == 0, ..busy(0) }), |index| index % 6 == 0, 0.0..=0.3;
+    the_only_free_server_is_found: in_zone("a"), |index| (index == 17).then(|| busy(9)),
+        |index| index == 17, 1.0..=1.0;
+}
+
+#[test]
+fn a_prefix_stays_on_its_replicas() {
+    let pool = pool(24);
+    let mut rng = SmallRng::seed_from_u64(5);
+    let query = Query {
+        key: Some(prefix("c", "You draft route plans.")),
+        ..in_zone("a")
+    };
+    let mut chosen: Vec<_> = (0..200)
+        .filter_map(|_| pool.choose(&query, idle, &mut rng))
+        .collect();
+    chosen.sort_unstable();
+    chosen.dedup();
+    assert!(chosen.len() <= 2, "{chosen:?}");
+}
+
+#[test]
+fn prefixes_spread_over_servers() {
+    let pool = pool(24);
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut counts = [0; 24];
+    for number in 0..2_400 {
+        let query = Query {
+            key: Some(prefix("c", &number.to_string())),
+            ..Default::default()
+        };
+        let index = pool.choose(&query, idle, &mut rng).expect("a server");
+        counts[index] += 1;
+    }
+    assert!(
+        counts.iter().all(|count| (20..400).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn nodes_with_the_same_late_reports_spread() {
+    let pool = pool(24);
+    let mut counts = [0; 24];
+    // One server looks emptiest to all of 240 nodes, which don't hear of each other's choices.
+    let load = |index: usize| Some(busy(if index == 9 { 0 } else { 2 }));
+    for node in 0..240 {
+        let mut rng = SmallRng::seed_from_u64(node);
+        let index = pool
+            .choose(&in_zone("a"), load, &mut rng)
+            .expect("a server");
+        counts[index] += 1;
+    }
+    assert!(counts[9] < 90, "{counts:?}");
+}
+
+#[test]
+fn a_lone_server_that_failed_is_used_again() {
+    let pool = pool(1);
+    let mut rng = SmallRng::seed_from_u64(5);
+    let query = Query {
+        avoid: Some("10.0.0.0:80"),
+        ..Default::default()
+    };
+    assert_eq!(pool.choose(&query, idle, &mut rng), Some(0));
+}
+
+proptest! {
+    #[test]
+    fn only_servers_with_slots_are_chosen(
+        free in proptest::collection::vec(any::<bool>(), 0..40),
+        key in any::<Option<u64>>(),
+        seed in any::<u64>(),
+    ) {
+        let pool = pool(free.len());
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let load = |index: usize| free[index].then(|| busy(5));
+        let query = Query { key, ..in_zone("b") };
+        let chosen = pool.choose(&query, load, &mut rng);
+        prop_assert_eq!(chosen.is_some(), free.contains(&true));
+        prop_assert!(chosen.is_none_or(|index| free[index]));
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/plan.rs
@@ -0,0 +1,171 @@
+//! Plans: which version answers.
+
+use policy::Refusal;
+use policy::plan::{Candidate, Funds, Mode, Request, Shape, Standing, Verdict, choose};
+use policy::quality::Estimate;
+use proptest::prelude::*;
+use std::time::Duration;
+
+mod case;
+
+const RATING: Option<Duration> = Some(Duration::from_millis(20));
+
+fn candidate(version: &'static str, cost: u64, quality: f64, tail_ms: u64) -> Candidate<'static> {
+    Candidate {
+        model: "m",
+        version,
+        cost,
+        latency: Duration::from_millis(tail_ms / 2),
+        tail: Duration::from_millis(tail_ms),
+        quality: Estimate::certain(quality),
+        escalated: Estimate::certain(quality),
+        ready: true,
+        standing: Standing::Serving,
+    }
+}
+
+fn fleet() -> [Candidate<'static>; 3] {
+    [
+        candidate("cheap", 10, 0.7, 1_000),
+        candidate("middle", 40, 0.92, 2_000),
+        candidate("best", 200, 0.98, 4_000),
+    ]
+}
+
+fn request() -> Request<'static> {
+    Request {
+        target: 0.9,
+        rating: RATING,
+        ..Default::default()
+    }
+}
+
+fn plans(request: Request, candidates: &[Candidate], mode: Mode, shape: Shape) {
+    let plan = choose(&request, candidates).expect("a plan");
+    assert_eq!(
+        (plan.mode, plan.shape),
+        (mode, shape),
+        "{}",
+        plan.explain(candidates)
+    );
+}
+
+fn refuses(request: Request, candidates: &[Candidate], expected: Refusal) {
+    assert_eq!(choose(&request, candidates), Err(expected));
+}
+
+fn with(change: impl Fn(&mut [Candidate<'static>; 3])) -> [Candidate<'static>; 3] {
+    let mut candidates = fleet();
+    change(&mut candidates);
+    candidates
+}
+
+cases! { plans =>
+    a_cascade_is_cheapest: request(), &fleet(), Mode::Met, Shape::Cascade { first: 0, then: 1 };
+    no_cascade_without_ratings: Request { rating: None, ..request() }, &fleet(),
+        Mode::Met, Shape::Single(1);
+    no_cascade_where_the_contract_forbids_it: Request { cascade: false, ..request() }, &fleet(),
+        Mode::Met, Shape::Single(1);
+    a_low_target_takes_the_cheapest: Request { target: 0.6, ..request() }, &fleet(),
+        Mode::Met, Shape::Single(0);
+    a_short_deadline_goes_straight_to_the_better:
+        Request { deadline: Duration::from_millis(2_010), ..request() }, &fleet(),
+        Mode::Met, Shape::Single(1);
+    out_of_reach_takes_the_best: Request { target: 0.9999, ..request() }, &fleet(),
+        Mode::BestQuality, Shape::Cascade { first: 1, then: 2 };
+    never_in_time_takes_the_fastest: Request { deadline: Duration::from_millis(1), ..request() },
+        &fleet(), Mode::Fastest, Shape::Single(0);
+    a_session_keeps_its_version: Request { session: Some(("m", "cheap")), ..request() }, &fleet(),
+        Mode::Session, Shape::Single(0);
+    a_session_keeps_a_demoted_version: Request { session: Some(("m", "cheap")), ..request() },
+        &with(|all| all[0].standing = Standing::Demoted), Mode::Session, Shape::Single(0);
+    a_low_budget_takes_the_cheapest: Request { funds: Funds::Low(300), ..request() }, &fleet(),
+        Mode::Frugal, Shape::Single(0);
+    a_demoted_version_is_passed_over: request(),
+        &with(|all| all[0].standing = Standing::Demoted), Mode::Met, Shape::Single(1);
+    a_demoted_version_is_the_last_resort: Request { cascade: false, ..request() },
+        &with(|all| { all[0].standing = Standing::Demoted; all[1].ready = false; all[2].ready = false; }),
+        Mode::BestQuality, Shape::Single(0);
+    a_version_on_trial_waits_to_be_drawn: request(),
+        &with(|all| all[0].standing = Standing::Trial), Mode::Met, Shape::Single(1);
+    a_drawn_trial_answers_behind_a_rating: Request { trial: Some(0), ..request() },
+        &with(|all| all[0].standing = Standing::Trial),
+        Mode::Trial, Shape::Cascade { first: 0, then: 1 };
+    a_drawn_trial_answers_alone_without_ratings: Request { trial: Some(0), rating: None, ..request() },
+        &with(|all| all[0].standing = Standing::Trial), Mode::Trial, Shape::Single(0);
+    a_version_without_servers_is_passed_over: request(), &with(|all| all[1].ready = false),
+        Mode::Met, Shape::Cascade { first: 0, then: 2 };
+}
+
+cases! { refuses =>
+    nothing_allowed: request(), &[], Refusal::Forbidden;
+    nothing_ready: request(), &with(|all| all.iter_mut().for_each(|one| one.ready = false)),
+        Refusal::Unavailable;
+    a_spent_budget: Request { funds: Funds::Low(3), ..request() }, &fleet(),
+        Refusal::Budget { left: 3, cheapest: 10 };
+    a_session_whose_version_is_gone: Request { session: Some(("m", "old")), ..request() }, &fleet(),
+        Refusal::Session { model: "m".into(), version: "old".into() };
+    a_session_without_servers: Request { session: Some(("m", "best")), ..request() },
+        &with(|all| all[2].ready = false), Refusal::Unavailable;
+}
+
+#[test]
+fn each_plan_is_explained() {
+    let candidates = fleet();
+    let plan = choose(&request(), &candidates).expect("a plan");
+    let explanation = plan.explain(&candidates);
+    let verdict = |shape: Shape| {
+        let line = explanation.lines.iter().find(|line| line.shape == shape);
+        line.map(|line| line.verdict)
+    };
+    assert_eq!(verdict(Shape::Single(0)), Some(Verdict::BelowTarget));
+    assert_eq!(verdict(Shape::Single(1)), Some(Verdict::Dearer));
+    assert_eq!(verdict(plan.shape), Some(Verdict::Chosen));
+    assert_eq!(explanation.lines.len(), 6);
+    assert!(serde_json::to_string(&explanation).is_ok());
+}
+
+prop_compose! {
+    fn any_candidate()(
+        cost in 1..1_000_u64,
+        quality in 0.0..1.0_f64,
+        tail in 1..100_000_u64,
+        ready in any::<bool>(),
+        standing in 0..3_usize,
+    ) -> Candidate<'static> {
+        Candidate {
+            ready,
+            standing: [Standing::Serving, Standing::Trial, Standing::Demoted][standing],
+            ..candidate("v", cost, quality, tail)
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn a_plan_uses_only_ready_candidates(
+        candidates in proptest::collection::vec(any_candidate(), 0..8),
+        target in 0.0..1.0_f64,
+        low in proptest::option::of(0..1_000_u64),
+        trial in proptest::option::of(0..8_usize),
+    ) {
+        let request = Request {
+            target,
+            trial,
+            funds: low.map_or(Funds::Ample, Funds::Low),
+            ..request()
+        };
+        let Ok(plan) = choose(&request, &candidates) else { return Ok(()); };
+        let used = match plan.shape {
+            Shape::Single(one) => vec![one],
+            Shape::Cascade { first, then } => vec![first, then],
+        };
+        prop_assert!(used.iter().all(|index| candidates[*index].ready));
+        if let Funds::Low(left) = request.funds {
+            prop_assert!(plan.cost <= left as f64);
+        }
+        let better = candidates.iter().any(|one| one.ready && one.standing == Standing::Serving);
+        let demoted = used.iter().any(|index| candidates[*index].standing == Standing::Demoted);
+        prop_assert!(!(better && demoted));
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/rollout.rs
@@ -0,0 +1,115 @@
+//! Trials, promotion and demotion.
+
+use policy::plan::Standing;
+use policy::quality::Counts;
+use policy::rollout::{Event, Intent, Settings, Stage, Watch};
+use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::time::{Duration, Instant};
+
+mod case;
+
+const ROLLOUT: Intent = Intent::Rollout { bad_answers: 20 };
+
+/// Feeds answers of which a share is good; returns the first event and the answers until it.
+fn feed(watch: &mut Watch, now: Instant, share: f64, seed: u64, most: u32) -> Option<(Event, u32)> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    (1..=most).find_map(|count| {
+        let good = rng.random_bool(share);
+        let event = watch.observe(now, Counts::one(good), 0.95)?;
+        Some((event, count))
+    })
+}
+
+/// All of 50 seeds end as expected within a number of answers.
+fn ends(intent: Intent, share: f64, expected: Option<Event>, within: u32) {
+    let now = Instant::now();
+    for seed in 0..50 {
+        let mut watch = Watch::new(Settings::default(), intent, now);
+        let event = feed(&mut watch, now, share, seed, within).map(|(event, _)| event);
+        assert_eq!(event, expected, "seed {seed}");
+    }
+}
+
+cases! { ends =>
+    a_sound_version_is_promoted: ROLLOUT, 0.99, Some(Event::Promoted), 200;
+    a_bad_version_is_demoted: ROLLOUT, 0.4, Some(Event::Demoted), 40;
+    a_version_that_turns_bad_is_demoted: Intent::None, 0.4, Some(Event::Demoted), 60;
+    a_sound_version_stays_in_service: Intent::None, 0.96, None, 2_000;
+}
+
+#[test]
+fn a_small_budget_ends_the_trial() {
+    let now = Instant::now();
+    let mut watch = Watch::new(Settings::default(), Intent::Rollout { bad_answers: 1 }, now);
+    assert_eq!(
+        watch.observe(now, Counts::one(false), 0.95),
+        Some(Event::Exhausted)
+    );
+}
+
+#[test]
+fn each_demotion_waits_longer_than_the_last() {
+    let mut now = Instant::now();
+    let mut watch = Watch::new(Settings::default(), Intent::None, now);
+    let mut waits = Vec::new();
+    for _ in 0..3 {
+        feed(&mut watch, now, 0.0, 1, 100);
+        let Stage::Demoted { until } = watch.stage() else {
+            panic!("demoted");
+        };
+        waits.push(until - now);
+        assert_eq!(watch.tick(until - Duration::from_millis(1)), None);
+        assert_eq!(watch.tick(until), Some(Event::Retried));
+        now = until;
+    }
+    assert_eq!(waits[1], waits[0] * 2);
+    assert_eq!(waits[2], waits[0] * 4);
+}
+
+#[test]
+fn a_pause_wins_and_keeps_what_was_learned() {
+    let now = Instant::now();
+    let mut watch = Watch::new(Settings::default(), ROLLOUT, now);
+    watch.observe(now, Counts::one(false), 0.95);
+    let mut rng = SmallRng::seed_from_u64(1);
+    assert!(watch.admits(18, 1, &mut rng));
+    watch.declare(now, Intent::Paused);
+    assert_eq!(watch.standing(), Standing::Demoted);
+    assert!(!watch.admits(0, 1, &mut rng));
+    watch.declare(now, ROLLOUT);
+    assert_eq!(watch.standing(), Standing::Trial);
+    assert!(
+        !watch.admits(19, 1, &mut rng),
+        "the bad answer still counts"
+    );
+}
+
+proptest! {
+    #[test]
+    fn bad_answers_stay_within_the_budget(
+        budget in 1..40_u32,
+        nodes in 1..8_u32,
+        share in 0.0..1.0_f64,
+        seed in any::<u64>(),
+    ) {
+        let now = Instant::now();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let intent = Intent::Rollout { bad_answers: budget };
+        let mut watch = Watch::new(Settings::default(), intent, now);
+        let mut bad = 0;
+        for _ in 0..60 {
+            // Each node starts what it may before any of the answers is rated.
+            let started = (0..nodes)
+                .map(|_| (0..).take_while(|held| watch.admits(*held, nodes, &mut rng)).count())
+                .sum::<usize>();
+            let failed = (0..started).filter(|_| !rng.random_bool(share)).count();
+            bad += failed;
+            let counts = Counts { good: (started - failed) as f64, bad: failed as f64 };
+            watch.observe(now, counts, 0.95);
+        }
+        // A fraction of an answer a node is rounded at random.
+        prop_assert!(bad <= (budget + nodes) as usize, "{bad} bad of {budget}");
+    }
+}
