--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,4 +1,4 @@
-//! What keeps load within bounds: admission, quarantine, retry budgets and spend.
+//! What keeps load within bounds: slots, admission, quarantine, retry budgets and spend.
 //!
 //! Nothing here reads a clock, takes a lock or does I/O.
 
@@ -6,6 +6,8 @@
 mod error;
 pub mod quarantine;
 pub mod retry;
+pub mod slot;
 pub mod spend;
+pub mod suspect;
 
 pub use error::Refusal;
