--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,8 +5,10 @@
 pub mod dispatch;
 mod error;
 pub mod fleet;
+pub mod link;
 mod run;
 mod stop;
+pub mod sync;
 
 pub use error::{Code, Error};
 pub use run::{Error as RunError, run};
