Add run records and bills to the ledger

Cause: a call that may not be repeated could run on two nodes, and a node's death could lose the bills that it hadn't written.

--- /dev/null
+++ b/crates/ledger/src/bill/batch.rs
@@ -0,0 +1,60 @@
+//! Bills that are written together.
+
+use super::Bill;
+use contract::Owner;
+use platform::Table;
+use platform::table::{Condition, Item};
+
+/// Partition of all batches.
+const PARTITION: &str = "bill";
+
+/// Bills of one owner under one sequence. Writing it again is the same write.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Batch {
+    /// Whose requests these are.
+    pub owner: Owner,
+    /// Position among the owner's batches.
+    pub sequence: u64,
+    /// The bills in the order in which they were added.
+    pub bills: Vec<Bill>,
+}
+
+impl Batch {
+    /// The row of this batch. Its revision is the number of bills.
+    ///
+    /// ```
+    /// use contract::Owner;
+    /// let batch = ledger::bill::Batch { owner: Owner::new("n1", 3), sequence: 7, bills: vec![] };
+    /// assert_eq!(batch.item()?.sort, "n1/3/00000000000000000007");
+    /// # Ok::<(), ledger::Error>(())
+    /// ```
+    pub fn item(&self) -> Result<Item, crate::Error> {
+        let Owner { node, incarnation } = &self.owner;
+        let sort = format!("{node}/{incarnation}/{:020}", self.sequence);
+        let body = serde_json::to_string(&self.bills)?;
+        Ok(Item::new(PARTITION, sort, self.bills.len() as u64, body))
+    }
+
+    /// Writes the batch as its owner, who alone has all of it.
+    pub async fn write<T: Table>(&self, table: &T) -> Result<(), crate::Error> {
+        Ok(table.put(self.item()?, Condition::Any).await?)
+    }
+
+    /// Writes the batch as a peer: never over a row with as many bills. Copies of one batch are
+    /// runs from its first line, so that the longest one holds all the others.
+    pub async fn recover<T: Table>(&self, table: &T) -> Result<(), crate::Error> {
+        let item = self.item()?;
+        let found = table.get(&item.partition, &item.sort).await?;
+        let condition = match found {
+            Some(found) if found.rev >= item.rev => return Ok(()),
+            Some(found) => Condition::Rev(found.rev),
+            None => Condition::Absent,
+        };
+        Ok(table.put(item, condition).await?)
+    }
+
+    /// Reads the bills of a row.
+    pub fn read(item: &Item) -> Result<Vec<Bill>, crate::Error> {
+        Ok(serde_json::from_str(&item.body)?)
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/bill/mod.rs
@@ -0,0 +1,17 @@
+//! Bills: one for each request, kept by the platform or by two peers before the request ends.
+
+mod batch;
+mod copies;
+mod entry;
+mod journal;
+mod meter;
+mod replica;
+mod settings;
+
+pub use batch::Batch;
+pub use copies::{Copies, Held};
+pub use entry::Bill;
+pub use journal::{Journal, Mark};
+pub use meter::{Leg, Meter};
+pub use replica::Replica;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/ledger/src/record/stored.rs
@@ -0,0 +1,53 @@
+//! The outcome that a second sender of a key is given.
+
+use super::{Settings, key::digest};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// An answer as it is kept.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Stored {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers worth repeating.
+    pub headers: Vec<(String, String)>,
+    /// Hexadecimal SHA-256 of the body.
+    pub digest: String,
+    /// The body in base64; absent when it was over the limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    body: Option<String>,
+}
+
+impl Stored {
+    /// Makes the record of an answer.
+    ///
+    /// ```
+    /// use ledger::record::{Settings, Stored};
+    /// let stored = Stored::new(201, Vec::new(), b"booked", &Settings::default());
+    /// assert_eq!(stored.body().unwrap(), "booked");
+    /// let settings = Settings { body_limit_bytes: 3, ..Settings::default() };
+    /// assert!(Stored::new(201, Vec::new(), b"booked", &settings).body().is_none());
+    /// ```
+    pub fn new(
+        status: u16,
+        headers: Vec<(String, String)>,
+        body: &[u8],
+        settings: &Settings,
+    ) -> Self {
+        let kept = body.len() <= settings.body_limit_bytes;
+        Self {
+            status,
+            headers,
+            digest: digest([body]),
+            body: kept.then(|| STANDARD.encode(body)),
+        }
+    }
+
+    /// The body, unless it was over the limit.
+    pub fn body(&self) -> Option<Bytes> {
+        let text = self.body.as_deref()?;
+        STANDARD.decode(text).ok().map(Bytes::from)
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/record/ticket.rs
@@ -0,0 +1,77 @@
+//! Leave to run a call that may not be repeated.
+
+use super::local::{Local, Place};
+use super::{Row, State, Stored};
+
+/// Leave to run a call once. Dropped before it is dispatched, it gives the key back; dropped
+/// after that, the call's outcome becomes unknown.
+#[derive(Debug)]
+#[must_use = "a ticket that is dropped gives up its call"]
+pub struct Ticket {
+    local: Local,
+    place: Place,
+    request: String,
+    sequence: u64,
+    dispatched: bool,
+    ended: bool,
+}
+
+impl Ticket {
+    pub(super) fn new(local: &Local, place: Place, request: &str, sequence: u64) -> Self {
+        Self {
+            local: local.clone(),
+            place,
+            request: request.to_owned(),
+            sequence,
+            dispatched: false,
+            ended: false,
+        }
+    }
+
+    /// Marks that bytes are about to leave. From here on "not run" needs proof.
+    pub fn dispatch(&mut self) {
+        self.dispatched = true;
+    }
+
+    /// The backend server proved that it refused the call: it hasn't run, and may be sent again.
+    pub fn refused(&mut self) {
+        self.dispatched = false;
+    }
+
+    /// Ends the call with its outcome; gives the row to write.
+    pub(super) fn finish(mut self, stored: Stored) -> (Place, Row) {
+        let row = self.end(State::Finished(stored));
+        (self.place.clone(), row)
+    }
+
+    /// The call is another sender's: nothing of this claim stands anywhere.
+    pub(super) fn yield_to_other(mut self) {
+        self.ended = true;
+        self.local.drop_claim(&self.place);
+    }
+
+    /// Which claim of this node the ticket is for.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    fn end(&mut self, state: State) -> Row {
+        self.ended = true;
+        let row = self.local.row(self.sequence, &self.request, state);
+        self.local.end(&self.place, row.clone());
+        row
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        if self.dispatched {
+            self.end(State::Unknown);
+            return;
+        }
+        self.local.abandon(&self.place, self.sequence);
+    }
+}
