Put quality, trials and answer profiles together in a planner

Cause: plans need estimates, trials and learned lengths at once; the node and the measurement must run the same code. Ruled out: a watch that takes a peer's first cell as fresh ratings: after a restart hundreds of old ratings would arrive as one step and demote sound versions; first cells feed trials only. Ratings of escalated answers in the same counter as others: they are of harder requests and would bias it. Change: policy::planner::Planner (plan, answered, rated, merge, cells, tick, dump); exploration on means for a small share; a roll-out's end leaves a bad version on its cooling time. Conclusion: the node's part needs only locks, clocks and clients around it.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 pub mod place;
 pub mod plan;
+pub mod planner;
 pub mod quality;
 pub mod rollout;
 
--- a/crates/policy/src/plan/choose.rs
+++ b/crates/policy/src/plan/choose.rs
@@ -100,7 +100,7 @@
 fn choices(request: &Request, candidates: &[Candidate]) -> Vec<Choice> {
     let mut choices = Vec::with_capacity(candidates.len() * candidates.len());
     for (index, candidate) in candidates.iter().enumerate() {
-        choices.push(Choice::single(index, candidate));
+        choices.push(Choice::single(request, index, candidate));
     }
     let Some(rating) = request.rating.filter(|_| request.cascade) else {
         return choices;
@@ -108,7 +108,7 @@
     for (first, cheap) in candidates.iter().enumerate() {
         for (then, better) in candidates.iter().enumerate() {
             if first != then && cheap.cost < better.cost {
-                choices.push(Choice::cascade(candidates, first, then, rating));
+                choices.push(Choice::cascade(request, candidates, first, then, rating));
             }
         }
     }
--- a/crates/policy/src/plan/option.rs
+++ b/crates/policy/src/plan/option.rs
@@ -1,6 +1,7 @@
 //! Plans to choose from.
 
 use crate::plan::{Candidate, Request};
+use crate::quality::Estimate;
 use serde::Serialize;
 use std::time::Duration;
 
@@ -48,17 +49,18 @@
 }
 
 impl Choice {
-    pub(super) fn single(index: usize, candidate: &Candidate) -> Self {
+    pub(super) fn single(request: &Request, index: usize, candidate: &Candidate) -> Self {
         Self {
             shape: Shape::Single(index),
             cost: candidate.cost as f64,
-            quality: candidate.quality.lower,
+            quality: expected(request, candidate.quality),
             latency: candidate.latency,
             tail: candidate.tail,
         }
     }
 
     pub(super) fn cascade(
+        request: &Request,
         candidates: &[Candidate],
         first: usize,
         then: usize,
@@ -66,7 +68,9 @@
     ) -> Self {
         let (cheap, better) = (&candidates[first], &candidates[then]);
         let escalations = 1.0 - cheap.quality.mean;
-        let quality = cheap.quality.lower + (1.0 - cheap.quality.lower) * better.escalated.lower;
+        let first_quality = expected(request, cheap.quality);
+        let then_quality = expected(request, better.escalated);
+        let quality = first_quality + (1.0 - first_quality) * then_quality;
         Self {
             shape: Shape::Cascade { first, then },
             cost: cheap.cost as f64 + escalations * better.cost as f64,
@@ -84,3 +88,11 @@
         self.quality >= request.target
     }
 }
+
+fn expected(request: &Request, estimate: Estimate) -> f64 {
+    if request.hopeful {
+        estimate.mean
+    } else {
+        estimate.lower
+    }
+}
--- a/crates/policy/src/plan/request.rs
+++ b/crates/policy/src/plan/request.rs
@@ -30,6 +30,9 @@
     pub funds: Funds,
     /// The candidate on trial that this request is drawn for.
     pub trial: Option<usize>,
+    /// Whether to judge versions by their mean in place of the lower bound, which lets a version be
+    /// tried that has too few ratings.
+    pub hopeful: bool,
 }
 
 impl Default for Request<'_> {
@@ -42,6 +45,7 @@
             session: None,
             funds: Funds::Ample,
             trial: None,
+            hopeful: false,
         }
     }
 }
--- /dev/null
+++ b/crates/policy/src/planner/learned.rs
@@ -0,0 +1,71 @@
+//! What is learned of one version apart from its quality.
+
+use crate::answer::Profile;
+use crate::plan::Standing;
+use crate::rollout::{Intent, Settings, Watch};
+use contract::{Map, TaskId};
+use std::time::Instant;
+
+/// What is learned of one version.
+#[derive(Debug)]
+pub(super) struct Learned {
+    /// Over all tasks; it alone judges trials of roll-outs.
+    pub(super) watch: Watch,
+    pub(super) tasks: Map<TaskId, Task>,
+    /// When answers on trial that aren't rated yet count as lost.
+    pub(super) outstanding: Vec<Instant>,
+}
+
+/// What is learned of one version at one task.
+#[derive(Debug)]
+pub(super) struct Task {
+    pub(super) watch: Watch,
+    pub(super) profile: Option<Profile>,
+}
+
+impl Learned {
+    pub(super) fn new(settings: &Settings, now: Instant) -> Self {
+        Self {
+            watch: Watch::new(settings.clone(), Intent::None, now),
+            tasks: Map::default(),
+            outstanding: Vec::new(),
+        }
+    }
+
+    pub(super) fn task(&mut self, settings: &Settings, now: Instant, task: &str) -> &mut Task {
+        if !self.tasks.contains_key(task) {
+            let watch = Watch::new(settings.clone(), Intent::None, now);
+            let profile = None;
+            self.tasks.insert(task.to_owned(), Task { watch, profile });
+        }
+        self.tasks
+            .get_mut(task)
+            .expect("the task was inserted above")
+    }
+
+    /// The worse of the standings over all tasks and at one.
+    pub(super) fn standing(&self, task: &str) -> Standing {
+        let here = self
+            .tasks
+            .get(task)
+            .map_or(Standing::Serving, |task| task.watch.standing());
+        match (self.watch.standing(), here) {
+            (Standing::Demoted, _) | (_, Standing::Demoted) => Standing::Demoted,
+            (Standing::Trial, _) | (_, Standing::Trial) => Standing::Trial,
+            _ => Standing::Serving,
+        }
+    }
+
+    pub(super) fn suspicious(&self, task: &str) -> bool {
+        let here = self.tasks.get(task);
+        self.watch.suspicious() || here.is_some_and(|task| task.watch.suspicious())
+    }
+
+    /// The watch that holds the trial.
+    pub(super) fn trial(&self, task: &str) -> &Watch {
+        match self.tasks.get(task) {
+            Some(here) if self.watch.standing() == Standing::Serving => &here.watch,
+            _ => &self.watch,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/planner/mod.rs
@@ -0,0 +1,16 @@
+//! One node's knowledge, put together for plans.
+
+mod dump;
+mod knowledge;
+mod learned;
+mod outcome;
+#[allow(clippy::module_inception)]
+mod planner;
+mod query;
+mod settings;
+
+pub use dump::Row;
+pub use outcome::{Change, Decision, Rating};
+pub use planner::Planner;
+pub use query::{Offer, Query};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/policy/src/planner/query.rs
@@ -0,0 +1,61 @@
+//! What a plan is asked for.
+
+use crate::plan::Funds;
+use contract::Version;
+use std::time::Duration;
+
+/// A version that the contract allows and that isn't withdrawn.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer<'a> {
+    /// Model of the version.
+    pub model: &'a str,
+    /// Prices and prior of the version.
+    pub version: &'a Version,
+    /// Whether a backend server of the version takes requests now.
+    pub ready: bool,
+}
+
+/// A request that needs a plan.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// Customer that asks.
+    pub customer: &'a str,
+    /// Task of the request; empty when the caller named a model.
+    pub task: &'a str,
+    /// Share of answers that must be good, 0 to 1.
+    pub target: f64,
+    /// Time left for the whole answer.
+    pub deadline: Duration,
+    /// Whether an answer may be rated and escalated before the caller sees it.
+    pub cascade: bool,
+    /// Expected time of a rating; none while the rating service is out of reach.
+    pub rating: Option<Duration>,
+    /// Model and version of the request's session.
+    pub session: Option<(&'a str, &'a str)>,
+    /// What is left of the customer's budget.
+    pub funds: Funds,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Longest answer in tokens.
+    pub max_tokens: u32,
+    /// Nodes that share the budgets of bad answers.
+    pub nodes: u32,
+}
+
+impl Default for Query<'_> {
+    fn default() -> Self {
+        Self {
+            customer: "",
+            task: "",
+            target: 0.9,
+            deadline: Duration::from_secs(60),
+            cascade: true,
+            rating: None,
+            session: None,
+            funds: Funds::Ample,
+            prompt_tokens: 0,
+            max_tokens: 1_024,
+            nodes: 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/planner/settings.rs
@@ -0,0 +1,37 @@
+//! Settings of the planner.
+
+use crate::{quality, rollout};
+use std::time::Duration;
+
+/// How a planner learns and explores.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Quality estimates.
+    pub quality: quality::Settings,
+    /// Trials and demotions.
+    pub rollout: rollout::Settings,
+    /// Share of requests planned on means in place of lower bounds, 0 to 1.
+    pub explore: f64,
+    /// Share of answers that are rated although nothing asks for it, 0 to 1.
+    pub sample: f64,
+    /// Ratings below which every answer of a version is rated.
+    pub early: f64,
+    /// Quality on requests that another version has failed, relative to the quality on all.
+    pub harder: f64,
+    /// Time after a deadline at which an answer on trial counts as lost.
+    pub lost: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            quality: quality::Settings::default(),
+            rollout: rollout::Settings::default(),
+            explore: 0.02,
+            sample: 0.1,
+            early: 60.0,
+            harder: 0.9,
+            lost: Duration::from_secs(10),
+        }
+    }
+}
--- a/crates/policy/src/quality/cell.rs
+++ b/crates/policy/src/quality/cell.rs
@@ -1,6 +1,6 @@
 //! Counters as nodes exchange them.
 
-use crate::quality::Subject;
+use crate::quality::{Counts, Subject};
 use contract::{CustomerId, Incarnation, ModelId, NodeId, TaskId, VersionId};
 
 /// The node that counted, and its incarnation.
@@ -31,6 +31,15 @@
     pub bad: f64,
 }
 
+/// By how much a peer's counts grew.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Growth {
+    /// The difference to what was known.
+    pub counts: Counts,
+    /// Whether nothing was known: then the counts hold older answers too.
+    pub first: bool,
+}
+
 impl Cell {
     /// What the counts are about.
     ///
--- a/crates/policy/src/quality/pool.rs
+++ b/crates/policy/src/quality/pool.rs
@@ -1,6 +1,6 @@
 //! Ratings of one version at one task, by customer.
 
-use crate::quality::{Counter, Counts, Origin};
+use crate::quality::{Counter, Counts, Growth, Origin};
 use contract::{CustomerId, Map};
 use std::time::{Duration, Instant};
 
@@ -64,19 +64,22 @@
         origin: &Origin,
         sequence: u64,
         counts: Counts,
-    ) -> Option<Counts> {
+    ) -> Option<Growth> {
         let before = match self.peers.get(origin) {
             Some(peer) if peer.sequence >= sequence => return None,
-            Some(peer) => peer.counter.read(now, half_life),
-            None => Counts::default(),
+            Some(peer) => Some(peer.counter.read(now, half_life)),
+            None => None,
         };
         let peer = Peer {
             sequence,
             counter: Counter::new(now, counts),
         };
         self.peers.insert(origin.clone(), peer);
-        let growth = counts - before;
-        self.total.add(now, half_life, growth);
+        let growth = Growth {
+            counts: counts - before.unwrap_or_default(),
+            first: before.is_none(),
+        };
+        self.total.add(now, half_life, growth.counts);
         Some(growth)
     }
 }
--- a/crates/policy/src/quality/table.rs
+++ b/crates/policy/src/quality/table.rs
@@ -1,7 +1,7 @@
 //! All that is known about the quality of versions.
 
 use crate::quality::pool::{Entry, Pool};
-use crate::quality::{Cell, Counts, Estimate, Origin, Settings, Subject};
+use crate::quality::{Cell, Counts, Estimate, Growth, Origin, Settings, Subject};
 use contract::{Map, ModelId, TaskId, VersionId};
 use std::time::Instant;
 
@@ -80,7 +80,7 @@
     /// assert!(table.merge(now, &origin, &cell).is_some());
     /// assert!(table.merge(now, &origin, &cell).is_none());
     /// ```
-    pub fn merge(&mut self, now: Instant, origin: &Origin, cell: &Cell) -> Option<Counts> {
+    pub fn merge(&mut self, now: Instant, origin: &Origin, cell: &Cell) -> Option<Growth> {
         let half_life = self.settings.half_life;
         let counts = Counts {
             good: cell.good,
@@ -93,7 +93,7 @@
         let pool = self.pool(now, cell.subject());
         let entry = pool.entry(now, &cell.customer);
         let growth = entry.replace(now, half_life, origin, cell.sequence, counts)?;
-        pool.all.add(now, half_life, growth);
+        pool.all.add(now, half_life, growth.counts);
         Some(growth)
     }
 
--- a/crates/policy/src/rollout/watch.rs
+++ b/crates/policy/src/rollout/watch.rs
@@ -87,7 +87,7 @@
     }
 
     /// Takes over what operators ask for. A changed roll-out starts the trial anew; a pause keeps
-    /// what was learned.
+    /// what was learned. The end of a roll-out puts a version on trial in service, not a bad one.
     ///
     /// ```
     /// use policy::{plan::Standing, rollout::{Intent, Settings, Watch}};
@@ -111,7 +111,7 @@
                     self.enter(now, Stage::Trial);
                 }
             }
-            Intent::None if !resumed => self.enter(now, Stage::Serving),
+            Intent::None if self.stage == Stage::Trial => self.enter(now, Stage::Serving),
             Intent::None | Intent::Paused => (),
         }
     }
@@ -143,6 +143,17 @@
         }
     }
 
+    /// Whether the version is on trial or was found bad.
+    ///
+    /// ```
+    /// # use policy::rollout::{Intent, Settings, Watch};
+    /// let watch = Watch::new(Settings::default(), Intent::None, std::time::Instant::now());
+    /// assert!(!watch.on_trial());
+    /// ```
+    pub fn on_trial(&self) -> bool {
+        self.stage != Stage::Serving
+    }
+
     /// Whether ratings speak against the version, so that every answer should be rated.
     ///
     /// ```
@@ -151,7 +162,7 @@
     /// assert!(!watch.suspicious());
     /// ```
     pub fn suspicious(&self) -> bool {
-        self.stage != Stage::Serving || self.score > self.settings.alarm / 4.0
+        self.on_trial() || self.score > self.settings.alarm / 4.0
     }
 
     /// Takes in ratings. The reference is the share of good answers expected of a sound version: in
