contract: read files of objects and check them whole

Cause: operators need every fault of a file at once, each with its place; nodes need the same check for each change. Ruled out: serde alone, which stops at the first fault of an object; a schema walk of our own, which `jsonschema` already is. Change: `contract::file` reads TOML with places, `contract::check` checks shape against schema/contract.json, fields, references and what is left to serve (errors and warnings), `contract::diff` compares field by field. A change is held only to faults that it brings itself, so that an old one can't stop a withdrawal. New object kind `access` keeps the digests of operators' keys. schema/operator.json gives the bodies of the operators' routes.

--- /dev/null
+++ b/crates/contract/src/check/mod.rs
@@ -0,0 +1,60 @@
+//! Checks of the whole configuration: each object by itself, and objects against each other.
+
+mod fields;
+mod finding;
+mod references;
+mod serving;
+mod shape;
+
+pub use finding::Finding;
+pub use shape::shape;
+
+use crate::{Config, Severity};
+
+/// All faults of a configuration, in the order of the objects' keys, errors before warnings.
+///
+/// ```
+/// let contract = r#"{"contract":{"customer":"c","keys":[],"models":["small"]}}"#;
+/// let object = contract::Object::read("contract/c", contract)?;
+/// let findings = contract::check::check(&contract::Config::new(1, vec![object]));
+/// assert_eq!(findings[0].to_string(), "contract/c /models/0: model small is not in the configuration");
+/// # Ok::<(), contract::Error>(())
+/// ```
+pub fn check(config: &Config) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for (key, object) in config.objects() {
+        fields::check(key, object, &mut findings);
+        references::check(config, key, object, &mut findings);
+    }
+    references::shared_keys(config, &mut findings);
+    serving::check(config, &mut findings);
+    let order = |one: &Finding| (one.key.clone(), one.fault.severity(), one.path.clone());
+    findings.sort_by_cached_key(order);
+    findings
+}
+
+/// Faults of a configuration that it doesn't share with the one before it.
+///
+/// An old fault must not stop a change that has nothing to do with it, such as a withdrawal.
+///
+/// ```
+/// let config = contract::Config::default();
+/// assert!(contract::check::introduced(&config, &config).is_empty());
+/// ```
+pub fn introduced(before: &Config, after: &Config) -> Vec<Finding> {
+    let known = check(before);
+    let mut findings = check(after);
+    findings.retain(|finding| !known.contains(finding));
+    findings
+}
+
+/// Whether findings stop a change.
+///
+/// ```
+/// assert!(!contract::check::refuses(&[]));
+/// ```
+pub fn refuses(findings: &[Finding]) -> bool {
+    findings
+        .iter()
+        .any(|finding| finding.fault.severity() == Severity::Error)
+}
--- /dev/null
+++ b/crates/contract/src/check/references.rs
@@ -0,0 +1,95 @@
+//! Checks of what an object says about others.
+
+use super::Finding;
+use crate::{Access, Config, Contract, Fault, Key, Map, Object};
+
+/// Checks that all that an object names exists.
+pub(super) fn check(config: &Config, key: &str, object: &Object, findings: &mut Vec<Finding>) {
+    match object {
+        Object::Contract(contract) => check_contract(config, key, contract, findings),
+        Object::Rollout(rollout) => {
+            findings.extend(version(config, key, "/to", &rollout.model, &rollout.to));
+            if config.withdrawn(&rollout.model, &rollout.to) {
+                let fault = Fault::Withdrawn(rollout.to.clone());
+                findings.push(Finding::new(key, "/to", fault));
+            }
+        }
+        Object::Withdrawal(one) => {
+            findings.extend(version(config, key, "/version", &one.model, &one.version));
+        }
+        Object::Access(_)
+        | Object::Member(_)
+        | Object::Model(_)
+        | Object::Service(_)
+        | Object::Zone(_) => {}
+    }
+}
+
+fn check_contract(config: &Config, key: &str, contract: &Contract, findings: &mut Vec<Finding>) {
+    for (index, allowed) in contract.models.iter().enumerate() {
+        let path = format!("/models/{index}");
+        let finding = match allowed.split_once('@') {
+            Some((model, name)) => version(config, key, &path, model, name),
+            None => model(config, key, &path, allowed),
+        };
+        findings.extend(finding);
+    }
+    for (index, service) in contract.services.iter().enumerate() {
+        if config.service(service).is_none() {
+            let fault = Fault::Service(service.clone());
+            findings.push(Finding::new(key, format!("/services/{index}"), fault));
+        }
+    }
+}
+
+fn model(config: &Config, key: &str, path: &str, model: &str) -> Option<Finding> {
+    let found = config.get(&format!("model/{model}"));
+    match found {
+        Some(_) => None,
+        None => Some(Finding::new(key, path, Fault::Model(model.to_owned()))),
+    }
+}
+
+fn version(config: &Config, key: &str, path: &str, name: &str, version: &str) -> Option<Finding> {
+    if let Some(finding) = model(config, key, path, name) {
+        return Some(finding);
+    }
+    if config.version(name, version).is_some() {
+        return None;
+    }
+    let fault = Fault::Version {
+        model: name.to_owned(),
+        version: version.to_owned(),
+    };
+    Some(Finding::new(key, path, fault))
+}
+
+/// Checks that no key names two customers or two operators.
+pub(super) fn shared_keys(config: &Config, findings: &mut Vec<Finding>) {
+    let customers = config
+        .contracts()
+        .map(|Contract { customer, keys, .. }| ("contract", customer.as_str(), keys.as_slice()));
+    find_shared(customers, findings, Fault::SharedKey);
+    let operators = config
+        .operators()
+        .map(|Access { name, keys }| ("access", name.as_str(), keys.as_slice()));
+    find_shared(operators, findings, Fault::SharedAccess);
+}
+
+fn find_shared<'a>(
+    owners: impl Iterator<Item = (&'a str, &'a str, &'a [Key])>,
+    findings: &mut Vec<Finding>,
+    fault: fn(String) -> Fault,
+) {
+    let mut owner_of: Map<&str, &str> = Map::default();
+    for (kind, owner, keys) in owners {
+        for (index, key) in keys.iter().enumerate() {
+            let first = *owner_of.entry(&key.sha256).or_insert(owner);
+            if first != owner {
+                let path = format!("/keys/{index}/sha256");
+                let object = format!("{kind}/{owner}");
+                findings.push(Finding::new(&object, path, fault(first.to_owned())));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/contract/src/check/serving.rs
@@ -0,0 +1,52 @@
+//! Warnings about requests that no version or zone is left to serve.
+
+use super::Finding;
+use crate::{Config, Contract, Fault, Version};
+
+/// Checks that each contract and the fleet can still be served.
+pub(super) fn check(config: &Config, findings: &mut Vec<Finding>) {
+    for contract in config.contracts() {
+        check_contract(config, contract, findings);
+    }
+    let mut members = config.members().peekable();
+    if members.peek().is_some() && members.all(|member| config.zone_out(&member.zone)) {
+        let out = config.zones().find(|zone| zone.out);
+        let key = out.map(|zone| format!("zone/{}", zone.name));
+        findings.extend(key.map(|key| Finding::new(&key, "/out", Fault::NoZone)));
+    }
+}
+
+fn check_contract(config: &Config, contract: &Contract, findings: &mut Vec<Finding>) {
+    if contract.models.is_empty() {
+        return;
+    }
+    let key = format!("contract/{}", contract.customer);
+    let best = allowed(config, contract)
+        .map(|version| version.quality.unwrap_or(DEFAULT_QUALITY))
+        .reduce(f64::max);
+    let Some(best) = best else {
+        findings.push(Finding::new(&key, "/models", Fault::Unserved));
+        return;
+    };
+    for (name, task) in &contract.tasks {
+        if task.quality > best && task.quality <= 1.0 {
+            let fault = Fault::Quality {
+                task: name.clone(),
+                expected: task.quality,
+                best,
+            };
+            let path = format!("/tasks/{name}/quality");
+            findings.push(Finding::new(&key, path, fault));
+        }
+    }
+}
+
+/// Prior share of good answers of a version that names none.
+const DEFAULT_QUALITY: f64 = 0.5;
+
+fn allowed<'a>(config: &'a Config, contract: &'a Contract) -> impl Iterator<Item = &'a Version> {
+    config.models().flat_map(move |model| {
+        let allowed = |version: &&Version| config.allowed(contract, &model.name, &version.name);
+        model.versions.iter().filter(allowed)
+    })
+}
--- /dev/null
+++ b/crates/contract/src/check/shape.rs
@@ -0,0 +1,92 @@
+//! Checks of an object's JSON against the schema: all faults at once, each with its path.
+
+use super::Finding;
+use crate::Fault;
+use jsonschema::error::{TypeKind, ValidationErrorKind};
+use jsonschema::{ValidationError, Validator};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::sync::LazyLock;
+
+/// Schema of the configuration's objects.
+const SCHEMA: &str = include_str!("../../../../schema/contract.json");
+
+/// Validators by kind of object.
+static VALIDATORS: LazyLock<BTreeMap<String, Validator>> = LazyLock::new(validators);
+
+fn validators() -> BTreeMap<String, Validator> {
+    // The schema is part of the program, and a test reads it: it can't be wrong here.
+    let schema: Value = serde_json::from_str(SCHEMA).unwrap_or_default();
+    let mut validators = BTreeMap::new();
+    for kind in schema["oneOf"].as_array().into_iter().flatten() {
+        let Some((name, reference)) = kind["properties"]
+            .as_object()
+            .and_then(|map| map.iter().next())
+        else {
+            continue;
+        };
+        let one = json!({ "allOf": [reference], "definitions": schema["definitions"] });
+        if let Ok(validator) = jsonschema::draft7::new(&one) {
+            validators.insert(name.clone(), validator);
+        }
+    }
+    validators
+}
+
+/// Checks the body of an object of a kind, such as the table below `[contract]`.
+///
+/// ```
+/// let body = serde_json::json!({ "name": "a", "out": "yes" });
+/// let findings = contract::check::shape("zone", "zone/a", &body);
+/// assert_eq!(findings[0].to_string(), "zone/a /out: found \"yes\", expected boolean");
+/// ```
+pub fn shape(kind: &str, key: &str, body: &Value) -> Vec<Finding> {
+    let Some(validator) = VALIDATORS.get(kind) else {
+        return vec![Finding::new(key, "", Fault::Kind(kind.to_owned()))];
+    };
+    validator
+        .iter_errors(body)
+        .flat_map(|error| findings(key, &error))
+        .collect()
+}
+
+fn findings(key: &str, error: &ValidationError) -> Vec<Finding> {
+    let path = error.instance_path().as_str();
+    let at = |name: &str| format!("{path}/{}", name.replace('~', "~0").replace('/', "~1"));
+    match error.kind() {
+        ValidationErrorKind::AdditionalProperties { unexpected } => unexpected
+            .iter()
+            .map(|name| Finding::new(key, at(name), Fault::Unknown(name.clone())))
+            .collect(),
+        ValidationErrorKind::Required { property } => {
+            let name = property.as_str().unwrap_or_default().to_owned();
+            vec![Finding::new(key, path, Fault::Missing(name))]
+        }
+        ValidationErrorKind::Type { kind } => {
+            let fault = Fault::Type {
+                found: error.instance().to_string(),
+                expected: expected(kind),
+            };
+            vec![Finding::new(key, path, fault)]
+        }
+        ValidationErrorKind::Minimum { limit } => {
+            let fault = Fault::Range {
+                found: error.instance().as_f64().unwrap_or_default(),
+                low: limit.as_f64().unwrap_or_default(),
+                high: f64::INFINITY,
+            };
+            vec![Finding::new(key, path, fault)]
+        }
+        _ => vec![Finding::new(key, path, Fault::Schema(error.to_string()))],
+    }
+}
+
+fn expected(kind: &TypeKind) -> String {
+    match kind {
+        TypeKind::Single(one) => one.to_string(),
+        TypeKind::Multiple(many) => {
+            let names: Vec<_> = many.iter().map(|one| one.to_string()).collect();
+            names.join(" or ")
+        }
+    }
+}
--- a/crates/contract/src/config.rs
+++ b/crates/contract/src/config.rs
@@ -1,7 +1,8 @@
 //! A snapshot of the whole configuration.
 
 use crate::{
-    Contract, Error, Member, Model, Object, ObjectKey, Revision, Rollout, Service, Version,
+    Access, Contract, Error, Member, Model, Object, ObjectKey, Revision, Rollout, Service, Version,
+    Zone,
 };
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -78,6 +79,40 @@
         Ok(())
     }
 
+    /// The configuration after edits, at the same revision; an edit without an object removes it.
+    ///
+    /// ```
+    /// let zone = contract::Object::Zone(contract::Zone { name: "a".into(), out: true });
+    /// let config = contract::Config::default().with([("zone/a".to_owned(), Some(zone))]);
+    /// assert!(config.zone_out("a"));
+    /// ```
+    pub fn with(&self, edits: impl IntoIterator<Item = (ObjectKey, Option<Object>)>) -> Self {
+        let mut after = self.clone();
+        for (key, object) in edits {
+            match object {
+                Some(object) => after.objects.insert(key, Arc::new(object)),
+                None => after.objects.remove(&key),
+            };
+        }
+        after
+    }
+
+    /// Operators and the keys that name them.
+    pub fn operators(&self) -> impl Iterator<Item = &Access> {
+        self.of_kind("access/").filter_map(|object| match object {
+            Object::Access(access) => Some(access),
+            _ => None,
+        })
+    }
+
+    /// All availability zones that have been named.
+    pub fn zones(&self) -> impl Iterator<Item = &Zone> {
+        self.of_kind("zone/").filter_map(|object| match object {
+            Object::Zone(zone) => Some(zone),
+            _ => None,
+        })
+    }
+
     /// All contracts.
     pub fn contracts(&self) -> impl Iterator<Item = &Contract> {
         self.of_kind("contract/").filter_map(|object| match object {
--- /dev/null
+++ b/crates/contract/src/file/reading.rs
@@ -0,0 +1,162 @@
+//! Reads files whole and checks what they make of the configuration.
+
+use super::document::{Entry, entries};
+use super::{Place, Problem, Source};
+use crate::check::{self, Finding};
+use crate::{Config, Fault, Map, Object, ObjectKey, Set, Severity};
+use serde_json::json;
+use toml_edit::Document;
+
+/// What files hold, and what is wrong with it.
+#[derive(Debug, Default)]
+pub struct Reading {
+    /// Objects that could be read, in the order of the files.
+    pub objects: Vec<Object>,
+    /// Faults by place.
+    pub problems: Vec<Problem>,
+}
+
+impl Reading {
+    /// Whether a fault stops the change.
+    ///
+    /// ```
+    /// assert!(!contract::file::Reading::default().refused());
+    /// ```
+    pub fn refused(&self) -> bool {
+        let is_error = |one: &Problem| one.finding.fault.severity() == Severity::Error;
+        self.problems.iter().any(is_error)
+    }
+}
+
+/// Reads files and checks the configuration that they make of a base.
+///
+/// ```
+/// use contract::file::{Source, read};
+/// let text = "[[zone]]\nname = 'a'\nout = 1\n\n[[zone]]\nname = 'b c'\nout = true\n";
+/// let reading = read(&[Source::new("zones.toml", text)], &contract::Config::default());
+/// let lines: Vec<_> = reading.problems.iter().map(|one| one.to_string()).collect();
+/// assert_eq!(lines[0], "zones.toml:3:7: zone/a /out: found 1, expected boolean");
+/// assert!(lines[1].starts_with("zones.toml:6:8: zone/b c /name: found \"b c\""));
+/// ```
+pub fn read(sources: &[Source], base: &Config) -> Reading {
+    let mut reader = Reader::default();
+    for source in sources {
+        reader.read(source);
+    }
+    let edits = reader
+        .objects
+        .iter()
+        .map(|object| (object.key(), Some(object.clone())));
+    let after = base.with(edits);
+    // Faults of the base itself are shown only where a file holds the object.
+    let known = check::check(base);
+    for finding in check::check(&after) {
+        let own = reader.entries.contains_key(&finding.key) || !known.contains(&finding);
+        if own && !reader.follows(&finding.fault) {
+            reader.report(finding);
+        }
+    }
+    reader.problems.sort_by(|a, b| a.place.cmp(&b.place));
+    Reading {
+        objects: reader.objects,
+        problems: reader.problems,
+    }
+}
+
+/// Collects objects and problems over all files.
+#[derive(Default)]
+struct Reader {
+    objects: Vec<Object>,
+    problems: Vec<Problem>,
+    entries: Map<ObjectKey, (Source, Entry)>,
+    /// Objects that stand in the files but can't be read.
+    broken: Set<ObjectKey>,
+}
+
+impl Reader {
+    fn read(&mut self, source: &Source) {
+        let document = match Document::parse(source.text.as_str()) {
+            Ok(document) => document,
+            Err(error) => {
+                let fault = Fault::Syntax(error.message().trim().replace('\n', ", "));
+                let offset = error.span().map_or(0, |span| span.start);
+                self.problem(source, offset, Finding::new("file", "", fault));
+                return;
+            }
+        };
+        for entry in entries(&document) {
+            self.entry(source, entry);
+        }
+    }
+
+    fn entry(&mut self, source: &Source, entry: Entry) {
+        let key = key(&entry);
+        let findings = check::shape(&entry.kind, &key, &entry.body);
+        if !findings.is_empty() {
+            self.broken.insert(key);
+            for finding in findings {
+                self.problem(source, entry.offset(&finding.path), finding);
+            }
+            return;
+        }
+        let body = json!({ entry.kind.clone(): entry.body.clone() });
+        let object: Object = match serde_json::from_value(body) {
+            Ok(object) => object,
+            Err(error) => {
+                let finding = Finding::new(&key, "", Fault::Schema(error.to_string()));
+                self.problem(source, entry.start, finding);
+                return;
+            }
+        };
+        let key = object.key();
+        if self.entries.contains_key(&key) {
+            let finding = Finding::new(&key, "", Fault::Twice(key.clone()));
+            self.problem(source, entry.start, finding);
+            return;
+        }
+        self.objects.push(object);
+        self.entries.insert(key, (source.clone(), entry));
+    }
+
+    /// Whether a fault only follows from an object that can't be read.
+    fn follows(&self, fault: &Fault) -> bool {
+        match fault {
+            Fault::Model(model) | Fault::Version { model, .. } => {
+                self.broken.contains(&format!("model/{model}"))
+            }
+            Fault::Service(service) => self.broken.contains(&format!("service/{service}")),
+            Fault::Quality { .. } | Fault::Unserved => {
+                self.broken.iter().any(|key| key.starts_with("model/"))
+            }
+            _ => false,
+        }
+    }
+
+    fn problem(&mut self, source: &Source, offset: usize, finding: Finding) {
+        self.problems.push(Problem {
+            place: Some(Place::new(source, offset)),
+            finding,
+        });
+    }
+
+    fn report(&mut self, finding: Finding) {
+        let place = self
+            .entries
+            .get(&finding.key)
+            .map(|(source, entry)| Place::new(source, entry.offset(&finding.path)));
+        self.problems.push(Problem { place, finding });
+    }
+}
+
+/// Key of an object that may still be wrong.
+fn key(entry: &Entry) -> ObjectKey {
+    let field = |name: &str| entry.body[name].as_str().unwrap_or("?").to_owned();
+    let name = match entry.kind.as_str() {
+        "contract" => field("customer"),
+        "member" => field("node"),
+        "rollout" => field("model"),
+        "withdrawal" => format!("{}@{}", field("model"), field("version")),
+        _ => field("name"),
+    };
+    format!("{}/{name}", entry.kind)
+}
--- /dev/null
+++ b/crates/contract/src/file/source.rs
@@ -0,0 +1,25 @@
+//! A file that has been read.
+
+/// Name and text of a file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Source {
+    /// Name under which faults are reported.
+    pub name: String,
+    /// Content of the file.
+    pub text: String,
+}
+
+impl Source {
+    /// A file by name and text.
+    ///
+    /// ```
+    /// let source = contract::file::Source::new("zones.toml", "[zone]\nname = 'a'\nout = false\n");
+    /// assert_eq!(source.name, "zones.toml");
+    /// ```
+    pub fn new(name: impl Into<String>, text: impl Into<String>) -> Self {
+        Self {
+            name: name.into(),
+            text: text.into(),
+        }
+    }
+}
--- a/crates/contract/src/generated.rs
+++ b/crates/contract/src/generated.rs
@@ -29,6 +29,46 @@
         }
     }
 }
+#[doc = "An operator or a group of operators, and the keys that name them."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"An operator or a group of operators, and the keys that name them.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"keys\","]
+#[doc = "    \"name\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"keys\": {"]
+#[doc = "      \"description\": \"Digests of the bearer keys that name this operator.\","]
+#[doc = "      \"type\": \"array\","]
+#[doc = "      \"items\": {"]
+#[doc = "        \"$ref\": \"#/definitions/Key\""]
+#[doc = "      }"]
+#[doc = "    },"]
+#[doc = "    \"name\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Access {
+    #[doc = "Digests of the bearer keys that name this operator."]
+    pub keys: ::std::vec::Vec<Key>,
+    pub name: ::std::string::String,
+}
+impl ::std::convert::From<&Access> for Access {
+    fn from(value: &Access) -> Self {
+        value.clone()
+    }
+}
 #[doc = "`Budget`"]
 #[doc = r""]
 #[doc = r" <details><summary>JSON schema</summary>"]
@@ -394,6 +434,18 @@
 #[doc = "        }"]
 #[doc = "      },"]
 #[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"access\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"access\": {"]
+#[doc = "          \"$ref\": \"#/definitions/Access\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
 #[doc = "    }"]
 #[doc = "  ]"]
 #[doc = "}"]
@@ -415,6 +467,8 @@
     Zone(Zone),
     #[serde(rename = "member")]
     Member(Member),
+    #[serde(rename = "access")]
+    Access(Access),
 }
 impl ::std::convert::From<&Self> for Object {
     fn from(value: &Object) -> Self {
@@ -456,6 +510,11 @@
         Self::Member(value)
     }
 }
+impl ::std::convert::From<Access> for Object {
+    fn from(value: Access) -> Self {
+        Self::Access(value)
+    }
+}
 #[doc = "A new version is introduced under a budget of bad answers."]
 #[doc = r""]
 #[doc = r" <details><summary>JSON schema</summary>"]
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -1,17 +1,21 @@
 //! Contracts, models, services and intents: the objects of the configuration.
 
+pub mod check;
 mod config;
+pub mod diff;
 mod error;
+pub mod file;
 #[allow(dead_code, missing_docs)]
 mod generated;
 mod ids;
 mod key;
 mod object;
+pub mod operator;
 
 pub use config::Config;
-pub use error::Error;
+pub use error::{Error, Fault, Severity};
 pub use generated::{
-    Budget, Contract, Key, Member, Model, Object, Rollout, Route, Service, Task, Version,
+    Access, Budget, Contract, Key, Member, Model, Object, Rollout, Route, Service, Task, Version,
     Withdrawal, Zone,
 };
 pub use ids::*;
--- a/crates/contract/src/object.rs
+++ b/crates/contract/src/object.rs
@@ -1,7 +1,7 @@
 //! Keys of objects.
 
 use crate::{
-    Contract, Error, Member, Model, Object, ObjectKey, Rollout, Service, Withdrawal, Zone,
+    Access, Contract, Error, Member, Model, Object, ObjectKey, Rollout, Service, Withdrawal, Zone,
 };
 
 impl Object {
@@ -13,6 +13,7 @@
     /// ```
     pub fn key(&self) -> ObjectKey {
         match self {
+            Self::Access(Access { name, .. }) => format!("access/{name}"),
             Self::Contract(Contract { customer, .. }) => format!("contract/{customer}"),
             Self::Member(Member { node, .. }) => format!("member/{node}"),
             Self::Model(Model { name, .. }) => format!("model/{name}"),
--- /dev/null
+++ b/crates/contract/src/operator/mod.rs
@@ -0,0 +1,10 @@
+//! Bodies of the operators' routes, generated from schema/operator.json.
+
+#[allow(dead_code, missing_docs)]
+mod generated;
+mod refusal;
+
+pub use generated::{
+    Change, Conflict, Edit, Finding, Objects, Offer, Outcome, Peer, Place, Ran, Reason, Refusal,
+    Ring, Rotated, Rotation, Severity, Stage, State, Status, Step,
+};
--- /dev/null
+++ b/crates/contract/tests/files.rs
@@ -0,0 +1,44 @@
+//! Sample files must be right; each bad file must give exactly the problems that it announces.
+
+use contract::Config;
+use contract::file::{Source, read};
+use std::path::Path;
+
+/// Lines of a bad file that announce a problem.
+const ANNOUNCED: &str = "#> ";
+
+fn sample_sources() -> std::io::Result<Vec<Source>> {
+    let mut sources = Vec::new();
+    for entry in std::fs::read_dir("../../samples")? {
+        let path = entry?.path();
+        let name = path.file_name().unwrap_or_default().to_string_lossy();
+        sources.push(Source::new(name, std::fs::read_to_string(&path)?));
+    }
+    Ok(sources)
+}
+
+fn sample(path: &Path, text: String) -> datatest_stable::Result<()> {
+    let base = Config::new(0, read(&sample_sources()?, &Config::default()).objects);
+    let reading = read(&[Source::new("sample", text)], &base);
+    assert!(!reading.objects.is_empty(), "{path:?}");
+    assert_eq!(reading.problems, [], "{path:?}");
+    Ok(())
+}
+
+fn bad(path: &Path, text: String) -> datatest_stable::Result<()> {
+    let announced: Vec<_> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix(ANNOUNCED))
+        .collect();
+    let base = Config::new(0, read(&sample_sources()?, &Config::default()).objects);
+    let reading = read(&[Source::new("bad", text.clone())], &base);
+    let found: Vec<_> = reading.problems.iter().map(ToString::to_string).collect();
+    assert_eq!(found, announced, "{path:?}");
+    assert!(!found.is_empty());
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = sample, root = "../../samples", pattern = r"\.toml$" },
+    { test = bad, root = "tests/bad", pattern = r"\.toml$" },
+}
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Generates the Rust types of the messages and configuration objects from the JSON schemas.
+# Generates the Rust types of messages, configuration objects and settings from the JSON schemas.
 set -eu
 cd "$(dirname "$0")/.."
-for pair in link:wire contract:contract; do
-  schema=${pair%%:*} crate=${pair##*:} out=crates/${pair##*:}/src/generated.rs
+for pair in link:wire/src contract:contract/src operator:contract/src/operator; do
+  schema=${pair%%:*} out=crates/${pair##*:}/generated.rs
   cargo typify --no-builder -a PartialEq --map-type "::std::collections::BTreeMap" --output "$out" "schema/$schema.json"
   rustfmt --edition 2024 "$out"
 done
