--- a/crates/standin/src/engine/run.rs
+++ b/crates/standin/src/engine/run.rs
@@ -3,7 +3,7 @@
 use super::call::{Completion, Headers};
 use super::prefix::Prefixes;
 use super::{Admission, Counters, Order, Settings, Slots};
-use crate::journal::Recorder;
+use crate::journal::{Recorder, Run};
 use crate::proxy::{Faults, Proxy};
 use crate::rating::{Answer, digest};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -139,18 +139,19 @@
             return Err(Refusal::Model);
         }
         self.check_fence(headers.fence)?;
+        let run = self.received(call, headers);
         let admission = self.lock().slots.arrive(Instant::now());
         match admission {
             Admission::Run => {}
             Admission::Refuse => return Err(Refusal::Overloaded),
             Admission::Wait => self.wait_for_slot(call.priority).await?,
             Admission::Overrun => {
-                self.record(headers);
+                self.recorder.record(run);
                 self.fall_over();
                 return Err(Refusal::Fallen);
             }
         }
-        self.record(headers);
+        self.recorder.record(run);
         let prompt = call.prompt();
         let poisoned = self
             .lock()
@@ -185,12 +186,14 @@
         }
     }
 
-    fn record(&self, headers: &Headers) {
+    fn received(&self, call: &Completion, headers: &Headers) -> Run {
         let backend = self.address.get().map(String::as_str).unwrap_or_default();
-        let mut run = headers.run(backend, "engine");
-        run.model.clone_from(&self.settings.model);
-        run.version.clone_from(&self.settings.version);
-        self.recorder.record(run);
+        Run {
+            model: self.settings.model.clone(),
+            version: self.settings.version.clone(),
+            subject: call.question(),
+            ..headers.run(backend, "engine")
+        }
     }
 
     fn check_fence(&self, fence: Option<u64>) -> Result<(), Refusal> {
--- a/crates/standin/src/journal/run.rs
+++ b/crates/standin/src/journal/run.rs
@@ -19,6 +19,9 @@
     pub idempotency_key: String,
     /// Customer given by the node.
     pub customer: String,
-    /// Start of the run, in milliseconds since the Unix epoch.
+    /// When the backend server received it, in milliseconds since the Unix epoch.
     pub at_ms: u64,
+    /// Last message of the prompt or body of the call; kept in this process only.
+    #[serde(skip)]
+    pub subject: String,
 }
--- a/crates/standin/src/reservation/server.rs
+++ b/crates/standin/src/reservation/server.rs
@@ -87,9 +87,11 @@
 }
 
 impl Shared {
-    fn record(&self, headers: &Headers) {
+    fn record(&self, headers: &Headers, subject: &str) {
         let backend = self.address.get().map(String::as_str).unwrap_or_default();
-        self.recorder.record(headers.run(backend, "service"));
+        let mut run = headers.run(backend, "service");
+        subject.clone_into(&mut run.subject);
+        self.recorder.record(run);
     }
 }
 
@@ -99,7 +101,7 @@
     headers: Headers,
     shared: &State<Arc<Shared>>,
 ) -> Result<(ContentType, String), Status> {
-    shared.record(&headers);
+    shared.record(&headers, &id.to_string());
     tokio::time::sleep(shared.latency).await;
     let bookings = shared
         .bookings
@@ -119,7 +121,7 @@
     let limit = rocket::data::ToByteUnit::kibibytes(BODY_LIMIT_KIB);
     let text = body.open(limit).into_string().await;
     let text = text.map(|text| text.into_inner()).unwrap_or_default();
-    shared.record(&headers);
+    shared.record(&headers, &text);
     {
         let mut runs = shared.runs.lock().unwrap_or_else(PoisonError::into_inner);
         *runs.entry(headers.idempotency_key.clone()).or_default() += 1;
@@ -129,8 +131,9 @@
         .bookings
         .lock()
         .unwrap_or_else(PoisonError::into_inner);
+    let id = bookings.len();
+    let body = json!({ "id": id, "confirmed": true, "booking": text });
     bookings.push(text);
-    let body = json!({ "id": bookings.len() - 1, "confirmed": true });
     (Status::Created, (ContentType::JSON, body.to_string()))
 }
 
