--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -41,6 +41,7 @@
     pub async fn start(settings: Settings, recorder: Recorder) -> Result<Self, Error> {
         let listen = settings.listen;
         let fallible = settings.fallible;
+        let reported = settings.reported.clone();
         let shared = Arc::new(Shared::new(settings, recorder));
         let rocket = rocket::build().manage(Arc::clone(&shared)).mount(
             "/",
@@ -58,7 +59,9 @@
             address = front.address();
             let _ = shared.front.set(front);
         }
-        let _ = shared.address.set(address.to_string());
+        let _ = shared
+            .address
+            .set(reported.unwrap_or_else(|| address.to_string()));
         Ok(Self { server, shared })
     }
 
--- a/crates/standin/src/engine/settings.rs
+++ b/crates/standin/src/engine/settings.rs
@@ -9,6 +9,8 @@
 pub struct Settings {
     /// Address to bind.
     pub listen: SocketAddr,
+    /// Address reported with each run, if it isn't the bound one.
+    pub reported: Option<String>,
     /// Model that is served.
     pub model: String,
     /// Version that is served.
@@ -49,6 +51,7 @@
     fn default() -> Self {
         Self {
             listen: loopback(0),
+            reported: None,
             model: "small".to_owned(),
             version: "1".to_owned(),
             quality: 0.9,
--- /dev/null
+++ b/crates/standin/src/fleet/binary.rs
@@ -0,0 +1,45 @@
+//! Where the node's program is.
+
+use crate::Error;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::OnceLock;
+
+const NAME: &str = "sardinebank";
+
+/// Builds the node in the profile of this program, once, and gives its path.
+pub fn node_binary() -> Result<PathBuf, Error> {
+    static PATH: OnceLock<PathBuf> = OnceLock::new();
+    if let Some(path) = PATH.get() {
+        return Ok(path.clone());
+    }
+    let path = build()?;
+    Ok(PATH.get_or_init(|| path).clone())
+}
+
+fn build() -> Result<PathBuf, Error> {
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = Command::new(cargo);
+    command.args(["build", "--quiet", "--package", "node", "--bin", NAME]);
+    command.current_dir(env!("CARGO_MANIFEST_DIR"));
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    let status = command.status()?;
+    if !status.success() {
+        let name = "cargo build".to_owned();
+        let status = status.to_string();
+        return Err(Error::Ended { name, status });
+    }
+    Ok(profile_folder()?.join(NAME))
+}
+
+/// Folder of this program, or the one above it for a test or an example.
+fn profile_folder() -> Result<PathBuf, Error> {
+    let mut folder = std::env::current_exe()?;
+    folder.pop();
+    if folder.ends_with("deps") || folder.ends_with("examples") {
+        folder.pop();
+    }
+    Ok(folder)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 mod error;
 pub mod fault;
+pub mod fleet;
 pub mod history;
 pub mod journal;
 pub mod launch;
--- a/crates/standin/src/reservation/server.rs
+++ b/crates/standin/src/reservation/server.rs
@@ -19,6 +19,8 @@
 pub struct Settings {
     /// Address to bind.
     pub listen: SocketAddr,
+    /// Address reported with each run, if it isn't the bound one.
+    pub reported: Option<String>,
     /// Name reported with each run.
     pub service: String,
     /// Time that a call takes.
@@ -29,6 +31,7 @@
     fn default() -> Self {
         Self {
             listen: loopback(0),
+            reported: None,
             service: "reservations".to_owned(),
             latency: Duration::from_millis(5),
         }
@@ -54,6 +57,7 @@
 impl Server {
     /// Starts the service.
     pub async fn start(settings: Settings, recorder: Recorder) -> Result<Self, Error> {
+        let reported = settings.reported.clone();
         let shared = Arc::new(Shared {
             latency: settings.latency,
             recorder,
@@ -65,7 +69,9 @@
             .manage(Arc::clone(&shared))
             .mount("/", rocket::routes![read, book, health]);
         let server = serve::Server::start(rocket, settings.listen).await?;
-        let _ = shared.address.set(server.address().to_string());
+        let _ = shared
+            .address
+            .set(reported.unwrap_or_else(|| server.address().to_string()));
         Ok(Self { server, shared })
     }
 
