Take configuration and members from the replica

Cause: every node polled the table by itself and listed members from raw objects. Change: App holds sync::Replica; the last check before bytes leave asks whether new work may start; entries come from its members.

--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -4,11 +4,15 @@
 use crate::app::{Gate, Keys, Stay};
 use crate::dispatch::{Load, Receipt, Signer};
 use crate::fleet::Fleet;
+use crate::sync::Replica;
 use backend::{Pool, Usage};
 use contract::{Config, CustomerId, Incarnation};
+use platform::table;
 use settings::node::Settings;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Instant;
+use view::State;
 
 /// Tables and clients that requests share.
 pub struct App {
@@ -24,16 +28,17 @@
     pub load: Arc<Load>,
     /// Session tokens.
     pub signer: Signer,
+    /// The configuration and the members.
+    pub replica: Arc<Replica<table::Client>>,
     gate: Arc<Gate>,
     keys: Keys,
-    config: RwLock<Arc<Config>>,
     requests: AtomicU64,
     leaving: AtomicBool,
 }
 
 impl App {
     /// Builds the tables of a node that is starting.
-    pub fn new(settings: Settings, incarnation: Incarnation) -> Self {
+    pub fn new(settings: Settings, replica: Arc<Replica<table::Client>>) -> Self {
         let limits = backend::Settings {
             connect_timeout: settings.connect_timeout,
             progress_timeout: settings.progress_timeout,
@@ -41,14 +46,14 @@
         };
         Self {
             signer: Signer::new(settings.session_key.iter().map(settings::Secret::expose)),
+            incarnation: replica.incarnation(),
             settings,
-            incarnation,
+            replica,
             fleet: Fleet::default(),
             pool: Pool::new(limits),
             load: Arc::default(),
             gate: Arc::default(),
             keys: Keys::default(),
-            config: RwLock::default(),
             requests: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
         }
@@ -56,12 +61,7 @@
 
     /// The configuration in force here.
     pub fn config(&self) -> Arc<Config> {
-        Arc::clone(&self.config.read().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    /// Puts a configuration in force.
-    pub fn publish(&self, config: Config) {
-        *self.config.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(config);
+        self.replica.config()
     }
 
     /// Customer of a bearer key.
@@ -87,11 +87,13 @@
 
     /// Addresses for callers, nearest first.
     pub fn entries(&self, zone: Option<&str>) -> Vec<String> {
-        let config = self.config();
         let near = zone.unwrap_or(&self.settings.zone);
-        let mut members: Vec<_> = config.members().filter(|one| !one.leaving).collect();
+        let leaving = self.leaving.load(Ordering::SeqCst);
+        let mut members = self.replica.members(Instant::now());
+        members.retain(|one| one.state == State::Live);
+        members.retain(|one| !leaving || one.node != self.settings.node);
         members.sort_by_key(|one| (one.zone != near, one.node != self.settings.node));
-        members.into_iter().map(|one| one.http.clone()).collect()
+        members.into_iter().map(|one| one.http).collect()
     }
 
     /// Takes the node out of every answer to callers.
--- a/crates/node/src/dispatch/leg.rs
+++ b/crates/node/src/dispatch/leg.rs
@@ -154,12 +154,14 @@
 
     /// The last look before bytes leave.
     fn check(&self) -> Result<(), Error> {
+        let now = Instant::now();
+        self.app.replica.may_start(now).map_err(|_| Error::Stale)?;
         let config = self.app.config();
         let Candidate { model, version, .. } = self.candidate;
         if config.withdrawn(model, version) {
             return Err(Error::Withdrawn(self.candidate.served()));
         }
-        if Instant::now() >= self.deadline {
+        if now >= self.deadline {
             return Err(self.late(Ran::No));
         }
         Ok(())
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,9 +1,9 @@
 //! Starts the parts of a node and stops them in order.
 
 use crate::app::App;
+use crate::sync::{self, Replica};
 use crate::{caller, stop};
-use platform::Table;
-use platform::table::Range;
+use contract::Member;
 use platform::{table, vms};
 use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
 use settings::node::Settings;
@@ -13,6 +13,9 @@
 /// Seconds that connections without a request have to close when the node stops.
 const CONNECTION_GRACE_S: u32 = 1;
 
+/// Renewals within the time of a lease.
+const LEASE_RENEWALS: u32 = 3;
+
 /// Why a node can't run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -29,7 +32,6 @@
 
 /// Runs a node until it is told to stop.
 pub async fn run(settings: Settings) -> Result<(), Error> {
-    let app = Arc::new(App::new(settings.clone(), incarnation()));
     let vms = vms::Client::new(vms::Settings {
         url: settings.vms_url.clone(),
         ..vms::Settings::default()
@@ -39,11 +41,13 @@
         table: settings.table.clone(),
         ..table::Settings::default()
     })?;
+    let replica = Replica::new(sync_settings(&settings), table);
+    let app = Arc::new(App::new(settings.clone(), replica));
     tokio::spawn({
         let app = Arc::clone(&app);
         async move { app.fleet.run(&vms, app.settings.vms_poll).await }
     });
-    tokio::spawn(poll(Arc::clone(&app), table));
+    tokio::spawn(Arc::clone(&app.replica).run());
     let rocket = rocket::custom(rocket_config(&settings))
         .manage(Arc::clone(&app))
         .mount("/", caller::routes())
@@ -58,27 +62,6 @@
     Ok(())
 }
 
-async fn poll(app: Arc<App>, table: table::Client) {
-    let mut ticks = tokio::time::interval(app.settings.poll);
-    loop {
-        ticks.tick().await;
-        let Ok(Some(head)) = table.get("config", "head").await else {
-            continue;
-        };
-        if head.rev == app.config().revision() {
-            continue;
-        }
-        let Ok(items) = table.list("config-obj", &Range::All, 10_000).await else {
-            continue;
-        };
-        let objects = items
-            .iter()
-            .filter_map(|item| contract::Object::read(&item.sort, &item.body).ok())
-            .collect();
-        app.publish(contract::Config::new(head.rev, objects));
-    }
-}
-
 fn rocket_config(settings: &Settings) -> RocketConfig {
     RocketConfig {
         address: settings.http.ip(),
@@ -98,6 +81,23 @@
     }
 }
 
+fn sync_settings(settings: &Settings) -> sync::Settings {
+    sync::Settings {
+        member: Member {
+            node: settings.node.clone(),
+            incarnation: incarnation(),
+            zone: settings.zone.clone(),
+            http: settings.advertise_http.unwrap_or(settings.http).to_string(),
+            link: settings.advertise_link.unwrap_or(settings.link).to_string(),
+            leaving: false,
+        },
+        poll: settings.poll,
+        lease_ttl: settings.lease,
+        lease_interval: settings.lease / LEASE_RENEWALS,
+        ..sync::Settings::default()
+    }
+}
+
 fn incarnation() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/node/src/sync/replica.rs
+++ b/crates/node/src/sync/replica.rs
@@ -59,6 +59,11 @@
         Arc::clone(&self.config.borrow())
     }
 
+    /// Number of this start of the node.
+    pub fn incarnation(&self) -> contract::Incarnation {
+        self.settings.member.incarnation
+    }
+
     /// Tells of each new configuration.
     ///
     /// ```
