--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod file;
 #[allow(dead_code, missing_docs)]
 mod generated;
+mod hash;
 mod ids;
 mod key;
 mod object;
@@ -19,5 +20,6 @@
     Access, Budget, Contract, Key, Member, Model, Object, Rollout, Route, Service, Task, Version,
     Withdrawal, Zone,
 };
+pub use hash::stable_hash;
 pub use ids::*;
 pub use owner::Owner;
