ctl: sardinectl, the operators' command line

Cause: operators need one tool that drives a fleet through any node. Ruled out: bpaf's `.env()` for the operator key, whose help prints the variable's value; a change id of the user's only, since a lost answer must be settled without one being thought of. Change: apply, check, diff, get, withdraw, restore, rollout, pause, resume, zone, remove, change, status, dump, rotate and key. Nodes are tried in turn; a change is sent again under the same id until an answer says what became of it. Exit status 0 to 6 as in the help. Output for people, or JSON. Conclusion: the bodies are those of schema/operator.json.

--- /dev/null
+++ b/crates/ctl/src/command/status.rs
@@ -0,0 +1,94 @@
+//! The fleet at a glance.
+
+use crate::client::Client;
+use crate::error::Error;
+use crate::output::{Output, table};
+use contract::operator::{Peer, Stage, Status};
+
+/// Shows members, zones and versions.
+pub async fn run(client: &Client, output: &Output) -> Result<(), Error> {
+    let status: Status = client.get("/status").await?;
+    output.show(&status, || describe(&status));
+    Ok(())
+}
+
+fn describe(status: &Status) -> String {
+    let parts = [
+        summary(status),
+        table(&members(status)),
+        table(&zones(status)),
+        table(&versions(status)),
+    ];
+    parts.join("\n\n")
+}
+
+fn summary(status: &Status) -> String {
+    let age = match status.head_age_ms {
+        Some(age) => format!("known to be the newest {age} ms ago"),
+        None => "not yet known to be the newest".to_owned(),
+    };
+    let force = match status.outstanding.is_empty() {
+        true => "in force at every member".to_owned(),
+        false => format!("outstanding: {}", status.outstanding.join(", ")),
+    };
+    let serving = if status.serving {
+        "serving"
+    } else {
+        "NOT serving"
+    };
+    format!(
+        "node {} in zone {}, {serving}\nrevision {}, {age}, {force}",
+        status.node, status.zone, status.revision
+    )
+}
+
+fn heading(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn members(status: &Status) -> Vec<Vec<String>> {
+    let mut rows = vec![heading(&[
+        "MEMBER", "ZONE", "HTTP", "REVISION", "HEARD", "STATE",
+    ])];
+    rows.extend(status.members.iter().map(member));
+    rows
+}
+
+fn member(peer: &Peer) -> Vec<String> {
+    let revision = peer
+        .revision
+        .map_or("-".to_owned(), |number| number.to_string());
+    let heard = peer
+        .heard_ms
+        .map_or("never".to_owned(), |age| format!("{age} ms"));
+    let state = if peer.leaving { "leaving" } else { "live" };
+    let (node, zone, http) = (peer.node.clone(), peer.zone.clone(), peer.http.clone());
+    vec![node, zone, http, revision, heard, state.to_owned()]
+}
+
+fn zones(status: &Status) -> Vec<Vec<String>> {
+    let mut rows = vec![heading(&["ZONE", "STATE", "MEMBERS"])];
+    rows.extend(status.zones.iter().map(|zone| {
+        let state = if zone.out { "out" } else { "in" };
+        vec![
+            zone.name.clone(),
+            state.to_owned(),
+            zone.members.to_string(),
+        ]
+    }));
+    rows
+}
+
+fn versions(status: &Status) -> Vec<Vec<String>> {
+    let mut rows = vec![heading(&["MODEL", "VERSION", "STAGE"])];
+    rows.extend(status.versions.iter().map(|offer| {
+        let stage = match offer.stage {
+            Stage::Live => "live",
+            Stage::Paused => "roll-out paused",
+            Stage::RollingOut => "rolling out",
+            Stage::Withdrawn => "withdrawn",
+        };
+        vec![offer.model.clone(), offer.version.clone(), stage.to_owned()]
+    }));
+    rows
+}
--- /dev/null
+++ b/crates/ctl/src/files.rs
@@ -0,0 +1,37 @@
+//! Files of objects, checked against a configuration.
+
+use crate::error::Error;
+use contract::file::{Reading, Source, read};
+use contract::{Config, Object, ObjectKey};
+use std::path::{Path, PathBuf};
+
+/// Reads files and checks what they make of the base.
+pub fn reading(files: &[PathBuf], base: &Config) -> Result<Reading, Error> {
+    let sources = files
+        .iter()
+        .map(|path| source(path))
+        .collect::<Result<Vec<_>, _>>()?;
+    let reading = read(&sources, base);
+    if reading.refused() {
+        return Err(Error::Problems(reading.problems));
+    }
+    Ok(reading)
+}
+
+/// The objects of a reading that differ from the base.
+pub fn edits(reading: &Reading, base: &Config) -> Vec<(ObjectKey, Option<Object>)> {
+    reading
+        .objects
+        .iter()
+        .map(|object| (object.key(), Some(object.clone())))
+        .filter(|(key, object)| base.get(key).map(|one| one.as_ref()) != object.as_ref())
+        .collect()
+}
+
+fn source(path: &Path) -> Result<Source, Error> {
+    let text = std::fs::read_to_string(path).map_err(|source| Error::File {
+        path: path.to_owned(),
+        source,
+    })?;
+    Ok(Source::new(path.display().to_string(), text))
+}
--- /dev/null
+++ b/crates/ctl/src/options.rs
@@ -0,0 +1,220 @@
+//! Flags and commands.
+
+use bpaf::Bpaf;
+use std::path::PathBuf;
+
+/// What to do, at which nodes, and how to show it.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(
+    options,
+    version,
+    descr("sardinectl: drives a fleet of sardinebank nodes"),
+    footer(FOOTER)
+)]
+pub struct Options {
+    #[bpaf(external)]
+    pub connection: Connection,
+    /// Print JSON for programs
+    pub json: bool,
+    #[bpaf(external)]
+    pub command: Command,
+}
+
+const FOOTER: &str = "Exit status: 0 done, 1 wrong usage, 2 refused or invalid, 3 conflict with another change, \
+4 no node reached, 5 outcome unknown (ask again with the same change id), 6 accepted but not in force when the wait ended.";
+
+/// Nodes and the key that they ask for.
+#[derive(Bpaf, Clone, Debug)]
+pub struct Connection {
+    /// Base URL of a node, such as http://127.0.0.1:8080; repeatable, tried in turn [SARDINECTL_NODE, separated by commas]
+    #[bpaf(argument("URL"), many)]
+    pub node: Vec<String>,
+    /// Operator key [SARDINECTL_OPERATOR_KEY, which other users of the machine don't see]
+    #[bpaf(argument("KEY"), optional)]
+    pub operator_key: Option<String>,
+    /// Longest wait for one answer of a node, in milliseconds
+    #[bpaf(argument("MS"), fallback(5000), display_fallback)]
+    pub timeout_ms: u64,
+}
+
+/// How a change is made.
+#[derive(Bpaf, Clone, Debug, Default)]
+pub struct Change {
+    /// Id of the change; the same id sent again is the same change [default: a new one]
+    #[bpaf(argument("ID"), optional)]
+    pub change_id: Option<String>,
+    /// Check only
+    pub dry_run: bool,
+    /// Wait until the change is in force at every member
+    pub wait: bool,
+    /// Longest wait with --wait, in milliseconds
+    #[bpaf(argument("MS"), fallback(30_000), display_fallback)]
+    pub wait_ms: u64,
+}
+
+/// One command.
+#[derive(Bpaf, Clone, Debug)]
+pub enum Command {
+    /// Put the objects of files into the configuration
+    #[bpaf(command)]
+    Apply {
+        #[bpaf(external)]
+        change: Change,
+        /// Files of objects in TOML
+        #[bpaf(positional("FILE"), some("at least one file"))]
+        files: Vec<PathBuf>,
+    },
+    /// Check files, against the configuration of a node if one is given
+    #[bpaf(command)]
+    Check {
+        /// Files of objects in TOML
+        #[bpaf(positional("FILE"), some("at least one file"))]
+        files: Vec<PathBuf>,
+    },
+    /// Show what became of a change
+    #[bpaf(command)]
+    Change {
+        /// Id of the change
+        #[bpaf(positional("ID"))]
+        id: String,
+    },
+    /// Show what files would change
+    #[bpaf(command)]
+    Diff {
+        /// Files of objects in TOML
+        #[bpaf(positional("FILE"), some("at least one file"))]
+        files: Vec<PathBuf>,
+    },
+    /// Show a node's state for the search of faults; keys are redacted
+    #[bpaf(command)]
+    Dump {
+        /// Name of the node, or its base URL
+        #[bpaf(positional("NODE"))]
+        node: String,
+    },
+    /// Show objects as files hold them
+    #[bpaf(command)]
+    Get {
+        /// Key of an object such as contract/fraser-lyle-desk, or a kind such as contract; all objects without it
+        #[bpaf(positional("KEY"), optional)]
+        key: Option<String>,
+    },
+    /// Print the digest of a key that is read from standard input
+    #[bpaf(command)]
+    Key {
+        /// Make a new key and print it too
+        new: bool,
+    },
+    /// Pause a roll-out: the new version gets no further traffic
+    #[bpaf(command)]
+    Pause {
+        #[bpaf(external)]
+        change: Change,
+        /// Name of the model
+        #[bpaf(positional("MODEL"))]
+        model: String,
+    },
+    /// Remove an object from the configuration
+    #[bpaf(command)]
+    Remove {
+        #[bpaf(external)]
+        change: Change,
+        /// Key of the object
+        #[bpaf(positional("KEY"))]
+        key: String,
+    },
+    /// Take back a withdrawal
+    #[bpaf(command)]
+    Restore {
+        #[bpaf(external)]
+        change: Change,
+        /// Model and version
+        #[bpaf(positional("MODEL@VERSION"))]
+        version: String,
+    },
+    /// Resume a roll-out
+    #[bpaf(command)]
+    Resume {
+        #[bpaf(external)]
+        change: Change,
+        /// Name of the model
+        #[bpaf(positional("MODEL"))]
+        model: String,
+    },
+    /// Introduce a version under a budget of bad answers
+    #[bpaf(command)]
+    Rollout {
+        #[bpaf(external)]
+        change: Change,
+        /// Version to introduce
+        #[bpaf(argument("VERSION"))]
+        to: String,
+        /// Bad answers that may be spent to learn the version's quality
+        #[bpaf(argument("N"), fallback(20), display_fallback)]
+        bad_answers: u32,
+        /// Name of the model
+        #[bpaf(positional("MODEL"))]
+        model: String,
+    },
+    /// Change a key that nodes share, on every member: add, use, then remove the old one
+    #[bpaf(command)]
+    Rotate {
+        /// Keys of links or of session tokens: link or session
+        #[bpaf(positional("RING"))]
+        ring: contract::operator::Ring,
+        /// add, use or remove; the key is read from standard input
+        #[bpaf(positional("STEP"))]
+        step: contract::operator::Step,
+    },
+    /// Show members, zones and versions, and whether the configuration is in force
+    #[bpaf(command)]
+    Status,
+    /// Withdraw a version: it receives no new work
+    #[bpaf(command)]
+    Withdraw {
+        #[bpaf(external)]
+        change: Change,
+        /// Why, for those who read it later
+        #[bpaf(argument("TEXT"), fallback(String::new()))]
+        reason: String,
+        /// Model and version
+        #[bpaf(positional("MODEL@VERSION"))]
+        version: String,
+    },
+    /// Take an availability zone out, or bring it back in
+    #[bpaf(command)]
+    Zone {
+        #[bpaf(external)]
+        change: Change,
+        /// out or in
+        #[bpaf(positional("out|in"))]
+        way: Way,
+        /// Name of the zone
+        #[bpaf(positional("ZONE"))]
+        zone: String,
+    },
+}
+
+/// Direction of a zone.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    In,
+    Out,
+}
+
+/// The direction is neither out nor in.
+#[derive(Debug, thiserror::Error)]
+#[error("expected out or in")]
+pub struct WayError;
+
+impl std::str::FromStr for Way {
+    type Err = WayError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "in" => Ok(Self::In),
+            "out" => Ok(Self::Out),
+            _ => Err(WayError),
+        }
+    }
+}
