--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -7,10 +7,12 @@
 pub mod file;
 #[allow(dead_code, missing_docs)]
 mod generated;
+mod hash;
 mod ids;
 mod key;
 mod object;
 pub mod operator;
+mod owner;
 
 pub use config::Config;
 pub use error::{Error, Fault, Severity};
@@ -18,4 +20,6 @@
     Access, Budget, Contract, Key, Member, Model, Object, Rollout, Route, Service, Task, Version,
     Withdrawal, Zone,
 };
+pub use hash::stable_hash;
 pub use ids::*;
+pub use owner::Owner;
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,1 +1,13 @@
-//! Slots, ramps, retry budgets and load shedding.
+//! What keeps load within bounds: slots, admission, quarantine, retry budgets and spend.
+//!
+//! Nothing here reads a clock, takes a lock or does I/O.
+
+pub mod admission;
+mod error;
+pub mod quarantine;
+pub mod retry;
+pub mod slot;
+pub mod spend;
+pub mod suspect;
+
+pub use error::Refusal;
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,14 @@
+//! The sardinebank node: everything between callers and backend servers.
+
+pub mod app;
+pub mod caller;
+pub mod dispatch;
+mod error;
+pub mod fleet;
+pub mod link;
+mod run;
+mod stop;
+pub mod sync;
+
+pub use error::{Code, Error};
+pub use run::{Error as RunError, run};
--- /dev/null
+++ b/crates/node/src/run.rs
@@ -0,0 +1,105 @@
+//! Starts the parts of a node and stops them in order.
+
+use crate::app::App;
+use crate::sync::{self, Replica};
+use crate::{caller, stop};
+use contract::Member;
+use platform::{table, vms};
+use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
+use settings::node::Settings;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Seconds that connections without a request have to close when the node stops.
+const CONNECTION_GRACE_S: u32 = 1;
+
+/// Renewals within the time of a lease.
+const LEASE_RENEWALS: u32 = 3;
+
+/// Why a node can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A client of the platform can't be built.
+    #[error("client of the platform: {0}")]
+    Platform(#[from] platform::Error),
+    /// The threads can't be started.
+    #[error("threads: {0}")]
+    Runtime(#[source] std::io::Error),
+    /// The HTTP server failed.
+    #[error("HTTP server: {0}")]
+    Http(#[from] Box<rocket::Error>),
+}
+
+/// Runs a node until it is told to stop.
+pub async fn run(settings: Settings) -> Result<(), Error> {
+    let vms = vms::Client::new(vms::Settings {
+        url: settings.vms_url.clone(),
+        ..vms::Settings::default()
+    })?;
+    let table = table::Client::new(table::Settings {
+        url: settings.table_url.clone(),
+        table: settings.table.clone(),
+        ..table::Settings::default()
+    })?;
+    let replica = Replica::new(sync_settings(&settings), table);
+    let app = Arc::new(App::new(settings.clone(), replica));
+    tokio::spawn({
+        let app = Arc::clone(&app);
+        async move { app.fleet.run(&vms, app.settings.vms_poll).await }
+    });
+    tokio::spawn(Arc::clone(&app.replica).run());
+    let rocket = rocket::custom(rocket_config(&settings))
+        .manage(Arc::clone(&app))
+        .mount("/", caller::routes())
+        .register("/", caller::catchers())
+        .ignite()
+        .await
+        .map_err(Box::new)?;
+    let signals = stop::Signals::new().map_err(Error::Runtime)?;
+    tokio::spawn(stop::stop(app, signals, rocket.shutdown()));
+    rocket.launch().await.map_err(Box::new)?;
+    log::info!(event = 1004; "node stopped");
+    Ok(())
+}
+
+fn rocket_config(settings: &Settings) -> RocketConfig {
+    RocketConfig {
+        address: settings.http.ip(),
+        port: settings.http.port(),
+        workers: settings.workers,
+        ident: Ident::none(),
+        log_level: LogLevel::Off,
+        cli_colors: false,
+        shutdown: Shutdown {
+            ctrlc: false,
+            signals: Default::default(),
+            grace: CONNECTION_GRACE_S,
+            mercy: CONNECTION_GRACE_S,
+            ..Shutdown::default()
+        },
+        ..RocketConfig::release_default()
+    }
+}
+
+fn sync_settings(settings: &Settings) -> sync::Settings {
+    sync::Settings {
+        member: Member {
+            node: settings.node.clone(),
+            incarnation: incarnation(),
+            zone: settings.zone.clone(),
+            http: settings.advertise_http.unwrap_or(settings.http).to_string(),
+            link: settings.advertise_link.unwrap_or(settings.link).to_string(),
+            leaving: false,
+        },
+        poll: settings.poll,
+        lease_ttl: settings.lease,
+        lease_interval: settings.lease / LEASE_RENEWALS,
+        ..sync::Settings::default()
+    }
+}
+
+fn incarnation() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
