Plan, rate, escalate and bill requests by the decision crates

Cause: the request path took the cheapest allowed version, never rated an answer, and billed by a log line of its own. Ruled out: billing in each branch; an Account that settles the bill and the budget hold when dropped covers cancelled callers and failures alike. Change: Job (checked request), Leg (a version's turn), Account (open bill and hold), Flight (stream or replay of a held answer); cascades with a rating gate; suspects of crashes told to peers; the reason of a plan on request in a header. Conclusion: bills are not kept yet and slots are this node's own; both wait for their node parts.

--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -2,17 +2,34 @@
 
 use crate::Error;
 use crate::app::{Gate, Keys, Stay};
-use crate::dispatch::{Load, Receipt, Signer};
-use crate::fleet::Fleet;
+use crate::decide::{Decide, Funds};
+use crate::dispatch::{Load, Signer};
+use crate::fleet::{Fleet, Server};
+use crate::link::Hub;
 use crate::sync::Replica;
-use backend::{Pool, Usage};
+use backend::Pool;
 use contract::{Config, CustomerId, Incarnation};
+use ledger::bill::Bill;
+use limits::suspect::{self, Suspects, Verdict};
 use platform::table;
 use settings::node::Settings;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Instant;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 use view::State;
+use wire::Frame;
+
+/// Parts that a node is put together from.
+pub struct Parts {
+    /// The configuration and the members.
+    pub replica: Arc<Replica<table::Client>>,
+    /// Links to other nodes.
+    pub hub: Arc<Hub>,
+    /// Plans, placement and what they learn from.
+    pub decide: Arc<Decide>,
+    /// Shares of customers' budgets.
+    pub funds: Funds<table::Client>,
+}
 
 /// Tables and clients that requests share.
 pub struct App {
@@ -30,6 +47,13 @@
     pub signer: Signer,
     /// The configuration and the members.
     pub replica: Arc<Replica<table::Client>>,
+    /// Links to other nodes.
+    pub hub: Arc<Hub>,
+    /// Plans, placement and what they learn from.
+    pub decide: Arc<Decide>,
+    /// Shares of customers' budgets.
+    pub funds: Funds<table::Client>,
+    suspects: Mutex<Suspects>,
     gate: Arc<Gate>,
     keys: Keys,
     requests: AtomicU64,
@@ -37,8 +61,8 @@
 }
 
 impl App {
-    /// Builds the tables of a node that is starting.
-    pub fn new(settings: Settings, replica: Arc<Replica<table::Client>>) -> Self {
+    /// Puts the parts of a node that is starting together.
+    pub fn new(settings: Settings, parts: Parts) -> Self {
         let limits = backend::Settings {
             connect_timeout: settings.connect_timeout,
             progress_timeout: settings.progress_timeout,
@@ -46,12 +70,16 @@
         };
         Self {
             signer: Signer::new(settings.session_key.iter().map(settings::Secret::expose)),
-            incarnation: replica.incarnation(),
             settings,
-            replica,
+            incarnation: parts.replica.incarnation(),
+            replica: parts.replica,
+            hub: parts.hub,
+            decide: parts.decide,
+            funds: parts.funds,
             fleet: Fleet::default(),
             pool: Pool::new(limits),
             load: Arc::default(),
+            suspects: Mutex::new(Suspects::new(suspect::Settings::default())),
             gate: Arc::default(),
             keys: Keys::default(),
             requests: AtomicU64::new(0),
@@ -104,17 +132,59 @@
     /// Hands over what the node still holds, once its work has ended.
     pub async fn close(&self) {}
 
+    /// Whether a backend server may receive new work: it stays, and its zone is in.
+    pub fn open(&self, config: &Config, server: &Server) -> bool {
+        !server.leaving && !config.zone_out(&server.zone)
+    }
+
+    /// Nodes that share the fleet's limits.
+    pub fn nodes(&self) -> u32 {
+        self.config().members().count().max(1) as u32
+    }
+
+    /// What may be done with a request, by its fingerprint.
+    pub fn verdict(&self, fingerprint: &str) -> Verdict {
+        self.suspects().verdict(Instant::now(), fingerprint)
+    }
+
+    /// Counts a backend server that died under a request, and tells the peers.
+    pub fn suspect(&self, fingerprint: &str, backend: &str) {
+        let now = Instant::now();
+        if !self
+            .suspects()
+            .crash(now, fingerprint, backend, Duration::ZERO)
+        {
+            return;
+        }
+        log::warn!(event = 1302, backend; "connection broke under a request");
+        self.hub.broadcast(&Frame::Suspect(wire::Suspect {
+            fingerprint: fingerprint.to_owned(),
+            backend: backend.to_owned(),
+            age_ms: 0,
+        }));
+    }
+
+    /// Takes in a peer's word that a backend server died under a request.
+    pub fn suspected(&self, suspect: &wire::Suspect) {
+        let age = Duration::from_millis(suspect.age_ms);
+        self.suspects()
+            .crash(Instant::now(), &suspect.fingerprint, &suspect.backend, age);
+    }
+
     /// Bills a request.
-    pub fn bill(&self, customer: &str, receipt: &Receipt, usage: Usage) {
+    pub fn bill(&self, bill: Bill) {
         log::info!(
             event = 1101,
-            request = receipt.request_id.as_str(),
-            customer,
-            model = receipt.model.as_str(),
-            version = receipt.version.as_str(),
-            cost_micros = receipt.cost_micros,
-            tokens = usage.completion_tokens;
-            "request answered"
+            request = bill.request_id.as_str(),
+            customer = bill.customer.as_str(),
+            model = bill.model.as_str(),
+            version = bill.version.as_str(),
+            micros = bill.micros;
+            "request billed"
         );
     }
+
+    fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/node/src/app/mod.rs
+++ b/crates/node/src/app/mod.rs
@@ -4,6 +4,6 @@
 mod keys;
 mod stay;
 
-pub use app::App;
+pub use app::{App, Parts};
 pub use keys::Keys;
 pub use stay::{Gate, Stay};
--- a/crates/node/src/caller/chat.rs
+++ b/crates/node/src/caller/chat.rs
@@ -15,6 +15,9 @@
 /// Header that carries the session token both ways.
 pub(super) const SESSION: &str = "X-Sardinebank-Session";
 
+/// Header by which a caller asks why the plan was chosen.
+const EXPLAIN: &str = "X-Sardinebank-Explain";
+
 /// The session token of a request.
 pub(super) struct Token<'r>(Option<&'r str>);
 
@@ -58,11 +61,13 @@
                 response
                     .header(ContentType::JSON)
                     .sized_body(body.len(), Cursor::new(body));
-                headers(&mut response, &receipt, &session);
+                headers(
+                    &mut response,
+                    &receipt,
+                    &session,
+                    explain(request).then_some(why),
+                );
                 response.raw_header("X-Sardinebank-Cost-Micros", receipt.cost_micros.to_string());
-                if !why.is_empty() {
-                    response.raw_header("X-Sardinebank-Why", why);
-                }
                 response.ok()
             }
             Answer::Stream(flight) => stream(*flight, request),
@@ -73,16 +78,29 @@
 fn stream<'r>(flight: Flight, request: &'r Request<'_>) -> Result<'r> {
     let receipt = flight.receipt.clone();
     let session = flight.session.clone();
+    let why = explain(request).then(|| flight.why.clone());
     let events = ByteStream::from(flight.events()).respond_to(request)?;
     let mut response = Response::build_from(events);
     response
         .header(ContentType::EventStream)
         .raw_header("Cache-Control", "no-cache");
-    headers(&mut response, &receipt, &session);
+    headers(&mut response, &receipt, &session, why);
     response.ok()
 }
 
-fn headers(response: &mut rocket::response::Builder<'_>, receipt: &Receipt, session: &str) {
+fn explain(request: &Request<'_>) -> bool {
+    request.headers().contains(EXPLAIN)
+}
+
+fn headers(
+    response: &mut rocket::response::Builder<'_>,
+    receipt: &Receipt,
+    session: &str,
+    why: Option<String>,
+) {
+    if let Some(why) = why {
+        response.raw_header("X-Sardinebank-Why", why);
+    }
     response
         .raw_header("X-Request-Id", receipt.request_id.clone())
         .raw_header("X-Sardinebank-Model", receipt.model.clone())
--- a/crates/node/src/dispatch/ask.rs
+++ b/crates/node/src/dispatch/ask.rs
@@ -1,8 +1,11 @@
 //! A chat request as the caller sent it.
 
 use crate::Error;
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use bytes::Bytes;
 use serde_json::{Map, Value, json};
+use sha2::{Digest, Sha256};
 
 /// Bytes of text that count as one token where no engine has counted yet.
 const BYTES_PER_TOKEN: usize = 4;
@@ -74,6 +77,15 @@
         serde_json::to_vec(&body).unwrap_or_default().into()
     }
 
+    /// Digest by which a request is known that its caller sends again.
+    pub fn fingerprint(&self, customer: &str) -> String {
+        let mut digest = Sha256::new();
+        digest.update(customer.as_bytes());
+        digest.update([0]);
+        digest.update(serde_json::to_vec(&self.body).unwrap_or_default());
+        URL_SAFE_NO_PAD.encode(digest.finalize())
+    }
+
     /// Estimated tokens of the prompt.
     pub fn prompt_tokens(&self) -> u64 {
         (self.prompt.len() / BYTES_PER_TOKEN + 1) as u64
--- a/crates/node/src/dispatch/chat.rs
+++ b/crates/node/src/dispatch/chat.rs
@@ -2,94 +2,157 @@
 
 use crate::Error;
 use crate::app::App;
-use crate::dispatch::leg::Leg;
-use crate::dispatch::{Answer, Ask, Candidate, Choice, Flight, Receipt, Session, micros, resolve};
+use crate::decide::{Picked, Sample};
+use crate::dispatch::account::Account;
+use crate::dispatch::job::Job;
+use crate::dispatch::leg::{Collected, Leg};
+use crate::dispatch::{Answer, Ask, Flight, Receipt};
 use backend::Ran;
-use contract::Contract;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
-/// Time for a request whose contract names none.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
-
-/// Longest answer in tokens for a request whose contract names none.
-const DEFAULT_MAX_TOKENS: u64 = 1_024;
+/// An answer that was read to its end, and the version that gave it.
+struct Final<'a> {
+    leg: Leg<'a>,
+    collected: Collected,
+}
 
 /// Answers a request of a customer, whole or as a stream that has begun.
 pub async fn chat(
     app: &Arc<App>,
     customer: &str,
     ask: Ask,
-    session: Option<&str>,
+    token: Option<&str>,
 ) -> Result<Answer, Error> {
-    let stay = app.enter()?;
-    let config = app.config();
-    let contract = config.contract(customer).ok_or(Error::Unauthenticated)?;
-    let session = session.map(|token| app.signer.verify(token)).transpose()?;
-    let choice = resolve(&config, contract, &ask.target, session.as_ref())?;
-    let request_id = app.request_id();
-    let candidate = cheapest(&choice);
-    let limit = limit(&choice);
+    let job = Job::new(app, customer, ask, token)?;
+    let picked = job.plan()?;
+    let account = job.open_account(&picked).await?;
+    if job.ask.stream && picked.then.is_none() {
+        return stream(job, &picked, account).await;
+    }
+    collect(job, &picked, account).await
+}
+
+async fn stream(job: Job, picked: &Picked, account: Account) -> Result<Answer, Error> {
+    let candidate = job.candidate(&picked.first)?.clone();
     let leg = Leg {
-        app,
-        ask: &ask,
-        candidate,
-        customer,
-        request_id: &request_id,
-        priority: contract.priority,
-        max_tokens: max_tokens(&ask, &choice),
-        deadline: Instant::now() + limit,
-        limit,
+        job: &job,
+        candidate: &candidate,
     };
-    if ask.stream {
-        let open = leg.open().await?;
-        return Ok(Answer::Stream(Box::new(Flight::new(&leg, open, stay))));
-    }
-    let assembly = leg.collect().await?;
-    let usage = assembly.usage.unwrap_or_default();
+    let open = leg.open().await?;
+    let flight = Flight::open(job, candidate, open, account, picked);
+    Ok(Answer::Stream(Box::new(flight)))
+}
+
+async fn collect(job: Job, picked: &Picked, mut account: Account) -> Result<Answer, Error> {
+    let Final { leg, collected } = run(&job, picked, &mut account).await?;
+    let candidate = leg.candidate.clone();
+    let why = picked.explanation.to_string();
+    let session = job.token(&candidate);
     let receipt = Receipt {
-        request_id: request_id.clone(),
+        request_id: job.request_id.clone(),
         model: candidate.model.clone(),
         version: candidate.version.clone(),
-        cost_micros: micros(&candidate.spec, usage),
+        cost_micros: account.micros(),
         ran: Ran::Yes,
     };
-    app.bill(customer, &receipt, usage);
+    if job.ask.stream {
+        let flight = Flight::replay(job, candidate, collected.chunks, account, receipt, why);
+        return Ok(Answer::Stream(Box::new(flight)));
+    }
     Ok(Answer::Whole {
-        body: assembly.whole(&receipt).to_string(),
-        session: token(app, contract, candidate),
-        why: String::new(),
+        body: collected.assembly.whole(&receipt).to_string(),
         receipt,
+        session,
+        why,
     })
 }
 
-fn cheapest(choice: &Choice) -> &Candidate {
-    let price = |one: &&Candidate| one.spec.input_micros + one.spec.output_micros;
-    choice
-        .candidates
-        .iter()
-        .min_by_key(price)
-        .unwrap_or(&choice.candidates[0])
+/// Runs the first version, and the second where the first fails or is rated bad.
+async fn run<'a>(job: &'a Job, picked: &Picked, account: &mut Account) -> Result<Final<'a>, Error> {
+    let first = leg(job, &picked.first)?;
+    let Some(then) = &picked.then else {
+        let collected = answer(first, account).await?;
+        if picked.rate {
+            job.app.decide.sample(sample(first, &collected, false));
+        }
+        return Ok(Final {
+            leg: first,
+            collected,
+        });
+    };
+    let then = leg(job, then)?;
+    let collected = match answer(first, account).await {
+        Ok(collected) => collected,
+        Err(Error::Capacity(_) | Error::Overloaded { .. } | Error::Backend { .. }) => {
+            let collected = answer(then, account).await?;
+            return Ok(Final {
+                leg: then,
+                collected,
+            });
+        }
+        Err(error) => return Err(error),
+    };
+    let good = job.app.decide.gate(&sample(first, &collected, false)).await;
+    if good != Some(false) {
+        return Ok(Final {
+            leg: first,
+            collected,
+        });
+    }
+    escalate(first, collected, then, account).await
+}
+
+/// Runs the second version; where it can't run, the first answer stands.
+async fn escalate<'a>(
+    first: Leg<'a>,
+    poor: Collected,
+    then: Leg<'a>,
+    account: &mut Account,
+) -> Result<Final<'a>, Error> {
+    match answer(then, account).await {
+        Ok(collected) => {
+            let sample = sample(then, &collected, true);
+            then.job.app.decide.sample(sample);
+            Ok(Final {
+                leg: then,
+                collected,
+            })
+        }
+        Err(error) => {
+            log::warn!(event = 1102; "answer rated bad stands, the better version failed: {error}");
+            Ok(Final {
+                leg: first,
+                collected: poor,
+            })
+        }
+    }
 }
 
-fn limit(choice: &Choice) -> Duration {
-    choice.expected.as_ref().map_or(DEFAULT_DEADLINE, |task| {
-        Duration::from_millis(task.deadline_ms)
-    })
+async fn answer(leg: Leg<'_>, account: &mut Account) -> Result<Collected, Error> {
+    let started = std::time::Instant::now();
+    let collected = leg.collect().await?;
+    let usage = collected.assembly.usage.unwrap_or_default();
+    account.add(leg.priced(usage.prompt_tokens, usage.completion_tokens));
+    leg.job
+        .app
+        .decide
+        .answered(leg.subject(), usage.completion_tokens, started.elapsed());
+    Ok(collected)
 }
 
-fn max_tokens(ask: &Ask, choice: &Choice) -> u64 {
-    let most = choice
-        .expected
-        .as_ref()
-        .map_or(DEFAULT_MAX_TOKENS, |task| u64::from(task.max_tokens));
-    ask.max_tokens.unwrap_or(most).min(most)
+fn leg<'a>(job: &'a Job, name: &(String, String)) -> Result<Leg<'a>, Error> {
+    let candidate = job.candidate(name)?;
+    Ok(Leg { job, candidate })
 }
 
-pub(super) fn token(app: &App, contract: &Contract, candidate: &Candidate) -> String {
-    app.signer.sign(&Session {
-        customer: contract.customer.clone(),
-        model: candidate.model.clone(),
-        version: candidate.version.clone(),
-    })
+fn sample(leg: Leg<'_>, collected: &Collected, escalated: bool) -> Sample {
+    Sample {
+        model: leg.candidate.model.clone(),
+        version: leg.candidate.version.clone(),
+        task: leg.job.choice.task.clone(),
+        customer: leg.job.customer().clone(),
+        escalated,
+        prompt: leg.job.ask.prompt.clone(),
+        answer: collected.assembly.text.clone(),
+    }
 }
--- a/crates/node/src/dispatch/flight.rs
+++ b/crates/node/src/dispatch/flight.rs
@@ -1,10 +1,12 @@
 //! A streamed answer under way.
 
 use crate::Error;
-use crate::app::{App, Stay};
 use crate::caller::Failure;
-use crate::dispatch::leg::{Leg, Open};
-use crate::dispatch::{Candidate, Permit, Receipt, Session, micros};
+use crate::decide::{Picked, Sample};
+use crate::dispatch::account::Account;
+use crate::dispatch::job::Job;
+use crate::dispatch::leg::{Leg, Open, Place};
+use crate::dispatch::{Candidate, Receipt};
 use backend::{Chunk, Ran, Usage};
 use bytes::Bytes;
 use futures::stream::BoxStream;
@@ -12,7 +14,6 @@
 use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::fmt;
-use std::sync::Arc;
 
 /// Last event of every whole stream.
 const DONE: &[u8] = b"data: [DONE]\n\n";
@@ -23,50 +24,76 @@
     pub receipt: Receipt,
     /// Token of the session.
     pub session: String,
-    app: Arc<App>,
+    /// Why the plan was chosen.
+    pub why: String,
+    job: Job,
     candidate: Candidate,
-    customer: String,
-    include_usage: bool,
-    usage: Usage,
-    counted: bool,
-    billed: bool,
+    account: Account,
+    run: Option<Run>,
     ready: VecDeque<Chunk>,
-    rest: Option<BoxStream<'static, Result<Chunk, backend::Error>>>,
-    permit: Option<Permit>,
-    _stay: Stay,
+    ended: bool,
+}
+
+/// A run that goes on at a backend server.
+struct Run {
+    place: Place,
+    rest: BoxStream<'static, Result<Chunk, backend::Error>>,
+    usage: Usage,
+    text: String,
+    rate: bool,
 }
 
 impl Flight {
     /// Takes over a stream that has given its first chunk.
-    pub(super) fn new(leg: &Leg<'_>, open: Open, stay: Stay) -> Self {
-        let candidate = leg.candidate.clone();
-        Self {
-            receipt: Receipt {
-                request_id: leg.request_id.to_owned(),
-                model: candidate.model.clone(),
-                version: candidate.version.clone(),
-                cost_micros: 0,
-                ran: Ran::Yes,
-            },
-            session: leg.app.signer.sign(&Session {
-                customer: leg.customer.to_owned(),
-                model: candidate.model.clone(),
-                version: candidate.version.clone(),
-            }),
-            app: Arc::clone(leg.app),
-            candidate,
-            customer: leg.customer.to_owned(),
-            include_usage: leg.ask.include_usage,
+    pub(super) fn open(
+        job: Job,
+        candidate: Candidate,
+        open: Open,
+        account: Account,
+        picked: &Picked,
+    ) -> Self {
+        let run = Run {
+            place: open.place,
+            rest: open.rest,
             usage: Usage {
-                prompt_tokens: leg.ask.prompt_tokens(),
+                prompt_tokens: job.ask.prompt_tokens(),
                 ..Usage::default()
             },
-            counted: false,
-            billed: false,
-            ready: VecDeque::from([open.first]),
-            rest: Some(open.rest),
-            permit: Some(open.permit),
-            _stay: stay,
+            text: String::new(),
+            rate: picked.rate,
+        };
+        let receipt = Receipt {
+            request_id: job.request_id.clone(),
+            model: candidate.model.clone(),
+            version: candidate.version.clone(),
+            cost_micros: 0,
+            ran: Ran::Yes,
+        };
+        let why = picked.explanation.to_string();
+        let mut flight = Self::replay(job, candidate, vec![open.first], account, receipt, why);
+        flight.run = Some(run);
+        flight
+    }
+
+    /// Streams an answer that was read to its end.
+    pub(super) fn replay(
+        job: Job,
+        candidate: Candidate,
+        chunks: Vec<Chunk>,
+        account: Account,
+        receipt: Receipt,
+        why: String,
+    ) -> Self {
+        Self {
+            session: job.token(&candidate),
+            receipt,
+            why,
+            job,
+            candidate,
+            account,
+            run: None,
+            ready: chunks.into(),
+            ended: false,
         }
     }
 
@@ -86,7 +113,13 @@
                     None => continue,
                 }
             }
-            match self.rest.as_mut()?.next().await {
+            if self.ended {
+                return None;
+            }
+            let Some(run) = &mut self.run else {
+                return Some(self.finish());
+            };
+            match run.rest.next().await {
                 Some(Ok(chunk)) => self.ready.push_back(chunk),
                 Some(Err(source)) => return Some(self.fail(source)),
                 None => return Some(self.finish()),
@@ -95,28 +128,30 @@
     }
 
     fn event(&mut self, chunk: &Chunk) -> Option<Bytes> {
-        if let Some(usage) = chunk.usage {
-            self.usage = usage;
-            self.counted = true;
-            return self.include_usage.then(|| self.usage_event(&chunk.data));
+        if let Some(run) = &mut self.run {
+            run.count(chunk);
         }
-        if !self.counted && !chunk.text.is_empty() {
-            self.usage.completion_tokens += 1;
+        if chunk.usage.is_none() {
+            return Some(data(&chunk.data));
         }
-        Some(data(&chunk.data))
+        self.close_run();
+        self.job
+            .ask
+            .include_usage
+            .then(|| self.usage_event(&chunk.data))
     }
 
-    fn usage_event(&mut self, chunk: &[u8]) -> Bytes {
-        self.price();
+    fn usage_event(&self, chunk: &[u8]) -> Bytes {
         let mut event: Value = serde_json::from_slice(chunk).unwrap_or_default();
         event["sardinebank"] = json!(self.receipt);
         data(event.to_string().as_bytes())
     }
 
     fn finish(&mut self) -> Bytes {
-        self.end();
+        self.close_run();
+        self.ended = true;
         let mut bytes = Vec::new();
-        if !self.include_usage {
+        if !self.job.ask.include_usage {
             // A comment: clients that read only the protocol's events pass over it.
             bytes.extend_from_slice(b": sardinebank ");
             bytes.extend_from_slice(json!(self.receipt).to_string().as_bytes());
@@ -127,33 +162,66 @@
     }
 
     fn fail(&mut self, source: backend::Error) -> Bytes {
-        self.end();
+        if let (Some(run), true) = (&self.run, source.crashed()) {
+            self.job
+                .app
+                .suspect(&self.job.fingerprint, &run.place.backend);
+        }
+        self.close_run();
+        self.ended = true;
         data(Failure(Error::Backend { source }).json().as_bytes())
     }
 
-    fn end(&mut self) {
-        self.rest = None;
-        self.permit = None;
-        self.bill();
-    }
-
-    fn price(&mut self) {
-        self.receipt.cost_micros = micros(&self.candidate.spec, self.usage);
+    /// Ends the run: gives the place back, puts the run on the bill and learns from it.
+    fn close_run(&mut self) {
+        let Some(run) = self.run.take() else {
+            return;
+        };
+        let leg = Leg {
+            job: &self.job,
+            candidate: &self.candidate,
+        };
+        let Usage {
+            prompt_tokens,
+            completion_tokens,
+            ..
+        } = run.usage;
+        self.account
+            .add(leg.priced(prompt_tokens, completion_tokens));
+        self.receipt.cost_micros = self.account.micros();
+        let decide = &self.job.app.decide;
+        decide.answered(leg.subject(), completion_tokens, self.job.started.elapsed());
+        if !run.rate {
+            return;
+        }
+        decide.sample(Sample {
+            model: self.candidate.model.clone(),
+            version: self.candidate.version.clone(),
+            task: self.job.choice.task.clone(),
+            customer: self.job.customer().clone(),
+            escalated: false,
+            prompt: self.job.ask.prompt.clone(),
+            answer: run.text,
+        });
     }
+}
 
-    fn bill(&mut self) {
-        if self.billed {
+impl Run {
+    fn count(&mut self, chunk: &Chunk) {
+        if let Some(usage) = chunk.usage {
+            self.usage = usage;
             return;
         }
-        self.billed = true;
-        self.price();
-        self.app.bill(&self.customer, &self.receipt, self.usage);
+        self.usage.completion_tokens += u64::from(!chunk.text.is_empty());
+        if self.rate {
+            self.text.push_str(&chunk.text);
+        }
     }
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.bill();
+        self.close_run();
     }
 }
 
@@ -166,9 +234,7 @@
 }
 
 fn data(json: &[u8]) -> Bytes {
-    let mut bytes = Vec::with_capacity(json.len() + 8);
-    bytes.extend_from_slice(b"data: ");
-    bytes.extend_from_slice(json);
-    bytes.extend_from_slice(b"\n\n");
-    bytes.into()
+    const PREFIX: &[u8] = b"data: ";
+    const END: &[u8] = b"\n\n";
+    [PREFIX, json, END].concat().into()
 }
--- /dev/null
+++ b/crates/node/src/dispatch/job.rs
@@ -0,0 +1,182 @@
+//! One chat request and all that was found out about it before it runs.
+
+use crate::Error;
+use crate::app::{App, Stay};
+use crate::decide::{Order, Picked, until_renewal};
+use crate::dispatch::account::Account;
+use crate::dispatch::{Ask, Candidate, Choice, Session, resolve};
+use contract::{Contract, CustomerId};
+use limits::suspect::{Fingerprint, Verdict};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time for a request whose contract names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+
+/// Longest answer in tokens for a request whose contract names none.
+const DEFAULT_MAX_TOKENS: u64 = 1_024;
+
+/// A request with its contract and what may answer it.
+pub(super) struct Job {
+    pub(super) app: Arc<App>,
+    pub(super) ask: Ask,
+    pub(super) contract: Contract,
+    pub(super) choice: Choice,
+    pub(super) request_id: String,
+    pub(super) fingerprint: Fingerprint,
+    pub(super) started: Instant,
+    pub(super) limit: Duration,
+    _stay: Stay,
+    session: Option<Session>,
+}
+
+impl Job {
+    /// Checks a request against its contract; nothing has run when it is refused.
+    pub(super) fn new(
+        app: &Arc<App>,
+        customer: &str,
+        ask: Ask,
+        token: Option<&str>,
+    ) -> Result<Self, Error> {
+        let stay = app.enter()?;
+        let config = app.config();
+        let contract = config.contract(customer).ok_or(Error::Unauthenticated)?;
+        let session = token.map(|token| app.signer.verify(token)).transpose()?;
+        let choice = resolve(&config, contract, &ask.target, session.as_ref())?;
+        let fingerprint = ask.fingerprint(customer);
+        if let Verdict::Refused(retry_after) = app.verdict(&fingerprint) {
+            return Err(Error::Crashing {
+                retry_after,
+                ran: backend::Ran::No,
+            });
+        }
+        Ok(Self {
+            app: Arc::clone(app),
+            contract: contract.clone(),
+            request_id: app.request_id(),
+            started: Instant::now(),
+            limit: limit(&choice),
+            choice,
+            ask,
+            fingerprint,
+            _stay: stay,
+            session,
+        })
+    }
+
+    pub(super) fn customer(&self) -> &CustomerId {
+        &self.contract.customer
+    }
+
+    pub(super) fn deadline(&self) -> Instant {
+        self.started + self.limit
+    }
+
+    /// Longest answer in tokens.
+    pub(super) fn max_tokens(&self) -> u64 {
+        let most = match &self.choice.expected {
+            Some(task) => u64::from(task.max_tokens),
+            None => DEFAULT_MAX_TOKENS,
+        };
+        self.ask.max_tokens.unwrap_or(most).min(most)
+    }
+
+    /// Chooses the versions that answer.
+    pub(super) fn plan(&self) -> Result<Picked, Error> {
+        let app = &self.app;
+        let config = app.config();
+        let servers = app.fleet.servers();
+        let offered: Vec<_> = self
+            .choice
+            .candidates
+            .iter()
+            .map(|one| {
+                let ready = servers.iter().any(|server| {
+                    server.runs(&one.model, &one.version) && app.open(&config, server)
+                });
+                ((one.model.as_str(), &one.spec), ready)
+            })
+            .collect();
+        let session = self.session.as_ref();
+        let order = Order {
+            customer: self.customer(),
+            task: &self.choice.task,
+            expected: self.choice.expected.as_ref(),
+            stream: self.ask.stream,
+            left: Some(self.limit),
+            prompt_tokens: self.ask.prompt_tokens(),
+            session: session.map(|one| (one.model.as_str(), one.version.as_str())),
+            funds: app
+                .funds
+                .state(self.customer(), self.contract.spend.as_ref()),
+            nodes: app.nodes(),
+        };
+        app.decide
+            .plan(&config, &order, &offered)
+            .map_err(|refusal| self.refuse(refusal))
+    }
+
+    /// Opens the bill, and sets money aside where the contract has a budget.
+    pub(super) async fn open_account(&self, picked: &Picked) -> Result<Account, Error> {
+        let app = &self.app;
+        let hold = match &self.contract.spend {
+            None => None,
+            Some(budget) => {
+                let micros = picked.cost.ceil() as u64;
+                let held = app.funds.hold(self.customer(), budget, micros, app.nodes());
+                Some(held.await.map_err(|refusal| match refusal {
+                    limits::Refusal::Unfunded => Error::Platform,
+                    _ => Error::Spent {
+                        retry_after: until_renewal(budget),
+                    },
+                })?)
+            }
+        };
+        Ok(Account::new(app, self.customer(), &self.request_id, hold))
+    }
+
+    /// The candidate of a model and version.
+    pub(super) fn candidate(
+        &self,
+        (model, version): &(String, String),
+    ) -> Result<&Candidate, Error> {
+        self.choice
+            .candidates
+            .iter()
+            .find(|one| one.model == *model && one.version == *version)
+            .ok_or_else(|| Error::Forbidden(format!("{model}@{version}")))
+    }
+
+    /// Token of the session that continues on a version.
+    pub(super) fn token(&self, candidate: &Candidate) -> String {
+        self.app.signer.sign(&Session {
+            customer: self.customer().clone(),
+            model: candidate.model.clone(),
+            version: candidate.version.clone(),
+        })
+    }
+
+    fn refuse(&self, refusal: policy::Refusal) -> Error {
+        match refusal {
+            policy::Refusal::Budget { .. } => Error::Spent {
+                retry_after: self
+                    .contract
+                    .spend
+                    .as_ref()
+                    .map_or(Duration::ZERO, until_renewal),
+            },
+            policy::Refusal::Forbidden => Error::Forbidden(self.ask.target.clone()),
+            policy::Refusal::Session { model, version } => {
+                Error::Withdrawn(format!("{model}@{version}"))
+            }
+            policy::Refusal::Unavailable => Error::Capacity(self.ask.target.clone()),
+        }
+    }
+}
+
+fn limit(choice: &Choice) -> Duration {
+    match &choice.expected {
+        Some(task) => Duration::from_millis(task.deadline_ms),
+        None => DEFAULT_DEADLINE,
+    }
+}
--- a/crates/node/src/dispatch/leg.rs
+++ b/crates/node/src/dispatch/leg.rs
@@ -1,182 +1,300 @@
 //! One version's turn at a request: finds a backend server, sends, and retries before the first chunk.
 
 use crate::Error;
-use crate::app::App;
-use crate::dispatch::{Ask, Assembly, Candidate, Permit};
-use crate::fleet::Server;
+use crate::decide::{Entry, Pass};
+use crate::dispatch::job::Job;
+use crate::dispatch::{Assembly, Candidate, Load, Permit};
 use backend::{Chat, Chunk, Engine, Ran};
 use contract::BackendId;
 use futures::StreamExt;
 use futures::stream::BoxStream;
-use std::sync::Arc;
+use ledger::bill;
+use policy::place;
+use policy::quality::Subject;
 use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
 
 /// Backend servers that one request may be sent to for one version.
 const MAX_ATTEMPTS: usize = 3;
 
-/// What a leg needs to know of its request.
+/// Expected time of an answer before any was seen.
+const UNKNOWN_DURATION: Duration = Duration::from_millis(500);
+
+/// A version's turn at a request.
 #[derive(Clone, Copy)]
-pub struct Leg<'a> {
-    /// Tables of the node.
-    pub app: &'a Arc<App>,
-    /// The request.
-    pub ask: &'a Ask,
-    /// The version whose turn it is.
-    pub candidate: &'a Candidate,
-    /// Customer who asks.
-    pub customer: &'a str,
-    /// Name of the request.
-    pub request_id: &'a str,
-    /// Priority at the engine.
-    pub priority: u8,
-    /// Longest answer in tokens.
-    pub max_tokens: u64,
-    /// When the answer is no longer of use.
-    pub deadline: Instant,
-    /// Time that the request had in all.
-    pub limit: Duration,
+pub(super) struct Leg<'a> {
+    pub(super) job: &'a Job,
+    pub(super) candidate: &'a Candidate,
 }
 
 /// A stream that has given its first chunk.
-pub struct Open {
-    /// Keeps the place at the backend server.
-    pub permit: Permit,
-    /// First chunk.
-    pub first: Chunk,
-    /// Chunks after the first.
-    pub rest: BoxStream<'static, Result<Chunk, backend::Error>>,
+pub(super) struct Open {
+    pub(super) place: Place,
+    pub(super) first: Chunk,
+    pub(super) rest: BoxStream<'static, Result<Chunk, backend::Error>>,
+}
+
+/// A place at a backend server; it is given back when dropped.
+pub(super) struct Place {
+    pub(super) backend: BackendId,
+    _permit: Permit,
+    _pass: Pass,
+}
+
+/// An answer that was read to its end.
+#[derive(Default)]
+pub(super) struct Collected {
+    pub(super) assembly: Assembly,
+    pub(super) chunks: Vec<Chunk>,
 }
 
 impl Leg<'_> {
     /// Opens a stream, trying other backend servers while nothing has been delivered.
-    pub async fn open(&self) -> Result<Open, Error> {
+    pub(super) async fn open(&self) -> Result<Open, Error> {
+        let mut tried = Vec::new();
+        self.open_untried(&mut tried).await
+    }
+
+    /// Opens a stream and reads it to its end, starting again elsewhere when it breaks.
+    pub(super) async fn collect(&self) -> Result<Collected, Error> {
         let mut tried = Vec::new();
+        loop {
+            let open = self.open_untried(&mut tried).await?;
+            match self.read(open).await {
+                Ok(collected) => return Ok(collected),
+                Err(error @ Error::Backend { .. }) => {
+                    if !self.may_retry(&tried) {
+                        return Err(error);
+                    }
+                }
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// What a run of this version costs.
+    pub(super) fn priced(&self, input_tokens: u64, output_tokens: u64) -> bill::Leg {
+        let Candidate {
+            model,
+            version,
+            spec,
+        } = self.candidate;
+        bill::Leg {
+            model: model.clone(),
+            version: version.clone(),
+            input_tokens,
+            output_tokens,
+            input_micros: spec.input_micros,
+            output_micros: spec.output_micros,
+        }
+    }
+
+    /// What answers of this version are counted under.
+    pub(super) fn subject(&self) -> Subject<'_> {
+        Subject {
+            model: &self.candidate.model,
+            version: &self.candidate.version,
+            task: &self.job.choice.task,
+            customer: self.job.customer(),
+        }
+    }
+
+    async fn open_untried(&self, tried: &mut Vec<BackendId>) -> Result<Open, Error> {
         let mut last = None;
-        while tried.len() < MAX_ATTEMPTS {
-            let Some((server, permit)) = self.place(&tried) else {
-                break;
+        loop {
+            let place = match self.place(tried).await {
+                Ok(place) => place,
+                Err(error) => return Err(last.unwrap_or(error)),
             };
-            tried.push(server.id.clone());
-            match self.attempt(server, permit).await {
+            tried.push(place.backend.clone());
+            match self.attempt(place).await {
                 Ok(open) => return Ok(open),
                 Err(
                     error @ Error::Backend {
                         source: backend::Error::Rejected { .. },
                     },
                 ) => return Err(error),
-                Err(error @ Error::Backend { .. }) => last = Some(error),
+                Err(error @ Error::Backend { .. }) => {
+                    if !self.may_retry(tried) {
+                        return Err(error);
+                    }
+                    last = Some(error);
+                }
                 Err(error) => return Err(error),
             }
         }
-        Err(last.unwrap_or_else(|| Error::Capacity(self.candidate.served())))
     }
 
-    /// Opens a stream and reads it to its end, starting again elsewhere when it breaks.
-    pub async fn collect(&self) -> Result<Assembly, Error> {
-        let mut last = None;
-        for _ in 0..MAX_ATTEMPTS {
-            match self.read(self.open().await?).await {
-                Ok(assembly) => return Ok(assembly),
-                Err(error @ Error::Backend { .. }) => last = Some(error),
-                Err(error) => return Err(error),
-            }
-        }
-        Err(last.unwrap_or_else(|| Error::Capacity(self.candidate.served())))
+    fn may_retry(&self, tried: &[BackendId]) -> bool {
+        tried.len() < MAX_ATTEMPTS && self.job.app.decide.may_retry()
     }
 
-    async fn read(&self, open: Open) -> Result<Assembly, Error> {
+    async fn read(&self, open: Open) -> Result<Collected, Error> {
         let Open {
-            permit,
+            place,
             first,
             mut rest,
-            ..
         } = open;
-        let mut assembly = Assembly::default();
-        let failed = |source| Error::Backend { source };
-        assembly.add(&first).map_err(failed)?;
+        let mut collected = Collected::default();
+        self.take(&mut collected, first)?;
         while let Some(chunk) = self.in_time(rest.next()).await? {
-            assembly.add(&chunk.map_err(failed)?).map_err(failed)?;
+            let chunk = chunk.inspect_err(|error| self.suspect(&place.backend, error));
+            self.take(&mut collected, chunk.map_err(failed)?)?;
         }
-        drop(permit);
-        Ok(assembly)
+        Ok(collected)
+    }
+
+    fn take(&self, collected: &mut Collected, chunk: Chunk) -> Result<(), Error> {
+        collected.assembly.add(&chunk).map_err(failed)?;
+        if self.job.ask.stream {
+            collected.chunks.push(chunk);
+        }
+        Ok(())
     }
 
-    fn place(&self, tried: &[BackendId]) -> Option<(Server, Permit)> {
-        let config = self.app.config();
+    async fn place(&self, tried: &[BackendId]) -> Result<Place, Error> {
+        let app = &self.job.app;
+        let none = || Error::Capacity(self.candidate.served());
+        let served = self.candidate.served();
+        let pass = app.decide.door.enter(self.entry(&served, tried));
+        let pass = pass.await.map_err(|refusal| match refusal {
+            limits::Refusal::Full { retry_after } | limits::Refusal::Late { retry_after, .. } => {
+                Error::Overloaded { retry_after }
+            }
+            _ => none(),
+        })?;
+        let backend = self.choose(tried).ok_or_else(none)?;
+        let permit =
+            Load::enter(&app.load, &backend, self.candidate.spec.slots).ok_or_else(none)?;
+        Ok(Place {
+            backend,
+            _permit: permit,
+            _pass: pass,
+        })
+    }
+
+    fn entry<'b>(&'b self, served: &'b str, tried: &[BackendId]) -> Entry<'b> {
+        let app = &self.job.app;
         let Candidate {
             model,
             version,
             spec,
         } = self.candidate;
-        let mut servers: Vec<_> = self
-            .app
-            .fleet
-            .servers()
+        let config = app.config();
+        let servers = app.fleet.servers();
+        let open = servers
             .iter()
-            .filter(|one| one.runs(model, version))
-            .filter(|one| !one.leaving && !config.zone_out(&one.zone))
+            .filter(|one| one.runs(model, version) && app.open(&config, one))
             .filter(|one| !tried.contains(&one.id))
-            .cloned()
-            .collect();
-        servers.sort_by_key(|one| self.app.load.at(&one.id));
-        servers.into_iter().find_map(|server| {
-            let permit = crate::dispatch::Load::enter(&self.app.load, &server.id, spec.slots)?;
-            Some((server, permit))
+            .count();
+        let expected = app.decide.durations(self.subject());
+        Entry {
+            pool: served,
+            capacity: spec.slots.saturating_mul(open as u32),
+            customer: self.job.customer(),
+            priority: self.job.contract.priority,
+            weight: self.job.contract.weight,
+            deadline: self.job.deadline(),
+            expected: expected.map_or(UNKNOWN_DURATION, |(usual, _)| usual),
+        }
+    }
+
+    fn choose(&self, tried: &[BackendId]) -> Option<BackendId> {
+        let app = &self.job.app;
+        let Candidate {
+            model,
+            version,
+            spec,
+        } = self.candidate;
+        let config = app.config();
+        let servers = app.fleet.servers();
+        let query = place::Query {
+            key: Some(place::prefix(self.job.customer(), &self.job.ask.prompt)),
+            zone: &app.settings.zone,
+            preferred: None,
+            avoid: tried.last().map(String::as_str),
+        };
+        app.decide.place(&servers, (model, version), &query, |id| {
+            let server = servers.iter().find(|one| one.id == id)?;
+            if tried.iter().any(|one| one == id) || !app.open(&config, server) {
+                return None;
+            }
+            let own = app.load.at(id);
+            let free = spec.slots.checked_sub(own).filter(|free| *free > 0)?;
+            Some(place::Load {
+                free,
+                capacity: spec.slots,
+                unreported: own,
+                ..place::Load::default()
+            })
         })
     }
 
-    async fn attempt(&self, server: Server, permit: Permit) -> Result<Open, Error> {
+    async fn attempt(&self, place: Place) -> Result<Open, Error> {
         self.check()?;
+        let job = self.job;
         let chat = Chat {
-            body: self
-                .ask
-                .engine_body(&self.candidate.served(), self.priority, self.max_tokens),
-            request_id: self.request_id.to_owned(),
-            customer: self.customer.to_owned(),
+            body: job.ask.engine_body(
+                &self.candidate.served(),
+                job.contract.priority,
+                job.max_tokens(),
+            ),
+            request_id: job.request_id.clone(),
+            customer: job.customer().clone(),
             fence: 0,
         };
-        let failed = |source| Error::Backend { source };
-        let engine = Engine::new(&self.app.pool);
-        let call = engine.chat(&server.id, chat);
-        let mut rest = self.in_time(call).await?.map_err(failed)?.boxed();
+        let engine = Engine::new(&job.app.pool);
+        let call = engine.chat(&place.backend, chat);
+        let opened = self.in_time(call).await?;
+        let opened = opened.inspect_err(|error| self.suspect(&place.backend, error));
+        let mut rest = opened.map_err(failed)?.boxed();
         let first = self
             .in_time(rest.next())
             .await?
-            .unwrap_or(Err(backend::Error::Truncated))
-            .map_err(failed)?;
+            .unwrap_or(Err(backend::Error::Truncated));
+        let first = first.inspect_err(|error| self.suspect(&place.backend, error));
         Ok(Open {
-            permit,
-            first,
+            place,
+            first: first.map_err(failed)?,
             rest,
         })
     }
 
+    fn suspect(&self, backend: &str, error: &backend::Error) {
+        if error.crashed() {
+            self.job.app.suspect(&self.job.fingerprint, backend);
+        }
+    }
+
     /// The last look before bytes leave.
     fn check(&self) -> Result<(), Error> {
+        let app = &self.job.app;
         let now = Instant::now();
-        self.app.replica.may_start(now).map_err(|_| Error::Stale)?;
-        let config = self.app.config();
+        app.replica.may_start(now).map_err(|_| Error::Stale)?;
         let Candidate { model, version, .. } = self.candidate;
-        if config.withdrawn(model, version) {
+        if app.config().withdrawn(model, version) {
             return Err(Error::Withdrawn(self.candidate.served()));
         }
-        if now >= self.deadline {
+        if now >= self.job.deadline() {
             return Err(self.late(Ran::No));
         }
         Ok(())
     }
 
     async fn in_time<T>(&self, work: impl Future<Output = T>) -> Result<T, Error> {
-        timeout_at(self.deadline.into(), work)
+        timeout_at(self.job.deadline().into(), work)
             .await
             .map_err(|_| self.late(Ran::Unknown))
     }
 
     fn late(&self, ran: Ran) -> Error {
         Error::Deadline {
-            limit: self.limit,
+            limit: self.job.limit,
             ran,
         }
     }
 }
+
+fn failed(source: backend::Error) -> Error {
+    Error::Backend { source }
+}
--- a/crates/node/src/dispatch/mod.rs
+++ b/crates/node/src/dispatch/mod.rs
@@ -1,11 +1,12 @@
 //! Carries a request from its contract to a backend server and back.
 
+mod account;
 mod answer;
 mod ask;
 mod assembly;
 mod chat;
-mod cost;
 mod flight;
+mod job;
 mod leg;
 mod place;
 mod service;
@@ -16,7 +17,6 @@
 pub use ask::Ask;
 pub use assembly::Assembly;
 pub use chat::chat;
-pub use cost::micros;
 pub use flight::Flight;
 pub use place::{Load, Permit};
 pub use service::{Request, service};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod dispatch;
 mod error;
 pub mod fleet;
+mod inbox;
 pub mod link;
 mod run;
 mod stop;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,10 +1,12 @@
 //! Starts the parts of a node and stops them in order.
 
-use crate::app::App;
+use crate::app::{App, Parts};
+use crate::decide::{self, Decide, Funds};
+use crate::link::{self, Hub};
 use crate::sync::{self, Replica};
-use crate::{caller, stop};
+use crate::{caller, inbox, stop};
 use contract::Member;
-use platform::{table, vms};
+use platform::{ratings, table, vms};
 use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
 use settings::node::Settings;
 use std::sync::Arc;
@@ -36,18 +38,17 @@
         url: settings.vms_url.clone(),
         ..vms::Settings::default()
     })?;
-    let table = table::Client::new(table::Settings {
-        url: settings.table_url.clone(),
-        table: settings.table.clone(),
-        ..table::Settings::default()
-    })?;
-    let replica = Replica::new(sync_settings(&settings), table);
-    let app = Arc::new(App::new(settings.clone(), replica));
+    let app = Arc::new(App::new(settings.clone(), parts(&settings)?));
     tokio::spawn({
         let app = Arc::clone(&app);
         async move { app.fleet.run(&vms, app.settings.vms_poll).await }
     });
     tokio::spawn(Arc::clone(&app.replica).run());
+    tokio::spawn(inbox::run(Arc::clone(&app)));
+    tokio::spawn({
+        let app = Arc::clone(&app);
+        async move { app.decide.run(|frame| app.hub.broadcast(&frame)).await }
+    });
     let rocket = rocket::custom(rocket_config(&settings))
         .manage(Arc::clone(&app))
         .mount("/", caller::routes())
@@ -62,6 +63,36 @@
     Ok(())
 }
 
+fn parts(settings: &Settings) -> Result<Parts, Error> {
+    let table = || {
+        table::Client::new(table::Settings {
+            url: settings.table_url.clone(),
+            table: settings.table.clone(),
+            timeout: settings.platform_timeout,
+            ..table::Settings::default()
+        })
+    };
+    let ratings = ratings::Client::new(ratings::Settings {
+        url: settings.ratings_url.clone(),
+        ..ratings::Settings::default()
+    })?;
+    let sync = sync_settings(settings);
+    let incarnation = sync.member.incarnation;
+    let node = settings.node.clone();
+    let name = format!("{node}-{incarnation}");
+    let decisions = decide::Settings::default();
+    let keys = settings.link_key.iter().map(|key| key.expose().to_owned());
+    Ok(Parts {
+        replica: Replica::new(sync, table()?),
+        hub: Hub::new(link::Settings {
+            keys: keys.collect(),
+            ..link::Settings::default()
+        }),
+        funds: Funds::new(decisions.spend.clone(), table()?, name),
+        decide: Arc::new(Decide::new(decisions, node, incarnation, ratings)),
+    })
+}
+
 fn rocket_config(settings: &Settings) -> RocketConfig {
     RocketConfig {
         address: settings.http.ip(),
