Count the wait before a version's backend servers in plans

Cause: a plan for a version whose queue is long misses its deadline although another version is idle. Ruled out: marking a version with a queue as not ready, which turns a short wait into a refusal. Change: an offer carries the expected wait; admission queues tell it for a customer and priority.

--- a/crates/limits/src/admission/queue.rs
+++ b/crates/limits/src/admission/queue.rs
@@ -132,7 +132,7 @@
             self.running += 1;
             return Ok(Offer::Run);
         }
-        let order = self.peek(&request);
+        let order = self.place(request.customer, request.priority);
         self.check(now, &request, self.wait(order, request.expected))?;
         if self.waiting.len() < self.settings.waiting {
             self.enqueue(request);
@@ -190,6 +190,21 @@
         self.run_time = Some(before + SMOOTHING * (took - before));
     }
 
+    /// Expected wait of a request of a customer and priority that would come now.
+    ///
+    /// ```
+    /// # use limits::admission::{Queue, Settings};
+    /// let queue = Queue::new(Settings::default(), 1);
+    /// assert_eq!(queue.expected_wait("c", 5), std::time::Duration::ZERO);
+    /// ```
+    pub fn expected_wait(&self, customer: &str, priority: u8) -> Duration {
+        let free = self.running < self.capacity && self.waiting.is_empty();
+        if free {
+            return Duration::ZERO;
+        }
+        self.wait(self.place(customer, priority), Duration::ZERO)
+    }
+
     fn check(&self, now: Instant, request: &Request, wait: Duration) -> Result<(), Refusal> {
         let left = request.deadline.saturating_duration_since(now);
         let needed = wait + request.expected;
@@ -211,12 +226,12 @@
         Duration::from_secs_f64(run_time * rounds)
     }
 
-    fn peek(&self, request: &Request) -> Order {
-        let clock = self.clocks[usize::from(request.priority)];
-        let key = (request.priority, request.customer.to_owned());
+    fn place(&self, customer: &str, priority: u8) -> Order {
+        let clock = self.clocks[usize::from(priority)];
+        let key = (priority, customer.to_owned());
         let last = self.flows.get(&key).copied().unwrap_or(0);
         Order {
-            priority: request.priority,
+            priority,
             tag: clock.max(last),
             sequence: self.sequence,
         }
@@ -224,7 +239,7 @@
 
     /// Gives a request its place and moves the customer's tag on.
     fn order(&mut self, request: &Request) -> Order {
-        let order = self.peek(request);
+        let order = self.place(request.customer, request.priority);
         self.sequence += 1;
         if self.flows.len() >= MAX_FLOWS {
             let clocks = &self.clocks;
--- a/crates/node/src/decide/decide.rs
+++ b/crates/node/src/decide/decide.rs
@@ -101,6 +101,7 @@
                 model,
                 version,
                 ready: *ready,
+                wait: self.wait(order, model, &version.name),
             })
             .collect();
         let query = Query {
@@ -252,6 +253,12 @@
         }
     }
 
+    fn wait(&self, order: &Order, model: &str, version: &str) -> Duration {
+        let pool = format!("{model}@{version}");
+        self.door
+            .expected_wait(&pool, order.customer, order.priority)
+    }
+
     fn configure(&self, now: Instant, planner: &mut Planner, config: &Config) {
         let revision = config.revision();
         if self.configured.swap(revision, Ordering::Relaxed) != revision {
--- a/crates/node/src/decide/door.rs
+++ b/crates/node/src/decide/door.rs
@@ -6,6 +6,7 @@
 use limits::Refusal;
 use limits::admission::Settings;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 /// The queues before all pools.
 ///
@@ -45,6 +46,11 @@
         Lane::enter(&lane, entry).await
     }
 
+    /// Expected wait of a customer's next request before a pool.
+    pub fn expected_wait(&self, pool: &str, customer: &str, priority: u8) -> Duration {
+        self.lane(pool).expected_wait(customer, priority)
+    }
+
     /// Requests that run and wait at a pool.
     pub fn counts(&self, pool: &str) -> (u32, usize) {
         self.lane(pool).counts()
--- a/crates/node/src/decide/lane.rs
+++ b/crates/node/src/decide/lane.rs
@@ -84,6 +84,10 @@
         }
     }
 
+    pub(super) fn expected_wait(&self, customer: &str, priority: u8) -> Duration {
+        self.lock().queue.expected_wait(customer, priority)
+    }
+
     pub(super) fn counts(&self) -> (u32, usize) {
         let state = self.lock();
         (state.queue.running(), state.queue.waiting())
--- a/crates/node/src/decide/order.rs
+++ b/crates/node/src/decide/order.rs
@@ -29,6 +29,8 @@
     pub session: Option<(&'a str, &'a str)>,
     /// What is left of the customer's budget.
     pub funds: Funds,
+    /// 0 goes first, 9 last.
+    pub priority: u8,
     /// Nodes of the fleet.
     pub nodes: u32,
 }
@@ -69,6 +71,7 @@
             prompt_tokens: 0,
             session: None,
             funds: Funds::Ample,
+            priority: 5,
             nodes: 1,
         }
     }
--- a/crates/policy/src/planner/planner.rs
+++ b/crates/policy/src/planner/planner.rs
@@ -51,7 +51,9 @@
     ///     r#"{"name":"1","input_micros":100,"output_micros":400,"quality":0.97}"#)?;
     /// let mut planner = Planner::new(Settings::default());
     /// let mut rng = SmallRng::seed_from_u64(1);
-    /// let offers = [Offer { model: "small", version: &version, ready: true }];
+    /// let offers = [Offer {
+    ///     model: "small", version: &version, ready: true, wait: Default::default(),
+    /// }];
     /// let decision = planner.plan(
     ///     std::time::Instant::now(), &Query::default(), &offers, &mut rng);
     /// assert_eq!(decision.map(|one| one.plan.shape.first()), Ok(0));
@@ -218,8 +220,8 @@
             model: offer.model,
             version: &offer.version.name,
             cost: profile.cost(offer.version, query.prompt_tokens),
-            latency: profile.latency(),
-            tail: profile.tail(),
+            latency: offer.wait + profile.latency(),
+            tail: offer.wait + profile.tail(),
             quality: self.knowledge.quality(now, query, offer),
             escalated: self.knowledge.escalated(now, query, offer),
             ready: offer.ready,
--- a/crates/policy/src/planner/query.rs
+++ b/crates/policy/src/planner/query.rs
@@ -13,6 +13,8 @@
     pub version: &'a Version,
     /// Whether a backend server of the version takes requests now.
     pub ready: bool,
+    /// Expected wait before the version's backend servers.
+    pub wait: Duration,
 }
 
 /// A request that needs a plan.
