--- a/crates/standin/src/fleet/node.rs
+++ b/crates/standin/src/fleet/node.rs
@@ -141,7 +141,7 @@
             ("--advertise-link", self.link.address().to_string()),
             ("--table-url", self.table.url()),
             ("--store-url", self.store.url()),
-            ("--vms-url", self.vms.url()),
+            ("--vms-url", format!("{}/v1/vms", self.vms.url())),
             ("--ratings-url", self.ratings.url()),
             ("--operator-key", OPERATOR_KEY.to_owned()),
             ("--link-key", LINK_KEY.to_owned()),
--- a/crates/standin/src/fleet/running.rs
+++ b/crates/standin/src/fleet/running.rs
@@ -53,8 +53,11 @@
             log,
             changes: AtomicU64::new(0),
         };
+        let objects = sample();
+        fleet.platform.seed(&objects)?;
+        fleet.log_sample(&objects);
         fleet.start_nodes().await?;
-        fleet.configure().await?;
+        fleet.wait_serving().await?;
         Ok(fleet)
     }
 
@@ -243,30 +246,26 @@
         Ok(())
     }
 
-    /// Applies the sample configuration and waits until every node answers a completion.
-    async fn configure(&self) -> Result<(), Error> {
-        for object in sample() {
-            let intent = match &object {
-                Object::Contract(contract) => Intent::Allow {
+    /// Writes down the sample configuration, which is in place from the start.
+    fn log_sample(&self, objects: &[Object]) {
+        for object in objects {
+            let Object::Contract(contract) = object else {
+                continue;
+            };
+            let at_ms = unix_ms();
+            self.log.change(Change {
+                id: "seed".to_owned(),
+                intent: Intent::Allow {
                     customer: contract.customer.clone(),
                     models: contract.models.clone(),
                 },
-                _ => Intent::Other,
-            };
-            let deadline = Instant::now() + READY_LIMIT;
-            while self
-                .change(0, Edit::Put(object.clone()), intent.clone())
-                .await
-                .accepted_ms
-                .is_none()
-            {
-                if Instant::now() > deadline {
-                    return Err(Error::Timeout("sample configuration"));
-                }
-                tokio::time::sleep(READY_PAUSE).await;
-            }
+                sent_ms: at_ms,
+                accepted_ms: Some(at_ms),
+                in_force_ms: None,
+                revision: Some(1),
+                rejected: false,
+            });
         }
-        self.wait_serving().await
     }
 
     async fn wait_serving(&self) -> Result<(), Error> {
--- a/crates/standin/src/table/server.rs
+++ b/crates/standin/src/table/server.rs
@@ -103,6 +103,11 @@
         self.shared.lock().store.clone()
     }
 
+    /// Executes a write of this process, outside all faults and limits.
+    pub fn write(&self, write: &Write) -> bool {
+        self.shared.lock().store.write(write).is_ok()
+    }
+
     /// Counts so far.
     pub fn stats(&self) -> Stats {
         self.shared.lock().stats
