node: operators' routes, and rotation of shared keys without a restart

Cause: sardinectl had nothing to talk to, and keys could be changed by restarts only. Ruled out: keeping link and session keys in the configuration, where every reader of the table could join the fleet or sign sessions (a digest isn't enough to send or sign); re-reading the environment, which a running process can't. Change: /operator/v1 changes, changes/<id>, objects, status, dump and keys, each with one typed body for refusals. A change is checked against the whole resulting configuration; members are written by nodes only. Operators are named by the bootstrap keys of the settings or by `access` objects, compared in constant time. `settings::Ring` holds the keys of links and of session tokens; `sardinectl rotate` takes the steps add, use, remove on every member. Outside my folders: App holds both rings, the signer reads its ring, run.rs mounts the routes, caller exports `bearer` and the body reader. The order of guards and bodies of callers is unchanged. Conclusion: links should take their keys from `App::link_keys` so that rotation reaches them.

--- a/crates/ctl/src/change.rs
+++ b/crates/ctl/src/change.rs
@@ -61,6 +61,9 @@
         let limit = Duration::from_millis(options.wait_ms);
         outcome = wait(client, outcome, limit).await?;
     }
+    if outcome.state == State::Written {
+        return Err(Error::Waiting(Box::new(outcome)));
+    }
     output.show(&outcome, || describe(&outcome));
     Ok(())
 }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -61,8 +61,8 @@
         /// What was tried.
         attempts: Vec<Attempt>,
     },
-    /// The change was accepted but isn't in force everywhere yet.
-    #[error("change {} is accepted but not in force; outstanding: {}", .0.change, .0.outstanding.join(", "))]
+    /// The change is in the log, and not accepted or, with --wait, not in force everywhere yet.
+    #[error("{}", crate::change::describe(.0))]
     Waiting(Box<Outcome>),
     /// A shared key was changed on some members only.
     #[error("the key was not changed on {}; repeat the command, it does no harm where it worked", .0.join(", "))]
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -21,7 +21,7 @@
 }
 
 const FOOTER: &str = "Exit status: 0 done, 1 wrong usage, 2 refused or invalid, 3 conflict with another change, \
-4 no node reached, 5 outcome unknown (ask again with the same change id), 6 accepted but not in force when the wait ended.";
+4 no node reached, 5 outcome unknown (ask again with the same change id), 6 written, but not accepted (or, with --wait, not in force) when the wait ended.";
 
 /// Nodes and the key that they ask for.
 #[derive(Bpaf, Clone, Debug)]
--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -8,6 +8,7 @@
 use backend::{Pool, Usage};
 use contract::{Config, CustomerId, Incarnation};
 use platform::table;
+use settings::Ring;
 use settings::node::Settings;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -26,6 +27,10 @@
     pub pool: Pool,
     /// Own requests in flight.
     pub load: Arc<Load>,
+    /// Keys that sign session tokens.
+    pub session_keys: Ring,
+    /// Keys shared by nodes.
+    pub link_keys: Ring,
     /// Session tokens.
     pub signer: Signer,
     /// The configuration and the members.
@@ -44,8 +49,11 @@
             progress_timeout: settings.progress_timeout,
             ..backend::Settings::default()
         };
+        let session_keys = Ring::new(settings.session_key.clone());
         Self {
-            signer: Signer::new(settings.session_key.iter().map(settings::Secret::expose)),
+            signer: Signer::new(session_keys.clone()),
+            session_keys,
+            link_keys: Ring::new(settings.link_key.clone()),
             incarnation: replica.incarnation(),
             settings,
             replica,
--- a/crates/node/src/caller/body.rs
+++ b/crates/node/src/caller/body.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 
 /// Reads a whole body.
-pub(super) async fn read(data: Data<'_>, limit: usize, time: Duration) -> Result<Bytes, Error> {
+pub(crate) async fn read(data: Data<'_>, limit: usize, time: Duration) -> Result<Bytes, Error> {
     let body = data.open(limit.bytes()).into_bytes();
     let body = timeout(time, body)
         .await
--- a/crates/node/src/caller/mod.rs
+++ b/crates/node/src/caller/mod.rs
@@ -9,9 +9,11 @@
 mod models;
 mod service;
 
+pub(crate) use body::read as read_body;
 pub use catch::catchers;
 pub use failure::Failure;
 pub use key::Caller;
+pub(crate) use key::bearer;
 
 /// All routes for callers.
 pub fn routes() -> Vec<rocket::Route> {
--- a/crates/node/src/dispatch/session.rs
+++ b/crates/node/src/dispatch/session.rs
@@ -6,6 +6,7 @@
 use contract::{CustomerId, ModelId, VersionId};
 use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
+use settings::{Ring, Secret};
 use sha2::Sha256;
 
 /// What a session keeps.
@@ -22,15 +23,16 @@
 /// Signs session tokens with the first key and accepts all keys.
 #[derive(Clone, Default)]
 pub struct Signer {
-    keys: Vec<Vec<u8>>,
+    keys: Ring,
 }
 
 impl Signer {
-    /// Takes the keys, the one to sign with first.
+    /// Takes the keys, the one to sign with first; they may change while the signer is in use.
     ///
     /// ```
     /// use node::dispatch::{Session, Signer};
-    /// let signer = Signer::new(["a key"]);
+    /// # use settings::{Ring, Secret};
+    /// let signer = Signer::new(Ring::new(vec![Secret::new("a key")]));
     /// let session = Session {
     ///     customer: "c".into(),
     ///     model: "small".into(),
@@ -38,20 +40,17 @@
     /// };
     /// let token = signer.sign(&session);
     /// assert_eq!(signer.verify(&token)?, session);
-    /// assert!(Signer::new(["another key"]).verify(&token).is_err());
+    /// let other = Signer::new(Ring::new(vec![Secret::new("another key")]));
+    /// assert!(other.verify(&token).is_err());
     /// # Ok::<(), node::Error>(())
     /// ```
-    pub fn new<'a>(keys: impl IntoIterator<Item = &'a str>) -> Self {
-        let keys = keys
-            .into_iter()
-            .map(|key| key.as_bytes().to_vec())
-            .collect();
+    pub fn new(keys: Ring) -> Self {
         Self { keys }
     }
 
     /// Signs a session; an empty text without keys.
     pub fn sign(&self, session: &Session) -> String {
-        let Some(mut mac) = self.keys.first().and_then(|key| keyed(key)) else {
+        let Some(mut mac) = self.keys.keys().first().and_then(keyed) else {
             return String::new();
         };
         let payload = serde_json::to_vec(session).unwrap_or_default();
@@ -71,8 +70,9 @@
         let tag = decode(tag)?;
         let signed = self
             .keys
+            .keys()
             .iter()
-            .filter_map(|key| keyed(key))
+            .filter_map(keyed)
             .any(|mac| mac.chain_update(&payload).verify_slice(&tag).is_ok());
         if !signed {
             return Err(Error::Session);
@@ -81,8 +81,8 @@
     }
 }
 
-fn keyed(key: &[u8]) -> Option<Hmac<Sha256>> {
-    Hmac::new_from_slice(key).ok()
+fn keyed(key: &Secret) -> Option<Hmac<Sha256>> {
+    Hmac::new_from_slice(key.expose().as_bytes()).ok()
 }
 
 fn decode(text: &str) -> Result<Vec<u8>, Error> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 pub mod fleet;
 pub mod link;
+pub mod operator;
 mod run;
 mod stop;
 pub mod sync;
--- /dev/null
+++ b/crates/node/src/operator/catch.rs
@@ -0,0 +1,19 @@
+//! Answers for requests of operators that reach no route.
+
+use super::Error;
+use rocket::Request;
+use rocket::http::Status;
+
+/// Catchers that give every refusal the same body.
+pub fn catchers() -> Vec<rocket::Catcher> {
+    rocket::catchers![refuse]
+}
+
+#[rocket::catch(default)]
+fn refuse(status: Status, request: &Request<'_>) -> Error {
+    match status.code {
+        401 => Error::Unauthenticated,
+        404 => Error::Path(request.uri().path().to_string()),
+        _ => Error::Request(status),
+    }
+}
--- /dev/null
+++ b/crates/node/src/operator/change.rs
@@ -0,0 +1,98 @@
+//! Changes of the configuration.
+
+use super::review::{Review, review};
+use super::{Error, Operator};
+use crate::app::App;
+use crate::caller::read_body;
+use crate::sync::{self, Accepted};
+use contract::Revision;
+use contract::check::Finding;
+use contract::operator::{Change, Outcome, State};
+use rocket::http::Status;
+use rocket::serde::json::Json;
+use rocket::{Data, State as Managed};
+use std::sync::Arc;
+
+type Answer = Result<(Status, Json<Outcome>), Error>;
+
+/// `POST /operator/v1/changes`: puts or removes objects, all or none.
+#[rocket::post("/operator/v1/changes", data = "<data>")]
+pub(super) async fn propose(app: &Managed<Arc<App>>, operator: Operator, data: Data<'_>) -> Answer {
+    let limit = app.settings.body_limit_bytes as usize;
+    let body = read_body(data, limit, app.settings.header_timeout).await?;
+    let change: Change = serde_json::from_slice(&body)?;
+    let Review { entries, findings } = review(&app.config(), &change.entries)?;
+    if change.dry_run {
+        let outcome = outcome_of(&change.change, None, State::Checked, Vec::new());
+        return Ok((Status::Ok, Json(with(outcome, &findings))));
+    }
+    let keys: Vec<_> = entries.iter().map(|entry| entry.key.as_str()).collect();
+    let keys = keys.join(" ");
+    let name = operator.name.as_str();
+    let id = change.change.as_str();
+    log::info!(event = 1601, change = id, operator = name; "change of {keys} asked for");
+    let proposed = app
+        .replica
+        .propose(change.change.clone(), change.base, entries)
+        .await;
+    let (status, outcome) = answer(app, &change.change, proposed)?;
+    Ok((status, Json(with(outcome, &findings))))
+}
+
+/// `GET /operator/v1/changes/<id>`: what became of a change.
+#[rocket::get("/operator/v1/changes/<id>")]
+pub(super) async fn outcome(app: &Managed<Arc<App>>, _operator: Operator, id: &str) -> Answer {
+    let found = match app.replica.outcome(id).await {
+        Ok(Some(accepted)) => Ok(accepted),
+        Ok(None) => return Err(Error::Change(id.to_owned())),
+        Err(error) => Err(error),
+    };
+    let (status, outcome) = answer(app, id, found)?;
+    Ok((status, Json(outcome)))
+}
+
+fn answer(
+    app: &App,
+    change: &str,
+    result: Result<Accepted, sync::Error>,
+) -> Result<(Status, Outcome), Error> {
+    match result {
+        Ok(accepted) => {
+            let state = match accepted.outstanding.is_empty() {
+                true => State::InForce,
+                false => State::Accepted,
+            };
+            let revision = Some(accepted.revision);
+            let outcome = outcome_of(change, revision, state, accepted.outstanding);
+            Ok((Status::Ok, outcome))
+        }
+        Err(sync::Error::Unacknowledged { revision }) => {
+            let outstanding = app.replica.in_force(revision).outstanding;
+            let outcome = outcome_of(change, Some(revision), State::Written, outstanding);
+            Ok((Status::Accepted, outcome))
+        }
+        Err(error) => Err(error.into()),
+    }
+}
+
+fn outcome_of(
+    change: &str,
+    revision: Option<Revision>,
+    state: State,
+    outstanding: Vec<String>,
+) -> Outcome {
+    Outcome {
+        change: change.to_owned(),
+        findings: Vec::new(),
+        outstanding,
+        revision,
+        state,
+    }
+}
+
+fn with(outcome: Outcome, findings: &[Finding]) -> Outcome {
+    Outcome {
+        findings: findings.iter().map(Into::into).collect(),
+        ..outcome
+    }
+}
--- /dev/null
+++ b/crates/node/src/operator/dump.rs
@@ -0,0 +1,77 @@
+//! State of this node for the search of faults.
+
+use super::{Error, Operator, status};
+use crate::app::App;
+use crate::fleet::{Kind, Server};
+use contract::Config;
+use rocket::State;
+use rocket::serde::json::Json;
+use serde_json::{Map, Value, json};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Text shown in place of a digest.
+const REDACTED: &str = "<redacted>";
+
+/// `GET /operator/v1/dump`: settings, status, objects, backend servers and requests under way.
+/// Keys and their digests are redacted.
+#[rocket::get("/operator/v1/dump")]
+pub(super) fn dump(app: &State<Arc<App>>, operator: Operator) -> Result<Json<Value>, Error> {
+    let by = operator.name.as_str();
+    log::info!(event = 1604, operator = by; "state dumped");
+    let settings: Map<String, Value> = settings::node::shown(&app.settings)
+        .into_iter()
+        .map(|(flag, value)| (flag.to_owned(), Value::from(value)))
+        .collect();
+    let servers = app.fleet.servers();
+    let backends: Vec<_> = servers.iter().map(|one| backend(app, one)).collect();
+    Ok(Json(json!({
+        "version": env!("CARGO_PKG_VERSION"),
+        "settings": settings,
+        "status": status::read(app, Instant::now()),
+        "requests_under_way": app.gate().inside(),
+        "objects": objects(&app.config())?,
+        "backend_servers": backends,
+    })))
+}
+
+fn backend(app: &App, server: &Server) -> Value {
+    let runs = match &server.kind {
+        Kind::Engine { model, version } => format!("{model}@{version}"),
+        Kind::Service(service) => service.clone(),
+    };
+    json!({
+        "address": server.id,
+        "zone": server.zone,
+        "runs": runs,
+        "leaving": server.leaving,
+        "own_requests": app.load.at(&server.id),
+    })
+}
+
+fn objects(config: &Config) -> Result<Map<String, Value>, Error> {
+    config
+        .objects()
+        .map(|(key, object)| {
+            let mut value = serde_json::to_value(object.as_ref())?;
+            redact(&mut value);
+            Ok((key.clone(), value))
+        })
+        .collect()
+}
+
+/// Replaces all digests.
+fn redact(value: &mut Value) {
+    match value {
+        Value::Object(map) => {
+            for (name, field) in map {
+                match name.as_str() {
+                    "sha256" => *field = Value::from(REDACTED),
+                    _ => redact(field),
+                }
+            }
+        }
+        Value::Array(list) => list.iter_mut().for_each(redact),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/node/src/operator/error.rs
@@ -0,0 +1,171 @@
+//! Why a request of an operator is refused.
+
+use crate::sync;
+use contract::check::Finding;
+use contract::operator::{Conflict, Ran, Refusal};
+use contract::{ChangeId, ObjectKey, Severity};
+use rocket::http::{ContentType, Status};
+use rocket::request::Request;
+use rocket::response::{Responder, Response, Result};
+use std::io::Cursor;
+
+/// Wait that is suggested when the table service or the log was busy.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// Why a request of an operator is refused.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No key, or one that names no operator.
+    #[error("the bearer key is missing or names no operator")]
+    Unauthenticated,
+    /// The request can't be read.
+    #[error("refused with status {0}")]
+    Request(Status),
+    /// The body didn't arrive whole.
+    #[error(transparent)]
+    Body(#[from] crate::Error),
+    /// The body isn't what the route expects.
+    #[error("the body can't be read: {0}")]
+    Json(#[from] serde_json::Error),
+    /// No such path.
+    #[error("no path {0}")]
+    Path(String),
+    /// No object under the key.
+    #[error("no object stands under {0}")]
+    Absent(ObjectKey),
+    /// No such change.
+    #[error("change {0} isn't in the log")]
+    Change(ChangeId),
+    /// Members are written by nodes only.
+    #[error("{0} is written by its node and can't be changed")]
+    Member(ObjectKey),
+    /// The change would make the configuration wrong.
+    #[error("{} in the change", count(.0))]
+    Findings(Vec<Finding>),
+    /// The change wasn't made, or it can't be told.
+    #[error(transparent)]
+    Sync(#[from] sync::Error),
+    /// The step of a rotation isn't possible now.
+    #[error(transparent)]
+    Ring(#[from] settings::ring::Error),
+}
+
+impl Error {
+    fn code(&self) -> &'static str {
+        match self {
+            Self::Unauthenticated => "unauthenticated",
+            Self::Request(_) | Self::Json(_) => "invalid_request",
+            Self::Body(error) => error.code(),
+            Self::Path(_) => "not_found",
+            Self::Absent(_) => "unknown_object",
+            Self::Change(_) => "unknown_change",
+            Self::Member(_) => "member",
+            Self::Findings(_) => "invalid_configuration",
+            Self::Sync(error) => sync_code(error),
+            Self::Ring(_) => "key_rotation",
+        }
+    }
+
+    fn status(&self) -> Status {
+        match self {
+            Self::Unauthenticated => Status::Unauthorized,
+            Self::Request(status) => *status,
+            Self::Body(error) => Status::new(error.status()),
+            Self::Json(_) => Status::BadRequest,
+            Self::Path(_) | Self::Absent(_) | Self::Change(_) => Status::NotFound,
+            Self::Member(_) | Self::Findings(_) | Self::Ring(_) => Status::UnprocessableEntity,
+            Self::Sync(error) => sync_status(error),
+        }
+    }
+
+    fn ran(&self) -> Ran {
+        match self {
+            Self::Sync(sync::Error::Unknown { .. } | sync::Error::Row { .. }) => Ran::Unknown,
+            Self::Sync(sync::Error::Unacknowledged { .. }) => Ran::Yes,
+            _ => Ran::No,
+        }
+    }
+
+    /// Body of the answer.
+    ///
+    /// ```
+    /// let refusal = node::operator::Error::Absent("zone/z".into()).refusal();
+    /// assert_eq!(refusal.error.code, "unknown_object");
+    /// ```
+    pub fn refusal(&self) -> Refusal {
+        let mut refusal = Refusal::new(self.code(), self.to_string(), self.ran());
+        if self.status() == Status::ServiceUnavailable {
+            refusal.error.retry_after_ms = Some(RETRY_AFTER_MS);
+        }
+        if let Self::Findings(findings) = self {
+            refusal.findings = findings.iter().map(Into::into).collect();
+        }
+        if let Self::Sync(sync::Error::Conflict(conflict)) = self {
+            refusal.conflict = Some(show(conflict));
+        }
+        refusal
+    }
+}
+
+fn sync_code(error: &sync::Error) -> &'static str {
+    match error {
+        sync::Error::Invalid(_) | sync::Error::Size { .. } => "invalid_change",
+        sync::Error::Conflict(_) => "conflict",
+        sync::Error::Reused { .. } => "change_id_reused",
+        sync::Error::Base { .. } => "unknown_base",
+        sync::Error::Pending { .. } => "pending",
+        sync::Error::Contended => "contended",
+        sync::Error::Platform(_) => "platform_unreachable",
+        sync::Error::Unknown { .. } => "unknown_outcome",
+        sync::Error::Unacknowledged { .. } => "unacknowledged",
+        sync::Error::Row { .. } => "unreadable_row",
+    }
+}
+
+fn sync_status(error: &sync::Error) -> Status {
+    match error {
+        sync::Error::Invalid(_) | sync::Error::Size { .. } => Status::BadRequest,
+        sync::Error::Conflict(_) => Status::Conflict,
+        sync::Error::Reused { .. } | sync::Error::Base { .. } => Status::UnprocessableEntity,
+        sync::Error::Row { .. } => Status::InternalServerError,
+        sync::Error::Pending { .. }
+        | sync::Error::Contended
+        | sync::Error::Platform(_)
+        | sync::Error::Unknown { .. }
+        | sync::Error::Unacknowledged { .. } => Status::ServiceUnavailable,
+    }
+}
+
+fn show(conflict: &sync::Conflict) -> Conflict {
+    let object = |entry: &wire::Entry| {
+        let body = entry.body.as_deref()?;
+        serde_json::from_str(body).ok()
+    };
+    Conflict {
+        current: object(&conflict.theirs),
+        key: conflict.key.clone(),
+        revision: conflict.revision,
+        yours: object(&conflict.ours),
+    }
+}
+
+fn count(findings: &[Finding]) -> String {
+    let errors = findings
+        .iter()
+        .filter(|one| one.fault.severity() == Severity::Error);
+    match errors.count() {
+        1 => "1 error".to_owned(),
+        number => format!("{number} errors"),
+    }
+}
+
+impl<'r> Responder<'r, 'static> for Error {
+    fn respond_to(self, _: &'r Request<'_>) -> Result<'static> {
+        let text = serde_json::to_string(&self.refusal()).unwrap_or_default();
+        Response::build()
+            .status(self.status())
+            .header(ContentType::JSON)
+            .sized_body(text.len(), Cursor::new(text))
+            .ok()
+    }
+}
--- /dev/null
+++ b/crates/node/src/operator/key.rs
@@ -0,0 +1,77 @@
+//! Which operator is calling.
+
+use super::Error;
+use crate::app::App;
+use crate::caller::bearer;
+use contract::{Config, Key};
+use rocket::http::Status;
+use rocket::outcome::Outcome;
+use rocket::request::{FromRequest, Request};
+use settings::Secret;
+use std::sync::Arc;
+use subtle::{Choice, ConstantTimeEq};
+
+/// Name under which the keys of the settings are logged.
+const BOOTSTRAP: &str = "bootstrap";
+
+/// An operator whose bearer key is known: of the settings, or of an `access` object.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Operator {
+    /// Name of the `access` object, or `bootstrap`.
+    pub name: String,
+}
+
+impl Operator {
+    /// The operator that a key names. All known keys are compared, each in constant time.
+    ///
+    /// ```
+    /// use node::operator::Operator;
+    /// let keys = [settings::Secret::new("the-key-of-an-operator")];
+    /// let config = contract::Config::default();
+    /// assert!(Operator::find(&keys, &config, "the-key-of-an-operator").is_some());
+    /// assert!(Operator::find(&keys, &config, "the-key-of-nobody").is_none());
+    /// ```
+    pub fn find(bootstrap: &[Secret], config: &Config, key: &str) -> Option<Self> {
+        let digest = Key::digest(key);
+        let mut name = None;
+        for secret in bootstrap {
+            if matches(&Key::digest(secret.expose()), &digest) {
+                name = Some(BOOTSTRAP);
+            }
+        }
+        for access in config.operators() {
+            let known = access.keys.iter().fold(Choice::from(0), |known, key| {
+                known | key.sha256.as_bytes().ct_eq(digest.as_bytes())
+            });
+            if known.into() {
+                name = Some(access.name.as_str());
+            }
+        }
+        name.map(|name| Self {
+            name: name.to_owned(),
+        })
+    }
+}
+
+fn matches(left: &str, right: &str) -> bool {
+    left.as_bytes().ct_eq(right.as_bytes()).into()
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Operator {
+    type Error = Error;
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, (Status, Error), Status> {
+        let app = request.rocket().state::<Arc<App>>();
+        let found = app
+            .zip(bearer(request))
+            .and_then(|(app, key)| Self::find(&app.settings.operator_key, &app.config(), key));
+        match found {
+            Some(operator) => Outcome::Success(operator),
+            None => {
+                log::warn!(event = 1602; "operator request without a valid key refused");
+                Outcome::Error((Status::Unauthorized, Error::Unauthenticated))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/operator/review.rs
@@ -0,0 +1,76 @@
+//! Reviews a change before it is proposed.
+
+use super::Error;
+use contract::check::{self, Finding};
+use contract::operator::Edit;
+use contract::{Config, Fault, Object, ObjectKey};
+use serde_json::Value;
+use wire::Entry;
+
+/// Prefix of the keys that only nodes write.
+const MEMBER: &str = "member/";
+
+/// A change that may be proposed.
+#[derive(Debug)]
+pub(super) struct Review {
+    /// What to propose.
+    pub entries: Vec<Entry>,
+    /// Warnings.
+    pub findings: Vec<Finding>,
+}
+
+/// Reads the edits and checks what they make of the configuration.
+///
+/// Nodes check against the configuration that they have applied. A change that is written at the
+/// same time elsewhere isn't seen; what the two make together is found by the next check.
+pub(super) fn review(config: &Config, edits: &[Edit]) -> Result<Review, Error> {
+    let mut objects = Vec::with_capacity(edits.len());
+    let mut faults = Vec::new();
+    for edit in edits {
+        if edit.key.starts_with(MEMBER) {
+            return Err(Error::Member(edit.key.clone()));
+        }
+        match read(edit) {
+            Ok(object) => objects.push((edit.key.clone(), object)),
+            Err(findings) => faults.extend(findings),
+        }
+    }
+    if !faults.is_empty() {
+        return Err(Error::Findings(faults));
+    }
+    let after = config.with(objects.iter().cloned());
+    let findings = check::introduced(config, &after);
+    if check::refuses(&findings) {
+        return Err(Error::Findings(findings));
+    }
+    let entries = objects.iter().map(entry).collect::<Result<_, _>>()?;
+    Ok(Review { entries, findings })
+}
+
+fn entry((key, object): &(ObjectKey, Option<Object>)) -> Result<Entry, Error> {
+    let body = object.as_ref().map(serde_json::to_string).transpose()?;
+    Ok(Entry {
+        key: key.clone(),
+        body,
+    })
+}
+
+fn read(edit: &Edit) -> Result<Option<Object>, Vec<Finding>> {
+    let Some(value) = &edit.object else {
+        return Ok(None);
+    };
+    let kind = edit.key.split('/').next().unwrap_or_default();
+    let body = value.get(kind).unwrap_or(&Value::Null);
+    let findings = check::shape(kind, &edit.key, body);
+    if !findings.is_empty() {
+        return Err(findings);
+    }
+    let schema = |message: String| vec![Finding::new(&edit.key, "", Fault::Schema(message))];
+    let object: Object =
+        serde_json::from_value(value.clone()).map_err(|error| schema(error.to_string()))?;
+    let found = object.key();
+    match found == edit.key {
+        true => Ok(Some(object)),
+        false => Err(schema(format!("the object belongs under {found}"))),
+    }
+}
--- /dev/null
+++ b/crates/node/src/operator/status.rs
@@ -0,0 +1,95 @@
+//! The fleet as this node sees it.
+
+use super::Operator;
+use crate::app::App;
+use contract::Config;
+use contract::operator::{Offer, Peer, Place, Stage, Status};
+use rocket::State;
+use rocket::serde::json::Json;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// `GET /operator/v1/status`: members, zones, versions, and whether the configuration is in force.
+#[rocket::get("/operator/v1/status")]
+pub(super) fn status(app: &State<Arc<App>>, _operator: Operator) -> Json<Status> {
+    Json(read(app, Instant::now()))
+}
+
+/// The status at a time.
+pub(super) fn read(app: &App, now: Instant) -> Status {
+    let config = app.config();
+    let revision = config.revision();
+    let outstanding = app.replica.in_force(revision).outstanding;
+    let members = peers(app, &outstanding, now);
+    Status {
+        head_age_ms: None,
+        incarnation: app.incarnation,
+        node: app.settings.node.clone(),
+        revision,
+        serving: app.replica.may_start(now).is_ok(),
+        versions: offers(&config),
+        zone: app.settings.zone.clone(),
+        zones: places(&config, &members),
+        members,
+        outstanding,
+    }
+}
+
+fn peers(app: &App, outstanding: &[String], now: Instant) -> Vec<Peer> {
+    let revision = app.config().revision();
+    app.replica
+        .members(now)
+        .into_iter()
+        .map(|member| Peer {
+            heard_ms: None,
+            leaving: member.state == view::State::Leaving,
+            revision: (!outstanding.contains(&member.node)).then_some(revision),
+            http: member.http,
+            node: member.node,
+            zone: member.zone,
+        })
+        .collect()
+}
+
+fn places(config: &Config, members: &[Peer]) -> Vec<Place> {
+    let mut count: BTreeMap<&str, u32> = BTreeMap::new();
+    for zone in config.zones() {
+        count.insert(&zone.name, 0);
+    }
+    for member in members {
+        *count.entry(&member.zone).or_default() += 1;
+    }
+    count
+        .into_iter()
+        .map(|(name, members)| Place {
+            members,
+            name: name.to_owned(),
+            out: config.zone_out(name),
+        })
+        .collect()
+}
+
+fn offers(config: &Config) -> Vec<Offer> {
+    config
+        .models()
+        .flat_map(|model| {
+            model.versions.iter().map(|version| Offer {
+                model: model.name.clone(),
+                stage: stage(config, &model.name, &version.name),
+                version: version.name.clone(),
+            })
+        })
+        .collect()
+}
+
+fn stage(config: &Config, model: &str, version: &str) -> Stage {
+    if config.withdrawn(model, version) {
+        return Stage::Withdrawn;
+    }
+    match config.rollout(model) {
+        Some(rollout) if rollout.to == version && rollout.paused => Stage::Paused,
+        Some(rollout) if rollout.to == version => Stage::RollingOut,
+        _ => Stage::Live,
+    }
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::app::App;
 use crate::sync::{self, Replica};
-use crate::{caller, stop};
+use crate::{caller, operator, stop};
 use contract::Member;
 use platform::{table, vms};
 use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
@@ -52,6 +52,8 @@
         .manage(Arc::clone(&app))
         .mount("/", caller::routes())
         .register("/", caller::catchers())
+        .mount("/", operator::routes())
+        .register(operator::ROOT, operator::catchers())
         .ignite()
         .await
         .map_err(Box::new)?;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,9 +4,11 @@
 mod generated;
 pub mod log;
 pub mod node;
+pub mod ring;
 pub mod secret;
 pub mod spec;
 mod value;
 
 pub use error::{Error, Problem};
+pub use ring::Ring;
 pub use secret::Secret;
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -88,6 +88,28 @@
     Ok(Command::Run(Box::new(settings)))
 }
 
+/// Each setting as flag and value with its unit; keys are redacted.
+///
+/// ```
+/// let shown = settings::node::shown(&Default::default());
+/// assert!(shown.contains(&("horizon-ms", "3000 ms".to_owned())));
+/// ```
+pub fn shown(settings: &Settings) -> Vec<(&'static str, String)> {
+    let mut settings = settings.clone();
+    SPECS
+        .iter()
+        .map(|spec| (spec.flag, show(&mut settings, spec)))
+        .collect()
+}
+
+fn show(settings: &mut Settings, spec: &Spec) -> String {
+    let value = settings.field(spec.flag).map(|field| field.show());
+    match value.filter(|value| !value.is_empty()) {
+        Some(value) => format!("{value}{}", spec.unit()),
+        None => "-".to_owned(),
+    }
+}
+
 fn options() -> OptionParser<Flags> {
     let none: Box<dyn Parser<Vec<_>>> = bpaf::pure(Vec::new()).boxed();
     let values = SPECS.iter().fold(none, |list, spec| {
@@ -235,17 +257,9 @@
     let mut out = String::new();
     for one in given {
         let spec = one.spec;
-        let value = settings.field(spec.flag).map(|field| field.show());
-        let value = value
-            .filter(|value| !value.is_empty())
-            .unwrap_or("-".to_owned());
-        let unit = spec.unit();
-        let _ = writeln!(
-            out,
-            "{:<22} {value}{unit}  ({})",
-            spec.flag,
-            one.origin.as_str()
-        );
+        let value = show(settings, spec);
+        let origin = one.origin.as_str();
+        let _ = writeln!(out, "{:<22} {value}  ({origin})", spec.flag);
     }
     for problem in problems {
         let _ = writeln!(out, "wrong: {problem}");
--- a/crates/settings/src/secret.rs
+++ b/crates/settings/src/secret.rs
@@ -1,5 +1,6 @@
 //! Keys that never show in logs, dumps or errors.
 
+use crate::spec::MIN_KEY_CHARS;
 use std::fmt;
 use subtle::ConstantTimeEq;
 
@@ -34,6 +35,15 @@
         &self.0
     }
 
+    /// Whether the key is long enough and printable.
+    ///
+    /// ```
+    /// assert!(!settings::Secret::new("sesame").is_sound());
+    /// ```
+    pub fn is_sound(&self) -> bool {
+        self.0.len() >= MIN_KEY_CHARS && self.0.bytes().all(|byte| byte.is_ascii_graphic())
+    }
+
     /// Compares in constant time; only the length can be told from the time.
     ///
     /// ```
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -2,7 +2,7 @@
 
 use crate::log::Format;
 use crate::secret::Secret;
-use crate::spec::{Kind, MAX_NAME_CHARS, MIN_KEY_CHARS, Spec};
+use crate::spec::{Kind, MAX_NAME_CHARS, Spec};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -137,13 +137,11 @@
 
 impl Value for Vec<Secret> {
     fn set(&mut self, texts: &[String], _: &Spec) -> Option<()> {
-        let valid = |text: &String| {
-            text.len() >= MIN_KEY_CHARS && text.bytes().all(|byte| byte.is_ascii_graphic())
-        };
-        if texts.is_empty() || !texts.iter().all(valid) {
+        let keys: Vec<_> = texts.iter().map(Secret::new).collect();
+        if keys.is_empty() || !keys.iter().all(Secret::is_sound) {
             return None;
         }
-        *self = texts.iter().map(Secret::new).collect();
+        *self = keys;
         Some(())
     }
 
