--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -1,7 +1,7 @@
 //! What a node holds while it runs.
 
 use crate::Error;
-use crate::app::{Gate, Keys, Stay};
+use crate::app::{Gate, Keys, Parts, Stay};
 use crate::decide::{Decide, Funds};
 use crate::dispatch::{Load, Signer};
 use crate::fleet::{Fleet, Server};
@@ -12,6 +12,7 @@
 use ledger::bill::Bill;
 use limits::suspect::{self, Suspects, Verdict};
 use platform::table;
+use settings::Ring;
 use settings::node::Settings;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -19,18 +20,6 @@
 use view::State;
 use wire::Frame;
 
-/// Parts that a node is put together from.
-pub struct Parts {
-    /// The configuration and the members.
-    pub replica: Arc<Replica<table::Client>>,
-    /// Links to other nodes.
-    pub hub: Arc<Hub>,
-    /// Plans, placement and what they learn from.
-    pub decide: Arc<Decide>,
-    /// Shares of customers' budgets.
-    pub funds: Funds<table::Client>,
-}
-
 /// Tables and clients that requests share.
 pub struct App {
     /// Settings of this node.
@@ -43,6 +32,10 @@
     pub pool: Pool,
     /// Own requests in flight.
     pub load: Arc<Load>,
+    /// Keys that sign session tokens.
+    pub session_keys: Ring,
+    /// Keys shared by nodes.
+    pub link_keys: Ring,
     /// Session tokens.
     pub signer: Signer,
     /// The configuration and the members.
@@ -68,8 +61,11 @@
             progress_timeout: settings.progress_timeout,
             ..backend::Settings::default()
         };
+        let session_keys = Ring::new(settings.session_key.clone());
         Self {
-            signer: Signer::new(settings.session_key.iter().map(settings::Secret::expose)),
+            signer: Signer::new(session_keys.clone()),
+            session_keys,
+            link_keys: Ring::new(settings.link_key.clone()),
             settings,
             incarnation: parts.replica.incarnation(),
             replica: parts.replica,
--- a/crates/node/src/dispatch/job.rs
+++ b/crates/node/src/dispatch/job.rs
@@ -110,6 +110,7 @@
                 .funds
                 .state(self.customer(), self.contract.spend.as_ref()),
             nodes: app.nodes(),
+            priority: self.contract.priority,
         };
         app.decide
             .plan(&config, &order, &offered)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 mod inbox;
 pub mod link;
+pub mod operator;
 mod run;
 mod stop;
 pub mod sync;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,12 +1,8 @@
 //! Starts the parts of a node and stops them in order.
 
 use crate::app::{App, Parts};
-use crate::decide::{self, Decide, Funds};
-use crate::link::{self, Hub};
-use crate::sync::{self, Replica};
-use crate::{caller, inbox, stop};
-use contract::Member;
-use platform::{ratings, table, vms};
+use crate::{caller, inbox, operator, stop};
+use platform::vms;
 use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
 use settings::node::Settings;
 use std::sync::Arc;
@@ -15,9 +11,6 @@
 /// Seconds that connections without a request have to close when the node stops.
 const CONNECTION_GRACE_S: u32 = 1;
 
-/// Renewals within the time of a lease.
-const LEASE_RENEWALS: u32 = 3;
-
 /// Why a node can't run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -38,7 +31,10 @@
         url: settings.vms_url.clone(),
         ..vms::Settings::default()
     })?;
-    let app = Arc::new(App::new(settings.clone(), parts(&settings)?));
+    let app = Arc::new(App::new(
+        settings.clone(),
+        Parts::new(&settings, incarnation())?,
+    ));
     tokio::spawn({
         let app = Arc::clone(&app);
         async move { app.fleet.run(&vms, app.settings.vms_poll).await }
@@ -53,6 +49,8 @@
         .manage(Arc::clone(&app))
         .mount("/", caller::routes())
         .register("/", caller::catchers())
+        .mount("/", operator::routes())
+        .register(operator::ROOT, operator::catchers())
         .ignite()
         .await
         .map_err(Box::new)?;
@@ -63,36 +61,6 @@
     Ok(())
 }
 
-fn parts(settings: &Settings) -> Result<Parts, Error> {
-    let table = || {
-        table::Client::new(table::Settings {
-            url: settings.table_url.clone(),
-            table: settings.table.clone(),
-            timeout: settings.platform_timeout,
-            ..table::Settings::default()
-        })
-    };
-    let ratings = ratings::Client::new(ratings::Settings {
-        url: settings.ratings_url.clone(),
-        ..ratings::Settings::default()
-    })?;
-    let sync = sync_settings(settings);
-    let incarnation = sync.member.incarnation;
-    let node = settings.node.clone();
-    let name = format!("{node}-{incarnation}");
-    let decisions = decide::Settings::default();
-    let keys = settings.link_key.iter().map(|key| key.expose().to_owned());
-    Ok(Parts {
-        replica: Replica::new(sync, table()?),
-        hub: Hub::new(link::Settings {
-            keys: keys.collect(),
-            ..link::Settings::default()
-        }),
-        funds: Funds::new(decisions.spend.clone(), table()?, name),
-        decide: Arc::new(Decide::new(decisions, node, incarnation, ratings)),
-    })
-}
-
 fn rocket_config(settings: &Settings) -> RocketConfig {
     RocketConfig {
         address: settings.http.ip(),
@@ -112,23 +80,6 @@
     }
 }
 
-fn sync_settings(settings: &Settings) -> sync::Settings {
-    sync::Settings {
-        member: Member {
-            node: settings.node.clone(),
-            incarnation: incarnation(),
-            zone: settings.zone.clone(),
-            http: settings.advertise_http.unwrap_or(settings.http).to_string(),
-            link: settings.advertise_link.unwrap_or(settings.link).to_string(),
-            leaving: false,
-        },
-        poll: settings.poll,
-        lease_ttl: settings.lease,
-        lease_interval: settings.lease / LEASE_RENEWALS,
-        ..sync::Settings::default()
-    }
-}
-
 fn incarnation() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
