--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -1,14 +1,24 @@
 //! What a node holds while it runs.
 
 use crate::Error;
-use crate::app::{Gate, Keys, Stay};
-use crate::dispatch::{Load, Receipt, Signer};
-use crate::fleet::Fleet;
-use backend::{Pool, Usage};
+use crate::app::{Gate, Keys, Parts, Stay};
+use crate::decide::{Decide, Funds};
+use crate::dispatch::{Load, Signer};
+use crate::fleet::{Fleet, Server};
+use crate::link::Hub;
+use crate::sync::Replica;
+use backend::Pool;
 use contract::{Config, CustomerId, Incarnation};
+use ledger::bill::Bill;
+use limits::suspect::{self, Suspects, Verdict};
+use platform::table;
+use settings::Ring;
 use settings::node::Settings;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use view::State;
+use wire::Frame;
 
 /// Tables and clients that requests share.
 pub struct App {
@@ -22,44 +32,60 @@
     pub pool: Pool,
     /// Own requests in flight.
     pub load: Arc<Load>,
+    /// Keys that sign session tokens.
+    pub session_keys: Ring,
+    /// Keys shared by nodes.
+    pub link_keys: Ring,
     /// Session tokens.
     pub signer: Signer,
+    /// The configuration and the members.
+    pub replica: Arc<Replica<table::Client>>,
+    /// Links to other nodes.
+    pub hub: Arc<Hub>,
+    /// Plans, placement and what they learn from.
+    pub decide: Arc<Decide>,
+    /// Shares of customers' budgets.
+    pub funds: Funds<table::Client>,
+    suspects: Mutex<Suspects>,
     gate: Arc<Gate>,
     keys: Keys,
-    config: RwLock<Arc<Config>>,
     requests: AtomicU64,
+    leaving: AtomicBool,
 }
 
 impl App {
-    /// Builds the tables of a node that is starting.
-    pub fn new(settings: Settings, incarnation: Incarnation) -> Self {
+    /// Puts the parts of a node that is starting together.
+    pub fn new(settings: Settings, parts: Parts) -> Self {
         let limits = backend::Settings {
             connect_timeout: settings.connect_timeout,
             progress_timeout: settings.progress_timeout,
             ..backend::Settings::default()
         };
+        let session_keys = Ring::new(settings.session_key.clone());
         Self {
-            signer: Signer::new(settings.session_key.iter().map(settings::Secret::expose)),
+            signer: Signer::new(session_keys.clone()),
+            session_keys,
+            link_keys: Ring::new(settings.link_key.clone()),
             settings,
-            incarnation,
+            incarnation: parts.replica.incarnation(),
+            replica: parts.replica,
+            hub: parts.hub,
+            decide: parts.decide,
+            funds: parts.funds,
             fleet: Fleet::default(),
             pool: Pool::new(limits),
             load: Arc::default(),
+            suspects: Mutex::new(Suspects::new(suspect::Settings::default())),
             gate: Arc::default(),
             keys: Keys::default(),
-            config: RwLock::default(),
             requests: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
         }
     }
 
     /// The configuration in force here.
     pub fn config(&self) -> Arc<Config> {
-        Arc::clone(&self.config.read().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    /// Puts a configuration in force.
-    pub fn publish(&self, config: Config) {
-        *self.config.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(config);
+        self.replica.config()
     }
 
     /// Customer of a bearer key.
@@ -85,24 +111,76 @@
 
     /// Addresses for callers, nearest first.
     pub fn entries(&self, zone: Option<&str>) -> Vec<String> {
-        let config = self.config();
         let near = zone.unwrap_or(&self.settings.zone);
-        let mut members: Vec<_> = config.members().filter(|one| !one.leaving).collect();
+        let leaving = self.leaving.load(Ordering::SeqCst);
+        let mut members = self.replica.members(Instant::now());
+        members.retain(|one| one.state == State::Live);
+        members.retain(|one| !leaving || one.node != self.settings.node);
         members.sort_by_key(|one| (one.zone != near, one.node != self.settings.node));
-        members.into_iter().map(|one| one.http.clone()).collect()
+        members.into_iter().map(|one| one.http).collect()
+    }
+
+    /// Takes the node out of every answer to callers.
+    pub async fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Hands over what the node still holds, once its work has ended.
+    pub async fn close(&self) {}
+
+    /// Whether a backend server may receive new work: it stays, and its zone is in.
+    pub fn open(&self, config: &Config, server: &Server) -> bool {
+        !server.leaving && !config.zone_out(&server.zone)
+    }
+
+    /// Nodes that share the fleet's limits.
+    pub fn nodes(&self) -> u32 {
+        self.config().members().count().max(1) as u32
+    }
+
+    /// What may be done with a request, by its fingerprint.
+    pub fn verdict(&self, fingerprint: &str) -> Verdict {
+        self.suspects().verdict(Instant::now(), fingerprint)
+    }
+
+    /// Counts a backend server that died under a request, and tells the peers.
+    pub fn suspect(&self, fingerprint: &str, backend: &str) {
+        let now = Instant::now();
+        if !self
+            .suspects()
+            .crash(now, fingerprint, backend, Duration::ZERO)
+        {
+            return;
+        }
+        log::warn!(event = 1302, backend; "connection broke under a request");
+        self.hub.broadcast(&Frame::Suspect(wire::Suspect {
+            fingerprint: fingerprint.to_owned(),
+            backend: backend.to_owned(),
+            age_ms: 0,
+        }));
+    }
+
+    /// Takes in a peer's word that a backend server died under a request.
+    pub fn suspected(&self, suspect: &wire::Suspect) {
+        let age = Duration::from_millis(suspect.age_ms);
+        self.suspects()
+            .crash(Instant::now(), &suspect.fingerprint, &suspect.backend, age);
     }
 
     /// Bills a request.
-    pub fn bill(&self, customer: &str, receipt: &Receipt, usage: Usage) {
+    pub fn bill(&self, bill: Bill) {
         log::info!(
             event = 1101,
-            request = receipt.request_id.as_str(),
-            customer,
-            model = receipt.model.as_str(),
-            version = receipt.version.as_str(),
-            cost_micros = receipt.cost_micros,
-            tokens = usage.completion_tokens;
-            "request answered"
+            request = bill.request_id.as_str(),
+            customer = bill.customer.as_str(),
+            model = bill.model.as_str(),
+            version = bill.version.as_str(),
+            micros = bill.micros;
+            "request billed"
         );
     }
+
+    fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,11 +2,15 @@
 
 pub mod app;
 pub mod caller;
+pub mod decide;
 pub mod dispatch;
 mod error;
 pub mod fleet;
+mod inbox;
 pub mod link;
+pub mod operator;
 mod run;
+mod stop;
 pub mod sync;
 
 pub use error::{Code, Error};
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,15 +1,16 @@
 //! Starts the parts of a node and stops them in order.
 
-use crate::app::App;
-use crate::caller;
-use platform::Table;
-use platform::table::Range;
-use platform::{table, vms};
+use crate::app::{App, Parts};
+use crate::{caller, inbox, operator, stop};
+use platform::vms;
 use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
 use settings::node::Settings;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// Seconds that connections without a request have to close when the node stops.
+const CONNECTION_GRACE_S: u32 = 1;
+
 /// Why a node can't run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -26,52 +27,40 @@
 
 /// Runs a node until it is told to stop.
 pub async fn run(settings: Settings) -> Result<(), Error> {
-    let app = Arc::new(App::new(settings.clone(), incarnation()));
     let vms = vms::Client::new(vms::Settings {
         url: settings.vms_url.clone(),
         ..vms::Settings::default()
     })?;
-    let table = table::Client::new(table::Settings {
-        url: settings.table_url.clone(),
-        table: settings.table.clone(),
-        ..table::Settings::default()
-    })?;
+    let app = Arc::new(App::new(
+        settings.clone(),
+        Parts::new(&settings, incarnation())?,
+    ));
     tokio::spawn({
         let app = Arc::clone(&app);
         async move { app.fleet.run(&vms, app.settings.vms_poll).await }
     });
-    tokio::spawn(poll(Arc::clone(&app), table));
-    rocket::custom(rocket_config(&settings))
-        .manage(app)
+    tokio::spawn(Arc::clone(&app.replica).run());
+    tokio::spawn(inbox::run(Arc::clone(&app)));
+    tokio::spawn({
+        let app = Arc::clone(&app);
+        async move { app.decide.run(|frame| app.hub.broadcast(&frame)).await }
+    });
+    let rocket = rocket::custom(rocket_config(&settings))
+        .manage(Arc::clone(&app))
         .mount("/", caller::routes())
         .register("/", caller::catchers())
-        .launch()
+        .mount("/", operator::routes())
+        .register(operator::ROOT, operator::catchers())
+        .ignite()
         .await
         .map_err(Box::new)?;
+    let signals = stop::Signals::new().map_err(Error::Runtime)?;
+    tokio::spawn(stop::stop(app, signals, rocket.shutdown()));
+    rocket.launch().await.map_err(Box::new)?;
+    log::info!(event = 1004; "node stopped");
     Ok(())
 }
 
-async fn poll(app: Arc<App>, table: table::Client) {
-    let mut ticks = tokio::time::interval(app.settings.poll);
-    loop {
-        ticks.tick().await;
-        let Ok(Some(head)) = table.get("config", "head").await else {
-            continue;
-        };
-        if head.rev == app.config().revision() {
-            continue;
-        }
-        let Ok(items) = table.list("config-obj", &Range::All, 10_000).await else {
-            continue;
-        };
-        let objects = items
-            .iter()
-            .filter_map(|item| contract::Object::read(&item.sort, &item.body).ok())
-            .collect();
-        app.publish(contract::Config::new(head.rev, objects));
-    }
-}
-
 fn rocket_config(settings: &Settings) -> RocketConfig {
     RocketConfig {
         address: settings.http.ip(),
@@ -83,6 +72,8 @@
         shutdown: Shutdown {
             ctrlc: false,
             signals: Default::default(),
+            grace: CONNECTION_GRACE_S,
+            mercy: CONNECTION_GRACE_S,
             ..Shutdown::default()
         },
         ..RocketConfig::release_default()
