Link nodes and drive the view over links and the platform

Cause: nodes shared nothing but the table: each polled it, none knew of a stale or dead peer, and a change counted as accepted once written. Ruled out: carrying out the view's frames after its lock is released (two threads could swap a heartbeat and a proof, which understates an age); heartbeat numbers that start again with a connection (a late echo of the old one would date the new one); telling by the TCP state that a peer is gone (a connection that lost its track stays open). Change: link::Hub accepts and makes websockets with a proof of a shared key in both directions, keeps one link a pair, and gives the frames of other parts to subscribers. sync::Replica gives links, reads and time to the view: one reader a zone, join and leave by the log, leases, removal of ended members, acceptance by a majority. A read of the head is passed on at once. The test of a silent reader waited too short for what was still under way; it now waits a second round. Conclusion: configuration and members are carried by links and majority. Seeds for a start in an outage have no setting yet.

--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -65,7 +65,7 @@
         Self {
             signer: Signer::new(session_keys.clone()),
             session_keys,
-            link_keys: Ring::new(settings.link_key.clone()),
+            link_keys: parts.hub.keys(),
             settings,
             incarnation: parts.replica.incarnation(),
             replica: parts.replica,
@@ -123,10 +123,17 @@
     /// Takes the node out of every answer to callers.
     pub async fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
+        if let Err(error) = self.replica.leave().await {
+            log::warn!(event = 1212; "peers are not told by the log that this node leaves: {error}");
+        }
     }
 
     /// Hands over what the node still holds, once its work has ended.
-    pub async fn close(&self) {}
+    pub async fn close(&self) {
+        if let Err(error) = self.replica.quit().await {
+            log::warn!(event = 1212; "this node stays a member until others remove it: {error}");
+        }
+    }
 
     /// Whether a backend server may receive new work: it stays, and its zone is in.
     pub fn open(&self, config: &Config, server: &Server) -> bool {
--- a/crates/node/src/app/parts.rs
+++ b/crates/node/src/app/parts.rs
@@ -4,12 +4,15 @@
 use crate::link::{self, Hub};
 use crate::sync::{self, Replica};
 use contract::{Incarnation, Member};
-use platform::{ratings, table};
+use platform::{ratings, table, vms};
+use settings::Ring;
 use settings::node::Settings;
 use std::sync::Arc;
 
 /// Renewals within the time of a lease.
 const LEASE_RENEWALS: u32 = 3;
+/// Heartbeats missed on a link before it is replaced.
+const SILENT_HEARTBEATS: u32 = 4;
 
 /// Parts that a node is put together from.
 pub struct Parts {
@@ -49,13 +52,20 @@
         let node = settings.node.clone();
         let name = format!("{node}-{incarnation}");
         let decisions = decide::Settings::default();
-        let keys = settings.link_key.iter().map(|key| key.expose().to_owned());
+        let vms = vms::Client::new(vms::Settings {
+            url: settings.vms_url.clone(),
+            timeout: settings.platform_timeout,
+            ..vms::Settings::default()
+        })?;
+        let hub = Hub::new(link::Settings {
+            member: sync.member.clone(),
+            keys: Ring::new(settings.link_key.clone()),
+            connect_timeout: settings.connect_timeout,
+            ..link::Settings::default()
+        });
         Ok(Self {
-            replica: Replica::new(sync, table()?),
-            hub: Hub::new(link::Settings {
-                keys: keys.collect(),
-                ..link::Settings::default()
-            }),
+            replica: Replica::new(sync, table()?, Arc::clone(&hub), Some(vms)),
+            hub,
             funds: Funds::new(decisions.spend.clone(), table()?, name),
             decide: Arc::new(Decide::new(decisions, node, incarnation, ratings)),
         })
@@ -72,6 +82,12 @@
             link: settings.advertise_link.unwrap_or(settings.link).to_string(),
             leaving: false,
         },
+        view: view::Settings {
+            horizon: settings.horizon,
+            heartbeat: settings.heartbeat,
+            silence: settings.heartbeat * SILENT_HEARTBEATS,
+            ..view::Settings::default()
+        },
         poll: settings.poll,
         lease_ttl: settings.lease,
         lease_interval: settings.lease / LEASE_RENEWALS,
--- /dev/null
+++ b/crates/node/src/link/dial.rs
@@ -0,0 +1,36 @@
+//! Links that this node makes.
+
+use super::socket::{self, NONCE_HEADER, Socket};
+use super::{Error, Greeting, Hub, greeting};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_tungstenite::client_async_with_config;
+use tokio_tungstenite::tungstenite::client::IntoClientRequest;
+use tokio_tungstenite::tungstenite::http::{HeaderValue, Response};
+
+/// Calls an address and greets.
+pub(super) async fn dial(hub: &Hub, address: &str) -> Result<(Socket, Greeting), Error> {
+    let limit = hub.settings.connect_timeout;
+    timeout(limit, greet(hub, address))
+        .await
+        .map_err(|_| Error::Closed)?
+}
+
+async fn greet(hub: &Hub, address: &str) -> Result<(Socket, Greeting), Error> {
+    let ours = greeting::nonce();
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let mut request = format!("ws://{address}/").into_client_request()?;
+    let value = HeaderValue::from_str(&ours).map_err(|_| Error::Greeting)?;
+    request.headers_mut().insert(NONCE_HEADER, value);
+    let config = Some(socket::config());
+    let (mut socket, response) = client_async_with_config(request, stream, config).await?;
+    let theirs = nonce_of(&response).ok_or(Error::Greeting)?;
+    let greeting = socket::greet(hub, &mut socket, &ours, &theirs).await?;
+    Ok((socket, greeting))
+}
+
+fn nonce_of<T>(response: &Response<T>) -> Option<String> {
+    let value = response.headers().get(NONCE_HEADER)?;
+    value.to_str().ok().map(str::to_owned)
+}
--- a/crates/node/src/link/error.rs
+++ b/crates/node/src/link/error.rs
@@ -16,7 +16,7 @@
     Frame(#[from] wire::Error),
     /// The websocket failed.
     #[error("websocket: {0}")]
-    Socket(#[from] Box<tokio_tungstenite::tungstenite::Error>),
+    Socket(#[source] Box<tokio_tungstenite::tungstenite::Error>),
     /// The other end is silent or closed the link.
     #[error("the other end closed the link or is silent")]
     Closed,
@@ -27,3 +27,9 @@
     #[error("link port: {0}")]
     Port(#[from] std::io::Error),
 }
+
+impl From<tokio_tungstenite::tungstenite::Error> for Error {
+    fn from(error: tokio_tungstenite::tungstenite::Error) -> Self {
+        Self::Socket(Box::new(error))
+    }
+}
--- /dev/null
+++ b/crates/node/src/link/greeting.rs
@@ -0,0 +1,91 @@
+//! Who is at the other end, proved with a shared key.
+
+use super::Error;
+use contract::{Incarnation, Member, NodeId};
+use hmac::{Hmac, Mac};
+use settings::Ring;
+use sha2::Sha256;
+use std::fmt::Write;
+use wire::Hello;
+
+/// Version of what goes over links.
+const PROTOCOL: u32 = 1;
+/// Length of a nonce.
+const NONCE_BYTES: usize = 16;
+
+/// Who is at the other end of a link.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Greeting {
+    /// Name.
+    pub node: NodeId,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Address on which it accepts links.
+    pub link: String,
+}
+
+/// A number used once, which the other end has to include in its proof.
+pub(super) fn nonce() -> String {
+    hex(&rand::random::<[u8; NONCE_BYTES]>())
+}
+
+/// This node's greeting, with the proof for the other end's nonce.
+pub(super) fn greet(me: &Member, keys: &Ring, nonce: &str) -> Hello {
+    let mut hello = Hello {
+        incarnation: me.incarnation,
+        key: String::new(),
+        link: me.link.clone(),
+        node: me.node.clone(),
+        protocol: PROTOCOL,
+    };
+    let keys = keys.keys();
+    let key = keys.first().map_or("", |key| key.expose());
+    hello.key = hex(&proof(key, nonce, &hello).finalize().into_bytes());
+    hello
+}
+
+/// Checks a greeting against all accepted keys, each in constant time.
+pub(super) fn check(hello: Hello, keys: &Ring, nonce: &str) -> Result<Greeting, Error> {
+    let given = unhex(&hello.key).ok_or(Error::Greeting)?;
+    let holds = |key: &str| proof(key, nonce, &hello).verify_slice(&given).is_ok();
+    let keys = keys.keys();
+    let is_proved = match keys.is_empty() {
+        true => holds(""),
+        false => keys.iter().any(|key| holds(key.expose())),
+    };
+    if !is_proved || hello.protocol != PROTOCOL {
+        return Err(Error::Greeting);
+    }
+    Ok(Greeting {
+        node: hello.node,
+        incarnation: hello.incarnation,
+        link: hello.link,
+    })
+}
+
+fn proof(key: &str, nonce: &str, hello: &Hello) -> Hmac<Sha256> {
+    // Keys of any length are taken, so this can't fail.
+    let mut mac = <Hmac<Sha256> as Mac>::new_from_slice(key.as_bytes()).expect("any key length");
+    for part in [nonce, &hello.node, &hello.link] {
+        mac.update(part.as_bytes());
+        mac.update(&[0]);
+    }
+    mac.update(&hello.incarnation.to_be_bytes());
+    mac.update(&hello.protocol.to_be_bytes());
+    mac
+}
+
+fn hex(bytes: &[u8]) -> String {
+    let mut text = String::with_capacity(2 * bytes.len());
+    for byte in bytes {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    let pairs = text.as_bytes().chunks(2);
+    pairs
+        .map(|pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok())
+        .collect()
+}
--- a/crates/node/src/link/hub.rs
+++ b/crates/node/src/link/hub.rs
@@ -1,15 +1,34 @@
 //! All links of a node.
 
-use super::{Error, Received, Settings};
-use contract::NodeId;
-use std::sync::Arc;
-use tokio::sync::broadcast;
+use super::address::Addresses;
+use super::socket::{self, Socket};
+use super::table::{Link, Table};
+use super::{Error, Event, Greeting, Received, Settings, dial, listen};
+use bytes::Bytes;
+use contract::{Config, NodeId};
+use futures::StreamExt;
+use settings::Ring;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::net::TcpListener;
+use tokio::sync::{broadcast, mpsc, oneshot};
 use wire::Frame;
 
+/// Events waiting for the one that follows the links; readers wait while it is full.
+const MAX_EVENTS: usize = 4096;
+
 /// All links of a node. Parts of the node send frames through it and subscribe to what comes in.
 #[derive(Debug)]
 pub struct Hub {
+    pub(super) settings: Settings,
+    table: Table,
+    addresses: Addresses,
+    connections: AtomicU64,
+    sent_bytes: AtomicU64,
     received: broadcast::Sender<Arc<Received>>,
+    events: mpsc::Sender<Event>,
+    follower: Mutex<Option<mpsc::Receiver<Event>>>,
 }
 
 impl Hub {
@@ -21,17 +40,60 @@
     /// ```
     pub fn new(settings: Settings) -> Arc<Self> {
         let received = broadcast::Sender::new(settings.backlog);
-        Arc::new(Self { received })
+        let (events, follower) = mpsc::channel(MAX_EVENTS);
+        Arc::new(Self {
+            settings,
+            table: Table::default(),
+            addresses: Addresses::default(),
+            connections: AtomicU64::new(0),
+            sent_bytes: AtomicU64::new(0),
+            received,
+            events,
+            follower: Mutex::new(Some(follower)),
+        })
     }
 
-    /// Queues a frame for a node; an error says that it will not arrive. Without an error it may
-    /// still be lost with the link.
-    pub fn send(&self, to: &str, _frame: Frame) -> Result<(), Error> {
-        Err(Error::Unlinked(to.to_owned()))
+    /// The keys shared by nodes; a change of them holds for the links that are made after it.
+    ///
+    /// ```
+    /// let hub = node::link::Hub::new(node::link::Settings::default());
+    /// assert!(hub.keys().keys().is_empty());
+    /// ```
+    pub fn keys(&self) -> Ring {
+        self.settings.keys.clone()
+    }
+
+    /// Opens the link port and accepts links for as long as the node runs; gives the bound address.
+    pub async fn listen(self: &Arc<Self>, address: SocketAddr) -> Result<SocketAddr, Error> {
+        let listener = TcpListener::bind(address).await?;
+        let bound = listener.local_addr()?;
+        tokio::spawn(listen::run(Arc::clone(self), listener));
+        Ok(bound)
+    }
+
+    /// Queues a frame for a node, calling it first where there is no link. An error says that it
+    /// will not arrive. Without an error it may still be lost with the link.
+    pub fn send(self: &Arc<Self>, to: &str, frame: Frame) -> Result<(), Error> {
+        let bytes = self.encode(&frame)?;
+        match self.table.send(to, bytes.clone()) {
+            Err(Error::Unlinked(node)) => {
+                let address = self.addresses.of(to).ok_or(Error::Unlinked(node))?;
+                self.call(to, address);
+                match self.table.hold(to, bytes.clone()) {
+                    true => Ok(()),
+                    false => self.table.send(to, bytes),
+                }
+            }
+            sent => sent,
+        }
     }
 
     /// Queues a frame for each linked node.
-    pub fn broadcast(&self, _frame: &Frame) {}
+    pub fn broadcast(&self, frame: &Frame) {
+        if let Ok(bytes) = self.encode(frame) {
+            self.table.broadcast(&bytes);
+        }
+    }
 
     /// Frames for the parts of the node: slots, ratings, suspects, spend, leave. Frames of the
     /// configuration aren't among them.
@@ -51,6 +113,159 @@
     /// assert!(hub.linked().is_empty());
     /// ```
     pub fn linked(&self) -> Vec<NodeId> {
-        Vec::new()
+        self.table.linked()
+    }
+
+    /// Whether a node is linked now.
+    ///
+    /// ```
+    /// let hub = node::link::Hub::new(node::link::Settings::default());
+    /// assert!(!hub.is_linked("n2"));
+    /// ```
+    pub fn is_linked(&self, node: &str) -> bool {
+        self.table.is_linked(node)
+    }
+
+    /// Bytes of frames queued on links since the node started.
+    ///
+    /// ```
+    /// let hub = node::link::Hub::new(node::link::Settings::default());
+    /// assert_eq!(hub.sent_bytes(), 0);
+    /// ```
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Learns where the members accept links.
+    pub fn learn(&self, config: &Config) {
+        self.addresses.replace(config);
+    }
+
+    /// Makes a link to a node unless there is one or it is being made.
+    pub fn call(self: &Arc<Self>, node: &str, address: String) {
+        if !self.table.start_call(node) {
+            return;
+        }
+        let (hub, node) = (Arc::clone(self), node.to_owned());
+        tokio::spawn(async move {
+            hub.dial(&address).await;
+            hub.table.end_call(&node);
+        });
+    }
+
+    /// Ends the link to a node, as when it is silent.
+    pub fn close(&self, node: &str) -> bool {
+        self.table.close(node)
+    }
+
+    /// Events of the links; they can be followed once.
+    pub(crate) fn follow(&self) -> Option<mpsc::Receiver<Event>> {
+        let mut follower = self.follower.lock().unwrap_or_else(PoisonError::into_inner);
+        follower.take()
+    }
+
+    /// Queues a frame on a link that is up; nothing is called.
+    pub(crate) fn pass(&self, to: &str, frame: &Frame) -> Result<(), Error> {
+        self.table.send(to, self.encode(frame)?)
+    }
+
+    async fn dial(self: &Arc<Self>, address: &str) {
+        match dial::dial(self, address).await {
+            Ok((socket, greeting)) => {
+                self.keep(socket, greeting, self.settings.member.node.clone());
+            }
+            Err(error) => log::debug!(event = 1223; "no link to {address}: {error}"),
+        }
+    }
+
+    /// Takes up a connection whose other end is known.
+    pub(super) fn keep(self: &Arc<Self>, socket: Socket, greeting: Greeting, dialler: NodeId) {
+        let id = self.connections.fetch_add(1, Ordering::Relaxed);
+        let (frames, queue) = mpsc::channel(self.settings.queue);
+        let (start, started) = oneshot::channel();
+        let (hub, peer) = (Arc::clone(self), greeting.clone());
+        let task = tokio::spawn(async move {
+            // The task begins once its link stands in the table, so that no frame comes before it.
+            if started.await.is_ok() {
+                hub.run(socket, peer, id, queue).await;
+            }
+        });
+        let link = Link {
+            id,
+            incarnation: greeting.incarnation,
+            dialler,
+            frames,
+            task: task.abort_handle(),
+        };
+        if self.table.insert(&greeting, link) {
+            let _ = start.send(());
+        }
+    }
+
+    async fn run(
+        self: Arc<Self>,
+        socket: Socket,
+        peer: Greeting,
+        id: u64,
+        queue: mpsc::Receiver<Bytes>,
+    ) {
+        let node = peer.node.clone();
+        log::info!(event = 1220, incarnation = peer.incarnation; "link to {node} is up");
+        let _ = self.events.send(Event::Up(peer.clone())).await;
+        let (sink, mut stream) = socket.split();
+        let ended = tokio::select! {
+            ended = socket::write(sink, queue, self.settings.write_timeout) => ended,
+            ended = self.receive(&mut stream, &peer, id) => ended,
+        };
+        if self.table.remove(&node, id) {
+            log::info!(event = 1224; "link to {node} is down: {ended:?}");
+            let _ = self.events.send(Event::Down(node)).await;
+        }
+    }
+
+    async fn receive(
+        &self,
+        stream: &mut futures::stream::SplitStream<Socket>,
+        peer: &Greeting,
+        id: u64,
+    ) -> Result<(), Error> {
+        loop {
+            let frame = socket::read(stream).await?;
+            if !self.table.is_current(&peer.node, id) {
+                return Ok(());
+            }
+            self.deliver(peer, frame).await;
+        }
+    }
+
+    async fn deliver(&self, peer: &Greeting, frame: Frame) {
+        let is_ours = matches!(
+            frame,
+            Frame::Beat(_)
+                | Frame::Proof(_)
+                | Frame::Touch(_)
+                | Frame::Delta(_)
+                | Frame::Fetch(_)
+                | Frame::Snapshot(_)
+                | Frame::Leave(_)
+        );
+        if !is_ours || matches!(frame, Frame::Leave(_)) {
+            let _ = self.received.send(Arc::new(Received {
+                from: peer.node.clone(),
+                incarnation: peer.incarnation,
+                frame: frame.clone(),
+            }));
+        }
+        if is_ours {
+            let event = Event::Frame(peer.node.clone(), frame);
+            let _ = self.events.send(event).await;
+        }
+    }
+
+    fn encode(&self, frame: &Frame) -> Result<Bytes, Error> {
+        let bytes = wire::encode(frame)?;
+        self.sent_bytes
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        Ok(bytes)
     }
 }
--- /dev/null
+++ b/crates/node/src/link/listen.rs
@@ -0,0 +1,68 @@
+//! Links that other nodes make.
+
+use super::socket::{self, NONCE_HEADER, Socket};
+use super::{Error, Greeting, Hub, greeting};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
+use tokio_tungstenite::accept_hdr_async_with_config;
+use tokio_tungstenite::tungstenite::handshake::server::{ErrorResponse, Request, Response};
+use tokio_tungstenite::tungstenite::http::HeaderValue;
+
+/// Wait after the port refused to give a connection, as when there are too many open files.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
+
+/// Accepts links for as long as the node runs.
+pub(super) async fn run(hub: Arc<Hub>, listener: TcpListener) {
+    let greetings = Arc::new(Semaphore::new(hub.settings.greetings));
+    loop {
+        let Ok(permit) = Arc::clone(&greetings).acquire_owned().await else {
+            return;
+        };
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(event = 1221; "link port: {error}");
+                sleep(ACCEPT_BACKOFF).await;
+                continue;
+            }
+        };
+        let hub = Arc::clone(&hub);
+        tokio::spawn(async move {
+            let greeted = timeout(hub.settings.connect_timeout, greet(&hub, stream)).await;
+            drop(permit);
+            match greeted {
+                Ok(Ok((socket, greeting))) => {
+                    let dialler = greeting.node.clone();
+                    hub.keep(socket, greeting, dialler);
+                }
+                Ok(Err(error)) => log::warn!(event = 1222; "link refused: {error}"),
+                Err(_) => log::warn!(event = 1222; "link refused: no greeting in time"),
+            }
+        });
+    }
+}
+
+#[allow(clippy::result_large_err)]
+async fn greet(hub: &Hub, stream: TcpStream) -> Result<(Socket, Greeting), Error> {
+    stream.set_nodelay(true)?;
+    let ours = greeting::nonce();
+    let mut theirs = None;
+    let exchange = |request: &Request, mut response: Response| -> Result<_, ErrorResponse> {
+        let value = request.headers().get(NONCE_HEADER);
+        theirs = value
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned);
+        if let Ok(value) = HeaderValue::from_str(&ours) {
+            response.headers_mut().insert(NONCE_HEADER, value);
+        }
+        Ok(response)
+    };
+    let config = Some(socket::config());
+    let mut socket = accept_hdr_async_with_config(stream, exchange, config).await?;
+    let theirs = theirs.ok_or(Error::Greeting)?;
+    let greeting = socket::greet(hub, &mut socket, &ours, &theirs).await?;
+    Ok((socket, greeting))
+}
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -1,11 +1,20 @@
 //! Links between nodes: one websocket for each pair, frames as CBOR.
 
+mod address;
+mod dial;
 mod error;
+mod event;
+mod greeting;
 mod hub;
+mod listen;
 mod received;
 mod settings;
+mod socket;
+mod table;
 
 pub use error::Error;
+pub use event::Event;
+pub use greeting::Greeting;
 pub use hub::Hub;
 pub use received::Received;
 pub use settings::Settings;
--- a/crates/node/src/link/settings.rs
+++ b/crates/node/src/link/settings.rs
@@ -1,27 +1,45 @@
 //! Settings of links.
 
+use contract::Member;
+use settings::Ring;
 use std::time::Duration;
 
-/// Keys and limits of links.
+/// Who this node is on links, keys and limits.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Shared keys: the first proves this node, any of them is accepted, so that keys can be rotated.
-    pub keys: Vec<String>,
+    /// This node as other members see it.
+    pub member: Member,
+    /// Shared keys: the first proves this node, any of them is accepted.
+    pub keys: Ring,
     /// Limit for making a connection and greeting.
     pub connect_timeout: Duration,
+    /// Limit for writing a frame to the connection.
+    pub write_timeout: Duration,
     /// Frames waiting for one link.
     pub queue: usize,
     /// Frames waiting for one subscriber.
     pub backlog: usize,
+    /// Connections that may be greeting at once.
+    pub greetings: usize,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            keys: Vec::new(),
+            member: Member {
+                http: String::new(),
+                incarnation: 0,
+                leaving: false,
+                link: String::new(),
+                node: String::new(),
+                zone: String::new(),
+            },
+            keys: Ring::default(),
             connect_timeout: Duration::from_secs(1),
+            write_timeout: Duration::from_secs(2),
             queue: 1024,
             backlog: 4096,
+            greetings: 64,
         }
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,7 +1,7 @@
 //! Starts the parts of a node and stops them in order.
 
 use crate::app::{App, Parts};
-use crate::{caller, inbox, operator, stop};
+use crate::{caller, inbox, link, operator, stop};
 use platform::vms;
 use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
 use settings::node::Settings;
@@ -17,6 +17,9 @@
     /// A client of the platform can't be built.
     #[error("client of the platform: {0}")]
     Platform(#[from] platform::Error),
+    /// The port for other nodes can't be opened.
+    #[error("{0}")]
+    Link(#[from] link::Error),
     /// The threads can't be started.
     #[error("threads: {0}")]
     Runtime(#[source] std::io::Error),
@@ -39,6 +42,7 @@
         let app = Arc::clone(&app);
         async move { app.fleet.run(&vms, app.settings.vms_poll).await }
     });
+    app.hub.listen(settings.link).await?;
     tokio::spawn(Arc::clone(&app.replica).run());
     tokio::spawn(inbox::run(Arc::clone(&app)));
     tokio::spawn({
--- /dev/null
+++ b/crates/node/src/sync/catch_up.rs
@@ -0,0 +1,103 @@
+//! Reading what is missing from the table.
+
+use super::{Error, Replica};
+use contract::{Config, Revision};
+use platform::Table;
+use std::convert::Infallible;
+use std::time::{Duration, Instant};
+use tokio::time::{MissedTickBehavior, interval};
+use wire::Delta;
+
+/// Polls that a node lets pass while another node reads the head for its zone.
+const WARN_EVERY: u32 = 40;
+
+impl<T: Table> Replica<T> {
+    /// Reads the head at an interval while this node is the reader of its zone.
+    pub(super) async fn poll(&self) {
+        let mut ticks = interval(self.settings.poll);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut failures = 0u32;
+        loop {
+            ticks.tick().await;
+            if !self.view().is_reader(Instant::now()) {
+                continue;
+            }
+            match self.catch_up().await {
+                Ok(_) => failures = 0,
+                Err(error) => {
+                    if failures % WARN_EVERY == 0 {
+                        log::warn!(event = 1202; "head can't be read: {error}");
+                    }
+                    failures += 1;
+                    // Outlasts an outage without a storm of calls at its end.
+                    tokio::time::sleep(backoff(self.settings.poll, failures)).await;
+                }
+            }
+        }
+    }
+
+    /// Reads the head and applies what is missing; gives the newest revision.
+    pub(super) async fn catch_up(&self) -> Result<Revision, Error> {
+        let asked = Instant::now();
+        let head = self.count_read(self.log.head().await)?;
+        if self.config().revision() == 0 && head > 0 {
+            self.restore(head).await?;
+        }
+        while self.config().revision() < head {
+            let deltas = self.log.after(self.config().revision()).await;
+            let deltas = self.count_read(deltas)?;
+            if deltas.is_empty() {
+                break;
+            }
+            for delta in &deltas {
+                self.publish(delta)?;
+            }
+        }
+        let Ok(()) =
+            self.update(|view| Ok::<_, Infallible>(view.confirm(head, asked, Instant::now())));
+        Ok(self.config().revision())
+    }
+
+    /// Reads the whole configuration.
+    async fn restore(&self, head: Revision) -> Result<(), Error> {
+        let mut config = self.count_read(self.log.objects(head).await)?;
+        // Objects may be newer than the head read before them: replayed revisions make them exact.
+        let head = self.count_read(self.log.head().await)?;
+        let mut last = self.count_read(self.log.revision(config.revision()).await)?;
+        while config.revision() < head {
+            for delta in self.count_read(self.log.after(config.revision()).await)? {
+                replay(&mut config, &delta)?;
+                last = delta;
+            }
+        }
+        let Ok(()) = self.update(|view| {
+            view.restore(config, last);
+            Ok::<_, Infallible>(view.announce(Instant::now()))
+        });
+        Ok(())
+    }
+
+    pub(super) fn count_read<A>(&self, answer: Result<A, Error>) -> Result<A, Error> {
+        self.reads
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        answer
+    }
+}
+
+fn replay(config: &mut Config, delta: &Delta) -> Result<(), Error> {
+    let entries: Vec<_> = delta
+        .entries
+        .iter()
+        .map(|entry| (entry.key.as_str(), entry.body.as_deref()))
+        .collect();
+    Ok(config.apply(delta.revision, &entries)?)
+}
+
+/// Longest wait of a reader during an outage.
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+
+fn backoff(poll: Duration, failures: u32) -> Duration {
+    let wait = poll * failures.min(16);
+    wait.min(MAX_BACKOFF)
+        .mul_f64(0.5 + rand::random::<f64>() / 2.0)
+}
--- /dev/null
+++ b/crates/node/src/sync/follow.rs
@@ -0,0 +1,78 @@
+//! Driving the view by links and the clock.
+
+use super::Replica;
+use crate::link::Event;
+use platform::Table;
+use std::convert::Infallible;
+use std::time::{Duration, Instant};
+use tokio::time::{MissedTickBehavior, interval};
+
+/// Interval at which missing links are made.
+const CALL_INTERVAL: Duration = Duration::from_millis(250);
+/// Parts of the heartbeat interval between two looks at the clock.
+const TICKS: u32 = 4;
+
+impl<T: Table> Replica<T> {
+    /// Takes in what comes over links.
+    pub(super) async fn follow_links(&self) {
+        let Some(mut events) = self.hub.follow() else {
+            return;
+        };
+        while let Some(event) = events.recv().await {
+            self.take_in(event);
+        }
+    }
+
+    /// Sends heartbeats and makes links.
+    pub(super) async fn beat(&self) {
+        let mut ticks = interval(self.settings.view.heartbeat / TICKS);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut called: Option<Instant> = None;
+        loop {
+            ticks.tick().await;
+            let now = Instant::now();
+            let Ok(()) = self.update(|view| Ok::<_, Infallible>(view.tick(now)));
+            if called.is_none_or(|at| now - at >= CALL_INTERVAL) {
+                called = Some(now);
+                self.call_neighbours();
+            }
+        }
+    }
+
+    fn take_in(&self, event: Event) {
+        let now = Instant::now();
+        let taken = match event {
+            Event::Up(peer) => {
+                self.update(|view| Ok(view.connect(&peer.node, peer.incarnation, &peer.link, now)))
+            }
+            Event::Down(node) => self.update(|view| {
+                view.disconnect(&node);
+                Ok(Vec::new())
+            }),
+            Event::Frame(node, frame) => self.update(|view| view.receive(&node, &frame, now)),
+        };
+        if let Err(error) = taken {
+            log::error!(event = 1203; "revision can't be applied: {error}");
+        }
+    }
+
+    fn call_neighbours(&self) {
+        let view = self.view();
+        let missing: Vec<_> = view
+            .neighbours()
+            .into_iter()
+            .filter(|member| !self.hub.is_linked(&member.node))
+            .map(|member| (member.node.clone(), member.link.clone()))
+            .collect();
+        drop(view);
+        for (node, address) in missing {
+            self.hub.call(&node, address);
+        }
+        // A node that knows no member yet asks the seeds for the configuration.
+        if self.config().revision() == 0 {
+            for seed in &self.settings.seeds {
+                self.hub.call(seed, seed.clone());
+            }
+        }
+    }
+}
--- a/crates/node/src/sync/log.rs
+++ b/crates/node/src/sync/log.rs
@@ -60,9 +60,9 @@
         )
     }
 
-    /// The objects as of the head or newer: replaying the revisions after it makes them exact.
-    pub async fn snapshot(&self) -> Result<Config, Error> {
-        let head = self.head().await?;
+    /// The objects as of a revision, some of them newer: replaying the revisions after it makes
+    /// them exact.
+    pub async fn objects(&self, revision: Revision) -> Result<Config, Error> {
         let items = self
             .table
             .list(rows::OBJECTS, &Range::All, MAX_OBJECTS)
@@ -72,6 +72,6 @@
             .iter()
             .map(|item| Object::read(&item.sort, &item.body))
             .collect::<Result<Vec<_>, _>>()?;
-        Ok(Config::new(head, objects))
+        Ok(Config::new(revision, objects))
     }
 }
--- a/crates/node/src/sync/mod.rs
+++ b/crates/node/src/sync/mod.rs
@@ -1,13 +1,21 @@
 //! Configuration and members: read from the table, spread over links, changed by conditional writes.
+//!
+//! The rules are those of [`view::View`]; this module gives it frames, answers of the platform and
+//! the time, and carries out what it asks for.
 
 mod accepted;
+mod catch_up;
 mod conflict;
 mod error;
+mod follow;
+mod lease;
 mod log;
+mod membership;
 mod propose;
 mod replica;
 mod rows;
 mod settings;
+mod sweep;
 
 pub use accepted::{Accepted, InForce};
 pub use conflict::Conflict;
--- a/crates/node/src/sync/propose.rs
+++ b/crates/node/src/sync/propose.rs
@@ -3,7 +3,9 @@
 use super::{Accepted, Conflict, Error, Replica, rows};
 use contract::{ChangeId, Object, Revision, Set};
 use platform::Table;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::time::timeout;
 use wire::{Delta, Entry};
 
 /// Most objects in one change; the table takes 100 writes in a transaction.
@@ -29,7 +31,9 @@
     ///
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-    /// let replica = node::sync::Replica::new(Default::default(), platform::table::Memory::default());
+    /// # let hub = node::link::Hub::new(Default::default());
+    /// # let table = platform::table::Memory::default();
+    /// # let replica = node::sync::Replica::new(Default::default(), table, hub, None);
     /// let entry = wire::Entry {
     ///     key: "zone/a".into(),
     ///     body: Some(r#"{"zone":{"name":"a","out":true}}"#.into()),
@@ -64,7 +68,9 @@
     ///
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-    /// let replica = node::sync::Replica::new(Default::default(), platform::table::Memory::default());
+    /// # let hub = node::link::Hub::new(Default::default());
+    /// # let table = platform::table::Memory::default();
+    /// # let replica = node::sync::Replica::new(Default::default(), table, hub, None);
     /// assert!(replica.outcome("c1").await.unwrap().is_none());
     /// # });
     /// ```
@@ -83,24 +89,39 @@
         entries: &[Entry],
     ) -> Result<(Revision, Attempt), Found> {
         let head = self.catch_up().await?;
-        if let Some(revision) = self.log.change(change).await? {
+        let written = self.log.change(change).await;
+        if let Some(revision) = self.count_read(written)? {
             return Err(self.replayed(change, revision, entries).await);
         }
         self.check_base(base, head, entries).await?;
-        let delta = Delta {
+        let Some(delta) = self.next(change, head, entries) else {
+            self.wait_accepted(head).await;
+            self.may_follow(entries).map_err(pending)?;
+            return Ok((head, Attempt::Again));
+        };
+        Ok((delta.revision, self.write(&delta).await?))
+    }
+
+    /// The revision that would carry the change, unless the applied one has to be accepted first.
+    fn next(&self, change: &str, head: Revision, entries: &[Entry]) -> Option<Delta> {
+        let view = self.view();
+        if view.revision() != head || view.may_follow(entries).is_err() {
+            return None;
+        }
+        Some(Delta {
             change: change.to_owned(),
             entries: entries.to_vec(),
-            replaced: Vec::new(),
+            replaced: view.replaced(entries),
             revision: head + 1,
-        };
-        Ok((delta.revision, self.write(&delta).await?))
+        })
     }
 
     async fn write(&self, delta: &Delta) -> Result<Attempt, Error> {
         let writes = rows::writes(delta);
+        self.writes.fetch_add(1, Ordering::Relaxed);
         match self.log.table.transact(&writes, &rows::token(delta)).await {
             Ok(()) => {
-                self.adopt(delta)?;
+                self.publish(delta)?;
                 Ok(Attempt::Written)
             }
             Err(platform::Error::Conflict { .. } | platform::Error::Throttled) => {
@@ -142,7 +163,9 @@
         Ok(())
     }
 
+    /// Waits until a majority of members has applied the revision.
     async fn accepted(&self, revision: Revision, replayed: bool) -> Result<Accepted, Error> {
+        self.wait_accepted(revision).await;
         let state = self.in_force(revision);
         if !state.accepted {
             return Err(Error::Unacknowledged { revision });
@@ -153,6 +176,18 @@
             outstanding: state.outstanding,
         })
     }
+
+    async fn wait_accepted(&self, revision: Revision) {
+        let mut accepted = self.watch_accepted();
+        let reached = accepted.wait_for(|accepted| *accepted >= revision);
+        let _ = timeout(self.settings.accept_timeout, reached).await;
+    }
+}
+
+fn pending(pending: view::Pending) -> Error {
+    Error::Pending {
+        revision: pending.revision,
+    }
 }
 
 /// Why a try ended without a write.
--- a/crates/node/src/sync/rows.rs
+++ b/crates/node/src/sync/rows.rs
@@ -16,6 +16,8 @@
 pub(super) const OBJECTS: &str = "config-obj";
 /// Partition of the change ids.
 pub(super) const CHANGES: &str = "config-change";
+/// Partition of the leases.
+pub(super) const LEASES: &str = "lease";
 /// Length of a transaction's token.
 const TOKEN_BYTES: usize = 16;
 
--- a/crates/node/src/sync/settings.rs
+++ b/crates/node/src/sync/settings.rs
@@ -8,6 +8,8 @@
 pub struct Settings {
     /// This node as other members see it.
     pub member: Member,
+    /// Link addresses to ask for the configuration while the platform can't be reached.
+    pub seeds: Vec<String>,
     /// Limits of the view: horizon, heartbeats, fan-out.
     pub view: view::Settings,
     /// Interval at which the reader of a zone reads the head.
@@ -33,6 +35,7 @@
                 node: String::new(),
                 zone: String::new(),
             },
+            seeds: Vec::new(),
             view: view::Settings::default(),
             poll: Duration::from_millis(250),
             accept_timeout: Duration::from_secs(10),
--- /dev/null
+++ b/crates/node/tests/links.rs
@@ -0,0 +1,295 @@
+//! Nodes in one process, linked over loopback, against a table in memory.
+
+use contract::Member;
+use node::link::{self, Hub};
+use node::sync::{self, Replica};
+use platform::table::Memory;
+use settings::{Ring, Secret};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use wire::{Entry, Fetch, Frame, Suspect};
+
+const HORIZON: Duration = Duration::from_millis(1500);
+const LIMIT: Duration = Duration::from_secs(10);
+
+struct Node {
+    hub: Arc<Hub>,
+    replica: Arc<Replica<Memory>>,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn ring(keys: &[&str]) -> Ring {
+    Ring::new(keys.iter().map(|key| Secret::new(*key)).collect())
+}
+
+async fn start(
+    index: u64,
+    listen: SocketAddr,
+    link: SocketAddr,
+    keys: &[&str],
+    table: &Memory,
+) -> Node {
+    let member = Member {
+        node: format!("n{index}"),
+        incarnation: 1,
+        zone: "a".into(),
+        http: String::new(),
+        link: link.to_string(),
+        leaving: false,
+    };
+    let hub = Hub::new(link::Settings {
+        member: member.clone(),
+        keys: ring(keys),
+        ..link::Settings::default()
+    });
+    hub.listen(listen).await.unwrap();
+    let settings = sync::Settings {
+        member,
+        view: view::Settings {
+            horizon: HORIZON,
+            heartbeat: Duration::from_millis(50),
+            silence: Duration::from_millis(300),
+            ..view::Settings::default()
+        },
+        poll: Duration::from_millis(100),
+        accept_timeout: Duration::from_secs(2),
+        ..sync::Settings::default()
+    };
+    let replica = Replica::new(settings, table.clone(), Arc::clone(&hub), None);
+    tokio::spawn(Arc::clone(&replica).run());
+    Node { hub, replica }
+}
+
+async fn cluster(count: u64, table: &Memory) -> Vec<Node> {
+    let mut nodes = Vec::new();
+    for index in 0..count {
+        let address = free_address();
+        nodes.push(start(index, address, address, &["the-shared-key"], table).await);
+    }
+    let all = |node: &Node| node.replica.config().members().count() == count as usize;
+    until(|| {
+        nodes
+            .iter()
+            .all(|node| all(node) && node.hub.linked().len() + 1 == count as usize)
+    })
+    .await;
+    nodes
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < LIMIT, "not within {LIMIT:?}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn zone(out: bool) -> Vec<Entry> {
+    vec![Entry {
+        key: "zone/a".into(),
+        body: Some(format!(r#"{{"zone":{{"name":"a","out":{out}}}}}"#)),
+    }]
+}
+
+fn serves(node: &Node) -> bool {
+    node.replica.may_start(Instant::now()).is_ok()
+}
+
+#[tokio::test]
+async fn change_is_accepted_and_in_force_on_all() {
+    let nodes = cluster(3, &Memory::default()).await;
+    let accepted = nodes[1]
+        .replica
+        .propose("c".into(), None, zone(true))
+        .await
+        .unwrap();
+    until(|| nodes.iter().all(|node| node.replica.config().zone_out("a"))).await;
+    until(|| {
+        nodes[1]
+            .replica
+            .in_force(accepted.revision)
+            .outstanding
+            .is_empty()
+    })
+    .await;
+    assert!(nodes.iter().all(serves));
+}
+
+#[tokio::test]
+async fn outage_stops_changes_and_no_service() {
+    let table = Memory::default();
+    let nodes = cluster(3, &table).await;
+    table.set_down(true);
+    sleep(HORIZON * 2).await;
+    assert!(nodes.iter().all(serves));
+    let refused = nodes[0].replica.propose("c".into(), None, zone(true)).await;
+    assert!(
+        matches!(refused, Err(sync::Error::Platform(_))),
+        "{refused:?}"
+    );
+}
+
+#[tokio::test]
+async fn cut_off_node_is_stale_after_the_horizon() {
+    let table = Memory::default();
+    let nodes = cluster(3, &table).await;
+    table.set_down(true);
+    // One of three without links to the others: neither platform nor majority confirms.
+    let alone = start(
+        9,
+        free_address(),
+        free_address(),
+        &["another-shared-key"],
+        &table,
+    )
+    .await;
+    sleep(HORIZON).await;
+    assert!(!serves(&alone) && serves(&nodes[0]));
+}
+
+#[tokio::test]
+async fn leaving_node_is_dropped_then_removed() {
+    let nodes = cluster(3, &Memory::default()).await;
+    nodes[2].replica.leave().await.unwrap();
+    let state = |node: &Node| {
+        let members = node.replica.members(Instant::now());
+        members
+            .iter()
+            .find(|one| one.node == "n2")
+            .map(|one| one.state)
+    };
+    until(|| state(&nodes[0]) == Some(view::State::Leaving)).await;
+    nodes[2].replica.quit().await.unwrap();
+    until(|| state(&nodes[0]).is_none()).await;
+}
+
+#[tokio::test]
+async fn frames_reach_subscribers_with_their_sender() {
+    let nodes = cluster(2, &Memory::default()).await;
+    let mut frames = nodes[1].hub.subscribe();
+    let suspect = Suspect {
+        fingerprint: "f".into(),
+        backend: "b".into(),
+        age_ms: 0,
+    };
+    nodes[0]
+        .hub
+        .send("n1", Frame::Suspect(suspect.clone()))
+        .unwrap();
+    let received = frames.recv().await.unwrap();
+    assert_eq!(received.from, "n0");
+    assert_eq!(received.frame, Frame::Suspect(suspect));
+    assert!(
+        nodes[0]
+            .hub
+            .send("n7", Frame::Fetch(Fetch { after: 0 }))
+            .is_err()
+    );
+}
+
+macro_rules! keys {
+    ($($name:ident: $first:expr, $second:expr => $linked:expr,)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let table = Memory::default();
+            let (a, b) = (free_address(), free_address());
+            let first = start(0, a, a, &$first, &table).await;
+            let second = start(1, b, b, &$second, &table).await;
+            first.hub.call("n1", b.to_string());
+            sleep(Duration::from_millis(500)).await;
+            assert_eq!(first.hub.is_linked("n1"), $linked);
+            assert_eq!(second.hub.is_linked("n0"), $linked);
+        }
+    )*};
+}
+
+keys! {
+    same_key: ["the-shared-key"], ["the-shared-key"] => true,
+    rotated_key: ["the-new-key", "the-shared-key"], ["the-shared-key", "the-new-key"] => true,
+    other_key: ["the-shared-key"], ["another-key"] => false,
+}
+
+/// Passes bytes on until it is frozen; connections made after `thaw` pass again.
+async fn proxy(target: SocketAddr, frozen: Arc<AtomicBool>) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            let server = TcpStream::connect(target).await.unwrap();
+            let (from_client, to_client) = client.into_split();
+            let (from_server, to_server) = server.into_split();
+            let gate = Arc::new(AtomicBool::new(false));
+            tokio::spawn(pass(from_client, to_server, frozen.clone(), gate.clone()));
+            tokio::spawn(pass(from_server, to_client, frozen.clone(), gate));
+        }
+    });
+    address
+}
+
+async fn pass(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    freeze: Arc<AtomicBool>,
+    silent: Arc<AtomicBool>,
+) {
+    let mut buffer = vec![0; 65536];
+    while let Ok(count @ 1..) = from.read(&mut buffer).await {
+        if freeze.load(Ordering::SeqCst) {
+            silent.store(true, Ordering::SeqCst);
+        }
+        // A silent connection stays silent for good while new ones work.
+        if silent.load(Ordering::SeqCst) {
+            continue;
+        }
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+    std::future::pending::<()>().await;
+}
+
+#[tokio::test]
+async fn silent_connection_is_replaced_while_new_ones_work() {
+    let table = Memory::default();
+    let frozen = Arc::new(AtomicBool::new(false));
+    let (a, b) = (free_address(), free_address());
+    let first = start(
+        0,
+        a,
+        proxy(a, frozen.clone()).await,
+        &["the-shared-key"],
+        &table,
+    )
+    .await;
+    let second = start(
+        1,
+        b,
+        proxy(b, frozen.clone()).await,
+        &["the-shared-key"],
+        &table,
+    )
+    .await;
+    let nodes = [first, second];
+    until(|| nodes.iter().all(|node| node.hub.linked().len() == 1)).await;
+    frozen.store(true, Ordering::SeqCst);
+    sleep(Duration::from_millis(100)).await;
+    frozen.store(false, Ordering::SeqCst);
+    let live = |node: &Node| {
+        let members = node.replica.members(Instant::now());
+        members.len() == 2 && members.iter().all(|one| one.state == view::State::Live)
+    };
+    until(|| !live(&nodes[0])).await;
+    until(|| nodes.iter().all(live)).await;
+    table.set_down(true);
+    sleep(HORIZON * 2).await;
+    assert!(nodes.iter().all(serves));
+}
--- a/crates/node/tests/sync.rs
+++ b/crates/node/tests/sync.rs
@@ -1,5 +1,6 @@
 //! Changes of the configuration against a table that loses answers and operators that race.
 
+use node::link::{self, Hub};
 use node::sync::{Error, Replica, Settings};
 use platform::table::{Fault, Memory};
 use std::sync::Arc;
@@ -8,7 +9,8 @@
 type Node = Arc<Replica<Memory>>;
 
 fn node(table: &Memory) -> Node {
-    Replica::new(Settings::default(), table.clone())
+    let hub = Hub::new(link::Settings::default());
+    Replica::new(Settings::default(), table.clone(), hub, None)
 }
 
 fn zone(name: &str, out: bool) -> Vec<Entry> {
--- a/crates/view/src/exchange.rs
+++ b/crates/view/src/exchange.rs
@@ -80,8 +80,7 @@
         if touch_due {
             self.touched = Some(now);
         }
-        let nodes: Vec<NodeId> = self.peers.keys().cloned().collect();
-        for node in nodes {
+        for node in self.linked() {
             actions.extend(self.beat(&node, now));
             actions.extend(self.pass_proof(&node, now));
             actions.extend(touch.clone().map(|touch| Action::Send(node, touch)));
@@ -107,11 +106,14 @@
 
     /// Tells all peers which revision is applied: the acknowledgement, and what they may ask for.
     pub fn announce(&mut self, now: Instant) -> Vec<Action> {
-        let nodes: Vec<NodeId> = self.peers.keys().cloned().collect();
-        nodes
-            .iter()
-            .filter_map(|node| self.beat(node, now))
-            .collect()
+        let nodes = self.linked();
+        let beats = nodes.iter().filter_map(|node| self.beat(node, now));
+        beats.collect()
+    }
+
+    /// Nodes with a link.
+    pub(crate) fn linked(&self) -> Vec<NodeId> {
+        self.peers.keys().cloned().collect()
     }
 
     /// Members with what is known of their life, and no others.
@@ -269,7 +271,7 @@
         }))]
     }
 
-    fn pass_proof(&mut self, node: &str, now: Instant) -> Option<Action> {
+    pub(crate) fn pass_proof(&mut self, node: &str, now: Instant) -> Option<Action> {
         let (at, proof) = (self.proved?, self.proof(now)?);
         let peer = self.peers.get_mut(node)?;
         if peer.proof.is_some_and(|known| known >= at) {
--- a/crates/view/src/freshness.rs
+++ b/crates/view/src/freshness.rs
@@ -1,7 +1,7 @@
 //! Whether the applied revision may still be worked on.
 
 use crate::clock::{age_ms, ago};
-use crate::{Stale, View, Voter};
+use crate::{Action, Stale, View, Voter};
 use contract::Revision;
 use std::time::Instant;
 use wire::Proof;
@@ -31,10 +31,15 @@
         self.proved
     }
 
-    /// Takes in a read of the head that was asked for at `asked`.
-    pub fn confirm(&mut self, head: Revision, asked: Instant) {
+    /// Takes in a read of the head that was asked for at `asked`, and passes it on.
+    pub fn confirm(&mut self, head: Revision, asked: Instant, now: Instant) -> Vec<Action> {
         self.read = self.read.max(Some(asked));
         self.prove(head, asked);
+        let mut actions = self.announce(now);
+        for node in self.linked() {
+            actions.extend(self.pass_proof(&node, now));
+        }
+        actions
     }
 
     /// No revision greater than `revision` existed at `at`.
--- a/crates/view/tests/view/scenarios.rs
+++ b/crates/view/tests/view/scenarios.rs
@@ -105,6 +105,8 @@
     let first = readers(&world);
     assert_eq!(first.len(), 1);
     world.nodes[first[0]].paused = true;
+    // The first exchange still delivers what the reader sent before it paused.
+    world.exchange();
     world.exchange();
     (0..5).for_each(|index| world.poll(index));
     let next: Vec<_> = readers(&world)
--- a/crates/view/tests/view/world.rs
+++ b/crates/view/tests/view/world.rs
@@ -251,7 +251,10 @@
         for delta in &missing {
             actions.extend(node.view.publish(delta, self.now).unwrap());
         }
-        node.view.confirm(self.log.len() as Revision, self.now);
+        actions.extend(
+            node.view
+                .confirm(self.log.len() as Revision, self.now, self.now),
+        );
         self.act(index, actions);
     }
 
