Let a node that starts in an outage ask its peers

Cause: a node learned of members only from the table, so one that started during an outage knew nobody. Ruled out: the list of VMs (it names callers' addresses, lags, and may be out with the platform). Before / after: starter_in_an_outage_learns_from_a_seed is new and passes; 10 of 10 tests in crates/node/tests/links.rs pass.

--- a/crates/node/src/app/parts.rs
+++ b/crates/node/src/app/parts.rs
@@ -7,6 +7,7 @@
 use platform::{ratings, table, vms};
 use settings::Ring;
 use settings::node::Settings;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Renewals within the time of a lease.
@@ -82,6 +83,7 @@
             link: settings.advertise_link.unwrap_or(settings.link).to_string(),
             leaving: false,
         },
+        seeds: settings.peer.iter().map(SocketAddr::to_string).collect(),
         view: view::Settings {
             horizon: settings.horizon,
             heartbeat: settings.heartbeat,
--- a/crates/node/src/sync/follow.rs
+++ b/crates/node/src/sync/follow.rs
@@ -68,11 +68,20 @@
         for (node, address) in missing {
             self.hub.call(&node, address);
         }
-        // A node that knows no member yet asks the seeds for the configuration.
-        if self.config().revision() == 0 {
-            for seed in &self.settings.seeds {
-                self.hub.call(seed, seed.clone());
-            }
+        self.call_seeds();
+    }
+
+    /// A node that knows no configuration yet asks the seeds for it.
+    fn call_seeds(&self) {
+        let view = self.view();
+        if view.revision() > 0 {
+            return;
+        }
+        let seeds = self.settings.seeds.iter();
+        let missing: Vec<_> = seeds.filter(|seed| !view.is_linked_at(seed)).collect();
+        drop(view);
+        for seed in missing {
+            self.hub.call(seed, seed.clone());
         }
     }
 }
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -37,6 +37,17 @@
     link: SocketAddr,
     keys: &[&str],
     table: &Memory,
+) -> Node {
+    start_with(index, listen, link, keys, table, Vec::new()).await
+}
+
+async fn start_with(
+    index: u64,
+    listen: SocketAddr,
+    link: SocketAddr,
+    keys: &[&str],
+    table: &Memory,
+    seeds: Vec<String>,
 ) -> Node {
     let member = Member {
         node: format!("n{index}"),
@@ -54,6 +65,7 @@
     hub.listen(listen).await.unwrap();
     let settings = sync::Settings {
         member,
+        seeds,
         view: view::Settings {
             horizon: HORIZON,
             heartbeat: Duration::from_millis(50),
@@ -156,6 +168,32 @@
     assert!(!serves(&alone) && serves(&nodes[0]));
 }
 
+#[tokio::test]
+async fn starter_in_an_outage_learns_from_a_seed() {
+    let table = Memory::default();
+    let nodes = cluster(3, &table).await;
+    nodes[0]
+        .replica
+        .propose("c".into(), None, zone(true))
+        .await
+        .unwrap();
+    table.set_down(true);
+    let address = free_address();
+    let seeds = vec![
+        nodes[1]
+            .replica
+            .config()
+            .members()
+            .next()
+            .unwrap()
+            .link
+            .clone(),
+    ];
+    let late = start_with(9, address, address, &["the-shared-key"], &table, seeds).await;
+    until(|| serves(&late)).await;
+    assert!(late.replica.config().zone_out("a") && !late.replica.joined());
+}
+
 #[tokio::test]
 async fn leaving_node_is_dropped_then_removed() {
     let nodes = cluster(3, &Memory::default()).await;
--- a/crates/settings/examples/generate.rs
+++ b/crates/settings/examples/generate.rs
@@ -33,6 +33,7 @@
     fn types(&self) -> (&'static str, &'static str) {
         match self.kind.as_str() {
             "address" => ("Address", "SocketAddr"),
+            "addresses" => ("Addresses", "Vec<SocketAddr>"),
             "bytes" => ("Bytes", "u64"),
             "count" => ("Count", "usize"),
             "filter" => ("Filter", "String"),
@@ -66,7 +67,7 @@
             "log-format" => "Format::Text".to_owned(),
             "milliseconds" => format!("Duration::from_millis({text})"),
             "optional-address" => "None".to_owned(),
-            "keys" => "Vec::new()".to_owned(),
+            "addresses" | "keys" => "Vec::new()".to_owned(),
             _ if text.is_empty() => "String::new()".to_owned(),
             _ => format!("{text:?}.to_owned()"),
         }
--- a/crates/settings/src/generated.rs
+++ b/crates/settings/src/generated.rs
@@ -22,6 +22,8 @@
     pub advertise_http: Option<SocketAddr>,
     /// Address that other nodes are told; by default the bound one.
     pub advertise_link: Option<SocketAddr>,
+    /// Link address of another node, asked for the configuration while the platform can't be reached.
+    pub peer: Vec<SocketAddr>,
     /// Base URL of the platform's table service.
     pub table_url: String,
     /// Base URL of the platform's object store.
@@ -91,6 +93,7 @@
             link: SocketAddr::from(([127, 0, 0, 1], 8081)),
             advertise_http: None,
             advertise_link: None,
+            peer: Vec::new(),
             table_url: String::new(),
             store_url: String::new(),
             vms_url: String::new(),
@@ -134,6 +137,7 @@
             "link" => &mut self.link,
             "advertise-http" => &mut self.advertise_http,
             "advertise-link" => &mut self.advertise_link,
+            "peer" => &mut self.peer,
             "table-url" => &mut self.table_url,
             "store-url" => &mut self.store_url,
             "vms-url" => &mut self.vms_url,
@@ -230,6 +234,16 @@
         maximum: 0,
         help: "Address that other nodes are told; by default the bound one",
     },
+    Spec {
+        flag: "peer",
+        env: "SARDINEBANK_PEER",
+        kind: Kind::Addresses,
+        default: "",
+        required: false,
+        minimum: 0,
+        maximum: 0,
+        help: "Link address of another node, asked for the configuration while the platform can't be reached",
+    },
     Spec {
         flag: "table-url",
         env: "SARDINEBANK_TABLE_URL",
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -137,7 +137,7 @@
         (false, "") => "no default".to_owned(),
         (false, default) => format!("default {default}{}", spec.unit()),
     };
-    let repeated = if spec.secret() {
+    let repeated = if spec.repeated() {
         ", repeatable; separated by commas in the environment"
     } else {
         ""
@@ -158,7 +158,7 @@
         };
     }
     let (texts, origin) = match env(spec.env) {
-        Some(text) if spec.secret() => (
+        Some(text) if spec.repeated() => (
             text.split(',').map(str::to_owned).collect(),
             Origin::Environment,
         ),
--- a/crates/settings/src/spec.rs
+++ b/crates/settings/src/spec.rs
@@ -11,6 +11,8 @@
 pub enum Kind {
     /// An IP address and a port.
     Address,
+    /// IP addresses and ports; the flag may be repeated.
+    Addresses,
     /// A number of bytes.
     Bytes,
     /// A number of things.
@@ -60,7 +62,7 @@
     pub fn expected(&self) -> String {
         let (low, high) = (self.minimum, self.maximum);
         match self.kind {
-            Kind::Address => "an address ip:port".to_owned(),
+            Kind::Address | Kind::Addresses => "an address ip:port".to_owned(),
             Kind::Bytes => format!("a number of bytes from {low} to {high}"),
             Kind::Count => format!("a number from {low} to {high}"),
             Kind::Filter => "a filter such as info or warn,sardinebank=debug".to_owned(),
@@ -77,7 +79,7 @@
     /// Word that stands for the value in the help.
     pub(crate) fn metavar(&self) -> &'static str {
         match self.kind {
-            Kind::Address => "IP:PORT",
+            Kind::Address | Kind::Addresses => "IP:PORT",
             Kind::Bytes => "BYTES",
             Kind::Count => "N",
             Kind::Filter => "FILTER",
@@ -98,6 +100,11 @@
         }
     }
 
+    /// Whether the flag may be repeated.
+    pub(crate) fn repeated(&self) -> bool {
+        matches!(self.kind, Kind::Addresses | Kind::Keys)
+    }
+
     /// Whether the value is a key.
     pub(crate) fn secret(&self) -> bool {
         self.kind == Kind::Keys
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -73,6 +73,21 @@
     }
 }
 
+impl Value for Vec<SocketAddr> {
+    fn set(&mut self, texts: &[String], _: &Spec) -> Option<()> {
+        *self = texts
+            .iter()
+            .map(|text| text.parse().ok())
+            .collect::<Option<_>>()?;
+        Some(())
+    }
+
+    fn show(&self) -> String {
+        let shown: Vec<_> = self.iter().map(SocketAddr::to_string).collect();
+        shown.join(" ")
+    }
+}
+
 impl Value for Option<SocketAddr> {
     fn set(&mut self, texts: &[String], _: &Spec) -> Option<()> {
         *self = Some(single(texts)?.parse().ok()?);
--- a/crates/view/src/exchange.rs
+++ b/crates/view/src/exchange.rs
@@ -111,6 +111,11 @@
         beats.collect()
     }
 
+    /// Whether a linked node accepts links at this address.
+    pub fn is_linked_at(&self, link: &str) -> bool {
+        self.peers.values().any(|peer| peer.link == link)
+    }
+
     /// Nodes with a link.
     pub(crate) fn linked(&self) -> Vec<NodeId> {
         self.peers.keys().cloned().collect()
