Measure what control costs a node

Cause: no run told how long a change takes to be in force, nor what links and reads cost. Ruled out: counting bytes in proxies (they add their own framing); polling the change id (each poll reads the platform and would count as its load).

--- a/crates/node/src/operator/dump.rs
+++ b/crates/node/src/operator/dump.rs
@@ -30,6 +30,7 @@
         "settings": settings,
         "status": status::read(app, Instant::now()),
         "requests_under_way": app.gate().inside(),
+        "replica": app.replica.dump(Instant::now()),
         "objects": objects(&app.config())?,
         "backend_servers": backends,
         "decisions": app.decide.dump(),
--- a/crates/node/src/operator/status.rs
+++ b/crates/node/src/operator/status.rs
@@ -23,7 +23,7 @@
     let outstanding = app.replica.in_force(revision).outstanding;
     let members = peers(app, &outstanding, now);
     Status {
-        head_age_ms: None,
+        head_age_ms: app.replica.head_age(now).map(|age| age.as_millis() as u64),
         incarnation: app.incarnation,
         node: app.settings.node.clone(),
         revision,
--- a/crates/node/src/sync/mod.rs
+++ b/crates/node/src/sync/mod.rs
@@ -6,6 +6,7 @@
 mod accepted;
 mod catch_up;
 mod conflict;
+mod dump;
 mod error;
 mod follow;
 mod lease;
@@ -19,6 +20,7 @@
 
 pub use accepted::{Accepted, InForce};
 pub use conflict::Conflict;
+pub use dump::Dump;
 pub use error::Error;
 pub use replica::Replica;
 pub use settings::Settings;
