Remove ended members only on a list that can be believed

Cause: a list of VMs that names no nodes at all would have turned every lapsed lease into an end (test list_that_lacks_its_reader_is_not_believed, seen to fail: 2 members left of 3). Ruled out: fewer renewals at every size (a small fleet notices ends later for nothing).

--- a/crates/node/src/sync/catch_up.rs
+++ b/crates/node/src/sync/catch_up.rs
@@ -8,8 +8,10 @@
 use tokio::time::{MissedTickBehavior, interval};
 use wire::Delta;
 
-/// Polls that a node lets pass while another node reads the head for its zone.
+/// Failed reads for each that is logged.
 const WARN_EVERY: u32 = 40;
+/// Longest wait of a reader during an outage.
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
 impl<T: Table> Replica<T> {
     /// Reads the head at an interval while this node is the reader of its zone.
@@ -46,7 +48,10 @@
         while self.config().revision() < head {
             let deltas = self.log.after(self.config().revision()).await;
             let deltas = self.count_read(deltas)?;
-            if deltas.is_empty() {
+            let applied = self.config().revision();
+            let is_gap = |delta: &Delta| delta.revision > applied + 1;
+            if applied < head && deltas.first().is_none_or(is_gap) {
+                self.restore(head).await?;
                 break;
             }
             for delta in &deltas {
@@ -93,9 +98,6 @@
     Ok(config.apply(delta.revision, &entries)?)
 }
 
-/// Longest wait of a reader during an outage.
-const MAX_BACKOFF: Duration = Duration::from_secs(2);
-
 fn backoff(poll: Duration, failures: u32) -> Duration {
     let wait = poll * failures.min(16);
     wait.min(MAX_BACKOFF)
--- a/crates/node/src/sync/lease.rs
+++ b/crates/node/src/sync/lease.rs
@@ -4,16 +4,18 @@
 use platform::Table;
 use platform::table::{Condition, Item};
 use std::sync::atomic::Ordering;
-use tokio::time::{MissedTickBehavior, interval};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Most renewals a second by all members together.
+const FLEET_RENEWALS: u32 = 20;
 
 impl<T: Table> Replica<T> {
     /// Renews the lease while the node is a member. Nobody loses anything by its lapse alone.
     pub(super) async fn keep_lease(&self) {
-        let mut ticks = interval(self.settings.lease_interval);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut renewals = self.incarnation();
         loop {
-            ticks.tick().await;
+            sleep(self.lease_times().0).await;
             if !self.joined() {
                 continue;
             }
@@ -26,4 +28,14 @@
             }
         }
     }
+
+    /// Interval of renewals and time after which a lease has lapsed. Both grow with the number of
+    /// members, so that the writes of a large fleet stay bounded.
+    pub(super) fn lease_times(&self) -> (Duration, Duration) {
+        let members = self.config().members().count() as u32;
+        let interval = self.settings.lease_interval;
+        let stretched = interval.max(Duration::from_secs(1) * members / FLEET_RENEWALS);
+        let ttl = self.settings.lease_ttl + (stretched - interval) * 3;
+        (stretched, ttl)
+    }
 }
--- a/crates/node/src/sync/sweep.rs
+++ b/crates/node/src/sync/sweep.rs
@@ -56,11 +56,9 @@
         let members = self.members(Instant::now());
         let is_silent =
             |one: &&Member| one.state != State::Live && one.node != self.settings.member.node;
-        let linked = self.hub.linked();
         members
             .iter()
             .filter(is_silent)
-            .filter(|one| !linked.contains(&one.node))
             .map(|one| Voter {
                 node: one.node.clone(),
                 incarnation: one.incarnation,
@@ -76,6 +74,7 @@
         let Some(listed) = self.listed().await? else {
             return Ok(());
         };
+        let (_, lease_ttl) = self.lease_times();
         for voter in silent {
             let lease = self.log.table.get(rows::LEASES, &voter.node).await;
             let lease = self.count_read(lease.map_err(Error::Platform))?;
@@ -87,21 +86,23 @@
             if suspect.lease != lease || listed.contains(&voter.node) {
                 *suspect = Suspect { lease, since: now };
             }
-            if now - suspect.since > self.settings.lease_ttl + self.settings.list_lag {
+            if now - suspect.since > lease_ttl + self.settings.list_lag {
                 self.bury(voter).await?;
             }
         }
         Ok(())
     }
 
-    /// Names of the nodes on the list of VMs.
+    /// Names of the nodes on the list of VMs. A list that lacks this node isn't believed: it may name
+    /// no nodes at all, and a member's end would follow from its lease alone.
     async fn listed(&self) -> Result<Option<Set<String>>, Error> {
         let Some(vms) = &self.vms else {
             return Ok(None);
         };
         let vms = vms.list().await.map_err(Error::Platform)?;
         let nodes = vms.into_iter().filter(|vm| vm.kind == Kind::Entry);
-        Ok(Some(nodes.filter_map(|vm| vm.node).collect()))
+        let listed: Set<String> = nodes.filter_map(|vm| vm.node).collect();
+        Ok(Some(listed).filter(|listed| listed.contains(&self.settings.member.node)))
     }
 
     async fn bury(&self, voter: &Voter) -> Result<(), Error> {
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -4,6 +4,7 @@
 use node::link::{self, Hub};
 use node::sync::{self, Replica};
 use platform::table::Memory;
+use platform::vms;
 use settings::{Ring, Secret};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use wire::{Entry, Fetch, Frame, Suspect};
 
@@ -20,6 +22,17 @@
 struct Node {
     hub: Arc<Hub>,
     replica: Arc<Replica<Memory>>,
+    run: JoinHandle<()>,
+}
+
+impl Node {
+    /// Ends the node's loops, as a pause does; its links are closed.
+    fn halt(&self) {
+        self.run.abort();
+        for node in self.hub.linked() {
+            self.hub.close(&node);
+        }
+    }
 }
 
 fn free_address() -> SocketAddr {
@@ -38,7 +51,7 @@
     keys: &[&str],
     table: &Memory,
 ) -> Node {
-    start_with(index, listen, link, keys, table, Vec::new()).await
+    start_with(index, listen, link, keys, table, Vec::new(), None).await
 }
 
 async fn start_with(
@@ -48,6 +61,7 @@
     keys: &[&str],
     table: &Memory,
     seeds: Vec<String>,
+    vms: Option<String>,
 ) -> Node {
     let member = Member {
         node: format!("n{index}"),
@@ -74,11 +88,20 @@
         },
         poll: Duration::from_millis(100),
         accept_timeout: Duration::from_secs(2),
-        ..sync::Settings::default()
+        lease_interval: Duration::from_millis(100),
+        lease_ttl: Duration::from_millis(500),
+        list_lag: Duration::from_millis(500),
     };
-    let replica = Replica::new(settings, table.clone(), Arc::clone(&hub), None);
-    tokio::spawn(Arc::clone(&replica).run());
-    Node { hub, replica }
+    let vms = vms.map(|url| {
+        vms::Client::new(vms::Settings {
+            url,
+            ..vms::Settings::default()
+        })
+    });
+    let vms = vms.transpose().unwrap();
+    let replica = Replica::new(settings, table.clone(), Arc::clone(&hub), vms);
+    let run = tokio::spawn(Arc::clone(&replica).run());
+    Node { hub, replica, run }
 }
 
 async fn cluster(count: u64, table: &Memory) -> Vec<Node> {
@@ -189,7 +212,16 @@
             .link
             .clone(),
     ];
-    let late = start_with(9, address, address, &["the-shared-key"], &table, seeds).await;
+    let late = start_with(
+        9,
+        address,
+        address,
+        &["the-shared-key"],
+        &table,
+        seeds,
+        None,
+    )
+    .await;
     until(|| serves(&late)).await;
     assert!(late.replica.config().zone_out("a") && !late.replica.joined());
 }
@@ -234,6 +266,58 @@
     );
 }
 
+/// Serves a list of VMs that names these nodes.
+async fn list_of(nodes: &[&str]) -> String {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}/v1/vms", listener.local_addr().unwrap());
+    let groups: Vec<String> = nodes
+        .iter()
+        .map(|node| {
+            format!(r#"{{"targets":["127.0.0.1:1"],"labels":{{"kind":"entry","node":"{node}"}}}}"#)
+        })
+        .collect();
+    let body = format!("[{}]", groups.join(","));
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.read(&mut [0; 4096]).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    url
+}
+
+/// Each case halts one of three nodes while the list names some, and says how many members stay.
+macro_rules! sweeps {
+    ($($name:ident: $listed:expr => $members:expr,)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let table = Memory::default();
+            let url = list_of(&$listed).await;
+            let mut nodes = Vec::new();
+            for index in 0..3 {
+                let at = free_address();
+                let keys = ["the-shared-key"];
+                nodes.push(start_with(index, at, at, &keys, &table, Vec::new(), Some(url.clone())).await);
+            }
+            until(|| nodes.iter().all(|node| node.replica.config().members().count() == 3)).await;
+            nodes[2].halt();
+            sleep(Duration::from_secs(4)).await;
+            assert_eq!(nodes[0].replica.config().members().count(), $members);
+            assert!(nodes[..2].iter().all(serves));
+        }
+    )*};
+}
+
+sweeps! {
+    member_that_ended_is_removed: ["n0", "n1"] => 2,
+    member_on_the_list_stays_whatever_its_lease: ["n0", "n1", "n2"] => 3,
+    list_that_lacks_its_reader_is_not_believed: [""; 0] => 3,
+}
+
 macro_rules! keys {
     ($($name:ident: $first:expr, $second:expr => $linked:expr,)*) => {$(
         #[tokio::test]
--- a/crates/view/src/exchange.rs
+++ b/crates/view/src/exchange.rs
@@ -168,7 +168,8 @@
         }
         let within = |at: Instant, limit| now.saturating_duration_since(at) <= limit;
         let linked = self.peers.get(&member.node).is_some_and(|peer| {
-            peer.incarnation == voter.incarnation && within(peer.heard, self.settings.silence)
+            let is_heard = peer.has_spoken() && within(peer.heard, self.settings.silence);
+            peer.incarnation == voter.incarnation && is_heard
         });
         let is_far = self.electorate.voters().len() > self.settings.fanout + 1;
         let limit = match is_far {
--- a/crates/view/src/freshness.rs
+++ b/crates/view/src/freshness.rs
@@ -12,18 +12,16 @@
     /// The proof is either a read of the head, own or passed on, or contact with a majority of the
     /// members: an accepted greater revision was applied by a majority, and any two majorities meet.
     pub fn may_start(&self, now: Instant) -> Result<(), Stale> {
-        match self.fresh_until(now) {
-            Some(until) if now <= until => Ok(()),
-            _ => Err(Stale {
-                revision: self.revision(),
-            }),
+        let is_recent = |at: Instant| now <= at + self.settings.horizon;
+        if self.proved.is_some_and(is_recent) {
+            return Ok(());
         }
-    }
-
-    /// Until when new work may start, as far as is known at `now`.
-    pub fn fresh_until(&self, now: Instant) -> Option<Instant> {
-        let proof = self.proved.max(self.touched_majority(now));
-        proof.map(|at| at + self.settings.horizon)
+        if self.touched_majority(now).is_some_and(is_recent) {
+            return Ok(());
+        }
+        Err(Stale {
+            revision: self.revision(),
+        })
     }
 
     /// When the head was last read, here or by the node that passed it on.
--- a/crates/view/src/peer.rs
+++ b/crates/view/src/peer.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Whether a heartbeat has come on this connection.
+    pub(crate) fn has_spoken(&self) -> bool {
+        self.received > 0
+    }
+
     /// The next heartbeat.
     pub(crate) fn beat(
         &mut self,
