Mix two plans so that the share of good answers just meets the target

Cause: a target is a share of answers, but each request took a plan that meets it alone: Fraser & Lyle's drafts all went to the large version (0.956 good for a target of 0.9). Ruled out: mixing with any cheaper plan: it would give some callers far worse answers; a mixed plan is at most 0.1 below the target (planner::Settings::slack). Change: plan::Mode::Mixed takes the cheapest pair of plans, one below and one above the target, each for its share; the draw is passed in.

--- a/crates/policy/src/plan/choose.rs
+++ b/crates/policy/src/plan/choose.rs
@@ -1,6 +1,7 @@
 //! The choice of a plan.
 
 use crate::Refusal;
+use crate::plan::mix::Mix;
 use crate::plan::option::Choice;
 use crate::plan::{Candidate, Explanation, Funds, Line, Mode, Request, Shape, Standing, Verdict};
 use contract::Micros;
@@ -220,7 +221,8 @@
     }
     let met = in_time.clone().filter(|one| one.good_enough(request));
     if let Some(choice) = met.min_by(|a, b| by_cost(a, b)) {
-        return (Mode::Met, *choice);
+        let mix = Mix::cheapest(request, in_time, choice.cost);
+        return mix.map_or((Mode::Met, *choice), |mix| (Mode::Mixed, mix.draw(request)));
     }
     let best = in_time.max_by(|a, b| a.quality.total_cmp(&b.quality).then(by_cost(b, a)));
     if let Some(choice) = best {
--- a/crates/policy/src/plan/explanation.rs
+++ b/crates/policy/src/plan/explanation.rs
@@ -10,6 +10,8 @@
 pub enum Mode {
     /// The cheapest plan that meets the target in time.
     Met,
+    /// One of two plans that together meet the target in time at the lowest cost.
+    Mixed,
     /// The session's version.
     Session,
     /// The version on trial.
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -3,6 +3,7 @@
 mod candidate;
 mod choose;
 mod explanation;
+mod mix;
 mod option;
 mod request;
 
--- a/crates/policy/src/plan/request.rs
+++ b/crates/policy/src/plan/request.rs
@@ -33,6 +33,11 @@
     /// Whether to judge versions by their mean in place of the lower bound, which lets a version be
     /// tried that has too few ratings.
     pub hopeful: bool,
+    /// How far below the target a plan may be that is mixed with a better one, 0 to 1. At 0 no
+    /// plans are mixed.
+    pub slack: f64,
+    /// A random number from 0 to 1 that decides between mixed plans.
+    pub draw: f64,
 }
 
 impl Default for Request<'_> {
@@ -46,6 +51,8 @@
             funds: Funds::Ample,
             trial: None,
             hopeful: false,
+            slack: 0.0,
+            draw: 0.0,
         }
     }
 }
--- a/crates/policy/src/planner/planner.rs
+++ b/crates/policy/src/planner/planner.rs
@@ -79,6 +79,8 @@
             funds: query.funds,
             trial: self.draw(now, query, &candidates, rng),
             hopeful: rng.random_bool(self.knowledge.settings.explore),
+            slack: self.knowledge.settings.slack,
+            draw: rng.random(),
         };
         let plan = choose(&request, &candidates)?;
         let first = &candidates[plan.shape.first()];
--- a/crates/policy/src/planner/settings.rs
+++ b/crates/policy/src/planner/settings.rs
@@ -12,6 +12,8 @@
     pub rollout: rollout::Settings,
     /// Share of requests planned on means in place of lower bounds, 0 to 1.
     pub explore: f64,
+    /// How far below a target a plan may be that is mixed with a better one, 0 to 1.
+    pub slack: f64,
     /// Share of answers that are rated although nothing asks for it, 0 to 1.
     pub sample: f64,
     /// Ratings below which every answer of a version is rated.
@@ -28,6 +30,7 @@
             quality: quality::Settings::default(),
             rollout: rollout::Settings::default(),
             explore: 0.02,
+            slack: 0.1,
             sample: 0.1,
             early: 60.0,
             harder: 0.9,
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -97,6 +97,23 @@
         Mode::Met, Shape::Cascade { first: 0, then: 2 };
 }
 
+fn mixed(draw: f64) -> Request<'static> {
+    Request {
+        cascade: false,
+        slack: 0.25,
+        draw,
+        ..request()
+    }
+}
+
+// The cheap version is at 0.7 and the middle one at 0.92: 1 in 11 may go to the cheap one.
+cases! { plans =>
+    a_mix_takes_the_cheap_plan_for_a_share: mixed(0.08), &fleet(), Mode::Mixed, Shape::Single(0);
+    a_mix_takes_the_better_plan_else: mixed(0.1), &fleet(), Mode::Mixed, Shape::Single(1);
+    no_mix_with_a_plan_far_below_the_target: Request { slack: 0.1, ..mixed(0.08) }, &fleet(),
+        Mode::Met, Shape::Single(1);
+}
+
 cases! { refuses =>
     nothing_allowed: request(), &[], Refusal::Forbidden;
     nothing_ready: request(), &with(|all| all.iter_mut().for_each(|one| one.ready = false)),
@@ -156,6 +173,7 @@
             ..request()
         };
         let Ok(plan) = choose(&request, &candidates) else { return Ok(()); };
+        prop_assert!((0.0..=1.0).contains(&plan.quality));
         let used = match plan.shape {
             Shape::Single(one) => vec![one],
             Shape::Cascade { first, then } => vec![first, then],
@@ -169,3 +187,31 @@
         prop_assert!(!(better && demoted));
     }
 }
+
+proptest! {
+    #[test]
+    fn a_mix_meets_the_target_at_a_lower_cost(
+        candidates in proptest::collection::vec(any_candidate(), 1..8),
+        target in 0.05..1.0_f64,
+        draws in proptest::collection::vec(0.0..1.0_f64, 256),
+    ) {
+        let sure = choose(&Request { target, ..request() }, &candidates);
+        let mixed: Vec<_> = draws
+            .iter()
+            .filter_map(|draw| {
+                let request = Request { target, slack: 0.1, draw: *draw, ..request() };
+                choose(&request, &candidates).ok()
+            })
+            .collect();
+        let Ok(sure) = sure else { return Ok(()); };
+        if sure.mode != Mode::Met { return Ok(()); }
+        let mean = |of: fn(&policy::plan::Plan) -> f64| {
+            mixed.iter().map(of).sum::<f64>() / mixed.len() as f64
+        };
+        // Draws scatter: a share of 256 draws is within 0.2 of its mean.
+        prop_assert!(mean(|plan| plan.quality) >= target - 0.2 * 1.1);
+        prop_assert!(mixed.iter().all(|plan| plan.quality >= target - 0.1 - 1e-9));
+        let spread = 0.2 * mixed.iter().map(|plan| plan.cost).fold(0.0, f64::max);
+        prop_assert!(mean(|plan| plan.cost) <= sure.cost + spread);
+    }
+}
--- a/crates/standin/examples/measure/policy/scenario.rs
+++ b/crates/standin/examples/measure/policy/scenario.rs
@@ -62,6 +62,7 @@
             scenario("full", Kind::Steady, 1.0),
             scenario("double", Kind::Steady, 2.0),
             scenario("fourfold", Kind::Steady, 4.0),
+            scenario("eightfold", Kind::Steady, 8.0),
         ]
     }
 
--- a/crates/standin/examples/measure/policy/strategy.rs
+++ b/crates/standin/examples/measure/policy/strategy.rs
@@ -101,6 +101,10 @@
                 one.name = "no cascades";
                 one.cascades = false;
             }),
+            off(&|one| {
+                one.name = "no mixed plans";
+                one.planner.slack = 0.0;
+            }),
             off(&|one| {
                 one.name = "no learning";
                 one.learning = false;
