Serve the earliest deadline first within a customer

Ruled out: a flow for each customer and task: a customer with more tasks would get a larger share. Change: the admission queue shares work between customers by weight and serves the earliest deadline within a customer; expected waits count work, not requests; a full queue evicts from the customer with the most work waiting. The measurement's strategies without admission use a plain queue.

--- a/crates/limits/src/admission/mod.rs
+++ b/crates/limits/src/admission/mod.rs
@@ -1,9 +1,10 @@
 //! Which requests run now, wait, or are refused.
 
-mod order;
+mod flow;
 mod queue;
 mod request;
 mod settings;
+mod work;
 
 pub use queue::{Next, Offer, Queue};
 pub use request::{Request, Ticket};
--- a/crates/node/src/decide/decide.rs
+++ b/crates/node/src/decide/decide.rs
@@ -101,7 +101,7 @@
                 model,
                 version,
                 ready: *ready,
-                wait: self.wait(order, model, &version.name),
+                wait: self.wait(now, order, model, &version.name),
             })
             .collect();
         let query = Query {
@@ -253,10 +253,24 @@
         }
     }
 
-    fn wait(&self, order: &Order, model: &str, version: &str) -> Duration {
+    fn wait(&self, now: Instant, order: &Order, model: &str, version: &str) -> Duration {
+        let subject = Subject {
+            model,
+            version,
+            task: order.task,
+            customer: order.customer,
+        };
+        let expected = self.durations(subject).map(|(usual, _)| usual);
+        let request = limits::admission::Request {
+            ticket: 0,
+            customer: order.customer,
+            priority: order.priority,
+            weight: order.weight,
+            deadline: now + order.deadline(),
+            expected: expected.unwrap_or_default(),
+        };
         let pool = format!("{model}@{version}");
-        self.door
-            .expected_wait(&pool, order.customer, order.priority)
+        self.door.expected_wait(&pool, &request)
     }
 
     fn configure(&self, now: Instant, planner: &mut Planner, config: &Config) {
--- a/crates/node/src/decide/door.rs
+++ b/crates/node/src/decide/door.rs
@@ -4,7 +4,7 @@
 use crate::decide::{Entry, Pass};
 use contract::Map;
 use limits::Refusal;
-use limits::admission::Settings;
+use limits::admission::{Request, Settings};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -46,9 +46,9 @@
         Lane::enter(&lane, entry).await
     }
 
-    /// Expected wait of a customer's next request before a pool.
-    pub fn expected_wait(&self, pool: &str, customer: &str, priority: u8) -> Duration {
-        self.lane(pool).expected_wait(customer, priority)
+    /// Expected wait before a pool of a request that would come now.
+    pub fn expected_wait(&self, pool: &str, request: &Request) -> Duration {
+        self.lane(pool).expected_wait(request)
     }
 
     /// Requests that run and wait at a pool.
--- a/crates/node/src/decide/lane.rs
+++ b/crates/node/src/decide/lane.rs
@@ -84,8 +84,8 @@
         }
     }
 
-    pub(super) fn expected_wait(&self, customer: &str, priority: u8) -> Duration {
-        self.lock().queue.expected_wait(customer, priority)
+    pub(super) fn expected_wait(&self, request: &Request) -> Duration {
+        self.lock().queue.expected_wait(request)
     }
 
     pub(super) fn counts(&self) -> (u32, usize) {
--- a/crates/node/src/decide/order.rs
+++ b/crates/node/src/decide/order.rs
@@ -31,6 +31,8 @@
     pub funds: Funds,
     /// 0 goes first, 9 last.
     pub priority: u8,
+    /// Fair share relative to other customers.
+    pub weight: u32,
     /// Nodes of the fleet.
     pub nodes: u32,
 }
@@ -72,6 +74,7 @@
             session: None,
             funds: Funds::Ample,
             priority: 5,
+            weight: 1,
             nodes: 1,
         }
     }
--- /dev/null
+++ b/crates/standin/examples/measure/policy/line.rs
@@ -0,0 +1,81 @@
+//! The queue before a version's backend servers: fair and bounded, or first come, first served.
+
+use limits::Refusal;
+use limits::admission::{Next, Offer, Queue, Request, Ticket};
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// The queue before a version's backend servers at one node.
+pub enum Line {
+    Fair(Queue),
+    /// No bound, no shares and no refusals.
+    Plain {
+        waiting: VecDeque<Ticket>,
+        running: u32,
+        capacity: u32,
+    },
+}
+
+impl Line {
+    pub fn new(fair: bool) -> Self {
+        if fair {
+            return Self::Fair(Queue::new(Default::default(), 0));
+        }
+        Self::Plain {
+            waiting: VecDeque::new(),
+            running: 0,
+            capacity: 0,
+        }
+    }
+
+    pub fn resize(&mut self, slots: u32) {
+        match self {
+            Self::Fair(queue) => queue.resize(slots),
+            Self::Plain { capacity, .. } => *capacity = slots,
+        }
+    }
+
+    pub fn expected_wait(&self, request: &Request) -> Duration {
+        match self {
+            Self::Fair(queue) => queue.expected_wait(request),
+            Self::Plain {
+                waiting, capacity, ..
+            } => {
+                let rounds = waiting.len() as f64 / f64::from((*capacity).max(1));
+                request.expected.mul_f64(rounds)
+            }
+        }
+    }
+
+    pub fn offer(&mut self, now: Instant, request: Request) -> Result<Offer, Refusal> {
+        match self {
+            Self::Fair(queue) => queue.offer(now, request),
+            Self::Plain { waiting, .. } => {
+                waiting.push_back(request.ticket);
+                Ok(Offer::Wait)
+            }
+        }
+    }
+
+    pub fn next(&mut self, now: Instant) -> Option<Next> {
+        match self {
+            Self::Fair(queue) => queue.next(now),
+            Self::Plain {
+                waiting,
+                running,
+                capacity,
+            } => {
+                let ticket = (*running < *capacity).then(|| waiting.pop_front())??;
+                *running += 1;
+                Some(Next::Run(ticket))
+            }
+        }
+    }
+
+    pub fn finish(&mut self, took: Duration) {
+        match self {
+            Self::Fair(queue) => queue.finish(took),
+            Self::Plain { running, .. } => *running = running.saturating_sub(1),
+        }
+    }
+}
--- a/crates/standin/examples/measure/policy/mod.rs
+++ b/crates/standin/examples/measure/policy/mod.rs
@@ -4,6 +4,7 @@
 //! of arrivals, service times and ratings. There are no nodes, links or sockets in it; only the
 //! decisions are measured.
 
+mod line;
 mod plot;
 mod report;
 mod request;
