--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,10 +1,8 @@
 //! Starts the parts of a node and stops them in order.
 
-use crate::app::App;
-use crate::sync::{self, Replica};
-use crate::{caller, stop};
-use contract::Member;
-use platform::{table, vms};
+use crate::app::{App, Parts};
+use crate::{caller, inbox, operator, stop};
+use platform::vms;
 use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
 use settings::node::Settings;
 use std::sync::Arc;
@@ -13,9 +11,6 @@
 /// Seconds that connections without a request have to close when the node stops.
 const CONNECTION_GRACE_S: u32 = 1;
 
-/// Renewals within the time of a lease.
-const LEASE_RENEWALS: u32 = 3;
-
 /// Why a node can't run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -36,22 +31,26 @@
         url: settings.vms_url.clone(),
         ..vms::Settings::default()
     })?;
-    let table = table::Client::new(table::Settings {
-        url: settings.table_url.clone(),
-        table: settings.table.clone(),
-        ..table::Settings::default()
-    })?;
-    let replica = Replica::new(sync_settings(&settings), table);
-    let app = Arc::new(App::new(settings.clone(), replica));
+    let app = Arc::new(App::new(
+        settings.clone(),
+        Parts::new(&settings, incarnation())?,
+    ));
     tokio::spawn({
         let app = Arc::clone(&app);
         async move { app.fleet.run(&vms, app.settings.vms_poll).await }
     });
     tokio::spawn(Arc::clone(&app.replica).run());
+    tokio::spawn(inbox::run(Arc::clone(&app)));
+    tokio::spawn({
+        let app = Arc::clone(&app);
+        async move { app.decide.run(|frame| app.hub.broadcast(&frame)).await }
+    });
     let rocket = rocket::custom(rocket_config(&settings))
         .manage(Arc::clone(&app))
         .mount("/", caller::routes())
         .register("/", caller::catchers())
+        .mount("/", operator::routes())
+        .register(operator::ROOT, operator::catchers())
         .ignite()
         .await
         .map_err(Box::new)?;
@@ -81,23 +80,6 @@
     }
 }
 
-fn sync_settings(settings: &Settings) -> sync::Settings {
-    sync::Settings {
-        member: Member {
-            node: settings.node.clone(),
-            incarnation: incarnation(),
-            zone: settings.zone.clone(),
-            http: settings.advertise_http.unwrap_or(settings.http).to_string(),
-            link: settings.advertise_link.unwrap_or(settings.link).to_string(),
-            leaving: false,
-        },
-        poll: settings.poll,
-        lease_ttl: settings.lease,
-        lease_interval: settings.lease / LEASE_RENEWALS,
-        ..sync::Settings::default()
-    }
-}
-
 fn incarnation() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
