docs: catalogues of events and settings, held against the code

Cause: nothing kept the numbers of events and the settings in step with their pages. Ruled out: generating the page of events, which needs prose that the code doesn't hold. A zone that goes out without any member warns, as does the last zone with members. `sardinectl rotate` refuses when the configuration names no member. Conclusion: whoever adds an event adds its row; the test names it.

--- a/crates/contract/src/check/serving.rs
+++ b/crates/contract/src/check/serving.rs
@@ -1,18 +1,33 @@
 //! Warnings about requests that no version or zone is left to serve.
 
 use super::Finding;
-use crate::{Config, Contract, Fault, Version};
+use crate::{Config, Contract, Fault, Set, Version};
 
 /// Checks that each contract and the fleet can still be served.
 pub(super) fn check(config: &Config, findings: &mut Vec<Finding>) {
     for contract in config.contracts() {
         check_contract(config, contract, findings);
     }
-    let mut members = config.members().peekable();
-    if members.peek().is_some() && members.all(|member| config.zone_out(&member.zone)) {
-        let out = config.zones().find(|zone| zone.out);
-        let key = out.map(|zone| format!("zone/{}", zone.name));
-        findings.extend(key.map(|key| Finding::new(&key, "/out", Fault::NoZone)));
+    check_zones(config, findings);
+}
+
+fn check_zones(config: &Config, findings: &mut Vec<Finding>) {
+    let populated: Set<&str> = config
+        .members()
+        .map(|member| member.zone.as_str())
+        .collect();
+    if populated.is_empty() {
+        return;
+    }
+    let left = populated.iter().any(|zone| !config.zone_out(zone));
+    for zone in config.zones().filter(|zone| zone.out) {
+        let fault = match populated.contains(zone.name.as_str()) {
+            false => Fault::NoMember(zone.name.clone()),
+            true if !left => Fault::NoZone,
+            true => continue,
+        };
+        let key = format!("zone/{}", zone.name);
+        findings.push(Finding::new(&key, "/out", fault));
     }
 }
 
--- a/crates/contract/src/error.rs
+++ b/crates/contract/src/error.rs
@@ -1,6 +1,6 @@
 //! What can be wrong with the configuration.
 
-use crate::{CustomerId, ModelId, ObjectKey, Revision, ServiceId, TaskId, VersionId};
+use crate::{CustomerId, ModelId, ObjectKey, Revision, ServiceId, TaskId, VersionId, ZoneId};
 
 /// Why a change of the configuration can't be applied.
 #[derive(Debug, thiserror::Error)]
@@ -137,6 +137,9 @@
         /// Best prior quality of the allowed versions.
         best: f64,
     },
+    /// A zone that goes out has no members: perhaps another one was meant.
+    #[error("no member of the fleet is in zone {0}")]
+    NoMember(ZoneId),
     /// All zones that have members are out.
     #[error("no member is left in a zone that is in")]
     NoZone,
@@ -172,6 +175,7 @@
             Self::Method(_) => "method",
             Self::Unserved => "unserved",
             Self::Quality { .. } => "quality",
+            Self::NoMember(_) => "no_member",
             Self::NoZone => "no_zone",
         }
     }
@@ -183,7 +187,9 @@
     /// ```
     pub fn severity(&self) -> Severity {
         match self {
-            Self::Unserved | Self::Quality { .. } | Self::NoZone => Severity::Warning,
+            Self::Unserved | Self::Quality { .. } | Self::NoMember(_) | Self::NoZone => {
+                Severity::Warning
+            }
             _ => Severity::Error,
         }
     }
--- a/crates/ctl/src/command/rotate.rs
+++ b/crates/ctl/src/command/rotate.rs
@@ -14,6 +14,9 @@
         step,
     };
     let status: Status = client.get("/status").await?;
+    if status.members.is_empty() {
+        return Err(Error::NoMembers);
+    }
     let mut done: Vec<Rotated> = Vec::new();
     let mut missed = Vec::new();
     for member in &status.members {
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -39,6 +39,9 @@
     /// No member has this name.
     #[error("no member is named {0}")]
     NoMember(String),
+    /// The fleet has no members yet.
+    #[error("the configuration names no member")]
+    NoMembers,
     /// A node refused.
     #[error("refused: {}{}", .refusal.error.message, findings(.refusal))]
     Refused {
@@ -110,7 +113,11 @@
             | Self::VersionName(_)
             | Self::Client(_)
             | Self::Toml(_) => 1,
-            Self::Problems(_) | Self::Absent(_) | Self::NoMember(_) | Self::Refused { .. } => 2,
+            Self::Problems(_)
+            | Self::Absent(_)
+            | Self::NoMember(_)
+            | Self::NoMembers
+            | Self::Refused { .. } => 2,
             Self::Conflict(_) => 3,
             Self::Unreachable(_) | Self::Partial(_) => 4,
             Self::Unknown { .. } => 5,
--- a/crates/ctl/tests/operate.rs
+++ b/crates/ctl/tests/operate.rs
@@ -246,6 +246,11 @@
         assert!(run.err.contains("no member is left in a zone that is in"), "{run:?}");
     }
 
+    mistyped_zone_warns: |fleet| {
+        let run = fleet.ctl(&["zone", "--dry-run", "out", "aa"]).await;
+        assert!(run.err.contains("no member of the fleet is in zone aa"), "{run:?}");
+    }
+
     dry_run_changes_nothing: |fleet| {
         let revision = fleet.app.config().revision();
         let run = fleet.ctl(&["--json", "zone", "--dry-run", "out", "b"]).await;
--- /dev/null
+++ b/crates/settings/tests/catalogues.rs
@@ -0,0 +1,97 @@
+//! The pages of events and settings against the code.
+
+use settings::node::SPECS;
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+const ROOT: &str = "../..";
+
+fn page(name: &str) -> String {
+    fs::read_to_string(Path::new(ROOT).join("docs").join(name)).unwrap()
+}
+
+fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            found.push(path);
+        }
+    }
+}
+
+/// Number and level of each event that a source file logs.
+fn events(text: &str) -> Vec<(u32, String)> {
+    let mut events = Vec::new();
+    for (at, marker) in text.match_indices("event = ") {
+        let rest = &text[at + marker.len()..];
+        let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+        let Ok(number) = digits.parse() else { continue };
+        let call = text[..at].rfind("log::").map(|start| &text[start + 5..at]);
+        let level = call
+            .and_then(|call| call.split_once('!'))
+            .map(|(level, _)| level);
+        events.push((number, level.unwrap_or("unknown").to_owned()));
+    }
+    events
+}
+
+fn events_of_the_code() -> BTreeMap<u32, String> {
+    let mut found = BTreeMap::new();
+    let mut files = Vec::new();
+    for entry in fs::read_dir(Path::new(ROOT).join("crates")).unwrap() {
+        sources(&entry.unwrap().path().join("src"), &mut files);
+    }
+    for file in files {
+        for (number, level) in events(&fs::read_to_string(&file).unwrap()) {
+            let first = found.insert(number, level);
+            assert!(first.is_none(), "event {number} of {file:?} is used twice");
+        }
+    }
+    found
+}
+
+/// Rows `| 1201 | info | ...` of the catalogue.
+fn events_of_the_page() -> BTreeMap<u32, String> {
+    let mut found = BTreeMap::new();
+    for line in page("EVENTS.md").lines() {
+        let cells: Vec<_> = line.split('|').map(str::trim).collect();
+        let Some(Ok(number)) = cells.get(1).map(|cell| cell.parse()) else {
+            continue;
+        };
+        let first = found.insert(number, cells[2].to_owned());
+        assert!(first.is_none(), "event {number} has two rows");
+    }
+    found
+}
+
+#[test]
+fn each_event_has_one_row_and_the_reverse() {
+    assert_eq!(
+        events_of_the_page(),
+        events_of_the_code(),
+        "left: docs/EVENTS.md, right: code"
+    );
+}
+
+#[test]
+fn each_setting_has_its_row() {
+    let page = page("SETTINGS.md");
+    for spec in SPECS {
+        let default = match (spec.required, spec.default) {
+            (true, _) => "required".to_owned(),
+            (false, "") => "none".to_owned(),
+            (false, default) => default.to_owned(),
+        };
+        let row = format!(
+            "| `--{}` | `{}` | {default} | {} | {} |",
+            spec.flag,
+            spec.env,
+            spec.expected(),
+            spec.help
+        );
+        assert!(page.contains(&row), "docs/SETTINGS.md lacks\n{row}");
+    }
+}
