--- a/crates/ctl/tests/operate.rs
+++ b/crates/ctl/tests/operate.rs
@@ -1,8 +1,6 @@
 //! `sardinectl` as a process against the operators' routes of a node, over a stand-in of the table service.
 
-use node::app::App;
-use node::sync::{self, Replica};
-use platform::table;
+use node::app::{App, Parts};
 use serde_json::{Value, json};
 use settings::Secret;
 use settings::node::Settings;
@@ -44,33 +42,18 @@
             .await
             .unwrap();
         let http = free_address();
-        let client = table::Client::new(table::Settings {
-            url: table.url(),
-            ..Default::default()
-        });
         let settings = Settings {
             node: "n1".into(),
             zone: "a".into(),
             http,
+            table_url: table.url(),
             operator_key: vec![Secret::new(OPERATOR_KEY)],
             link_key: vec![Secret::new(LINK_KEY)],
             session_key: vec![Secret::new(SESSION_KEY)],
             ..Settings::default()
         };
-        let member = contract::Member {
-            http: http.to_string(),
-            incarnation: 1,
-            leaving: false,
-            link: "127.0.0.1:1".into(),
-            node: "n1".into(),
-            zone: "a".into(),
-        };
-        let sync_settings = sync::Settings {
-            member,
-            ..Default::default()
-        };
-        let replica = Replica::new(sync_settings, client.unwrap());
-        let app = Arc::new(App::new(settings, replica));
+        let parts = Parts::new(&settings, 1).unwrap();
+        let app = Arc::new(App::new(settings, parts));
         tokio::spawn(Arc::clone(&app.replica).run());
         let rocket = rocket::build()
             .manage(Arc::clone(&app))
--- a/crates/node/src/app/mod.rs
+++ b/crates/node/src/app/mod.rs
@@ -2,8 +2,10 @@
 
 mod app;
 mod keys;
+mod parts;
 mod stay;
 
 pub use app::App;
 pub use keys::Keys;
+pub use parts::Parts;
 pub use stay::{Gate, Stay};
--- a/crates/node/src/operator/dump.rs
+++ b/crates/node/src/operator/dump.rs
@@ -32,6 +32,7 @@
         "requests_under_way": app.gate().inside(),
         "objects": objects(&app.config())?,
         "backend_servers": backends,
+        "decisions": app.decide.dump(),
     })))
 }
 
