--- /dev/null
+++ b/crates/contract/tests/pages.rs
@@ -0,0 +1,36 @@
+//! Objects shown on the pages must be right against the samples.
+
+use contract::Config;
+use contract::file::{Source, read};
+use std::fs;
+
+fn samples() -> Config {
+    let files = fs::read_dir("../../samples").unwrap();
+    let sources: Vec<_> = files
+        .map(|file| file.unwrap().path())
+        .map(|path| Source::new(path.to_string_lossy(), fs::read_to_string(&path).unwrap()))
+        .collect();
+    Config::new(0, read(&sources, &Config::default()).objects)
+}
+
+macro_rules! pages {
+    ($($name:ident: $path:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let text = fs::read_to_string(concat!("../../", $path)).unwrap();
+            let blocks: Vec<_> = text.split("```toml\n").skip(1).collect();
+            assert!(!blocks.is_empty());
+            for block in blocks {
+                let block = block.split("```").next().unwrap();
+                let reading = read(&[Source::new($path, block)], &samples());
+                assert_eq!(reading.problems, [], "{block}");
+                assert!(!reading.objects.is_empty());
+            }
+        }
+    )*};
+}
+
+pages! {
+    first_contract: "README.md";
+    contract_in_the_reference: "docs/CONTRACTS.md";
+}
