node: metrics by cadence, and operators' routes that wait for the configuration

Cause: no metrics were sent; a node that had just started would have called a known operator unknown, or checked a change against a configuration older than the one it was written against. Ruled out: a metrics socket that stops a node from starting (it serves without, event 1006); flushing on the request path. Change: `node::metrics` with typed names, a fairing that counts and times all requests, a report of gauges each second, and docs/METRICS.md held against the code. Operators' routes answer 503 `starting` before the first proof, and a change waits up to 1 s for its base. Conclusion: gauges may be one interval late; counters are exact unless the queue of 8,192 overflows.

--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -6,6 +6,7 @@
 use crate::dispatch::{Load, Signer};
 use crate::fleet::{Fleet, Server};
 use crate::link::Hub;
+use crate::metrics::{Counter, Metrics};
 use crate::sync::Replica;
 use backend::Pool;
 use contract::{Config, CustomerId, Incarnation};
@@ -46,6 +47,8 @@
     pub decide: Arc<Decide>,
     /// Shares of customers' budgets.
     pub funds: Funds<table::Client>,
+    /// Where metrics are sent.
+    pub metrics: Metrics,
     suspects: Mutex<Suspects>,
     gate: Arc<Gate>,
     keys: Keys,
@@ -66,6 +69,7 @@
             signer: Signer::new(session_keys.clone()),
             session_keys,
             link_keys: Ring::new(settings.link_key.clone()),
+            metrics: Metrics::start(&settings),
             settings,
             incarnation: parts.replica.incarnation(),
             replica: parts.replica,
@@ -169,6 +173,13 @@
 
     /// Bills a request.
     pub fn bill(&self, bill: Bill) {
+        let version = [("model", bill.model.as_str()), ("version", &bill.version)];
+        self.metrics.count(Counter::Answers, 1, &version);
+        self.metrics
+            .count(Counter::OutputTokens, bill.output_tokens, &version);
+        let customer = [("customer", bill.customer.as_str())];
+        self.metrics
+            .count(Counter::CostMicros, bill.micros, &customer);
         log::info!(
             event = 1101,
             request = bill.request_id.as_str(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 mod inbox;
 pub mod link;
+pub mod metrics;
 pub mod operator;
 mod run;
 mod stop;
--- a/crates/node/src/operator/change.rs
+++ b/crates/node/src/operator/change.rs
@@ -12,6 +12,11 @@
 use rocket::serde::json::Json;
 use rocket::{Data, State as Managed};
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Longest wait for the base of a change.
+const CATCH_UP: Duration = Duration::from_secs(1);
 
 type Answer = Result<(Status, Json<Outcome>), Error>;
 
@@ -21,6 +26,7 @@
     let limit = app.settings.body_limit_bytes as usize;
     let body = read_body(data, limit, app.settings.header_timeout).await?;
     let change: Change = serde_json::from_slice(&body)?;
+    catch_up(app, change.base).await;
     let Review { entries, findings } = review(&app.config(), &change.entries)?;
     if change.dry_run {
         let outcome = outcome_of(&change.change, None, State::Checked, Vec::new());
@@ -51,6 +57,15 @@
     Ok((status, Json(outcome)))
 }
 
+/// Waits a while for the revision against which a change was written at another node.
+async fn catch_up(app: &App, base: Option<Revision>) {
+    let base = base.unwrap_or_default();
+    let mut configs = app.replica.watch();
+    let caught_up = configs.wait_for(|config| config.revision() >= base);
+    // A base that doesn't come is refused by the log.
+    let _ = timeout(CATCH_UP, caught_up).await;
+}
+
 fn answer(
     app: &App,
     change: &str,
--- a/crates/node/src/operator/error.rs
+++ b/crates/node/src/operator/error.rs
@@ -18,6 +18,9 @@
     /// No key, or one that names no operator.
     #[error("the bearer key is missing or names no operator")]
     Unauthenticated,
+    /// The node has not learnt the configuration yet.
+    #[error("this node is starting and doesn't know the configuration yet")]
+    Starting,
     /// The request can't be read.
     #[error("refused with status {0}")]
     Request(Status),
@@ -54,6 +57,7 @@
     fn code(&self) -> &'static str {
         match self {
             Self::Unauthenticated => "unauthenticated",
+            Self::Starting => "starting",
             Self::Request(_) | Self::Json(_) => "invalid_request",
             Self::Body(error) => error.code(),
             Self::Path(_) => "not_found",
@@ -69,6 +73,7 @@
     fn status(&self) -> Status {
         match self {
             Self::Unauthenticated => Status::Unauthorized,
+            Self::Starting => Status::ServiceUnavailable,
             Self::Request(status) => *status,
             Self::Body(error) => Status::new(error.status()),
             Self::Json(_) => Status::BadRequest,
--- a/crates/node/src/operator/key.rs
+++ b/crates/node/src/operator/key.rs
@@ -9,6 +9,7 @@
 use rocket::request::{FromRequest, Request};
 use settings::Secret;
 use std::sync::Arc;
+use std::time::Instant;
 use subtle::{Choice, ConstantTimeEq};
 
 /// Name under which the keys of the settings are logged.
@@ -62,10 +63,15 @@
     type Error = Error;
 
     async fn from_request(request: &'r Request<'_>) -> Outcome<Self, (Status, Error), Status> {
-        let app = request.rocket().state::<Arc<App>>();
-        let found = app
-            .zip(bearer(request))
-            .and_then(|(app, key)| Self::find(&app.settings.operator_key, &app.config(), key));
+        let Some(app) = request.rocket().state::<Arc<App>>() else {
+            return Outcome::Error((Status::ServiceUnavailable, Error::Starting));
+        };
+        let config = app.config();
+        if config.revision() == 0 && app.replica.may_start(Instant::now()).is_err() {
+            return Outcome::Error((Status::ServiceUnavailable, Error::Starting));
+        }
+        let keys = &app.settings.operator_key;
+        let found = bearer(request).and_then(|key| Self::find(keys, &config, key));
         match found {
             Some(operator) => Outcome::Success(operator),
             None => {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,6 +1,7 @@
 //! Starts the parts of a node and stops them in order.
 
 use crate::app::{App, Parts};
+use crate::metrics::{self, Meter};
 use crate::{caller, inbox, operator, stop};
 use platform::vms;
 use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
@@ -41,12 +42,14 @@
     });
     tokio::spawn(Arc::clone(&app.replica).run());
     tokio::spawn(inbox::run(Arc::clone(&app)));
+    tokio::spawn(metrics::run(Arc::clone(&app)));
     tokio::spawn({
         let app = Arc::clone(&app);
         async move { app.decide.run(|frame| app.hub.broadcast(&frame)).await }
     });
     let rocket = rocket::custom(rocket_config(&settings))
         .manage(Arc::clone(&app))
+        .attach(Meter(app.metrics.clone()))
         .mount("/", caller::routes())
         .register("/", caller::catchers())
         .mount("/", operator::routes())
@@ -54,9 +57,11 @@
         .ignite()
         .await
         .map_err(Box::new)?;
+    let sent = app.metrics.clone();
     let signals = stop::Signals::new().map_err(Error::Runtime)?;
     tokio::spawn(stop::stop(app, signals, rocket.shutdown()));
     rocket.launch().await.map_err(Box::new)?;
+    sent.flush();
     log::info!(event = 1004; "node stopped");
     Ok(())
 }
--- /dev/null
+++ b/crates/node/tests/metrics.rs
@@ -0,0 +1,70 @@
+//! Metrics as a receiver sees them, and their page against the code.
+
+use node::metrics::{Counter, Gauge, Metrics, Timer};
+use settings::node::Settings;
+use std::net::UdpSocket;
+use std::time::Duration;
+
+/// Wait for a datagram after one flush.
+const PATIENCE: Duration = Duration::from_millis(50);
+const FLUSHES: usize = 200;
+
+/// What a receiver gets of the metrics that are sent.
+fn received(send: impl FnOnce(&Metrics)) -> String {
+    let receiver = UdpSocket::bind("127.0.0.1:0").unwrap();
+    receiver.set_read_timeout(Some(PATIENCE)).unwrap();
+    let metrics = Metrics::start(&Settings {
+        node: "n1".into(),
+        zone: "a".into(),
+        metrics_udp: receiver.local_addr().ok(),
+        ..Settings::default()
+    });
+    let mut datagram = [0; 1024];
+    send(&metrics);
+    // The queue hands metrics on in a thread of its own: a flush may come before them.
+    for _ in 0..FLUSHES {
+        metrics.flush();
+        if let Ok(size) = receiver.recv(&mut datagram) {
+            return String::from_utf8_lossy(&datagram[..size]).trim().to_owned();
+        }
+    }
+    panic!("no datagram");
+}
+
+macro_rules! datagrams {
+    ($($name:ident: |$metrics:ident| $send:expr => $text:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(received(|$metrics| $send), $text);
+        }
+    )*};
+}
+
+datagrams! {
+    counter: |metrics| metrics.count(Counter::Answers, 2, &[("model", "small"), ("version", "1")]) =>
+        "sardinebank.answers:2|c|#node:n1,zone:a,model:small,version:1";
+    timer: |metrics| metrics.time(Timer::RequestMs, Duration::from_millis(12), &[]) =>
+        "sardinebank.request_ms:12|ms|#node:n1,zone:a";
+    gauge: |metrics| metrics.gauge(Gauge::Revision, 7) =>
+        "sardinebank.revision:7|g|#node:n1,zone:a";
+}
+
+#[test]
+fn page_names_each_metric_once() {
+    let page = std::fs::read_to_string("../../docs/METRICS.md").unwrap();
+    let mut rows: Vec<_> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `"))
+        .filter_map(|line| line.split_once("` | "))
+        .map(|(name, rest)| (name, rest.split(" |").next().unwrap_or_default()))
+        .collect();
+    let mut names: Vec<_> = Counter::ALL
+        .iter()
+        .map(|one| (one.name(), "counter"))
+        .collect();
+    names.extend(Timer::ALL.iter().map(|one| (one.name(), "timer")));
+    names.extend(Gauge::ALL.iter().map(|one| (one.name(), "gauge")));
+    rows.sort_unstable();
+    names.sort_unstable();
+    assert_eq!(rows, names, "left: docs/METRICS.md, right: code");
+}
