node: status shows members' life and demotions, the dump shows decisions

Cause: `status` said only whether a member leaves, and nothing of versions that a node has found bad. Ruled out: the age of each heartbeat, which the view keeps to itself; its verdict (live, silent, leaving) is what matters. Change: Peer has `state` and `outstanding`, Offer has `demoted`; the dump holds what decisions stand on and what is left of shares of budgets. Conclusion: the age of the newest proof is not shown until the replica tells it.

--- a/crates/contract/src/operator/generated.rs
+++ b/crates/contract/src/operator/generated.rs
@@ -227,6 +227,89 @@
         value.clone()
     }
 }
+#[doc = "`silent`: not heard for a while, so paused, cut off or dead. `leaving`: it stops."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"`silent`: not heard for a while, so paused, cut off or dead. `leaving`: it stops.\","]
+#[doc = "  \"type\": \"string\","]
+#[doc = "  \"enum\": ["]
+#[doc = "    \"live\","]
+#[doc = "    \"silent\","]
+#[doc = "    \"leaving\""]
+#[doc = "  ]"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum Life {
+    #[serde(rename = "live")]
+    Live,
+    #[serde(rename = "silent")]
+    Silent,
+    #[serde(rename = "leaving")]
+    Leaving,
+}
+impl ::std::convert::From<&Self> for Life {
+    fn from(value: &Life) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for Life {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Live => f.write_str("live"),
+            Self::Silent => f.write_str("silent"),
+            Self::Leaving => f.write_str("leaving"),
+        }
+    }
+}
+impl ::std::str::FromStr for Life {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "live" => Ok(Self::Live),
+            "silent" => Ok(Self::Silent),
+            "leaving" => Ok(Self::Leaving),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Life {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for Life {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Life {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 #[doc = "Objects of the configuration by key."]
 #[doc = r""]
 #[doc = r" <details><summary>JSON schema</summary>"]
@@ -279,6 +362,14 @@
 #[doc = "    \"version\""]
 #[doc = "  ],"]
 #[doc = "  \"properties\": {"]
+#[doc = "    \"demoted\": {"]
+#[doc = "      \"description\": \"Tasks at which the answering node has found the version bad.\","]
+#[doc = "      \"default\": [],"]
+#[doc = "      \"type\": \"array\","]
+#[doc = "      \"items\": {"]
+#[doc = "        \"type\": \"string\""]
+#[doc = "      }"]
+#[doc = "    },"]
 #[doc = "    \"model\": {"]
 #[doc = "      \"type\": \"string\""]
 #[doc = "    },"]
@@ -296,6 +387,9 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Offer {
+    #[doc = "Tasks at which the answering node has found the version bad."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub demoted: ::std::vec::Vec<::std::string::String>,
     pub model: ::std::string::String,
     pub stage: Stage,
     pub version: ::std::string::String,
@@ -381,31 +475,24 @@
 #[doc = "  \"type\": \"object\","]
 #[doc = "  \"required\": ["]
 #[doc = "    \"http\","]
-#[doc = "    \"leaving\","]
 #[doc = "    \"node\","]
+#[doc = "    \"outstanding\","]
+#[doc = "    \"state\","]
 #[doc = "    \"zone\""]
 #[doc = "  ],"]
 #[doc = "  \"properties\": {"]
-#[doc = "    \"heard_ms\": {"]
-#[doc = "      \"description\": \"Milliseconds since the member was last heard; absent if it never was.\","]
-#[doc = "      \"type\": \"integer\","]
-#[doc = "      \"format\": \"uint64\","]
-#[doc = "      \"minimum\": 0.0"]
-#[doc = "    },"]
 #[doc = "    \"http\": {"]
 #[doc = "      \"type\": \"string\""]
 #[doc = "    },"]
-#[doc = "    \"leaving\": {"]
-#[doc = "      \"type\": \"boolean\""]
-#[doc = "    },"]
 #[doc = "    \"node\": {"]
 #[doc = "      \"type\": \"string\""]
 #[doc = "    },"]
-#[doc = "    \"revision\": {"]
-#[doc = "      \"description\": \"Newest revision that the member is known to have applied.\","]
-#[doc = "      \"type\": \"integer\","]
-#[doc = "      \"format\": \"uint64\","]
-#[doc = "      \"minimum\": 0.0"]
+#[doc = "    \"outstanding\": {"]
+#[doc = "      \"description\": \"Whether the member has yet to confirm the node's revision.\","]
+#[doc = "      \"type\": \"boolean\""]
+#[doc = "    },"]
+#[doc = "    \"state\": {"]
+#[doc = "      \"$ref\": \"#/definitions/Life\""]
 #[doc = "    },"]
 #[doc = "    \"zone\": {"]
 #[doc = "      \"type\": \"string\""]
@@ -418,15 +505,11 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Peer {
-    #[doc = "Milliseconds since the member was last heard; absent if it never was."]
-    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
-    pub heard_ms: ::std::option::Option<u64>,
     pub http: ::std::string::String,
-    pub leaving: bool,
     pub node: ::std::string::String,
-    #[doc = "Newest revision that the member is known to have applied."]
-    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
-    pub revision: ::std::option::Option<u64>,
+    #[doc = "Whether the member has yet to confirm the node's revision."]
+    pub outstanding: bool,
+    pub state: Life,
     pub zone: ::std::string::String,
 }
 impl ::std::convert::From<&Peer> for Peer {
--- a/crates/contract/src/operator/mod.rs
+++ b/crates/contract/src/operator/mod.rs
@@ -5,6 +5,6 @@
 mod refusal;
 
 pub use generated::{
-    Change, Conflict, Edit, Finding, Objects, Offer, Outcome, Peer, Place, Ran, Reason, Refusal,
-    Ring, Rotated, Rotation, Severity, Stage, State, Status, Step,
+    Change, Conflict, Edit, Finding, Life, Objects, Offer, Outcome, Peer, Place, Ran, Reason,
+    Refusal, Ring, Rotated, Rotation, Severity, Stage, State, Status, Step,
 };
--- a/crates/ctl/src/command/status.rs
+++ b/crates/ctl/src/command/status.rs
@@ -3,7 +3,7 @@
 use crate::client::Client;
 use crate::error::Error;
 use crate::output::{Output, table};
-use contract::operator::{Peer, Stage, Status};
+use contract::operator::{Life, Peer, Stage, Status};
 
 /// Shows members, zones and versions.
 pub async fn run(client: &Client, output: &Output) -> Result<(), Error> {
@@ -47,23 +47,24 @@
 }
 
 fn members(status: &Status) -> Vec<Vec<String>> {
-    let mut rows = vec![heading(&[
-        "MEMBER", "ZONE", "HTTP", "REVISION", "HEARD", "STATE",
-    ])];
+    let mut rows = vec![heading(&["MEMBER", "ZONE", "HTTP", "STATE", "REVISION"])];
     rows.extend(status.members.iter().map(member));
     rows
 }
 
 fn member(peer: &Peer) -> Vec<String> {
-    let revision = peer
-        .revision
-        .map_or("-".to_owned(), |number| number.to_string());
-    let heard = peer
-        .heard_ms
-        .map_or("never".to_owned(), |age| format!("{age} ms"));
-    let state = if peer.leaving { "leaving" } else { "live" };
+    let state = match peer.state {
+        Life::Leaving => "leaving",
+        Life::Live => "live",
+        Life::Silent => "silent",
+    };
+    let revision = if peer.outstanding {
+        "outstanding"
+    } else {
+        "applied"
+    };
     let (node, zone, http) = (peer.node.clone(), peer.zone.clone(), peer.http.clone());
-    vec![node, zone, http, revision, heard, state.to_owned()]
+    vec![node, zone, http, state.to_owned(), revision.to_owned()]
 }
 
 fn zones(status: &Status) -> Vec<Vec<String>> {
@@ -80,7 +81,7 @@
 }
 
 fn versions(status: &Status) -> Vec<Vec<String>> {
-    let mut rows = vec![heading(&["MODEL", "VERSION", "STAGE"])];
+    let mut rows = vec![heading(&["MODEL", "VERSION", "STAGE", "DEMOTED AT"])];
     rows.extend(status.versions.iter().map(|offer| {
         let stage = match offer.stage {
             Stage::Live => "live",
@@ -88,7 +89,13 @@
             Stage::RollingOut => "rolling out",
             Stage::Withdrawn => "withdrawn",
         };
-        vec![offer.model.clone(), offer.version.clone(), stage.to_owned()]
+        let demoted = offer.demoted.join(" ");
+        vec![
+            offer.model.clone(),
+            offer.version.clone(),
+            stage.to_owned(),
+            demoted,
+        ]
     }));
     rows
 }
--- a/crates/node/src/operator/dump.rs
+++ b/crates/node/src/operator/dump.rs
@@ -13,7 +13,7 @@
 /// Text shown in place of a digest.
 const REDACTED: &str = "<redacted>";
 
-/// `GET /operator/v1/dump`: settings, status, objects, backend servers and requests under way.
+/// `GET /operator/v1/dump`: settings, status, decisions, objects, backend servers and requests.
 /// Keys and their digests are redacted.
 #[rocket::get("/operator/v1/dump")]
 pub(super) fn dump(app: &State<Arc<App>>, operator: Operator) -> Result<Json<Value>, Error> {
@@ -30,6 +30,8 @@
         "settings": settings,
         "status": status::read(app, Instant::now()),
         "requests_under_way": app.gate().inside(),
+        "decisions": app.decide.dump(),
+        "budgets_left_micros": budgets(app),
         "objects": objects(&app.config())?,
         "backend_servers": backends,
         "decisions": app.decide.dump(),
@@ -50,6 +52,15 @@
     })
 }
 
+/// What is left of this node's shares of budgets, by customer.
+fn budgets(app: &App) -> Map<String, Value> {
+    let config = app.config();
+    let limited = config.contracts().filter(|one| one.spend.is_some());
+    limited
+        .map(|one| (one.customer.clone(), app.funds.left(&one.customer).into()))
+        .collect()
+}
+
 fn objects(config: &Config) -> Result<Map<String, Value>, Error> {
     config
         .objects()
--- a/crates/node/src/operator/status.rs
+++ b/crates/node/src/operator/status.rs
@@ -3,16 +3,19 @@
 use super::Operator;
 use crate::app::App;
 use contract::Config;
-use contract::operator::{Offer, Peer, Place, Stage, Status};
-use rocket::State;
+use contract::operator::{Life, Offer, Peer, Place, Stage, Status};
+use policy::plan::Standing;
+use policy::planner::Row;
+use rocket::State as Managed;
 use rocket::serde::json::Json;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
+use view::State;
 
 /// `GET /operator/v1/status`: members, zones, versions, and whether the configuration is in force.
 #[rocket::get("/operator/v1/status")]
-pub(super) fn status(app: &State<Arc<App>>, _operator: Operator) -> Json<Status> {
+pub(super) fn status(app: &Managed<Arc<App>>, _operator: Operator) -> Json<Status> {
     Json(read(app, Instant::now()))
 }
 
@@ -28,7 +31,7 @@
         node: app.settings.node.clone(),
         revision,
         serving: app.replica.may_start(now).is_ok(),
-        versions: offers(&config),
+        versions: offers(&config, &app.decide.dump().versions),
         zone: app.settings.zone.clone(),
         zones: places(&config, &members),
         members,
@@ -37,14 +40,12 @@
 }
 
 fn peers(app: &App, outstanding: &[String], now: Instant) -> Vec<Peer> {
-    let revision = app.config().revision();
     app.replica
         .members(now)
         .into_iter()
         .map(|member| Peer {
-            heard_ms: None,
-            leaving: member.state == view::State::Leaving,
-            revision: (!outstanding.contains(&member.node)).then_some(revision),
+            outstanding: outstanding.contains(&member.node),
+            state: life(member.state),
             http: member.http,
             node: member.node,
             zone: member.zone,
@@ -52,6 +53,14 @@
         .collect()
 }
 
+fn life(state: State) -> Life {
+    match state {
+        State::Leaving => Life::Leaving,
+        State::Live => Life::Live,
+        State::Silent => Life::Silent,
+    }
+}
+
 fn places(config: &Config, members: &[Peer]) -> Vec<Place> {
     let mut count: BTreeMap<&str, u32> = BTreeMap::new();
     for zone in config.zones() {
@@ -70,11 +79,12 @@
         .collect()
 }
 
-fn offers(config: &Config) -> Vec<Offer> {
+fn offers(config: &Config, rows: &[Row]) -> Vec<Offer> {
     config
         .models()
         .flat_map(|model| {
             model.versions.iter().map(|version| Offer {
+                demoted: demoted(rows, &model.name, &version.name),
                 model: model.name.clone(),
                 stage: stage(config, &model.name, &version.name),
                 version: version.name.clone(),
@@ -83,6 +93,14 @@
         .collect()
 }
 
+fn demoted(rows: &[Row], model: &str, version: &str) -> Vec<String> {
+    rows.iter()
+        .filter(|row| row.model == model && row.version == version)
+        .filter(|row| row.standing == Standing::Demoted)
+        .map(|row| row.task.clone())
+        .collect()
+}
+
 fn stage(config: &Config, model: &str, version: &str) -> Stage {
     if config.withdrawn(model, version) {
         return Stage::Withdrawn;
