node: review changes off the workers, and answer before sardinectl gives up

Ruled out: checking the touched objects only, which would miss what a change does to contracts that name them. Change: the review runs on the blocking pool; `--accept-timeout-ms` (3000) bounds the wait, and parts.rs hands it on.

--- a/crates/node/src/app/parts.rs
+++ b/crates/node/src/app/parts.rs
@@ -73,6 +73,7 @@
             leaving: false,
         },
         poll: settings.poll,
+        accept_timeout: settings.accept_timeout,
         lease_ttl: settings.lease,
         lease_interval: settings.lease / LEASE_RENEWALS,
         ..sync::Settings::default()
--- a/crates/node/src/operator/change.rs
+++ b/crates/node/src/operator/change.rs
@@ -30,7 +30,7 @@
         return Err(Error::Id(change.change));
     }
     catch_up(app, change.base).await;
-    let Review { entries, findings } = review(&app.config(), &change.entries)?;
+    let Review { entries, findings } = review(app.config(), change.entries).await?;
     if change.dry_run {
         let outcome = outcome_of(&change.change, None, State::Checked, Vec::new());
         return Ok((Status::Ok, Json(with(outcome, &findings))));
--- a/crates/node/src/operator/error.rs
+++ b/crates/node/src/operator/error.rs
@@ -30,6 +30,9 @@
     /// The body isn't what the route expects.
     #[error("the body can't be read: {0}")]
     Json(#[from] serde_json::Error),
+    /// The review ended without a result.
+    #[error("the change could not be reviewed")]
+    Review,
     /// The change's id isn't a name.
     #[error("found change id {0:?}, expected 1 to 64 letters, digits, dots, dashes or underscores")]
     Id(String),
@@ -63,6 +66,7 @@
             Self::Starting => "starting",
             Self::Request(_) | Self::Json(_) => "invalid_request",
             Self::Body(error) => error.code(),
+            Self::Review => "review_failed",
             Self::Id(_) => "invalid_change",
             Self::Path(_) => "not_found",
             Self::Absent(_) => "unknown_object",
@@ -77,7 +81,7 @@
     fn status(&self) -> Status {
         match self {
             Self::Unauthenticated => Status::Unauthorized,
-            Self::Starting => Status::ServiceUnavailable,
+            Self::Starting | Self::Review => Status::ServiceUnavailable,
             Self::Request(status) => *status,
             Self::Body(error) => Status::new(error.status()),
             Self::Id(_) | Self::Json(_) => Status::BadRequest,
--- a/crates/node/src/operator/review.rs
+++ b/crates/node/src/operator/review.rs
@@ -1,10 +1,12 @@
 //! Reviews a change before it is proposed.
 
 use super::Error;
-use contract::check::{self, Finding};
+use contract::check::{Finding, introduced, refuses, shape};
 use contract::operator::Edit;
 use contract::{Config, Fault, Object, ObjectKey};
 use serde_json::Value;
+use std::sync::Arc;
+use tokio::task::spawn_blocking;
 use wire::Entry;
 
 /// Prefix of the keys that only nodes write.
@@ -19,11 +21,18 @@
     pub findings: Vec<Finding>,
 }
 
+/// Reviews off the workers that serve requests: a check takes milliseconds for each 1,000 contracts.
+pub(super) async fn review(config: Arc<Config>, edits: Vec<Edit>) -> Result<Review, Error> {
+    spawn_blocking(move || check(&config, &edits))
+        .await
+        .map_err(|_| Error::Review)?
+}
+
 /// Reads the edits and checks what they make of the configuration.
 ///
 /// Nodes check against the configuration that they have applied. A change that is written at the
 /// same time elsewhere isn't seen; what the two make together is found by the next check.
-pub(super) fn review(config: &Config, edits: &[Edit]) -> Result<Review, Error> {
+fn check(config: &Config, edits: &[Edit]) -> Result<Review, Error> {
     let mut objects = Vec::with_capacity(edits.len());
     let mut faults = Vec::new();
     for edit in edits {
@@ -39,8 +48,8 @@
         return Err(Error::Findings(faults));
     }
     let after = config.with(objects.iter().cloned());
-    let findings = check::introduced(config, &after);
-    if check::refuses(&findings) {
+    let findings = introduced(config, &after);
+    if refuses(&findings) {
         return Err(Error::Findings(findings));
     }
     let entries = objects.iter().map(entry).collect::<Result<_, _>>()?;
@@ -61,7 +70,7 @@
     };
     let kind = edit.key.split('/').next().unwrap_or_default();
     let body = value.get(kind).unwrap_or(&Value::Null);
-    let findings = check::shape(kind, &edit.key, body);
+    let findings = shape(kind, &edit.key, body);
     if !findings.is_empty() {
         return Err(findings);
     }
--- a/crates/settings/src/generated.rs
+++ b/crates/settings/src/generated.rs
@@ -52,6 +52,8 @@
     pub vms_poll: Duration,
     /// Longest wait for one answer of the platform.
     pub platform_timeout: Duration,
+    /// Longest wait for a change to be accepted before its author is told that it is only written.
+    pub accept_timeout: Duration,
     /// Time for which slots of a backend server are granted.
     pub grant_ttl: Duration,
     /// Longest wait for a connection to a backend server.
@@ -106,6 +108,7 @@
             poll: Duration::from_millis(500),
             vms_poll: Duration::from_millis(1000),
             platform_timeout: Duration::from_millis(2000),
+            accept_timeout: Duration::from_millis(3000),
             grant_ttl: Duration::from_millis(2000),
             connect_timeout: Duration::from_millis(1000),
             progress_timeout: Duration::from_millis(10000),
@@ -149,6 +152,7 @@
             "poll-ms" => &mut self.poll,
             "vms-poll-ms" => &mut self.vms_poll,
             "platform-timeout-ms" => &mut self.platform_timeout,
+            "accept-timeout-ms" => &mut self.accept_timeout,
             "grant-ttl-ms" => &mut self.grant_ttl,
             "connect-timeout-ms" => &mut self.connect_timeout,
             "progress-timeout-ms" => &mut self.progress_timeout,
@@ -380,6 +384,16 @@
         maximum: 60000,
         help: "Longest wait for one answer of the platform",
     },
+    Spec {
+        flag: "accept-timeout-ms",
+        env: "SARDINEBANK_ACCEPT_TIMEOUT_MS",
+        kind: Kind::Milliseconds,
+        default: "3000",
+        required: false,
+        minimum: 10,
+        maximum: 60000,
+        help: "Longest wait for a change to be accepted before its author is told that it is only written",
+    },
     Spec {
         flag: "grant-ttl-ms",
         env: "SARDINEBANK_GRANT_TTL_MS",
