--- a/crates/ctl/src/command/status.rs
+++ b/crates/ctl/src/command/status.rs
@@ -24,8 +24,8 @@
 
 fn summary(status: &Status) -> String {
     let age = match status.head_age_ms {
-        Some(age) => format!("known to be the newest {age} ms ago"),
-        None => "not yet known to be the newest".to_owned(),
+        Some(age) => format!("head read {age} ms ago"),
+        None => "head not read yet".to_owned(),
     };
     let force = match status.outstanding.is_empty() {
         true => "in force at every member".to_owned(),
--- a/crates/ctl/tests/operate/fleet.rs
+++ b/crates/ctl/tests/operate/fleet.rs
@@ -1,7 +1,7 @@
 //! A node's routes for operators over a stand-in of the table service, and `sardinectl` as a process.
 
 use node::app::{App, Parts};
-use serde_json::{Value, json};
+use serde_json::Value;
 use settings::Secret;
 use settings::node::Settings;
 use standin::fault::{Fault, Kind};
@@ -10,11 +10,13 @@
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 pub const OPERATOR_KEY: &str = "bootstrap-key-of-operators";
 pub const LINK_KEY: &str = "first-key-shared-by-links";
 pub const SESSION_KEY: &str = "first-key-that-signs-sessions";
+const POLL: Duration = Duration::from_millis(10);
+const PATIENCE: Duration = Duration::from_secs(10);
 const SAMPLES: [&str; 6] = [
     "access",
     "fraser-lyle",
@@ -69,21 +71,14 @@
         fleet
     }
 
-    /// Puts the member, if the replica didn't do so itself.
+    /// Waits until the node is a member.
     async fn join(&self) {
-        let body = json!({ "member": {
-            "node": "n1", "incarnation": 1, "zone": "a",
-            "http": self.front.address().to_string(), "link": "127.0.0.1:1",
-        } });
-        let entry = wire::Entry {
-            key: "member/n1".into(),
-            body: Some(body.to_string()),
+        let joined = async {
+            while !self.app.replica.joined() {
+                tokio::time::sleep(POLL).await;
+            }
         };
-        self.app
-            .replica
-            .propose("join".into(), None, vec![entry])
-            .await
-            .unwrap();
+        tokio::time::timeout(PATIENCE, joined).await.unwrap();
     }
 
     pub async fn ctl(&self, args: &[&str]) -> Run {
--- a/crates/ctl/tests/operate/intents.rs
+++ b/crates/ctl/tests/operate/intents.rs
@@ -37,6 +37,8 @@
         assert_eq!(run.status, 0, "{run:?}");
         assert!(fleet.app.config().withdrawn("large", "2"));
         let status = fleet.ctl(&["status"]).await;
+        assert!(status.out.contains("serving\nrevision"), "{status:?}");
+        assert!(status.out.contains("head read"), "{status:?}");
         assert!(status.out.contains("large   2        withdrawn"), "{status:?}");
         let restore = fleet.ctl(&["restore", "large@2"]).await;
         assert_eq!(restore.status, 0, "{restore:?}");
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::app::{App, Parts};
 use crate::metrics::{self, Meter};
-use crate::{caller, inbox, operator, stop};
+use crate::{caller, inbox, link, operator, stop};
 use platform::vms;
 use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
 use settings::node::Settings;
@@ -18,6 +18,9 @@
     /// A client of the platform can't be built.
     #[error("client of the platform: {0}")]
     Platform(#[from] platform::Error),
+    /// The port for other nodes can't be opened.
+    #[error("{0}")]
+    Link(#[from] link::Error),
     /// The threads can't be started.
     #[error("threads: {0}")]
     Runtime(#[source] std::io::Error),
@@ -40,6 +43,7 @@
         let app = Arc::clone(&app);
         async move { app.fleet.run(&vms, app.settings.vms_poll).await }
     });
+    app.hub.listen(settings.link).await?;
     tokio::spawn(Arc::clone(&app.replica).run());
     tokio::spawn(inbox::run(Arc::clone(&app)));
     tokio::spawn(metrics::run(Arc::clone(&app)));
