ctl: call the fixture's node through its proxy

Change: sardinectl calls the address that the member advertises. Conclusion: the fixture is used as a fleet is.

--- a/crates/ctl/tests/operate/fleet.rs
+++ b/crates/ctl/tests/operate/fleet.rs
@@ -82,7 +82,7 @@
     }
 
     pub async fn ctl(&self, args: &[&str]) -> Run {
-        ctl(&self.server.url(), args, "").await
+        ctl(&self.front.url(), args, "").await
     }
 }
 
