ctl: tests of changes while members are cut off

Cause: exit status 6 and the names of outstanding members had no test. Ruled out: processes, which the tests of whole scenarios use; runtimes of their own end all of a member at once. Change: the fixture links its node; four cases with three members over the stand-in table. Conclusion: a change is told as accepted with a minority cut off, as written with a majority cut off.

--- a/crates/ctl/tests/operate/fleet.rs
+++ b/crates/ctl/tests/operate/fleet.rs
@@ -8,6 +8,7 @@
 use standin::proxy::Proxy;
 use standin::serve::{Server, loopback};
 use std::io::Write;
+use std::net::SocketAddr;
 use std::process::{Command, Output, Stdio};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,6 +17,8 @@
 pub const LINK_KEY: &str = "first-key-shared-by-links";
 pub const SESSION_KEY: &str = "first-key-that-signs-sessions";
 const POLL: Duration = Duration::from_millis(10);
+/// Longest wait of a node for a change to be accepted, below the patience of `sardinectl`.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(500);
 const PATIENCE: Duration = Duration::from_secs(10);
 const SAMPLES: [&str; 6] = [
     "access",
@@ -30,55 +33,31 @@
 pub struct Fleet {
     pub table: standin::table::Server,
     pub server: Server,
-    front: Proxy,
     pub app: Arc<App>,
+    front: Proxy,
+    _link: Proxy,
 }
 
 impl Fleet {
     pub async fn start() -> Self {
-        let table = standin::table::Server::start(Default::default())
-            .await
-            .unwrap();
-        // The proxy's address is known before the node's is.
-        let unbound = loopback(1);
-        let front = Proxy::start(unbound, Default::default()).await.unwrap();
-        let settings = Settings {
-            node: "n1".into(),
-            zone: "a".into(),
-            advertise_http: Some(front.address()),
-            table_url: table.url(),
-            operator_key: vec![Secret::new(OPERATOR_KEY)],
-            link_key: vec![Secret::new(LINK_KEY)],
-            session_key: vec![Secret::new(SESSION_KEY)],
-            ..Settings::default()
-        };
-        let parts = Parts::new(&settings, 1).unwrap();
-        let app = Arc::new(App::new(settings, parts));
-        tokio::spawn(Arc::clone(&app.replica).run());
+        let settings = Default::default();
+        let table = standin::table::Server::start(settings).await.unwrap();
+        let front = proxy().await;
+        let (app, link) = node("n1", &table.url(), front.address()).await;
         let rocket = rocket::build()
             .manage(Arc::clone(&app))
             .mount("/", node::operator::routes())
             .register(node::operator::ROOT, node::operator::catchers());
         let server = Server::start(rocket, loopback(0)).await.unwrap();
         front.retarget(server.address());
-        let fleet = Self {
+        until(|| app.replica.joined()).await;
+        Self {
             table,
             server,
-            front,
             app,
-        };
-        fleet.join().await;
-        fleet
-    }
-
-    /// Waits until the node is a member.
-    async fn join(&self) {
-        let joined = async {
-            while !self.app.replica.joined() {
-                tokio::time::sleep(POLL).await;
-            }
-        };
-        tokio::time::timeout(PATIENCE, joined).await.unwrap();
+            front,
+            _link: link,
+        }
     }
 
     pub async fn ctl(&self, args: &[&str]) -> Run {
@@ -86,6 +65,43 @@
     }
 }
 
+/// A proxy whose address is known before that of its target.
+async fn proxy() -> Proxy {
+    Proxy::start(loopback(1), Default::default()).await.unwrap()
+}
+
+/// Starts a node without routes, and the proxy before its link port.
+pub async fn node(name: &str, table_url: &str, http: SocketAddr) -> (Arc<App>, Proxy) {
+    let link = proxy().await;
+    let settings = Settings {
+        node: name.into(),
+        zone: "a".into(),
+        advertise_http: Some(http),
+        advertise_link: Some(link.address()),
+        table_url: table_url.into(),
+        accept_timeout: ACCEPT_TIMEOUT,
+        operator_key: vec![Secret::new(OPERATOR_KEY)],
+        link_key: vec![Secret::new(LINK_KEY)],
+        session_key: vec![Secret::new(SESSION_KEY)],
+        ..Settings::default()
+    };
+    let parts = Parts::new(&settings, 1).unwrap();
+    let app = Arc::new(App::new(settings, parts));
+    link.retarget(app.hub.listen(loopback(0)).await.unwrap());
+    tokio::spawn(Arc::clone(&app.replica).run());
+    (app, link)
+}
+
+/// Waits until something holds.
+pub async fn until(holds: impl Fn() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting).await.unwrap();
+}
+
 /// Exit status and output of a finished `sardinectl`.
 #[derive(Debug)]
 pub struct Run {
--- a/crates/ctl/tests/operate/main.rs
+++ b/crates/ctl/tests/operate/main.rs
@@ -2,5 +2,6 @@
 
 mod fleet;
 mod intents;
+mod members;
 mod refusals;
 mod usage;
--- /dev/null
+++ b/crates/ctl/tests/operate/members.rs
@@ -0,0 +1,79 @@
+//! Changes while members are cut off.
+
+use super::fleet::{Fleet, node, until};
+use standin::serve::loopback;
+use std::time::Instant;
+use tokio::runtime::Runtime;
+use tokio::task::spawn_blocking;
+
+/// A member in a runtime of its own, so that all of it can end at once.
+struct Member(Option<Runtime>);
+
+impl Member {
+    async fn start(fleet: &Fleet, name: &'static str) -> Self {
+        let url = fleet.table.url();
+        let starting = spawn_blocking(move || {
+            let runtime = Runtime::new().unwrap();
+            let (app, link) = runtime.block_on(node(name, &url, loopback(1)));
+            runtime.spawn(async move {
+                let _kept = link;
+                until(|| app.replica.joined()).await;
+                std::future::pending::<()>().await;
+            });
+            Self(Some(runtime))
+        });
+        starting.await.unwrap()
+    }
+
+    fn end(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+/// Three members, all in touch and up to date.
+async fn three() -> (Fleet, [Member; 2]) {
+    let fleet = Fleet::start().await;
+    let members = [
+        Member::start(&fleet, "n2").await,
+        Member::start(&fleet, "n3").await,
+    ];
+    until(|| {
+        let members = fleet.app.replica.members(Instant::now());
+        let live = members.iter().filter(|one| one.state == view::State::Live);
+        let revision = fleet.app.config().revision();
+        let state = fleet.app.replica.in_force(revision);
+        live.count() == 3 && state.accepted && state.outstanding.is_empty()
+    })
+    .await;
+    (fleet, members)
+}
+
+macro_rules! cut_off {
+    ($($name:ident: $ended:expr, $args:expr => $status:literal, $text:literal;)*) => {$(
+        #[tokio::test(flavor = "multi_thread")]
+        async fn $name() {
+            let (fleet, mut members) = three().await;
+            members.iter_mut().rev().take($ended).for_each(Member::end);
+            let run = fleet.ctl(&$args).await;
+            assert_eq!(run.status, $status, "{run:?}");
+            let said = format!("{}{}", run.out, run.err);
+            assert!(said.contains($text), "{run:?}");
+            assert!(fleet.app.config().zone_out("b"));
+        }
+    )*};
+}
+
+cut_off! {
+    all_members_in_touch: 0, ["zone", "--wait", "out", "b"] => 0, "in force";
+    minority_cut_off: 1, ["zone", "out", "b"] => 0, "accepted, revision 4; outstanding: n3";
+    wait_for_a_cut_off_member_ends: 1, ["zone", "--wait", "--wait-ms", "300", "out", "b"] => 6, "accepted, revision 4; outstanding: n3";
+    majority_cut_off: 2, ["zone", "out", "b"] => 6, "written, not yet accepted by a majority, revision 4; outstanding: n2, n3";
+}
