--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -6,6 +6,7 @@
 use crate::dispatch::{Load, Signer};
 use crate::fleet::{Fleet, Server};
 use crate::link::Hub;
+use crate::metrics::{Counter, Metrics};
 use crate::sync::Replica;
 use backend::Pool;
 use contract::{Config, CustomerId, Incarnation};
@@ -46,6 +47,8 @@
     pub decide: Arc<Decide>,
     /// Shares of customers' budgets.
     pub funds: Funds<table::Client>,
+    /// Where metrics are sent.
+    pub metrics: Metrics,
     suspects: Mutex<Suspects>,
     gate: Arc<Gate>,
     keys: Keys,
@@ -65,7 +68,8 @@
         Self {
             signer: Signer::new(session_keys.clone()),
             session_keys,
-            link_keys: Ring::new(settings.link_key.clone()),
+            link_keys: parts.hub.keys(),
+            metrics: Metrics::start(&settings),
             settings,
             incarnation: parts.replica.incarnation(),
             replica: parts.replica,
@@ -128,10 +132,17 @@
     /// Takes the node out of every answer to callers.
     pub async fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
+        if let Err(error) = self.replica.leave().await {
+            log::warn!(event = 1212; "peers are not told by the log that this node leaves: {error}");
+        }
     }
 
     /// Hands over what the node still holds, once its work has ended.
-    pub async fn close(&self) {}
+    pub async fn close(&self) {
+        if let Err(error) = self.replica.quit().await {
+            log::warn!(event = 1213; "this node stays a member until others remove it: {error}");
+        }
+    }
 
     /// Whether a backend server may receive new work: it stays, and its zone is in.
     pub fn open(&self, config: &Config, server: &Server) -> bool {
@@ -174,6 +185,13 @@
 
     /// Bills a request.
     pub fn bill(&self, bill: Bill) {
+        let version = [("model", bill.model.as_str()), ("version", &bill.version)];
+        self.metrics.count(Counter::Answers, 1, &version);
+        self.metrics
+            .count(Counter::OutputTokens, bill.output_tokens, &version);
+        let customer = [("customer", bill.customer.as_str())];
+        self.metrics
+            .count(Counter::CostMicros, bill.micros, &customer);
         log::info!(
             event = 1101,
             request = bill.request_id.as_str(),
--- a/crates/settings/src/generated.rs
+++ b/crates/settings/src/generated.rs
@@ -22,6 +22,8 @@
     pub advertise_http: Option<SocketAddr>,
     /// Address that other nodes are told; by default the bound one.
     pub advertise_link: Option<SocketAddr>,
+    /// Link address of another node, asked for the configuration while the platform can't be reached.
+    pub peer: Vec<SocketAddr>,
     /// Base URL of the platform's table service.
     pub table_url: String,
     /// Base URL of the platform's object store.
@@ -52,6 +54,8 @@
     pub vms_poll: Duration,
     /// Longest wait for one answer of the platform.
     pub platform_timeout: Duration,
+    /// Longest wait for a change to be accepted before its author is told that it is only written.
+    pub accept_timeout: Duration,
     /// Time for which slots of a backend server are granted.
     pub grant_ttl: Duration,
     /// Longest wait for a connection to a backend server.
@@ -91,6 +95,7 @@
             link: SocketAddr::from(([127, 0, 0, 1], 8081)),
             advertise_http: None,
             advertise_link: None,
+            peer: Vec::new(),
             table_url: String::new(),
             store_url: String::new(),
             vms_url: String::new(),
@@ -106,6 +111,7 @@
             poll: Duration::from_millis(500),
             vms_poll: Duration::from_millis(1000),
             platform_timeout: Duration::from_millis(2000),
+            accept_timeout: Duration::from_millis(3000),
             grant_ttl: Duration::from_millis(2000),
             connect_timeout: Duration::from_millis(1000),
             progress_timeout: Duration::from_millis(10000),
@@ -134,6 +140,7 @@
             "link" => &mut self.link,
             "advertise-http" => &mut self.advertise_http,
             "advertise-link" => &mut self.advertise_link,
+            "peer" => &mut self.peer,
             "table-url" => &mut self.table_url,
             "store-url" => &mut self.store_url,
             "vms-url" => &mut self.vms_url,
@@ -149,6 +156,7 @@
             "poll-ms" => &mut self.poll,
             "vms-poll-ms" => &mut self.vms_poll,
             "platform-timeout-ms" => &mut self.platform_timeout,
+            "accept-timeout-ms" => &mut self.accept_timeout,
             "grant-ttl-ms" => &mut self.grant_ttl,
             "connect-timeout-ms" => &mut self.connect_timeout,
             "progress-timeout-ms" => &mut self.progress_timeout,
@@ -230,6 +238,16 @@
         maximum: 0,
         help: "Address that other nodes are told; by default the bound one",
     },
+    Spec {
+        flag: "peer",
+        env: "SARDINEBANK_PEER",
+        kind: Kind::Addresses,
+        default: "",
+        required: false,
+        minimum: 0,
+        maximum: 0,
+        help: "Link address of another node, asked for the configuration while the platform can't be reached",
+    },
     Spec {
         flag: "table-url",
         env: "SARDINEBANK_TABLE_URL",
@@ -380,6 +398,16 @@
         maximum: 60000,
         help: "Longest wait for one answer of the platform",
     },
+    Spec {
+        flag: "accept-timeout-ms",
+        env: "SARDINEBANK_ACCEPT_TIMEOUT_MS",
+        kind: Kind::Milliseconds,
+        default: "3000",
+        required: false,
+        minimum: 10,
+        maximum: 60000,
+        help: "Longest wait for a change to be accepted before its author is told that it is only written",
+    },
     Spec {
         flag: "grant-ttl-ms",
         env: "SARDINEBANK_GRANT_TTL_MS",
