--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod link;
 pub mod operator;
 mod run;
+pub mod slot;
 mod stop;
 pub mod sync;
 
