Add the node's run records and bills

Cause: the ledger had no loops in the node: nothing swept unwritten outcomes, wrote batches, or carried copies of bills to peers. Ruled out: holding every answer until the table has its bill (answers would stop in a long outage); one peer copy for each bill and frame (copies are sent again only when the ones before are confirmed). Change: node::record (Runs), node::bill (Bills, Context, peers); frames bill_copies and bill_held in the schema.

--- /dev/null
+++ b/crates/node/src/bill/frames.rs
@@ -0,0 +1,38 @@
+//! Copies of bills as frames.
+
+use contract::Owner;
+use ledger::bill::{Copies, Held};
+use wire::{BillCopies, BillHeld, Frame};
+
+pub(super) fn copies_frame(copies: &Copies) -> Option<Frame> {
+    Some(Frame::BillCopies(BillCopies {
+        sequence: copies.sequence,
+        start: u32::try_from(copies.start).ok()?,
+        kept: copies.kept,
+        bills: serde_json::to_string(&copies.bills).ok()?,
+    }))
+}
+
+pub(super) fn copies(owner: &Owner, frame: &BillCopies) -> Option<Copies> {
+    Some(Copies {
+        owner: owner.clone(),
+        sequence: frame.sequence,
+        start: frame.start as usize,
+        bills: serde_json::from_str(&frame.bills).ok()?,
+        kept: frame.kept,
+    })
+}
+
+pub(super) fn held_frame(held: &Held) -> Option<Frame> {
+    Some(Frame::BillHeld(BillHeld {
+        sequence: held.sequence,
+        lines: u32::try_from(held.lines).ok()?,
+    }))
+}
+
+pub(super) fn held(frame: &BillHeld) -> Held {
+    Held {
+        sequence: frame.sequence,
+        lines: frame.lines as usize,
+    }
+}
--- /dev/null
+++ b/crates/node/src/bill/mod.rs
@@ -0,0 +1,12 @@
+//! Bills of this node's requests, and copies of other nodes' bills.
+
+mod bills;
+mod context;
+mod frames;
+mod peers;
+mod settings;
+
+pub use bills::Bills;
+pub use context::Context;
+pub use peers::peers;
+pub use settings::Settings;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! The sardinebank node: everything between callers and backend servers.
 
 pub mod app;
+pub mod bill;
 pub mod caller;
 pub mod decide;
 pub mod dispatch;
@@ -9,6 +10,7 @@
 mod inbox;
 pub mod link;
 pub mod operator;
+pub mod record;
 mod run;
 pub mod slot;
 mod stop;
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -86,6 +86,102 @@
         value.clone()
     }
 }
+#[doc = "Bills of the sender to hold until the platform keeps them: lines of one batch."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"Bills of the sender to hold until the platform keeps them: lines of one batch.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"bills\","]
+#[doc = "    \"kept\","]
+#[doc = "    \"sequence\","]
+#[doc = "    \"start\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"bills\": {"]
+#[doc = "      \"description\": \"The bills as a list in JSON text.\","]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"kept\": {"]
+#[doc = "      \"description\": \"The platform keeps all batches below this one.\","]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"sequence\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"start\": {"]
+#[doc = "      \"description\": \"Line of the first bill within the batch.\","]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint32\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BillCopies {
+    #[doc = "The bills as a list in JSON text."]
+    pub bills: ::std::string::String,
+    #[doc = "The platform keeps all batches below this one."]
+    pub kept: u64,
+    pub sequence: u64,
+    #[doc = "Line of the first bill within the batch."]
+    pub start: u32,
+}
+impl ::std::convert::From<&BillCopies> for BillCopies {
+    fn from(value: &BillCopies) -> Self {
+        value.clone()
+    }
+}
+#[doc = "The sender holds this many lines of a batch of the receiver's, from the first one on."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"The sender holds this many lines of a batch of the receiver's, from the first one on.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"lines\","]
+#[doc = "    \"sequence\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"lines\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint32\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"sequence\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BillHeld {
+    pub lines: u32,
+    pub sequence: u64,
+}
+impl ::std::convert::From<&BillHeld> for BillHeld {
+    fn from(value: &BillHeld) -> Self {
+        value.clone()
+    }
+}
 #[doc = "Decayed counts of good and bad answers."]
 #[doc = r""]
 #[doc = r" <details><summary>JSON schema</summary>"]
@@ -437,6 +533,30 @@
 #[doc = "        }"]
 #[doc = "      },"]
 #[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"bill_copies\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"bill_copies\": {"]
+#[doc = "          \"$ref\": \"#/definitions/BillCopies\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
+#[doc = "        \"bill_held\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"bill_held\": {"]
+#[doc = "          \"$ref\": \"#/definitions/BillHeld\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
 #[doc = "    }"]
 #[doc = "  ]"]
 #[doc = "}"]
@@ -470,6 +590,10 @@
     Spend(Spend),
     #[serde(rename = "leave")]
     Leave(Leave),
+    #[serde(rename = "bill_copies")]
+    BillCopies(BillCopies),
+    #[serde(rename = "bill_held")]
+    BillHeld(BillHeld),
 }
 impl ::std::convert::From<&Self> for Frame {
     fn from(value: &Frame) -> Self {
@@ -541,6 +665,16 @@
         Self::Leave(value)
     }
 }
+impl ::std::convert::From<BillCopies> for Frame {
+    fn from(value: BillCopies) -> Self {
+        Self::BillCopies(value)
+    }
+}
+impl ::std::convert::From<BillHeld> for Frame {
+    fn from(value: BillHeld) -> Self {
+        Self::BillHeld(value)
+    }
+}
 #[doc = "First frame in each direction: who is at this end."]
 #[doc = r""]
 #[doc = r" <details><summary>JSON schema</summary>"]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,6 @@
 pub use codec::{MAX_FRAME_BYTES, decode, encode};
 pub use error::Error;
 pub use generated::{
-    Beat, Cell, Delta, Entry, Fetch, Frame, Hello, Leave, Proof, Ratings, SlotGrant, SlotRequest,
-    Snapshot, Spend, Suspect, Touch,
+    Beat, BillCopies, BillHeld, Cell, Delta, Entry, Fetch, Frame, Hello, Leave, Proof, Ratings,
+    SlotGrant, SlotRequest, Snapshot, Spend, Suspect, Touch,
 };
