Find panics of nodes in every scenario, and keep stand-ins quiet

Cause: A node panicked in the demo and only its log said so. Rocket printed its routes for every stand-in of a test, since it reads its own default settings before ours. Ruled out: Counting on a broken answer: Rocket catches the panic of a handler and answers with status 500 or drops the connection. Change: A scenario fails when a node's output has a panic. Stand-ins start from `serve::build`, which never prints. Conclusion: A panic on any path that a scenario takes is found.

--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -43,7 +43,7 @@
         let fallible = settings.fallible;
         let reported = settings.reported.clone();
         let shared = Arc::new(Shared::new(settings, recorder));
-        let rocket = rocket::build().manage(Arc::clone(&shared)).mount(
+        let rocket = serve::build().manage(Arc::clone(&shared)).mount(
             "/",
             rocket::routes![complete, models, health, metrics, order, counters],
         );
--- a/crates/standin/src/fleet/running.rs
+++ b/crates/standin/src/fleet/running.rs
@@ -229,6 +229,14 @@
         }
     }
 
+    /// Lines in which nodes wrote of a panic.
+    pub fn panics(&self) -> Vec<String> {
+        let logs = self.nodes.iter().map(Node::log);
+        let texts = logs.filter_map(|log| std::fs::read_to_string(log).ok());
+        let lines = texts.flat_map(|text| text.lines().map(str::to_owned).collect::<Vec<_>>());
+        lines.filter(|line| line.contains("panicked")).collect()
+    }
+
     /// Folder with the output of the nodes.
     pub fn folder(&self) -> &PathBuf {
         &self.folder
--- a/crates/standin/src/journal/server.rs
+++ b/crates/standin/src/journal/server.rs
@@ -32,7 +32,7 @@
     /// Starts the journal.
     pub async fn start(settings: Settings) -> Result<Self, Error> {
         let recorder = Recorder::default();
-        let rocket = rocket::build()
+        let rocket = serve::build()
             .manage(recorder.clone())
             .mount("/", rocket::routes![list, add]);
         let server = serve::Server::start(rocket, settings.listen).await?;
--- a/crates/standin/src/objects/server.rs
+++ b/crates/standin/src/objects/server.rs
@@ -45,7 +45,7 @@
     /// Starts the store.
     pub async fn start(settings: Settings) -> Result<Self, Error> {
         let shared = Arc::new(Shared::default());
-        let rocket = rocket::build()
+        let rocket = serve::build()
             .manage(Arc::clone(&shared))
             .manage(Arc::clone(&shared.switch))
             .mount("/", rocket::routes![read, write])
--- a/crates/standin/src/rating/server.rs
+++ b/crates/standin/src/rating/server.rs
@@ -76,7 +76,7 @@
             qualities: Mutex::default(),
             switch: Arc::default(),
         });
-        let rocket = rocket::build()
+        let rocket = serve::build()
             .manage(Arc::clone(&shared))
             .manage(Arc::clone(&shared.switch))
             .mount("/", rocket::routes![score, set_quality])
--- a/crates/standin/src/reservation/server.rs
+++ b/crates/standin/src/reservation/server.rs
@@ -65,7 +65,7 @@
             bookings: Mutex::default(),
             runs: Mutex::default(),
         });
-        let rocket = rocket::build()
+        let rocket = serve::build()
             .manage(Arc::clone(&shared))
             .mount("/", rocket::routes![read, book, health]);
         let server = serve::Server::start(rocket, settings.listen).await?;
--- a/crates/standin/src/scenario/stage.rs
+++ b/crates/standin/src/scenario/stage.rs
@@ -86,10 +86,11 @@
     }
 
     /// Ends the load and checks all promises.
-    pub async fn report(self, name: &str, seed: u64) -> Result<Report, Error> {
+    pub async fn report(mut self, name: &str, seed: u64) -> Result<Report, Error> {
         self.load.finish().await;
         drop(self.watch);
         let history = self.fleet.finish().await;
+        self.failures.extend(self.fleet.panics());
         Ok(Report {
             scenario: name.to_owned(),
             seed,
--- a/crates/standin/src/serve/mod.rs
+++ b/crates/standin/src/serve/mod.rs
@@ -4,4 +4,4 @@
 mod server;
 
 pub use clock::unix_ms;
-pub use server::{Server, free_address, loopback};
+pub use server::{Server, build, free_address, loopback};
--- a/crates/standin/src/serve/server.rs
+++ b/crates/standin/src/serve/server.rs
@@ -15,6 +15,11 @@
     shutdown: Shutdown,
 }
 
+/// A Rocket instance that prints nothing.
+pub fn build() -> Rocket<Build> {
+    rocket::custom(config(loopback(0)))
+}
+
 /// Loopback address with a port; port 0 lets the system choose.
 ///
 /// ```
@@ -37,20 +42,21 @@
     ///
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-    /// use standin::serve::{Server, loopback};
-    /// let server = Server::start(rocket::build(), loopback(0)).await?;
+    /// use standin::serve::{Server, build, loopback};
+    /// let server = Server::start(build(), loopback(0)).await?;
     /// assert_ne!(server.address().port(), 0);
     /// # Ok::<(), standin::Error>(()) }).unwrap();
     /// ```
     pub async fn start(rocket: Rocket<Build>, address: SocketAddr) -> Result<Self, Error> {
         let (bound, wait) = oneshot::channel();
-        let rocket = rocket
-            .configure(Self::config(address))
-            .attach(AdHoc::on_liftoff("address", move |rocket| {
-                let config = rocket.config();
-                let _ = bound.send(SocketAddr::new(config.address, config.port));
-                Box::pin(async {})
-            }));
+        let rocket =
+            rocket
+                .configure(config(address))
+                .attach(AdHoc::on_liftoff("address", move |rocket| {
+                    let config = rocket.config();
+                    let _ = bound.send(SocketAddr::new(config.address, config.port));
+                    Box::pin(async {})
+                }));
         let launch_error = |error: rocket::Error| {
             let reason = error.to_string();
             Error::Launch { address, reason }
@@ -76,22 +82,22 @@
     pub fn url(&self) -> String {
         format!("http://{}", self.address)
     }
+}
 
-    fn config(address: SocketAddr) -> Config {
-        Config {
-            address: address.ip(),
-            port: address.port(),
-            log_level: LogLevel::Off,
-            shutdown: ShutdownSettings {
-                ctrlc: false,
-                signals: Default::default(),
-                grace: 0,
-                mercy: 0,
-                force: false,
-                ..ShutdownSettings::default()
-            },
-            ..Config::default()
-        }
+fn config(address: SocketAddr) -> Config {
+    Config {
+        address: address.ip(),
+        port: address.port(),
+        log_level: LogLevel::Off,
+        shutdown: ShutdownSettings {
+            ctrlc: false,
+            signals: Default::default(),
+            grace: 0,
+            mercy: 0,
+            force: false,
+            ..ShutdownSettings::default()
+        },
+        ..Config::default()
     }
 }
 
--- a/crates/standin/src/table/server.rs
+++ b/crates/standin/src/table/server.rs
@@ -74,7 +74,7 @@
             }),
             switch: Arc::default(),
         });
-        let rocket = rocket::build()
+        let rocket = serve::build()
             .manage(Arc::clone(&shared))
             .manage(Arc::clone(&shared.switch))
             .mount("/", rocket::routes![call, stats, dump])
--- a/crates/standin/src/vms/server.rs
+++ b/crates/standin/src/vms/server.rs
@@ -49,7 +49,7 @@
             list: Mutex::new(List::new(settings.lag)),
             switch: Arc::default(),
         });
-        let rocket = rocket::build()
+        let rocket = serve::build()
             .manage(Arc::clone(&shared))
             .manage(Arc::clone(&shared.switch))
             .mount("/", rocket::routes![list, put_target, remove])
