--- a/crates/standin/src/serve/server.rs
+++ b/crates/standin/src/serve/server.rs
@@ -5,6 +5,7 @@
 use rocket::fairing::AdHoc;
 use rocket::{Build, Config, Rocket, Shutdown};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
 /// A running HTTP server; it stops when dropped.
@@ -14,6 +15,11 @@
     shutdown: Shutdown,
 }
 
+/// A Rocket instance that prints nothing.
+pub fn build() -> Rocket<Build> {
+    rocket::custom(config(loopback(0)))
+}
+
 /// Loopback address with a port; port 0 lets the system choose.
 ///
 /// ```
@@ -23,25 +29,34 @@
     SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port)
 }
 
+/// A loopback address on which nothing listens now.
+pub async fn free_address() -> Result<SocketAddr, Error> {
+    let address = loopback(0);
+    let socket = |source| Error::Socket { address, source };
+    let listener = TcpListener::bind(address).await.map_err(socket)?;
+    listener.local_addr().map_err(socket)
+}
+
 impl Server {
     /// Starts the routes on an address and waits until it is bound.
     ///
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-    /// use standin::serve::{Server, loopback};
-    /// let server = Server::start(rocket::build(), loopback(0)).await?;
+    /// use standin::serve::{Server, build, loopback};
+    /// let server = Server::start(build(), loopback(0)).await?;
     /// assert_ne!(server.address().port(), 0);
     /// # Ok::<(), standin::Error>(()) }).unwrap();
     /// ```
     pub async fn start(rocket: Rocket<Build>, address: SocketAddr) -> Result<Self, Error> {
         let (bound, wait) = oneshot::channel();
-        let rocket = rocket
-            .configure(Self::config(address))
-            .attach(AdHoc::on_liftoff("address", move |rocket| {
-                let config = rocket.config();
-                let _ = bound.send(SocketAddr::new(config.address, config.port));
-                Box::pin(async {})
-            }));
+        let rocket =
+            rocket
+                .configure(config(address))
+                .attach(AdHoc::on_liftoff("address", move |rocket| {
+                    let config = rocket.config();
+                    let _ = bound.send(SocketAddr::new(config.address, config.port));
+                    Box::pin(async {})
+                }));
         let launch_error = |error: rocket::Error| {
             let reason = error.to_string();
             Error::Launch { address, reason }
@@ -67,22 +82,22 @@
     pub fn url(&self) -> String {
         format!("http://{}", self.address)
     }
+}
 
-    fn config(address: SocketAddr) -> Config {
-        Config {
-            address: address.ip(),
-            port: address.port(),
-            log_level: LogLevel::Off,
-            shutdown: ShutdownSettings {
-                ctrlc: false,
-                signals: Default::default(),
-                grace: 0,
-                mercy: 0,
-                force: false,
-                ..ShutdownSettings::default()
-            },
-            ..Config::default()
-        }
+fn config(address: SocketAddr) -> Config {
+    Config {
+        address: address.ip(),
+        port: address.port(),
+        log_level: LogLevel::Off,
+        shutdown: ShutdownSettings {
+            ctrlc: false,
+            signals: Default::default(),
+            grace: 0,
+            mercy: 0,
+            force: false,
+            ..ShutdownSettings::default()
+        },
+        ..Config::default()
     }
 }
 
