--- a/crates/node/src/dispatch/job.rs
+++ b/crates/node/src/dispatch/job.rs
@@ -111,6 +111,7 @@
                 .state(self.customer(), self.contract.spend.as_ref()),
             nodes: app.nodes(),
             priority: self.contract.priority,
+            weight: self.contract.weight,
         };
         app.decide
             .plan(&config, &order, &offered)
--- a/crates/node/src/sync/replica.rs
+++ b/crates/node/src/sync/replica.rs
@@ -7,7 +7,7 @@
 use platform::{Table, vms};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::sync::watch;
 use view::{Action, Pending, Stale, View};
 use wire::{Delta, Entry};
@@ -111,12 +111,6 @@
         self.view().may_start(now)
     }
 
-    /// Age of the newest read of the head that this node knows of; none if it knows of none.
-    pub fn head_age(&self, now: Instant) -> Option<Duration> {
-        let proved = self.view().proved()?;
-        Some(now.saturating_duration_since(proved))
-    }
-
     /// Members with what this node knows of their life.
     pub fn members(&self, now: Instant) -> Vec<view::Member> {
         self.view().members(now)
