--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -6,6 +6,7 @@
 use crate::dispatch::{Load, Signer};
 use crate::fleet::{Fleet, Server};
 use crate::link::Hub;
+use crate::metrics::{Counter, Metrics};
 use crate::sync::Replica;
 use backend::Pool;
 use contract::{Config, CustomerId, Incarnation};
@@ -46,6 +47,8 @@
     pub decide: Arc<Decide>,
     /// Shares of customers' budgets.
     pub funds: Funds<table::Client>,
+    /// Where metrics are sent.
+    pub metrics: Metrics,
     suspects: Mutex<Suspects>,
     gate: Arc<Gate>,
     keys: Keys,
@@ -66,6 +69,7 @@
             signer: Signer::new(session_keys.clone()),
             session_keys,
             link_keys: parts.hub.keys(),
+            metrics: Metrics::start(&settings),
             settings,
             incarnation: parts.replica.incarnation(),
             replica: parts.replica,
@@ -88,6 +92,11 @@
         self.replica.config()
     }
 
+    /// Whether the node knows the configuration and the backend servers.
+    pub fn ready(&self) -> bool {
+        self.fleet.listed() && self.config().revision() > 0
+    }
+
     /// Customer of a bearer key.
     pub fn customer_of(&self, key: &str) -> Option<CustomerId> {
         self.keys.customer(&self.config(), key)
@@ -112,10 +121,10 @@
     /// Addresses for callers, nearest first.
     pub fn entries(&self, zone: Option<&str>) -> Vec<String> {
         let near = zone.unwrap_or(&self.settings.zone);
-        let leaving = self.leaving.load(Ordering::SeqCst);
+        let serves = self.ready() && !self.leaving.load(Ordering::SeqCst);
         let mut members = self.replica.members(Instant::now());
         members.retain(|one| one.state == State::Live);
-        members.retain(|one| !leaving || one.node != self.settings.node);
+        members.retain(|one| serves || one.node != self.settings.node);
         members.sort_by_key(|one| (one.zone != near, one.node != self.settings.node));
         members.into_iter().map(|one| one.http).collect()
     }
@@ -131,7 +140,7 @@
     /// Hands over what the node still holds, once its work has ended.
     pub async fn close(&self) {
         if let Err(error) = self.replica.quit().await {
-            log::warn!(event = 1212; "this node stays a member until others remove it: {error}");
+            log::warn!(event = 1213; "this node stays a member until others remove it: {error}");
         }
     }
 
@@ -176,6 +185,13 @@
 
     /// Bills a request.
     pub fn bill(&self, bill: Bill) {
+        let version = [("model", bill.model.as_str()), ("version", &bill.version)];
+        self.metrics.count(Counter::Answers, 1, &version);
+        self.metrics
+            .count(Counter::OutputTokens, bill.output_tokens, &version);
+        let customer = [("customer", bill.customer.as_str())];
+        self.metrics
+            .count(Counter::CostMicros, bill.micros, &customer);
         log::info!(
             event = 1101,
             request = bill.request_id.as_str(),
--- a/crates/node/src/app/parts.rs
+++ b/crates/node/src/app/parts.rs
@@ -91,6 +91,7 @@
             ..view::Settings::default()
         },
         poll: settings.poll,
+        accept_timeout: settings.accept_timeout,
         lease_ttl: settings.lease,
         lease_interval: settings.lease / LEASE_RENEWALS,
         ..sync::Settings::default()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! The sardinebank node: everything between callers and backend servers.
 
 pub mod app;
+pub mod bill;
 pub mod caller;
 pub mod decide;
 pub mod dispatch;
@@ -8,8 +9,11 @@
 pub mod fleet;
 mod inbox;
 pub mod link;
+pub mod metrics;
 pub mod operator;
+pub mod record;
 mod run;
+pub mod slot;
 mod stop;
 pub mod sync;
 
--- a/crates/node/src/link/listen.rs
+++ b/crates/node/src/link/listen.rs
@@ -39,7 +39,7 @@
                     hub.keep(socket, greeting, dialler);
                 }
                 Ok(Err(error)) => log::warn!(event = 1222; "link refused: {error}"),
-                Err(_) => log::warn!(event = 1222; "link refused: no greeting in time"),
+                Err(_) => log::warn!(event = 1227; "link refused: no greeting in time"),
             }
         });
     }
