Pass frames for all nodes on where links don't reach all

Cause: beyond nine members a broadcast reached linked nodes only, so a crashing request was refused by some (test broadcast_reaches_nodes_without_a_link_once fails without the relay). Ruled out: a link from each to each (1,099 links a node); relaying frames of configuration (what a node says of its own link dates it, so it is taken from that link alone).

--- a/crates/node/src/link/address.rs
+++ b/crates/node/src/link/address.rs
@@ -16,6 +16,11 @@
         *self.known.write().unwrap_or_else(PoisonError::into_inner) = known.collect();
     }
 
+    pub(super) fn count(&self) -> usize {
+        let known = self.known.read().unwrap_or_else(PoisonError::into_inner);
+        known.len()
+    }
+
     pub(super) fn of(&self, node: &str) -> Option<String> {
         let known = self.known.read().unwrap_or_else(PoisonError::into_inner);
         known.get(node).cloned()
--- a/crates/node/src/link/hub.rs
+++ b/crates/node/src/link/hub.rs
@@ -1,6 +1,7 @@
 //! All links of a node.
 
 use super::address::Addresses;
+use super::relay::Relays;
 use super::socket::{self, Socket};
 use super::table::{Link, Table};
 use super::{Error, Event, Greeting, Received, Settings, dial, listen};
@@ -13,7 +14,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::net::TcpListener;
 use tokio::sync::{broadcast, mpsc, oneshot};
-use wire::Frame;
+use wire::{Frame, Relay};
 
 /// Events waiting for the one that follows the links; readers wait while it is full.
 const MAX_EVENTS: usize = 4096;
@@ -26,6 +27,8 @@
     addresses: Addresses,
     connections: AtomicU64,
     sent_bytes: AtomicU64,
+    relayed: AtomicU64,
+    relays: Relays,
     received: broadcast::Sender<Arc<Received>>,
     events: mpsc::Sender<Event>,
     follower: Mutex<Option<mpsc::Receiver<Event>>>,
@@ -47,6 +50,8 @@
             addresses: Addresses::default(),
             connections: AtomicU64::new(0),
             sent_bytes: AtomicU64::new(0),
+            relayed: AtomicU64::new(0),
+            relays: Relays::default(),
             received,
             events,
             follower: Mutex::new(Some(follower)),
@@ -88,10 +93,15 @@
         }
     }
 
-    /// Queues a frame for each linked node.
+    /// Queues a frame for all members: on the links alone where each is linked, else to be passed on.
     pub fn broadcast(&self, frame: &Frame) {
-        if let Ok(bytes) = self.encode(frame) {
-            self.table.broadcast(&bytes);
+        let is_mesh = self.table.linked().len() + 1 >= self.addresses.count();
+        let whole = match is_mesh {
+            true => self.encode(frame),
+            false => self.relay(frame),
+        };
+        if let Ok(bytes) = whole {
+            self.table.broadcast(&bytes, None);
         }
     }
 
@@ -169,6 +179,32 @@
         self.table.send(to, self.encode(frame)?)
     }
 
+    fn relay(&self, frame: &Frame) -> Result<Bytes, Error> {
+        let relay = Relay {
+            frame: wire::encode(frame)?.to_vec(),
+            incarnation: self.settings.member.incarnation,
+            node: self.settings.member.node.clone(),
+            sequence: self.relayed.fetch_add(1, Ordering::Relaxed),
+        };
+        self.relays.note(&relay);
+        self.encode(&Frame::Relay(relay))
+    }
+
+    /// Passes a frame on to the other links, the first time it comes by.
+    fn pass_on(&self, relay: Relay, came_from: &str) -> Result<Option<Received>, Error> {
+        if !self.relays.note(&relay) {
+            return Ok(None);
+        }
+        let received = Received {
+            from: relay.node.clone(),
+            incarnation: relay.incarnation,
+            frame: wire::decode(&relay.frame)?,
+        };
+        let bytes = self.encode(&Frame::Relay(relay))?;
+        self.table.broadcast(&bytes, Some(came_from));
+        Ok(Some(received))
+    }
+
     async fn dial(self: &Arc<Self>, address: &str) {
         match dial::dial(self, address).await {
             Ok((socket, greeting)) => {
@@ -234,34 +270,48 @@
             if !self.table.is_current(&peer.node, id) {
                 return Ok(());
             }
-            self.deliver(peer, frame).await;
+            match frame {
+                Frame::Relay(relay) => {
+                    if let Some(received) = self.pass_on(relay, &peer.node)? {
+                        self.deliver_relayed(&peer.node, received).await;
+                    }
+                }
+                frame => self.deliver(peer, frame).await,
+            }
         }
     }
 
     async fn deliver(&self, peer: &Greeting, frame: Frame) {
-        let is_ours = matches!(
-            frame,
-            Frame::Beat(_)
-                | Frame::Proof(_)
-                | Frame::Touch(_)
-                | Frame::Delta(_)
-                | Frame::Fetch(_)
-                | Frame::Snapshot(_)
-                | Frame::Leave(_)
-        );
-        if !is_ours || matches!(frame, Frame::Leave(_)) {
-            let _ = self.received.send(Arc::new(Received {
+        if !is_of_configuration(&frame) {
+            self.give(Received {
                 from: peer.node.clone(),
                 incarnation: peer.incarnation,
                 frame: frame.clone(),
-            }));
+            });
         }
-        if is_ours {
+        if is_of_configuration(&frame) || matches!(frame, Frame::Leave(_)) {
             let event = Event::Frame(peer.node.clone(), frame);
             let _ = self.events.send(event).await;
         }
     }
 
+    /// What a node says of its own link is never taken from another link.
+    async fn deliver_relayed(&self, link: &str, received: Received) {
+        if is_of_configuration(&received.frame) {
+            return;
+        }
+        if let Frame::Leave(leave) = &received.frame {
+            let event = Event::Frame(link.to_owned(), Frame::Leave(leave.clone()));
+            let _ = self.events.send(event).await;
+        }
+        self.give(received);
+    }
+
+    fn give(&self, received: Received) {
+        // Without a subscriber nobody needs it.
+        let _ = self.received.send(Arc::new(received));
+    }
+
     fn encode(&self, frame: &Frame) -> Result<Bytes, Error> {
         let bytes = wire::encode(frame)?;
         self.sent_bytes
@@ -269,3 +319,15 @@
         Ok(bytes)
     }
 }
+
+fn is_of_configuration(frame: &Frame) -> bool {
+    matches!(
+        frame,
+        Frame::Beat(_)
+            | Frame::Proof(_)
+            | Frame::Touch(_)
+            | Frame::Delta(_)
+            | Frame::Fetch(_)
+            | Frame::Snapshot(_)
+    )
+}
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -8,6 +8,7 @@
 mod hub;
 mod listen;
 mod received;
+mod relay;
 mod settings;
 mod socket;
 mod table;
--- /dev/null
+++ b/crates/node/src/link/relay.rs
@@ -0,0 +1,41 @@
+//! Frames for all nodes of a fleet that is too large for each to be linked with each.
+
+use contract::{Incarnation, NodeId, Set};
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError};
+use wire::Relay;
+
+/// Relayed frames that are remembered, so that each is passed on once.
+const MAX_SEEN: usize = 8192;
+
+type Id = (NodeId, Incarnation, u64);
+
+#[derive(Debug, Default)]
+struct Seen {
+    ids: Set<Id>,
+    order: VecDeque<Id>,
+}
+
+/// Relayed frames that have come by lately. Its lock is held for itself alone.
+#[derive(Debug, Default)]
+pub(super) struct Relays {
+    seen: Mutex<Seen>,
+}
+
+impl Relays {
+    /// Notes a frame; says whether it is new.
+    pub(super) fn note(&self, relay: &Relay) -> bool {
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let id = (relay.node.clone(), relay.incarnation, relay.sequence);
+        if !seen.ids.insert(id.clone()) {
+            return false;
+        }
+        seen.order.push_back(id);
+        if seen.order.len() > MAX_SEEN {
+            if let Some(oldest) = seen.order.pop_front() {
+                seen.ids.remove(&oldest);
+            }
+        }
+        true
+    }
+}
--- a/crates/node/src/link/table.rs
+++ b/crates/node/src/link/table.rs
@@ -99,9 +99,12 @@
             .map_err(|_| Error::Full(to.to_owned()))
     }
 
-    pub(super) fn broadcast(&self, frame: &Bytes) {
-        for link in self.read().up.values() {
-            let _ = link.frames.try_send(frame.clone());
+    /// Queues a frame on all links, but for the one that it came from.
+    pub(super) fn broadcast(&self, frame: &Bytes, except: Option<&str>) {
+        for (node, link) in &self.read().up {
+            if except != Some(node) {
+                let _ = link.frames.try_send(frame.clone());
+            }
         }
     }
 
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -242,6 +242,35 @@
     until(|| state(&nodes[0]).is_none()).await;
 }
 
+#[tokio::test]
+async fn broadcast_reaches_nodes_without_a_link_once() {
+    let table = Memory::default();
+    let mut nodes = Vec::new();
+    for index in 0..14 {
+        let address = free_address();
+        nodes.push(start(index, address, address, &["the-shared-key"], &table).await);
+    }
+    until(|| {
+        nodes
+            .iter()
+            .all(|node| node.replica.config().members().count() == 14)
+    })
+    .await;
+    sleep(Duration::from_millis(500)).await;
+    let mut receivers: Vec<_> = nodes[1..].iter().map(|node| node.hub.subscribe()).collect();
+    let suspect = Suspect {
+        fingerprint: "f".into(),
+        backend: "b".into(),
+        age_ms: 0,
+    };
+    nodes[0].hub.broadcast(&Frame::Suspect(suspect));
+    sleep(Duration::from_millis(500)).await;
+    for frames in &mut receivers {
+        assert_eq!(frames.try_recv().unwrap().from, "n0");
+        assert!(frames.try_recv().is_err());
+    }
+}
+
 #[tokio::test]
 async fn frames_reach_subscribers_with_their_sender() {
     let nodes = cluster(2, &Memory::default()).await;
--- a/crates/standin/examples/measure/control.rs
+++ b/crates/standin/examples/measure/control.rs
@@ -1,5 +1,7 @@
 //! What control costs a node, and how fast changes and deaths are known everywhere.
 
+mod members;
+
 use bpaf::Bpaf;
 use contract::{Object, Zone};
 use serde::Serialize;
@@ -15,6 +17,8 @@
 /// Clock ticks a second in /proc.
 const TICKS_PER_SECOND: f64 = 100.0;
 const ZONES: usize = 4;
+/// Members for which the view of one node is measured alone.
+const MEMBERS: [usize; 4] = [7, 100, 300, 1100];
 const LIMIT: Duration = Duration::from_secs(60);
 const PAUSE: Duration = Duration::from_millis(2);
 
@@ -81,10 +85,12 @@
         }
         rows.push(row);
     }
+    let views = MEMBERS.map(members::measure);
+    let views = views.into_iter().collect::<Result<Vec<_>, _>>()?;
     let slopes = slopes(&rows);
     println!(
         "{}",
-        serde_json::to_string_pretty(&json!({ "rows": rows, "slopes": slopes }))?
+        serde_json::to_string_pretty(&json!({ "rows": rows, "slopes": slopes, "views": views }))?
     );
     Ok(())
 }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -537,6 +537,18 @@
 #[doc = "    {"]
 #[doc = "      \"type\": \"object\","]
 #[doc = "      \"required\": ["]
+#[doc = "        \"relay\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"relay\": {"]
+#[doc = "          \"$ref\": \"#/definitions/Relay\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
 #[doc = "        \"bill_copies\""]
 #[doc = "      ],"]
 #[doc = "      \"properties\": {"]
@@ -590,6 +602,8 @@
     Spend(Spend),
     #[serde(rename = "leave")]
     Leave(Leave),
+    #[serde(rename = "relay")]
+    Relay(Relay),
     #[serde(rename = "bill_copies")]
     BillCopies(BillCopies),
     #[serde(rename = "bill_held")]
@@ -665,6 +679,11 @@
         Self::Leave(value)
     }
 }
+impl ::std::convert::From<Relay> for Frame {
+    fn from(value: Relay) -> Self {
+        Self::Relay(value)
+    }
+}
 impl ::std::convert::From<BillCopies> for Frame {
     fn from(value: BillCopies) -> Self {
         Self::BillCopies(value)
@@ -854,6 +873,64 @@
         value.clone()
     }
 }
+#[doc = "A frame for all nodes, passed on by each node once to its other links."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"A frame for all nodes, passed on by each node once to its other links.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"frame\","]
+#[doc = "    \"incarnation\","]
+#[doc = "    \"node\","]
+#[doc = "    \"sequence\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"frame\": {"]
+#[doc = "      \"description\": \"The frame in CBOR.\","]
+#[doc = "      \"type\": \"array\","]
+#[doc = "      \"items\": {"]
+#[doc = "        \"type\": \"integer\","]
+#[doc = "        \"format\": \"uint8\","]
+#[doc = "        \"minimum\": 0.0"]
+#[doc = "      }"]
+#[doc = "    },"]
+#[doc = "    \"incarnation\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"node\": {"]
+#[doc = "      \"description\": \"Node that sent it first.\","]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"sequence\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Relay {
+    #[doc = "The frame in CBOR."]
+    pub frame: ::std::vec::Vec<u8>,
+    pub incarnation: u64,
+    #[doc = "Node that sent it first."]
+    pub node: ::std::string::String,
+    pub sequence: u64,
+}
+impl ::std::convert::From<&Relay> for Relay {
+    fn from(value: &Relay) -> Self {
+        value.clone()
+    }
+}
 #[doc = "Slots granted by the home until they expire, ttl_ms after the request was sent."]
 #[doc = r""]
 #[doc = r" <details><summary>JSON schema</summary>"]
