Send only under slots, and keep records and bills in the table

Cause: cold-start limits held for one node only, a call that may not be repeated had no record, and bills were log lines. Ruled out: waiting for a slot at one backend server: the search looks again every 50 ms, so that a slot that frees up elsewhere is taken. Change: Need and Place (slot, queue pass, outcome) replace the node's own counters; service calls without a repeatable route run under a claim; the end of an answer waits until its bill is safe; a suspect of crashes runs alone and never on the last backend server; frames reach slots and bills.

--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -2,11 +2,14 @@
 
 use crate::Error;
 use crate::app::{Gate, Keys, Parts, Stay};
+use crate::bill::Bills;
 use crate::decide::{Decide, Funds};
-use crate::dispatch::{Load, Signer};
+use crate::dispatch::Signer;
 use crate::fleet::{Fleet, Server};
 use crate::link::Hub;
 use crate::metrics::{Counter, Metrics};
+use crate::record::Runs;
+use crate::slot::Slots;
 use crate::sync::Replica;
 use backend::Pool;
 use contract::{Config, CustomerId, Incarnation};
@@ -31,8 +34,12 @@
     pub fleet: Fleet,
     /// Connections to backend servers.
     pub pool: Pool,
-    /// Own requests in flight.
-    pub load: Arc<Load>,
+    /// What this node may send to backend servers.
+    pub slots: Arc<Slots>,
+    /// Records of calls that may not be repeated.
+    pub runs: Arc<Runs<table::Client>>,
+    /// Bills on their way to the table.
+    pub bills: Arc<Bills<table::Client>>,
     /// Keys that sign session tokens.
     pub session_keys: Ring,
     /// Keys shared by nodes.
@@ -78,7 +85,9 @@
             funds: parts.funds,
             fleet: Fleet::default(),
             pool: Pool::new(limits),
-            load: Arc::default(),
+            slots: parts.slots,
+            runs: parts.runs,
+            bills: parts.bills,
             suspects: Mutex::new(Suspects::new(suspect::Settings::default())),
             gate: Arc::default(),
             keys: Keys::default(),
@@ -139,6 +148,13 @@
 
     /// Hands over what the node still holds, once its work has ended.
     pub async fn close(&self) {
+        let deadline = Instant::now() + self.settings.drain;
+        self.slots.close();
+        let claims = self.runs.close(deadline.into()).await;
+        let bills = self.bills.flush_all(deadline.into()).await;
+        if claims + bills > 0 {
+            log::error!(event = 1006, claims, bills; "the table lacks records of this node");
+        }
         if let Err(error) = self.replica.quit().await {
             log::warn!(event = 1213; "this node stays a member until others remove it: {error}");
         }
@@ -183,8 +199,8 @@
             .crash(Instant::now(), &suspect.fingerprint, &suspect.backend, age);
     }
 
-    /// Bills a request.
-    pub fn bill(&self, bill: Bill) {
+    /// Counts a bill in the metrics and the log.
+    pub fn count(&self, bill: &Bill) {
         let version = [("model", bill.model.as_str()), ("version", &bill.version)];
         self.metrics.count(Counter::Answers, 1, &version);
         self.metrics
--- /dev/null
+++ b/crates/node/src/app/context.rs
@@ -0,0 +1,48 @@
+//! What the parts of a node need from each other.
+
+use crate::app::App;
+use crate::fleet::Server;
+use crate::{bill, slot};
+use contract::{Config, NodeId, Revision};
+use std::sync::Arc;
+use std::time::Instant;
+use wire::Frame;
+
+/// Nodes that hold copies of this node's bills.
+const BILL_COPIES: usize = 2;
+
+impl slot::Context for App {
+    fn config(&self) -> Arc<Config> {
+        self.replica.config()
+    }
+
+    fn servers(&self) -> Arc<Vec<Server>> {
+        self.fleet.servers()
+    }
+
+    fn fresh(&self) -> bool {
+        self.replica.may_start(Instant::now()).is_ok()
+    }
+
+    fn accepted(&self) -> Revision {
+        self.replica.accepted_revision()
+    }
+
+    fn send(&self, node: &str, frame: Frame) {
+        // A lost frame is asked for again.
+        let _ = self.hub.send(node, frame);
+    }
+}
+
+impl bill::Context for App {
+    fn peers(&self) -> Vec<NodeId> {
+        let config = self.replica.config();
+        let members: Vec<_> = config.members().cloned().collect();
+        bill::peers(&members, &self.settings.node, BILL_COPIES)
+    }
+
+    fn send(&self, node: &str, frame: Frame) {
+        // A lost copy is sent again.
+        let _ = self.hub.send(node, frame);
+    }
+}
--- a/crates/node/src/app/mod.rs
+++ b/crates/node/src/app/mod.rs
@@ -1,6 +1,7 @@
 //! The tables that all requests of a node share.
 
 mod app;
+mod context;
 mod keys;
 mod parts;
 mod stay;
--- a/crates/node/src/app/parts.rs
+++ b/crates/node/src/app/parts.rs
@@ -1,9 +1,13 @@
 //! Parts that a node is put together from.
 
+use crate::bill::{self, Bills};
 use crate::decide::{self, Decide, Funds};
 use crate::link::{self, Hub};
+use crate::record::Runs;
+use crate::slot::Slots;
 use crate::sync::{self, Replica};
-use contract::{Incarnation, Member};
+use contract::{Incarnation, Member, Owner};
+use limits::slot;
 use platform::{ratings, table, vms};
 use settings::Ring;
 use settings::node::Settings;
@@ -12,6 +16,8 @@
 
 /// Renewals within the time of a lease.
 const LEASE_RENEWALS: u32 = 3;
+/// Renewals within the time of a grant.
+const GRANT_RENEWALS: u32 = 3;
 /// Heartbeats missed on a link before it is replaced.
 const SILENT_HEARTBEATS: u32 = 4;
 
@@ -25,6 +31,12 @@
     pub decide: Arc<Decide>,
     /// Shares of customers' budgets.
     pub funds: Funds<table::Client>,
+    /// What this node may send to backend servers.
+    pub slots: Arc<Slots>,
+    /// Records of calls that may not be repeated.
+    pub runs: Arc<Runs<table::Client>>,
+    /// Bills on their way to the table.
+    pub bills: Arc<Bills<table::Client>>,
 }
 
 impl Parts {
@@ -51,6 +63,7 @@
         })?;
         let sync = sync_settings(settings, incarnation);
         let node = settings.node.clone();
+        let owner = Owner::new(&node, incarnation);
         let name = format!("{node}-{incarnation}");
         let decisions = decide::Settings::default();
         let vms = vms::Client::new(vms::Settings {
@@ -67,6 +80,9 @@
         Ok(Self {
             replica: Replica::new(sync, table()?, Arc::clone(&hub), Some(vms)),
             hub,
+            slots: Slots::new(owner.clone(), slot_settings(settings)),
+            runs: Runs::new(table()?, owner.clone(), ledger::record::Settings::default()),
+            bills: Bills::new(table()?, owner, bill_settings(settings)),
             funds: Funds::new(decisions.spend.clone(), table()?, name),
             decide: Arc::new(Decide::new(decisions, node, incarnation, ratings)),
         })
@@ -97,3 +113,22 @@
         ..sync::Settings::default()
     }
 }
+
+fn slot_settings(settings: &Settings) -> slot::Settings {
+    slot::Settings {
+        ttl: settings.grant_ttl,
+        horizon: settings.horizon,
+        renew: settings.grant_ttl / GRANT_RENEWALS,
+        ..slot::Settings::default()
+    }
+}
+
+fn bill_settings(settings: &Settings) -> bill::Settings {
+    bill::Settings {
+        ledger: ledger::bill::Settings {
+            flush: settings.bill_flush,
+            ..ledger::bill::Settings::default()
+        },
+        ..bill::Settings::default()
+    }
+}
--- a/crates/node/src/dispatch/account.rs
+++ b/crates/node/src/dispatch/account.rs
@@ -2,7 +2,7 @@
 
 use crate::app::App;
 use contract::{CustomerId, Micros};
-use ledger::bill::{Leg, Meter};
+use ledger::bill::{Bill, Leg, Meter};
 use limits::spend::Hold;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -43,21 +43,30 @@
         self.meter.as_ref().map_or(0, Meter::micros)
     }
 
-    fn settle(&mut self) {
+    /// Closes the bill and waits until it is safe; call it before the answer ends.
+    pub(super) async fn close(&mut self) {
+        if let Some(bill) = self.settle() {
+            self.app.count(&bill);
+            self.app.bills.add(bill).await;
+        }
+    }
+
+    fn settle(&mut self) -> Option<Bill> {
         let bill = self.meter.take().and_then(|meter| meter.close(now_ms()));
         let cost = bill.as_ref().map_or(0, |bill| bill.micros);
         if let Some(hold) = self.hold.take() {
             self.app.funds.settle(&self.customer, hold, cost);
         }
-        if let Some(bill) = bill {
-            self.app.bill(bill);
-        }
+        bill
     }
 }
 
 impl Drop for Account {
     fn drop(&mut self) {
-        self.settle();
+        if let Some(bill) = self.settle() {
+            self.app.count(&bill);
+            self.app.bills.push(bill);
+        }
     }
 }
 
--- a/crates/node/src/dispatch/chat.rs
+++ b/crates/node/src/dispatch/chat.rs
@@ -59,6 +59,7 @@
         let flight = Flight::replay(job, candidate, collected.chunks, account, receipt, why);
         return Ok(Answer::Stream(Box::new(flight)));
     }
+    account.close().await;
     Ok(Answer::Whole {
         body: collected.assembly.whole(&receipt).to_string(),
         receipt,
--- a/crates/node/src/dispatch/flight.rs
+++ b/crates/node/src/dispatch/flight.rs
@@ -5,7 +5,8 @@
 use crate::decide::{Picked, Sample};
 use crate::dispatch::account::Account;
 use crate::dispatch::job::Job;
-use crate::dispatch::leg::{Leg, Open, Place};
+use crate::dispatch::leg::{Leg, Open};
+use crate::dispatch::place::Place;
 use crate::dispatch::{Candidate, Receipt};
 use backend::{Chunk, Ran, Usage};
 use bytes::Bytes;
@@ -117,12 +118,16 @@
                 return None;
             }
             let Some(run) = &mut self.run else {
-                return Some(self.finish());
+                return Some(self.finish().await);
             };
             match run.rest.next().await {
                 Some(Ok(chunk)) => self.ready.push_back(chunk),
                 Some(Err(source)) => return Some(self.fail(source)),
-                None => return Some(self.finish()),
+                None => {
+                    if let Some(place) = self.close_run() {
+                        place.complete();
+                    }
+                }
             }
         }
     }
@@ -134,7 +139,13 @@
         if chunk.usage.is_none() {
             return Some(data(&chunk.data));
         }
-        self.close_run();
+        if let Some(run) = &self.run {
+            let usage = run.usage;
+            let leg = self
+                .leg()
+                .priced(usage.prompt_tokens, usage.completion_tokens);
+            self.receipt.cost_micros = self.account.micros() + leg.micros();
+        }
         self.job
             .ask
             .include_usage
@@ -147,9 +158,9 @@
         data(event.to_string().as_bytes())
     }
 
-    fn finish(&mut self) -> Bytes {
-        self.close_run();
+    async fn finish(&mut self) -> Bytes {
         self.ended = true;
+        self.account.close().await;
         let mut bytes = Vec::new();
         if !self.job.ask.include_usage {
             // A comment: clients that read only the protocol's events pass over it.
@@ -162,47 +173,45 @@
     }
 
     fn fail(&mut self, source: backend::Error) -> Bytes {
-        if let (Some(run), true) = (&self.run, source.crashed()) {
-            self.job
-                .app
-                .suspect(&self.job.fingerprint, &run.place.backend);
-        }
-        self.close_run();
         self.ended = true;
-        data(Failure(Error::Backend { source }).json().as_bytes())
+        let error = match self.close_run() {
+            Some(place) => self.leg().failed(place, source),
+            None => Error::Backend { source },
+        };
+        data(Failure(error).json().as_bytes())
     }
 
-    /// Ends the run: gives the place back, puts the run on the bill and learns from it.
-    fn close_run(&mut self) {
-        let Some(run) = self.run.take() else {
-            return;
-        };
-        let leg = Leg {
+    fn leg(&self) -> Leg<'_> {
+        Leg {
             job: &self.job,
             candidate: &self.candidate,
-        };
-        let Usage {
-            prompt_tokens,
-            completion_tokens,
-            ..
-        } = run.usage;
-        self.account
-            .add(leg.priced(prompt_tokens, completion_tokens));
+        }
+    }
+
+    /// Ends the run: puts it on the bill, learns from it, and gives its place.
+    fn close_run(&mut self) -> Option<Place> {
+        let run = self.run.take()?;
+        let usage = run.usage;
+        let leg = self
+            .leg()
+            .priced(usage.prompt_tokens, usage.completion_tokens);
+        self.account.add(leg);
         self.receipt.cost_micros = self.account.micros();
         let decide = &self.job.app.decide;
-        decide.answered(leg.subject(), completion_tokens, self.job.started.elapsed());
-        if !run.rate {
-            return;
+        let took = self.job.started.elapsed();
+        decide.answered(self.leg().subject(), usage.completion_tokens, took);
+        if run.rate {
+            decide.sample(Sample {
+                model: self.candidate.model.clone(),
+                version: self.candidate.version.clone(),
+                task: self.job.choice.task.clone(),
+                customer: self.job.customer().clone(),
+                escalated: false,
+                prompt: self.job.ask.prompt.clone(),
+                answer: run.text,
+            });
         }
-        decide.sample(Sample {
-            model: self.candidate.model.clone(),
-            version: self.candidate.version.clone(),
-            task: self.job.choice.task.clone(),
-            customer: self.job.customer().clone(),
-            escalated: false,
-            prompt: self.job.ask.prompt.clone(),
-            answer: run.text,
-        });
+        Some(run.place)
     }
 }
 
--- a/crates/node/src/dispatch/job.rs
+++ b/crates/node/src/dispatch/job.rs
@@ -39,6 +39,9 @@
         token: Option<&str>,
     ) -> Result<Self, Error> {
         let stay = app.enter()?;
+        if !app.bills.has_room() {
+            return Err(Error::Platform);
+        }
         let config = app.config();
         let contract = config.contract(customer).ok_or(Error::Unauthenticated)?;
         let session = token.map(|token| app.signer.verify(token)).transpose()?;
--- a/crates/node/src/dispatch/leg.rs
+++ b/crates/node/src/dispatch/leg.rs
@@ -1,14 +1,16 @@
 //! One version's turn at a request: finds a backend server, sends, and retries before the first chunk.
 
 use crate::Error;
-use crate::decide::{Entry, Pass};
+use crate::decide::Entry;
 use crate::dispatch::job::Job;
-use crate::dispatch::{Assembly, Candidate, Load, Permit};
+use crate::dispatch::place::{Need, Place};
+use crate::dispatch::{Assembly, Candidate};
 use backend::{Chat, Chunk, Engine, Ran};
-use contract::BackendId;
+use contract::{BackendId, Revision};
 use futures::StreamExt;
 use futures::stream::BoxStream;
 use ledger::bill;
+use limits::suspect::Verdict;
 use policy::place;
 use policy::quality::Subject;
 use std::time::{Duration, Instant};
@@ -17,6 +19,9 @@
 /// Backend servers that one request may be sent to for one version.
 const MAX_ATTEMPTS: usize = 3;
 
+/// Slots of a backend server that a node may ask for beyond those it has.
+const SPARE_SLOTS: u32 = 1;
+
 /// Expected time of an answer before any was seen.
 const UNKNOWN_DURATION: Duration = Duration::from_millis(500);
 
@@ -34,13 +39,6 @@
     pub(super) rest: BoxStream<'static, Result<Chunk, backend::Error>>,
 }
 
-/// A place at a backend server; it is given back when dropped.
-pub(super) struct Place {
-    pub(super) backend: BackendId,
-    _permit: Permit,
-    _pass: Pass,
-}
-
 /// An answer that was read to its end.
 #[derive(Default)]
 pub(super) struct Collected {
@@ -138,14 +136,20 @@
         let mut collected = Collected::default();
         self.take(&mut collected, first)?;
         while let Some(chunk) = self.in_time(rest.next()).await? {
-            let chunk = chunk.inspect_err(|error| self.suspect(&place.backend, error));
-            self.take(&mut collected, chunk.map_err(failed)?)?;
+            match chunk {
+                Ok(chunk) => self.take(&mut collected, chunk)?,
+                Err(source) => return Err(self.failed(place, source)),
+            }
         }
+        place.complete();
         Ok(collected)
     }
 
     fn take(&self, collected: &mut Collected, chunk: Chunk) -> Result<(), Error> {
-        collected.assembly.add(&chunk).map_err(failed)?;
+        collected
+            .assembly
+            .add(&chunk)
+            .map_err(|source| Error::Backend { source })?;
         if self.job.ask.stream {
             collected.chunks.push(chunk);
         }
@@ -154,43 +158,41 @@
 
     async fn place(&self, tried: &[BackendId]) -> Result<Place, Error> {
         let app = &self.job.app;
-        let none = || Error::Capacity(self.candidate.served());
         let served = self.candidate.served();
-        let pass = app.decide.door.enter(self.entry(&served, tried));
-        let pass = pass.await.map_err(|refusal| match refusal {
+        let pass = app.decide.door.enter(self.entry(&served, tried)).await;
+        let pass = pass.map_err(|refusal| match refusal {
             limits::Refusal::Full { retry_after } | limits::Refusal::Late { retry_after, .. } => {
                 Error::Overloaded { retry_after }
             }
-            _ => none(),
+            _ => Error::Capacity(served.clone()),
         })?;
-        let backend = self.choose(tried).ok_or_else(none)?;
-        let permit =
-            Load::enter(&app.load, &backend, self.candidate.spec.slots).ok_or_else(none)?;
-        Ok(Place {
-            backend,
-            _permit: permit,
-            _pass: pass,
-        })
+        let need = Need {
+            app,
+            what: &served,
+            tried,
+            capacity: self.candidate.spec.slots,
+            deadline: self.job.deadline(),
+        };
+        let alone = app.verdict(&self.job.fingerprint) == Verdict::Alone;
+        let hold = need.hold(|spare| self.choose(&need, alone, spare)).await?;
+        Ok(Place::new(hold, Some(pass)))
     }
 
     fn entry<'b>(&'b self, served: &'b str, tried: &[BackendId]) -> Entry<'b> {
         let app = &self.job.app;
-        let Candidate {
-            model,
-            version,
-            spec,
-        } = self.candidate;
+        let Candidate { model, version, .. } = self.candidate;
         let config = app.config();
         let servers = app.fleet.servers();
-        let open = servers
+        let capacity = servers
             .iter()
             .filter(|one| one.runs(model, version) && app.open(&config, one))
             .filter(|one| !tried.contains(&one.id))
-            .count();
+            .map(|one| app.slots.held(&one.id) + app.slots.free(&one.id) + SPARE_SLOTS)
+            .sum();
         let expected = app.decide.durations(self.subject());
         Entry {
             pool: served,
-            capacity: spec.slots.saturating_mul(open as u32),
+            capacity,
             customer: self.job.customer(),
             priority: self.job.contract.priority,
             weight: self.job.contract.weight,
@@ -199,39 +201,30 @@
         }
     }
 
-    fn choose(&self, tried: &[BackendId]) -> Option<BackendId> {
+    /// Chooses a backend server. A suspect of crashes runs alone, and never on the last one.
+    fn choose(&self, need: &Need<'_>, alone: bool, spare: u32) -> Option<BackendId> {
         let app = &self.job.app;
-        let Candidate {
-            model,
-            version,
-            spec,
-        } = self.candidate;
-        let config = app.config();
+        let Candidate { model, version, .. } = self.candidate;
         let servers = app.fleet.servers();
+        let runs = servers.iter().filter(|one| one.runs(model, version));
+        if alone && runs.count() < 2 {
+            return None;
+        }
         let query = place::Query {
             key: Some(place::prefix(self.job.customer(), &self.job.ask.prompt)),
             zone: &app.settings.zone,
             preferred: None,
-            avoid: tried.last().map(String::as_str),
+            avoid: need.tried.last().map(String::as_str),
         };
         app.decide.place(&servers, (model, version), &query, |id| {
             let server = servers.iter().find(|one| one.id == id)?;
-            if tried.iter().any(|one| one == id) || !app.open(&config, server) {
-                return None;
-            }
-            let own = app.load.at(id);
-            let free = spec.slots.checked_sub(own).filter(|free| *free > 0)?;
-            Some(place::Load {
-                free,
-                capacity: spec.slots,
-                unreported: own,
-                ..place::Load::default()
-            })
+            let load = need.load(server, spare)?;
+            (!alone || app.slots.held(id) == 0).then_some(load)
         })
     }
 
-    async fn attempt(&self, place: Place) -> Result<Open, Error> {
-        self.check()?;
+    async fn attempt(&self, mut place: Place) -> Result<Open, Error> {
+        let fence = self.check(&place)?;
         let job = self.job;
         let chat = Chat {
             body: job.ask.engine_body(
@@ -241,33 +234,36 @@
             ),
             request_id: job.request_id.clone(),
             customer: job.customer().clone(),
-            fence: 0,
+            fence,
         };
         let engine = Engine::new(&job.app.pool);
         let call = engine.chat(&place.backend, chat);
-        let opened = self.in_time(call).await?;
-        let opened = opened.inspect_err(|error| self.suspect(&place.backend, error));
-        let mut rest = opened.map_err(failed)?.boxed();
-        let first = self
-            .in_time(rest.next())
-            .await?
-            .unwrap_or(Err(backend::Error::Truncated));
-        let first = first.inspect_err(|error| self.suspect(&place.backend, error));
-        Ok(Open {
-            place,
-            first: first.map_err(failed)?,
-            rest,
-        })
+        let opened = match self.in_time(call).await? {
+            Ok(opened) => opened,
+            Err(source) => return Err(self.failed(place, source)),
+        };
+        let mut rest = opened.boxed();
+        let first = self.in_time(rest.next()).await?;
+        match first.unwrap_or(Err(backend::Error::Truncated)) {
+            Ok(first) => {
+                place.began();
+                Ok(Open { place, first, rest })
+            }
+            Err(source) => Err(self.failed(place, source)),
+        }
     }
 
-    fn suspect(&self, backend: &str, error: &backend::Error) {
-        if error.crashed() {
-            self.job.app.suspect(&self.job.fingerprint, backend);
+    /// Gives a place back after a failure, and notes whether the request may have caused it.
+    pub(super) fn failed(&self, place: Place, source: backend::Error) -> Error {
+        if source.crashed() {
+            self.job.app.suspect(&self.job.fingerprint, &place.backend);
         }
+        place.fail(&source);
+        Error::Backend { source }
     }
 
     /// The last look before bytes leave.
-    fn check(&self) -> Result<(), Error> {
+    fn check(&self, place: &Place) -> Result<Revision, Error> {
         let app = &self.job.app;
         let now = Instant::now();
         app.replica.may_start(now).map_err(|_| Error::Stale)?;
@@ -278,7 +274,7 @@
         if now >= self.job.deadline() {
             return Err(self.late(Ran::No));
         }
-        Ok(())
+        place.check(now)
     }
 
     async fn in_time<T>(&self, work: impl Future<Output = T>) -> Result<T, Error> {
@@ -294,7 +290,3 @@
         }
     }
 }
-
-fn failed(source: backend::Error) -> Error {
-    Error::Backend { source }
-}
--- a/crates/node/src/dispatch/mod.rs
+++ b/crates/node/src/dispatch/mod.rs
@@ -18,7 +18,6 @@
 pub use assembly::Assembly;
 pub use chat::chat;
 pub use flight::Flight;
-pub use place::{Load, Permit};
 pub use service::{Request, service};
 pub use session::{Session, Signer};
 pub use target::{Candidate, Choice, resolve};
--- a/crates/node/src/dispatch/place.rs
+++ b/crates/node/src/dispatch/place.rs
@@ -1,61 +1,130 @@
-//! This node's own requests in flight at each backend server.
+//! A place at a backend server: a slot from its home, and leave of the queue before its pool.
 
-use contract::{BackendId, Map};
-use std::sync::{Arc, Mutex, PoisonError};
+use crate::Error;
+use crate::app::App;
+use crate::decide::Pass;
+use crate::fleet::Server;
+use crate::slot::Hold;
+use contract::{BackendId, Revision};
+use limits::slot::Outcome;
+use policy::place::Load;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-/// Requests in flight by backend server.
-#[derive(Debug, Default)]
-pub struct Load {
-    counts: Mutex<Map<BackendId, u32>>,
+/// Longest wait for a slot at one backend server before another is looked for.
+const SLOT_STEP: Duration = Duration::from_millis(50);
+
+/// Longest wait for a slot at any backend server.
+const SLOT_WAIT: Duration = Duration::from_secs(3);
+
+/// A search for a slot.
+pub(super) struct Need<'a> {
+    pub(super) app: &'a Arc<App>,
+    /// What is asked for, for error messages.
+    pub(super) what: &'a str,
+    /// Backend servers that have failed at the request.
+    pub(super) tried: &'a [BackendId],
+    /// Requests that a warm backend server carries at once.
+    pub(super) capacity: u32,
+    /// When the request is no longer of use.
+    pub(super) deadline: Instant,
 }
 
-/// One request in flight; it ends when dropped.
-#[derive(Debug)]
-pub struct Permit {
-    load: Arc<Load>,
-    backend: BackendId,
+/// A slot in use; it is given back when dropped.
+pub(super) struct Place {
+    pub(super) backend: BackendId,
+    hold: Hold,
+    taken: Instant,
+    first_byte: Option<Duration>,
+    _pass: Option<Pass>,
 }
 
-impl Load {
-    /// Requests in flight at a backend server.
-    ///
-    /// ```
-    /// let load = std::sync::Arc::new(node::dispatch::Load::default());
-    /// let permit = node::dispatch::Load::enter(&load, "127.0.0.1:1", 1);
-    /// assert!(permit.is_some());
-    /// assert!(node::dispatch::Load::enter(&load, "127.0.0.1:1", 1).is_none());
-    /// drop(permit);
-    /// assert_eq!(load.at("127.0.0.1:1"), 0);
-    /// ```
-    pub fn at(&self, backend: &str) -> u32 {
-        self.lock().get(backend).copied().unwrap_or(0)
-    }
-
-    /// Starts a request unless the backend server has its fill.
-    pub fn enter(load: &Arc<Self>, backend: &str, limit: u32) -> Option<Permit> {
-        let mut counts = load.lock();
-        let count = counts.entry(backend.to_owned()).or_default();
-        if *count >= limit {
+impl Need<'_> {
+    /// Occupies a slot at the backend server that `choose` names, given the slots of each that its
+    /// home may still grant.
+    pub(super) async fn hold(
+        &self,
+        choose: impl Fn(u32) -> Option<BackendId>,
+    ) -> Result<Hold, Error> {
+        let none = || Error::Capacity(self.what.to_owned());
+        let end = self.deadline.min(Instant::now() + SLOT_WAIT);
+        loop {
+            if let Some(free) = choose(0) {
+                if let Ok(hold) = self.app.slots.acquire(&free) {
+                    return Ok(hold);
+                }
+            }
+            let next = choose(1).ok_or_else(none)?;
+            let wait = SLOT_STEP.min(end.saturating_duration_since(Instant::now()));
+            if let Ok(hold) = self.app.slots.acquire_within(&next, wait).await {
+                return Ok(hold);
+            }
+            if Instant::now() >= end {
+                return Err(none());
+            }
+        }
+    }
+
+    /// Load of a backend server that may receive new work and has a free slot, counting `spare`
+    /// slots that its home may still grant.
+    pub(super) fn load(&self, server: &Server, spare: u32) -> Option<Load> {
+        let app = self.app;
+        if self.tried.contains(&server.id) || !app.open(&app.config(), server) {
             return None;
         }
-        *count += 1;
-        drop(counts);
-        Some(Permit {
-            load: Arc::clone(load),
-            backend: backend.to_owned(),
+        let free = app.slots.free(&server.id) + spare;
+        (free > 0).then(|| Load {
+            free,
+            capacity: self.capacity,
+            unreported: app.slots.held(&server.id),
+            ..Load::default()
         })
     }
+}
+
+impl Place {
+    pub(super) fn new(hold: Hold, pass: Option<Pass>) -> Self {
+        Self {
+            backend: hold.backend().clone(),
+            hold,
+            taken: Instant::now(),
+            first_byte: None,
+            _pass: pass,
+        }
+    }
+
+    /// Checks, last thing before bytes leave, that the slot may still be used; gives the fencing
+    /// number.
+    pub(super) fn check(&self, now: Instant) -> Result<Revision, Error> {
+        self.hold
+            .check(now)
+            .map_err(|_| Error::Capacity(self.backend.clone()))
+    }
+
+    /// Notes that the answer has begun.
+    pub(super) fn began(&mut self) {
+        self.first_byte = Some(self.taken.elapsed());
+    }
+
+    /// Gives the place back after a whole answer.
+    pub(super) fn complete(self) {
+        let first_byte = self.first_byte.unwrap_or_else(|| self.taken.elapsed());
+        self.hold.end(&Outcome::Completed { first_byte });
+    }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Map<BackendId, u32>> {
-        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Gives the place back after a failure.
+    pub(super) fn fail(self, error: &backend::Error) {
+        self.hold.end(&outcome(error));
     }
 }
 
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let mut counts = self.load.lock();
-        if let Some(count) = counts.get_mut(&self.backend) {
-            *count = count.saturating_sub(1);
-        }
+fn outcome(error: &backend::Error) -> Outcome {
+    use backend::Error;
+    match error {
+        Error::Connect(_) | Error::Broken(_) | Error::Truncated => Outcome::Dropped,
+        Error::Refused { .. } => Outcome::Refused,
+        Error::Silent(_) => Outcome::Silent,
+        Error::Failed { .. } | Error::Malformed(_) => Outcome::Failed,
+        Error::Rejected { .. } | Error::Oversized { .. } => Outcome::Cancelled,
     }
 }
--- a/crates/node/src/dispatch/service.rs
+++ b/crates/node/src/dispatch/service.rs
@@ -2,16 +2,20 @@
 
 use crate::Error;
 use crate::app::App;
-use crate::dispatch::Load;
-use crate::fleet::Server;
-use backend::{Call, Reply, Service};
+use crate::dispatch::place::{Need, Place};
+use backend::{Call, Ran, Reply, Service};
 use contract::BackendId;
+use ledger::record::{Answer, Claim, Key, Stored, Ticket};
+use policy::place::Query;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Backend servers that one repeatable call may be sent to.
 const MAX_ATTEMPTS: usize = 3;
 
+/// Header that is kept with the record of a call.
+const CONTENT_TYPE: &str = "content-type";
+
 /// A call as the caller sent it.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -21,6 +25,15 @@
     pub call: Call,
 }
 
+/// A call that the contract allows.
+struct Task<'a> {
+    app: &'a Arc<App>,
+    request: Request,
+    slots: u32,
+    limit: Duration,
+    deadline: Instant,
+}
+
 /// Answers a call of a customer.
 pub async fn service(app: &Arc<App>, customer: &str, mut request: Request) -> Result<Reply, Error> {
     let _stay = app.enter()?;
@@ -32,71 +45,164 @@
     }
     request.call.customer = customer.to_owned();
     request.call.request_id = app.request_id();
+    let repeatable = repeatable(spec, &request.call);
     let limit = Duration::from_millis(spec.timeout_ms);
-    if repeatable(spec, &request.call) {
-        return repeat(app, &request, spec.slots, limit).await;
-    }
-    if request.call.idempotency_key.is_none() {
-        return Err(Error::KeyMissing);
+    let task = Task {
+        app,
+        request,
+        slots: spec.slots,
+        limit,
+        deadline: Instant::now() + limit,
+    };
+    if repeatable {
+        return task.repeat().await;
     }
-    let (server, _permit) = place(app, &request.service, spec.slots, &[])
-        .ok_or_else(|| Error::Capacity(request.service.clone()))?;
-    Service::new(&app.pool)
-        .call(&server.id, request.call, limit)
-        .await
-        .map_err(|source| Error::Backend { source })
+    task.once().await
 }
 
-async fn repeat(
-    app: &Arc<App>,
-    request: &Request,
-    slots: u32,
-    limit: Duration,
-) -> Result<Reply, Error> {
-    let mut tried = Vec::new();
-    let mut last = None;
-    while tried.len() < MAX_ATTEMPTS {
-        let Some((server, _permit)) = place(app, &request.service, slots, &tried) else {
-            break;
-        };
-        tried.push(server.id.clone());
-        let client = Service::new(&app.pool);
-        match client.call(&server.id, request.call.clone(), limit).await {
-            Ok(reply) => return Ok(reply),
-            Err(source) => last = Some(Error::Backend { source }),
+impl Task<'_> {
+    /// Sends a call that may be repeated, to another backend server where one fails.
+    async fn repeat(&self) -> Result<Reply, Error> {
+        let mut tried = Vec::new();
+        loop {
+            let place = self.place(&tried).await?;
+            tried.push(place.backend.clone());
+            match self.send(place).await {
+                Ok(reply) => return Ok(reply),
+                Err(error) => {
+                    if tried.len() >= MAX_ATTEMPTS || !self.app.decide.may_retry() {
+                        return Err(error);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends a call that may not be repeated, under a record that nobody else holds.
+    async fn once(&self) -> Result<Reply, Error> {
+        let key = self.key()?;
+        let config = self.app.config();
+        match self.app.runs.claim(&config, &key).await {
+            Ok(Claim::Run(ticket)) => self.run(ticket).await,
+            Ok(Claim::Answer(Answer::Finished(stored))) => replay(&stored),
+            Ok(Claim::Answer(Answer::InProgress(_))) => Err(Error::InProgress),
+            Ok(Claim::Answer(Answer::Unknown)) => Err(Error::UnknownOutcome),
+            Err(ledger::Error::Conflict) => Err(Error::KeyReused),
+            Err(error) => {
+                log::warn!(event = 1403; "call can't be claimed: {error}");
+                Err(Error::Platform)
+            }
+        }
+    }
+
+    async fn run(&self, mut ticket: Ticket) -> Result<Reply, Error> {
+        let place = self.place(&[]).await?;
+        ticket.dispatch();
+        match self.send(place).await {
+            Ok(reply) => {
+                let headers = reply
+                    .content_type
+                    .iter()
+                    .map(|value| (CONTENT_TYPE.to_owned(), value.clone()))
+                    .collect();
+                self.app
+                    .runs
+                    .finish(ticket, reply.status, headers, &reply.body)
+                    .await;
+                Ok(reply)
+            }
+            Err(error) => {
+                if error.ran() == Ran::No {
+                    ticket.refused();
+                }
+                Err(error)
+            }
         }
     }
-    Err(last.unwrap_or_else(|| Error::Capacity(request.service.clone())))
+
+    fn key(&self) -> Result<Key, Error> {
+        let call = &self.request.call;
+        let key = call.idempotency_key.as_deref().ok_or(Error::KeyMissing)?;
+        let path = format!("{}{}", self.request.service, call.path);
+        Key::new(&call.customer, key, &call.method, &path, &call.body)
+            .map_err(|error| Error::Malformed(error.to_string()))
+    }
+
+    async fn send(&self, place: Place) -> Result<Reply, Error> {
+        let now = Instant::now();
+        self.app.replica.may_start(now).map_err(|_| Error::Stale)?;
+        place.check(now)?;
+        let left = self.limit.min(self.deadline.saturating_duration_since(now));
+        let client = Service::new(&self.app.pool);
+        let call = client.call(&place.backend, self.request.call.clone(), left);
+        match call.await {
+            Ok(reply) => {
+                place.complete();
+                Ok(reply)
+            }
+            Err(source) => {
+                place.fail(&source);
+                Err(Error::Backend { source })
+            }
+        }
+    }
+
+    async fn place(&self, tried: &[BackendId]) -> Result<Place, Error> {
+        let need = Need {
+            app: self.app,
+            what: &self.request.service,
+            tried,
+            capacity: self.slots,
+            deadline: self.deadline,
+        };
+        let hold = need.hold(|spare| self.choose(&need, spare)).await?;
+        Ok(Place::new(hold, None))
+    }
+
+    fn choose(&self, need: &Need<'_>, spare: u32) -> Option<BackendId> {
+        let servers = self.app.fleet.servers();
+        let query = Query {
+            key: None,
+            zone: &self.app.settings.zone,
+            preferred: None,
+            avoid: need.tried.last().map(String::as_str),
+        };
+        let service = &self.request.service;
+        self.app.decide.place_call(&servers, service, &query, |id| {
+            let server = servers.iter().find(|one| one.id == id)?;
+            need.load(server, spare)
+        })
+    }
 }
 
-fn place(
-    app: &Arc<App>,
-    service: &str,
-    slots: u32,
-    tried: &[BackendId],
-) -> Option<(Server, crate::dispatch::Permit)> {
-    let config = app.config();
-    let mut servers: Vec<_> = app
-        .fleet
-        .servers()
+/// The kept answer of a call that ran before.
+fn replay(stored: &Stored) -> Result<Reply, Error> {
+    let content_type = stored
+        .headers
         .iter()
-        .filter(|one| one.serves(service))
-        .filter(|one| !one.leaving && !config.zone_out(&one.zone))
-        .filter(|one| !tried.contains(&one.id))
-        .cloned()
-        .collect();
-    servers.sort_by_key(|one| app.load.at(&one.id));
-    servers.into_iter().find_map(|server| {
-        let permit = Load::enter(&app.load, &server.id, slots)?;
-        Some((server, permit))
+        .find(|(name, _)| name == CONTENT_TYPE)
+        .map(|(_, value)| value.clone());
+    Ok(Reply {
+        status: stored.status,
+        content_type,
+        body: stored.body().ok_or(Error::AnswerNotKept)?,
     })
 }
 
+/// Whether a call may be repeated; one that matches no route may not.
 fn repeatable(spec: &contract::Service, call: &Call) -> bool {
     spec.routes
         .iter()
         .filter(|route| route.method.eq_ignore_ascii_case(&call.method))
-        .filter(|route| call.path.starts_with(&route.prefix))
+        .filter(|route| under(&call.path, &route.prefix))
         .max_by_key(|route| route.prefix.len())
         .is_some_and(|route| route.repeatable)
 }
+
+/// Whether a path is the prefix itself or lies below it.
+fn under(path: &str, prefix: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix) else {
+        return false;
+    };
+    prefix.ends_with('/') || rest.is_empty() || rest.starts_with(['/', '?'])
+}
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -101,6 +101,9 @@
     /// It can't be told whether the call of that key ran.
     #[error("whether the call with this Idempotency-Key ran is unknown")]
     UnknownOutcome,
+    /// The call ran before, and its answer was too long to keep.
+    #[error("the call ran before, and its answer was too long to keep")]
+    AnswerNotKept,
     /// The platform's table service can't be reached.
     #[error("the table service can't be reached, and the call may not run without a record")]
     Platform,
@@ -136,6 +139,7 @@
             Self::KeyReused => "idempotency_key_reused",
             Self::InProgress => "in_progress",
             Self::UnknownOutcome => "unknown_outcome",
+            Self::AnswerNotKept => "answer_not_kept",
             Self::Platform => "platform_unreachable",
         }
     }
@@ -160,7 +164,10 @@
             Self::Backend {
                 source: backend::Error::Rejected { status, .. },
             } => *status,
-            Self::Backend { .. } | Self::Crashing { .. } | Self::UnknownOutcome => 502,
+            Self::Backend { .. }
+            | Self::Crashing { .. }
+            | Self::AnswerNotKept
+            | Self::UnknownOutcome => 502,
             Self::Capacity(_) | Self::Stale | Self::Starting | Self::Stopping | Self::Platform => {
                 503
             }
@@ -177,6 +184,7 @@
         match self {
             Self::Deadline { ran, .. } | Self::Crashing { ran, .. } => *ran,
             Self::Backend { source } => source.ran(),
+            Self::AnswerNotKept => Ran::Yes,
             Self::InProgress | Self::UnknownOutcome => Ran::Unknown,
             _ => Ran::No,
         }
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -1,6 +1,8 @@
 //! Hands the frames of other nodes to the parts that they are for.
 
 use crate::app::App;
+use crate::link::Received;
+use contract::Owner;
 use std::sync::Arc;
 use tokio::sync::broadcast::error::RecvError;
 use wire::Frame;
@@ -10,7 +12,7 @@
     let mut frames = app.hub.subscribe();
     loop {
         match frames.recv().await {
-            Ok(received) => deliver(&app, &received.frame),
+            Ok(received) => deliver(&app, &received),
             Err(RecvError::Lagged(missed)) => {
                 log::warn!(event = 1210, missed; "frames of peers were missed");
             }
@@ -19,8 +21,11 @@
     }
 }
 
-fn deliver(app: &App, frame: &Frame) {
-    match frame {
+fn deliver(app: &App, received: &Received) {
+    let from = Owner::new(&received.from, received.incarnation);
+    app.slots.incoming(app, &from, &received.frame);
+    app.bills.incoming(app, &from, &received.frame);
+    match &received.frame {
         Frame::Ratings(ratings) => app.decide.incoming(ratings.clone()),
         Frame::Suspect(suspect) => app.suspected(suspect),
         _ => {}
--- a/crates/node/src/operator/dump.rs
+++ b/crates/node/src/operator/dump.rs
@@ -48,7 +48,9 @@
         "zone": server.zone,
         "runs": runs,
         "leaving": server.leaving,
-        "own_requests": app.load.at(&server.id),
+        "own_requests": app.slots.held(&server.id),
+        "free_slots": app.slots.free(&server.id),
+        "home": app.slots.home_of(&server.id),
     })
 }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -46,6 +46,18 @@
     app.hub.listen(settings.link).await?;
     tokio::spawn(Arc::clone(&app.replica).run());
     tokio::spawn(inbox::run(Arc::clone(&app)));
+    tokio::spawn({
+        let app = Arc::clone(&app);
+        async move { app.slots.run(app.as_ref()).await }
+    });
+    tokio::spawn({
+        let app = Arc::clone(&app);
+        async move { app.bills.run(app.as_ref()).await }
+    });
+    tokio::spawn({
+        let app = Arc::clone(&app);
+        async move { app.runs.run().await }
+    });
     tokio::spawn(metrics::run(Arc::clone(&app)));
     tokio::spawn({
         let app = Arc::clone(&app);
--- a/crates/node/src/slot/hold.rs
+++ b/crates/node/src/slot/hold.rs
@@ -11,22 +11,29 @@
 pub struct Hold {
     slots: Arc<Slots>,
     permit: Option<Permit>,
+    backend: BackendId,
 }
 
 impl Hold {
     pub(super) fn new(slots: Arc<Slots>, permit: Permit) -> Self {
         Self {
             slots,
+            backend: permit.backend().clone(),
             permit: Some(permit),
         }
     }
 
+    /// The backend server.
+    pub fn backend(&self) -> &BackendId {
+        &self.backend
+    }
+
     /// Checks, last thing before bytes leave, that the slot may still be used.
     /// Gives the fencing number to send along.
     pub fn check(&self, now: Instant) -> Result<Revision, Refusal> {
         match &self.permit {
             Some(permit) => permit.check(now),
-            None => Err(Refusal::Expired(BackendId::new())),
+            None => Err(Refusal::Expired(self.backend.clone())),
         }
     }
 
--- a/crates/node/src/sync/replica.rs
+++ b/crates/node/src/sync/replica.rs
@@ -111,6 +111,11 @@
         self.view().may_start(now)
     }
 
+    /// Greatest revision that this node knows to be accepted.
+    pub fn accepted_revision(&self) -> Revision {
+        self.view().accepted()
+    }
+
     /// Members with what this node knows of their life.
     pub fn members(&self, now: Instant) -> Vec<view::Member> {
         self.view().members(now)
