Hold the dearest outcome of a plan, and name the policy in the settings

Cause: holds covered the expected cost, so that a dear answer could pass a budget, and a debug build would have failed on it; baselines couldn't be chosen for measurements with real nodes. Ruled out: refusing what costs more than its hold: it has run, and is charged in full. Conclusion: the whole path can be measured with each policy.

--- a/crates/limits/src/spend/purse.rs
+++ b/crates/limits/src/spend/purse.rs
@@ -179,8 +179,8 @@
         Ok(Hold { period, micros })
     }
 
-    /// Turns a hold into what the request cost. No more than the hold is charged here; the hold is
-    /// the most that a request can cost.
+    /// Turns a hold into what the request cost. A cost above the hold is charged too: what follows has
+    /// less left.
     ///
     /// ```
     /// # use limits::spend::{Purse, Settings};
@@ -195,8 +195,7 @@
         if hold.period != self.period {
             return;
         }
-        debug_assert!(cost <= hold.micros, "a hold covers the dearest outcome");
         self.held = self.held.saturating_sub(hold.micros);
-        self.spent += cost.min(hold.micros);
+        self.spent += cost;
     }
 }
--- a/crates/node/src/app/parts.rs
+++ b/crates/node/src/app/parts.rs
@@ -48,7 +48,10 @@
         let sync = sync_settings(settings, incarnation);
         let node = settings.node.clone();
         let name = format!("{node}-{incarnation}");
-        let decisions = decide::Settings::default();
+        let decisions = decide::Settings {
+            policy: settings.policy.parse().unwrap_or_default(),
+            ..decide::Settings::default()
+        };
         let keys = settings.link_key.iter().map(|key| key.expose().to_owned());
         Ok(Self {
             replica: Replica::new(sync, table()?),
--- a/crates/node/src/decide/decide.rs
+++ b/crates/node/src/decide/decide.rs
@@ -4,11 +4,12 @@
 use crate::decide::order::Offered;
 use crate::decide::{Door, Order, Picked, Policy, Pools, Rater, Sample, Settings};
 use crate::fleet::Server;
-use contract::{Config, Incarnation, NodeId, Revision};
+use contract::{Config, Incarnation, Micros, NodeId, Revision};
 use limits::retry::Budget;
 use policy::Refusal;
 use policy::place::{Load, Query as Placement};
-use policy::planner::{Change, Offer, Planner, Query, Rating, Row};
+use policy::plan::Shape;
+use policy::planner::{Change, Decision, Offer, Planner, Query, Rating, Row};
 use policy::quality::Subject;
 use rand::Rng;
 use serde::Serialize;
@@ -48,6 +49,9 @@
     sent: AtomicU64,
 }
 
+/// Tokens that a price is given for.
+const PRICED_TOKENS: u64 = 1_000;
+
 /// Before the first configuration.
 const UNCONFIGURED: Revision = u64::MAX;
 
@@ -123,7 +127,7 @@
         drop(planner);
         self.lock(&self.retries).fill();
         self.lock(&self.hedges).fill();
-        Ok(picked(decision, &offers))
+        Ok(picked(decision, &query, &offers))
     }
 
     /// Chooses a backend server of a version. `load` gives a server's load, or none when it may take
@@ -353,8 +357,7 @@
     }
 }
 
-fn picked(decision: policy::planner::Decision, offers: &[Offer]) -> Picked {
-    use policy::plan::Shape;
+fn picked(decision: Decision, query: &Query, offers: &[Offer]) -> Picked {
     let name = |index: usize| {
         let offer = &offers[index];
         (offer.model.to_owned(), offer.version.name.clone())
@@ -363,7 +366,10 @@
         Shape::Single(one) => (one, None),
         Shape::Cascade { first, then } => (first, Some(then)),
     };
+    let legs = std::iter::once(first).chain(then);
+    let most = legs.map(|index| most(offers[index].version, query)).sum();
     Picked {
+        most,
         first: name(first),
         then: then.map(name),
         mode: decision.plan.mode,
@@ -374,6 +380,13 @@
     }
 }
 
+/// Cost of the longest answer.
+fn most(version: &contract::Version, query: &Query) -> Micros {
+    let input = query.prompt_tokens.saturating_mul(version.input_micros);
+    let output = u64::from(query.max_tokens).saturating_mul(version.output_micros);
+    input.saturating_add(output).div_ceil(PRICED_TOKENS)
+}
+
 fn report(changes: &[Change]) {
     for change in changes {
         let task = change.task.as_deref().unwrap_or("all");
--- a/crates/node/src/decide/mod.rs
+++ b/crates/node/src/decide/mod.rs
@@ -21,4 +21,4 @@
 pub use order::{Order, Picked};
 pub use pools::Pools;
 pub use rater::{Rater, Sample};
-pub use settings::{Policy, Settings};
+pub use settings::{Policy, Settings, Unknown};
--- a/crates/node/src/decide/order.rs
+++ b/crates/node/src/decide/order.rs
@@ -1,6 +1,6 @@
 //! What is decided for a request.
 
-use contract::{ModelId, Task, Version, VersionId};
+use contract::{Micros, ModelId, Task, Version, VersionId};
 use policy::plan::{Explanation, Funds, Mode};
 use std::time::Duration;
 
@@ -93,6 +93,8 @@
     pub rate: bool,
     /// Expected cost in micro-units of money.
     pub cost: f64,
+    /// Most that the plan can cost in micro-units of money, as far as the prompt's tokens are known.
+    pub most: Micros,
     /// Expected time to the answer.
     pub latency: Duration,
     /// Why the plan was chosen, and why the others were not.
--- a/crates/node/src/decide/settings.rs
+++ b/crates/node/src/decide/settings.rs
@@ -2,6 +2,7 @@
 
 use limits::{admission, retry, spend};
 use policy::{place, planner};
+use std::str::FromStr;
 use std::time::Duration;
 
 /// How plans and backend servers are chosen. All but the first are baselines for measurements.
@@ -20,6 +21,26 @@
     LeastOutstanding,
 }
 
+impl FromStr for Policy {
+    type Err = Unknown;
+
+    fn from_str(name: &str) -> Result<Self, Unknown> {
+        match name {
+            "planned" => Ok(Self::Planned),
+            "best" => Ok(Self::Best),
+            "cheapest" => Ok(Self::Cheapest),
+            "round-robin" => Ok(Self::RoundRobin),
+            "least-outstanding" => Ok(Self::LeastOutstanding),
+            _ => Err(Unknown(name.to_owned())),
+        }
+    }
+}
+
+/// No policy has this name.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("--policy: `{0}` isn't planned, best, cheapest, round-robin or least-outstanding")]
+pub struct Unknown(pub String);
+
 /// Settings of decisions.
 #[derive(Clone, Debug)]
 pub struct Settings {
--- a/crates/node/src/dispatch/job.rs
+++ b/crates/node/src/dispatch/job.rs
@@ -111,6 +111,7 @@
                 .state(self.customer(), self.contract.spend.as_ref()),
             nodes: app.nodes(),
             priority: self.contract.priority,
+            weight: self.contract.weight,
         };
         app.decide
             .plan(&config, &order, &offered)
@@ -123,7 +124,7 @@
         let hold = match &self.contract.spend {
             None => None,
             Some(budget) => {
-                let micros = picked.cost.ceil() as u64;
+                let micros = picked.most;
                 let held = app.funds.hold(self.customer(), budget, micros, app.nodes());
                 Some(held.await.map_err(|refusal| match refusal {
                     limits::Refusal::Unfunded => Error::Platform,
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,7 +1,7 @@
 //! Starts the parts of a node and stops them in order.
 
 use crate::app::{App, Parts};
-use crate::{caller, inbox, operator, stop};
+use crate::{caller, decide, inbox, operator, stop};
 use platform::vms;
 use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
 use settings::node::Settings;
@@ -17,6 +17,9 @@
     /// A client of the platform can't be built.
     #[error("client of the platform: {0}")]
     Platform(#[from] platform::Error),
+    /// No policy has the name that the settings give.
+    #[error(transparent)]
+    Policy(#[from] decide::Unknown),
     /// The threads can't be started.
     #[error("threads: {0}")]
     Runtime(#[source] std::io::Error),
@@ -27,6 +30,7 @@
 
 /// Runs a node until it is told to stop.
 pub async fn run(settings: Settings) -> Result<(), Error> {
+    settings.policy.parse::<decide::Policy>()?;
     let vms = vms::Client::new(vms::Settings {
         url: settings.vms_url.clone(),
         ..vms::Settings::default()
--- a/crates/settings/src/generated.rs
+++ b/crates/settings/src/generated.rs
@@ -74,6 +74,8 @@
     pub max_connections: usize,
     /// Worker threads.
     pub workers: usize,
+    /// How versions and backend servers are chosen: planned, or for measurements best, cheapest, round-robin or least-outstanding.
+    pub policy: String,
     /// Filter of log events, as env_logger reads it.
     pub log: String,
     /// Form of log events: text or json.
@@ -117,6 +119,7 @@
             max_streams: 4096,
             max_connections: 8192,
             workers: 4,
+            policy: "planned".to_owned(),
             log: "info".to_owned(),
             log_format: Format::Text,
             metrics_udp: None,
@@ -160,6 +163,7 @@
             "max-streams" => &mut self.max_streams,
             "max-connections" => &mut self.max_connections,
             "workers" => &mut self.workers,
+            "policy" => &mut self.policy,
             "log" => &mut self.log,
             "log-format" => &mut self.log_format,
             "metrics-udp" => &mut self.metrics_udp,
@@ -490,6 +494,16 @@
         maximum: 1024,
         help: "Worker threads",
     },
+    Spec {
+        flag: "policy",
+        env: "SARDINEBANK_POLICY",
+        kind: Kind::Name,
+        default: "planned",
+        required: false,
+        minimum: 0,
+        maximum: 0,
+        help: "How versions and backend servers are chosen: planned, or for measurements best, cheapest, round-robin or least-outstanding",
+    },
     Spec {
         flag: "log",
         env: "SARDINEBANK_LOG",
