--- a/crates/node/src/app/parts.rs
+++ b/crates/node/src/app/parts.rs
@@ -65,7 +65,10 @@
         let node = settings.node.clone();
         let owner = Owner::new(&node, incarnation);
         let name = format!("{node}-{incarnation}");
-        let decisions = decide::Settings::default();
+        let decisions = decide::Settings {
+            policy: settings.policy.parse().unwrap_or_default(),
+            ..decide::Settings::default()
+        };
         let vms = vms::Client::new(vms::Settings {
             url: settings.vms_url.clone(),
             timeout: settings.platform_timeout,
--- a/crates/node/src/dispatch/job.rs
+++ b/crates/node/src/dispatch/job.rs
@@ -127,7 +127,7 @@
         let hold = match &self.contract.spend {
             None => None,
             Some(budget) => {
-                let micros = picked.cost.ceil() as u64;
+                let micros = picked.most;
                 let held = app.funds.hold(self.customer(), budget, micros, app.nodes());
                 Some(held.await.map_err(|refusal| match refusal {
                     limits::Refusal::Unfunded => Error::Platform,
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::app::{App, Parts};
 use crate::metrics::{self, Meter};
-use crate::{caller, inbox, link, operator, stop};
+use crate::{caller, decide, inbox, link, operator, stop};
 use platform::vms;
 use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
 use settings::node::Settings;
@@ -21,6 +21,9 @@
     /// The port for other nodes can't be opened.
     #[error("{0}")]
     Link(#[from] link::Error),
+    /// No policy has the name that the settings give.
+    #[error(transparent)]
+    Policy(#[from] decide::Unknown),
     /// The threads can't be started.
     #[error("threads: {0}")]
     Runtime(#[source] std::io::Error),
@@ -31,6 +34,7 @@
 
 /// Runs a node until it is told to stop.
 pub async fn run(settings: Settings) -> Result<(), Error> {
+    settings.policy.parse::<decide::Policy>()?;
     let vms = vms::Client::new(vms::Settings {
         url: settings.vms_url.clone(),
         ..vms::Settings::default()
