--- a/crates/node/src/metrics/metrics.rs
+++ b/crates/node/src/metrics/metrics.rs
@@ -2,7 +2,9 @@
 
 use super::{Counter, Gauge, Timer};
 use cadence::prelude::*;
-use cadence::{BufferedUdpMetricSink, MetricError, QueuingMetricSink, StatsdClient};
+use cadence::{
+    BufferedUdpMetricSink, Metric, MetricBuilder, MetricError, QueuingMetricSink, StatsdClient,
+};
 use settings::node::Settings;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
@@ -59,11 +61,7 @@
     /// ```
     pub fn count(&self, counter: Counter, count: u64, tags: &[(&str, &str)]) {
         let Some(client) = &self.client else { return };
-        let mut metric = client.count_with_tags(counter.name(), count);
-        for (name, value) in tags {
-            metric = metric.with_tag(name, value);
-        }
-        metric.send();
+        send(client.count_with_tags(counter.name(), count), tags);
     }
 
     /// Reports a time.
@@ -74,11 +72,7 @@
     /// ```
     pub fn time(&self, timer: Timer, time: Duration, tags: &[(&str, &str)]) {
         let Some(client) = &self.client else { return };
-        let mut metric = client.time_with_tags(timer.name(), time);
-        for (name, value) in tags {
-            metric = metric.with_tag(name, value);
-        }
-        metric.send();
+        send(client.time_with_tags(timer.name(), time), tags);
     }
 
     /// Reports a value.
@@ -104,6 +98,13 @@
     }
 }
 
+fn send<T: Metric + From<String>>(metric: MetricBuilder<'_, '_, T>, tags: &[(&str, &str)]) {
+    let tagged = tags
+        .iter()
+        .fold(metric, |metric, (name, value)| metric.with_tag(name, value));
+    tagged.send();
+}
+
 fn client(address: SocketAddr, settings: &Settings) -> Result<StatsdClient, MetricError> {
     let own = match address {
         SocketAddr::V4(_) => "0.0.0.0:0",
