node: a panic is told as unknown, not as "not run"

Ruled out: keeping the status that Rocket gives without a body of ours. Change: 500 becomes `internal` with `"ran":"unknown"`, for callers and for operators. Conclusion: what a panic leaves is said truly.

--- a/crates/node/src/caller/catch.rs
+++ b/crates/node/src/caller/catch.rs
@@ -15,6 +15,7 @@
     Failure(match status.code {
         401 => Error::Unauthenticated,
         404 => Error::NotFound,
+        500 => Error::Internal,
         503 => Error::Starting,
         _ => Error::Malformed(format!("refused with status {}", status.code)),
     })
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -15,6 +15,9 @@
     /// No bearer key, or one that names nobody.
     #[error("the bearer key is missing or names no customer")]
     Unauthenticated,
+    /// The node failed while it handled the request: nothing can be said of its work.
+    #[error("this node failed while it handled the request")]
+    Internal,
     /// The request isn't in the expected form.
     #[error("{0}")]
     Malformed(String),
@@ -115,6 +118,7 @@
     pub fn code(&self) -> Code {
         match self {
             Self::Unauthenticated => "unauthenticated",
+            Self::Internal => "internal",
             Self::Malformed(_) => "invalid_request",
             Self::Oversized { .. } => "body_too_large",
             Self::SlowBody(_) => "body_timeout",
@@ -147,6 +151,7 @@
     /// ```
     pub fn status(&self) -> u16 {
         match self {
+            Self::Internal => 500,
             Self::Malformed(_) | Self::KeyMissing | Self::Session => 400,
             Self::Unauthenticated => 401,
             Self::Forbidden(_) => 403,
@@ -175,6 +180,7 @@
     /// ```
     pub fn ran(&self) -> Ran {
         match self {
+            Self::Internal => Ran::Unknown,
             Self::Deadline { ran, .. } | Self::Crashing { ran, .. } => *ran,
             Self::Backend { source } => source.ran(),
             Self::InProgress | Self::UnknownOutcome => Ran::Unknown,
--- a/crates/node/src/operator/catch.rs
+++ b/crates/node/src/operator/catch.rs
@@ -13,6 +13,7 @@
 fn refuse(status: Status, request: &Request<'_>) -> Error {
     match status.code {
         401 => Error::Unauthenticated,
+        500 => Error::Internal,
         503 => Error::Starting,
         404 => Error::Path(request.uri().path().to_string()),
         _ => Error::Request(status),
--- a/crates/node/src/operator/error.rs
+++ b/crates/node/src/operator/error.rs
@@ -18,6 +18,9 @@
     /// No key, or one that names no operator.
     #[error("the bearer key is missing or names no operator")]
     Unauthenticated,
+    /// The node failed while it handled the request.
+    #[error("this node failed while it handled the request")]
+    Internal,
     /// The node has not learnt the configuration yet.
     #[error("this node is starting and doesn't know the configuration yet")]
     Starting,
@@ -63,6 +66,7 @@
     fn code(&self) -> &'static str {
         match self {
             Self::Unauthenticated => "unauthenticated",
+            Self::Internal => "internal",
             Self::Starting => "starting",
             Self::Request(_) | Self::Json(_) => "invalid_request",
             Self::Body(error) => error.code(),
@@ -82,6 +86,7 @@
         match self {
             Self::Unauthenticated => Status::Unauthorized,
             Self::Starting | Self::Review => Status::ServiceUnavailable,
+            Self::Internal => Status::InternalServerError,
             Self::Request(status) => *status,
             Self::Body(error) => Status::new(error.status()),
             Self::Id(_) | Self::Json(_) => Status::BadRequest,
@@ -93,6 +98,7 @@
 
     fn ran(&self) -> Ran {
         match self {
+            Self::Internal => Ran::Unknown,
             Self::Sync(sync::Error::Unknown { .. } | sync::Error::Row { .. }) => Ran::Unknown,
             Self::Sync(sync::Error::Unacknowledged { .. }) => Ran::Yes,
             _ => Ran::No,
--- /dev/null
+++ b/crates/node/tests/catchers.rs
@@ -0,0 +1,41 @@
+//! What callers and operators are told when no route answers.
+
+use node::{caller, operator};
+use rocket::local::blocking::Client;
+use serde_json::Value;
+
+#[rocket::get("/panic")]
+fn panic() -> &'static str {
+    panic!("for the test")
+}
+
+/// Status, code and `ran` of the answer to a path.
+fn refused(path: &'static str) -> (u16, String, String) {
+    let rocket = rocket::build()
+        .mount("/", rocket::routes![panic])
+        .mount(operator::ROOT, rocket::routes![panic])
+        .register("/", caller::catchers())
+        .register(operator::ROOT, operator::catchers());
+    let client = Client::untracked(rocket).unwrap();
+    let response = client.get(path).dispatch();
+    let status = response.status().code;
+    let body: Value = serde_json::from_str(&response.into_string().unwrap()).unwrap();
+    let text = |field: &str| body["error"][field].as_str().unwrap().to_owned();
+    (status, text("code"), text("ran"))
+}
+
+macro_rules! refusals {
+    ($($name:ident: $path:literal => $status:literal, $code:literal, $ran:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(refused($path), ($status, $code.into(), $ran.into()));
+        }
+    )*};
+}
+
+refusals! {
+    no_path_for_callers: "/v1/nothing" => 404, "not_found", "no";
+    no_path_for_operators: "/operator/v1/nothing" => 404, "not_found", "no";
+    panic_under_a_caller: "/panic" => 500, "internal", "unknown";
+    panic_under_an_operator: "/operator/v1/panic" => 500, "internal", "unknown";
+}
--- a/crates/settings/tests/catalogues.rs
+++ b/crates/settings/tests/catalogues.rs
@@ -69,10 +69,19 @@
 
 #[test]
 fn each_event_has_one_row_and_the_reverse() {
-    assert_eq!(
-        events_of_the_page(),
-        events_of_the_code(),
-        "left: docs/EVENTS.md, right: code"
+    let (page, code) = (events_of_the_page(), events_of_the_code());
+    let missing: Vec<_> = code
+        .iter()
+        .filter(|event| page.get(event.0) != Some(event.1))
+        .collect();
+    let stale: Vec<_> = page
+        .iter()
+        .filter(|row| !code.contains_key(row.0))
+        .collect();
+    assert!(missing.is_empty(), "docs/EVENTS.md lacks {missing:?}");
+    assert!(
+        stale.is_empty(),
+        "docs/EVENTS.md has {stale:?}, which the code doesn't"
     );
 }
 
