Hand a backend server over to its next home at once

Ruled out: granting as soon as all members have reported, because a member that came and went between two looks may still hold a grant; resetting nothing after several changes at once, because a home that came back may grant beside the one in between (that fault stood until now). Change: Config counts changes of members; after exactly one, the old home sends what it knows (ramp and charges) and the new one goes on from there; after more than one, all homes start over and wait. Conclusion: the dead home's servers still wait ttl + horizon.

--- a/crates/contract/src/config.rs
+++ b/crates/contract/src/config.rs
@@ -7,13 +7,28 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// Start of the keys of members.
+const MEMBER: &str = "member/";
+
 /// The configuration at one revision. Cloning is cheap in proportion to the number of objects.
 #[derive(Clone, Debug, Default)]
 pub struct Config {
     revision: Revision,
+    members: Membership,
     objects: BTreeMap<ObjectKey, Arc<Object>>,
 }
 
+/// How the set of members has come about, as far as a replica has followed it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Membership {
+    /// Revision of the replica's snapshot.
+    pub base: Revision,
+    /// Revision that last changed a member.
+    pub revision: Revision,
+    /// Changes of members since the replica's snapshot.
+    pub changes: u64,
+}
+
 impl Config {
     /// Builds a snapshot from objects read in one go.
     ///
@@ -26,7 +41,16 @@
             .into_iter()
             .map(|object| (object.key(), Arc::new(object)))
             .collect();
-        Self { revision, objects }
+        let members = Membership {
+            base: revision,
+            revision,
+            changes: 0,
+        };
+        Self {
+            revision,
+            members,
+            objects,
+        }
     }
 
     /// Revision of this snapshot.
@@ -34,6 +58,19 @@
         self.revision
     }
 
+    /// How the set of members has come about.
+    ///
+    /// ```
+    /// let mut config = contract::Config::new(3, Vec::new());
+    /// config.apply(4, &[("member/n1", None)])?;
+    /// config.apply(5, &[("zone/a", None)])?;
+    /// assert_eq!((config.membership().revision, config.membership().changes), (4, 1));
+    /// # Ok::<(), contract::Error>(())
+    /// ```
+    pub fn membership(&self) -> Membership {
+        self.members
+    }
+
     /// All objects in the order of their keys.
     pub fn objects(&self) -> impl Iterator<Item = (&ObjectKey, &Arc<Object>)> {
         self.objects.iter()
@@ -76,6 +113,10 @@
             };
         }
         self.revision = revision;
+        if entries.iter().any(|(key, _)| key.starts_with(MEMBER)) {
+            self.members.revision = revision;
+            self.members.changes += 1;
+        }
         Ok(())
     }
 
@@ -131,7 +172,7 @@
 
     /// All members of the fleet.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.of_kind("member/").filter_map(|object| match object {
+        self.of_kind(MEMBER).filter_map(|object| match object {
             Object::Member(member) => Some(member),
             _ => None,
         })
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod operator;
 mod owner;
 
-pub use config::Config;
+pub use config::{Config, Membership};
 pub use error::{Error, Fault, Severity};
 pub use generated::{
     Access, Budget, Contract, Key, Member, Model, Object, Rollout, Route, Service, Task, Version,
--- a/crates/limits/src/slot/book.rs
+++ b/crates/limits/src/slot/book.rs
@@ -1,6 +1,6 @@
 //! What a home keeps for one backend server.
 
-use super::{Grant, Ramp, Request, Server, Settings, holding::Holding};
+use super::{Charge, Grant, Handover, Ramp, Request, Server, Settings, holding::Holding};
 use contract::{Map, Owner, Revision, Set};
 use std::time::Instant;
 
@@ -18,6 +18,8 @@
     holders: Map<Owner, Holding>,
     /// Whether the load found at the change of home has been taken over.
     carried: bool,
+    /// Whether the home before has handed over.
+    handed: bool,
 }
 
 impl Book {
@@ -30,6 +32,55 @@
             unheard: owners,
             holders: Map::default(),
             carried: false,
+            handed: false,
+        }
+    }
+
+    /// What the next home must know; none while this home itself doesn't know it all.
+    pub(super) fn hand_over(
+        &self,
+        now: Instant,
+        fence: Revision,
+        settings: &Settings,
+    ) -> Option<Handover> {
+        if !self.ready(now, settings) || self.uncertain(now, settings) {
+            return None;
+        }
+        let charges = self.holders.iter().map(|(owner, holding)| Charge {
+            owner: owner.clone(),
+            sequence: holding.answered(),
+            slots: holding.charge(now, settings.ttl, settings.silent),
+        });
+        Some(Handover {
+            fence,
+            ramp: self.ramp.clone(),
+            charges: charges.collect(),
+        })
+    }
+
+    /// Takes over from the home before; too late once this home is ready by itself.
+    pub(super) fn take_over(&mut self, now: Instant, handover: Handover, settings: &Settings) {
+        if handover.fence != self.fence || self.ready(now, settings) {
+            return;
+        }
+        self.handed = true;
+        self.carried = true;
+        self.unheard.clear();
+        self.ramp = handover.ramp;
+        self.ramp.adjust(&self.server);
+        for Charge {
+            owner,
+            sequence,
+            slots,
+        } in handover.charges
+        {
+            match self.holders.get_mut(&owner) {
+                Some(holding) => holding.precede(sequence, slots),
+                None => {
+                    let holding = Holding::handed(now, sequence, slots);
+                    self.holders.insert(owner, holding);
+                }
+            }
         }
     }
 
@@ -39,8 +90,8 @@
 
     /// Whether every grant of an earlier home has ended.
     pub(super) fn ready(&self, now: Instant, settings: &Settings) -> bool {
-        self.settled
-            .is_some_and(|settled| now >= settled + settings.handover())
+        let waited = |settled| now >= settled + settings.handover();
+        self.handed || self.settled.is_some_and(waited)
     }
 
     /// Whether work may be in flight that nobody has reported.
--- a/crates/limits/src/slot/holding.rs
+++ b/crates/limits/src/slot/holding.rs
@@ -34,6 +34,28 @@
         }
     }
 
+    /// A holder as an earlier home has left it.
+    pub(super) fn handed(now: Instant, sequence: u64, slots: u32) -> Self {
+        Self {
+            grants: VecDeque::from([(sequence, slots)]),
+            ..Self::new(now)
+        }
+    }
+
+    /// Adds what an earlier home granted, unless the holder has confirmed something newer.
+    pub(super) fn precede(&mut self, sequence: u64, slots: u32) {
+        if sequence >= self.report.using {
+            self.grants.push_front((sequence, slots));
+        }
+    }
+
+    /// Newest request that was answered.
+    pub(super) fn answered(&self) -> u64 {
+        self.grants
+            .back()
+            .map_or(self.report.sequence, |(sequence, _)| *sequence)
+    }
+
     /// Slots that the holder may occupy at the backend server now: what it reported in flight,
     /// or what any grant that it may still be using allows.
     pub(super) fn charge(&self, now: Instant, ttl: Duration, silent: Duration) -> u32 {
--- a/crates/limits/src/slot/home.rs
+++ b/crates/limits/src/slot/home.rs
@@ -1,6 +1,6 @@
 //! The node that grants a backend server's slots.
 
-use super::{Grant, Request, Server, Settings, book::Book};
+use super::{Grant, Handover, Request, Server, Settings, book::Book};
 use contract::{BackendId, Map, Owner, Revision, Set};
 use std::time::{Duration, Instant};
 
@@ -67,6 +67,37 @@
         self.books.remove(backend);
     }
 
+    /// This node is no longer the home since a revision; gives what the next home must know.
+    /// Right only where no other home was in between.
+    ///
+    /// ```
+    /// use limits::slot::{Home, Request, Server, Settings};
+    /// use contract::Owner;
+    /// use std::time::Instant;
+    /// let now = Instant::now();
+    /// let later = now + Settings::default().handover();
+    /// let n1 = Owner::new("n1", 1);
+    /// let mut old = Home::new(Settings::default());
+    /// old.assign("e1", Server::steady(4), 7, [n1.clone()]);
+    /// old.settle(now, 7);
+    /// let mut new = Home::new(Settings::default());
+    /// new.assign("e1", Server::steady(4), 8, [n1.clone()]);
+    /// new.take_over(later, "e1", old.hand_over(later, "e1", 8).unwrap());
+    /// let request = Request { sequence: 1, wanted: 2, ..Request::default() };
+    /// assert_eq!(new.request(later, &n1, "e1", &request, true).slots, 2);
+    /// ```
+    pub fn hand_over(&mut self, now: Instant, backend: &str, fence: Revision) -> Option<Handover> {
+        let book = self.books.remove(backend)?;
+        book.hand_over(now, fence, &self.settings)
+    }
+
+    /// Takes over from the home before, without waiting for its grants to end.
+    pub fn take_over(&mut self, now: Instant, backend: &str, handover: Handover) {
+        if let Some(book) = self.books.get_mut(backend) {
+            book.take_over(now, handover, &self.settings);
+        }
+    }
+
     /// All revisions up to this one are accepted: no node acts on an older one after the horizon.
     pub fn settle(&mut self, now: Instant, accepted: Revision) {
         self.books
--- a/crates/limits/src/slot/mod.rs
+++ b/crates/limits/src/slot/mod.rs
@@ -2,6 +2,7 @@
 
 mod book;
 mod grant;
+mod handover;
 mod holder;
 mod holding;
 mod home;
@@ -16,6 +17,7 @@
 mod settings;
 
 pub use grant::Grant;
+pub use handover::{Charge, Handover};
 pub use holder::Holder;
 pub use home::Home;
 pub use outcome::Outcome;
--- a/crates/limits/src/slot/ramp.rs
+++ b/crates/limits/src/slot/ramp.rs
@@ -30,6 +30,20 @@
         }
     }
 
+    /// Goes on where another home has stopped.
+    ///
+    /// ```
+    /// assert_eq!(limits::slot::Ramp::resume(4, 1).limit(), 4);
+    /// ```
+    pub fn resume(limit: u32, completed: u64) -> Self {
+        Self { limit, completed }
+    }
+
+    /// Completed requests counted towards the next step.
+    pub fn completed(&self) -> u64 {
+        self.completed
+    }
+
     /// Requests that may run at once.
     pub fn limit(&self) -> u32 {
         self.limit
--- a/crates/node/src/slot/core.rs
+++ b/crates/node/src/slot/core.rs
@@ -2,11 +2,14 @@
 
 use super::frames;
 use crate::fleet::{Kind, Server};
-use contract::{BackendId, Config, Map, NodeId, Owner, Revision, Set};
+use contract::{BackendId, Config, Map, Membership, NodeId, Owner, Revision, Set};
 use limits::slot::{self, Grant, Holder, Home, home_of};
 use std::sync::Arc;
 use std::time::Instant;
-use wire::Frame;
+use wire::{Frame, SlotHandover};
+
+/// Handovers kept until their revision is applied here.
+const MAX_EARLY: usize = 4_096;
 
 /// A frame for another node.
 pub(super) type Outgoing = (NodeId, Frame);
@@ -20,7 +23,23 @@
     homes: Map<BackendId, NodeId>,
     owners: Set<Owner>,
     revision: Revision,
+    membership: Membership,
     servers: Arc<Vec<Server>>,
+    /// Frames that a change of members asks for.
+    handovers: Vec<Outgoing>,
+    /// Handovers that came before the revision that they are for.
+    early: Vec<SlotHandover>,
+}
+
+/// What a replica has seen of the members since the last look.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Seen {
+    /// Nothing changed.
+    Same,
+    /// One change: the home before it and the home after it are both known.
+    One,
+    /// More than one: other homes may have been in between.
+    Many,
 }
 
 impl Core {
@@ -32,7 +51,10 @@
             homes: Map::default(),
             owners: Set::default(),
             revision: 0,
+            membership: Membership::default(),
             servers: Arc::default(),
+            handovers: Vec::new(),
+            early: Vec::new(),
         }
     }
 
@@ -42,6 +64,7 @@
         if same {
             return;
         }
+        let seen = self.see(config);
         self.revision = config.revision();
         self.servers = Arc::clone(servers);
         let members: Vec<_> = config.members().collect();
@@ -55,23 +78,66 @@
         let mut known: Set<BackendId> = Set::default();
         for server in servers.iter() {
             known.insert(server.id.clone());
-            let Some(carry) = carry(config, server) else {
+            if seen == Seen::Many {
                 self.home.resign(&server.id);
-                continue;
-            };
-            let Some(home) = home_of(members.iter().copied(), &server.zone, &server.id) else {
+            }
+            let carry = carry(config, server);
+            let home = home_of(members.iter().copied(), &server.zone, &server.id);
+            let (Some(carry), Some(home)) = (carry, home) else {
                 self.home.resign(&server.id);
                 continue;
             };
-            match home.node == self.owner.node {
-                true => self
-                    .home
-                    .assign(&server.id, carry, self.revision, owners.iter().cloned()),
-                false => self.home.resign(&server.id),
+            if home.node == self.owner.node {
+                let fence = self.membership.revision;
+                self.home
+                    .assign(&server.id, carry, fence, owners.iter().cloned());
+            } else {
+                self.cede(now, &server.id, &home.node);
             }
             self.point(now, &server.id, &home.node);
         }
         self.forget(&known);
+        self.take_early(now);
+    }
+
+    /// How the members have changed since the last look.
+    fn see(&mut self, config: &Config) -> Seen {
+        let before = std::mem::replace(&mut self.membership, config.membership());
+        if self.membership == before {
+            return Seen::Same;
+        }
+        let followed = before.base == self.membership.base;
+        match followed && before.changes + 1 == self.membership.changes {
+            true => Seen::One,
+            false => Seen::Many,
+        }
+    }
+
+    /// Hands a backend server over to the home that follows this one.
+    fn cede(&mut self, now: Instant, backend: &str, home: &str) {
+        let fence = self.membership.revision;
+        if let Some(handover) = self.home.hand_over(now, backend, fence) {
+            let frame = frames::handover_frame(backend.to_owned(), handover);
+            self.handovers.push((home.to_owned(), frame));
+        }
+    }
+
+    /// Takes over from the home before this one.
+    pub(super) fn handed(&mut self, now: Instant, frame: &SlotHandover) {
+        if frame.fence > self.membership.revision {
+            if self.early.len() < MAX_EARLY {
+                self.early.push(frame.clone());
+            }
+            return;
+        }
+        let handover = frames::handover(frame);
+        self.home.take_over(now, &frame.backend, handover);
+    }
+
+    fn take_early(&mut self, now: Instant) {
+        for frame in std::mem::take(&mut self.early) {
+            self.handed(now, &frame);
+        }
     }
 
     /// Sends requests that are due and withdrawals; answers those for which this node is the home.
@@ -90,6 +156,7 @@
             self.holder.grant(&backend, &grant);
         }
         outgoing.extend(self.withdrawals());
+        outgoing.append(&mut self.handovers);
         outgoing
     }
 
--- a/crates/node/src/slot/frames.rs
+++ b/crates/node/src/slot/frames.rs
@@ -1,8 +1,9 @@
 //! Requests and grants as frames.
 
-use limits::slot::{Grant, Request};
+use contract::{BackendId, Owner};
+use limits::slot::{Charge, Grant, Handover, Ramp, Request};
 use std::time::Duration;
-use wire::{Frame, SlotGrant, SlotRequest};
+use wire::{Frame, SlotCharge, SlotGrant, SlotHandover, SlotRequest};
 
 pub(super) fn request_frame(backend: &str, request: &Request) -> Frame {
     Frame::SlotRequest(SlotRequest {
@@ -45,3 +46,32 @@
         fence: frame.fence,
     }
 }
+
+pub(super) fn handover_frame(backend: BackendId, handover: Handover) -> Frame {
+    let charges = handover.charges.into_iter().map(|one| SlotCharge {
+        node: one.owner.node,
+        incarnation: one.owner.incarnation,
+        sequence: one.sequence,
+        slots: one.slots,
+    });
+    Frame::SlotHandover(SlotHandover {
+        backend,
+        fence: handover.fence,
+        limit: handover.ramp.limit(),
+        completed: handover.ramp.completed(),
+        charges: charges.collect(),
+    })
+}
+
+pub(super) fn handover(frame: &SlotHandover) -> Handover {
+    let charges = frame.charges.iter().map(|one| Charge {
+        owner: Owner::new(&one.node, one.incarnation),
+        sequence: one.sequence,
+        slots: one.slots,
+    });
+    Handover {
+        fence: frame.fence,
+        ramp: Ramp::resume(frame.limit, frame.completed),
+        charges: charges.collect(),
+    }
+}
--- a/crates/node/src/slot/slots.rs
+++ b/crates/node/src/slot/slots.rs
@@ -60,6 +60,10 @@
                 let outgoing = self.lock().asked(Instant::now(), from, request, fresh);
                 send(context, outgoing);
             }
+            Frame::SlotHandover(handover) => {
+                self.lock().handed(Instant::now(), handover);
+                self.due.notify_one();
+            }
             Frame::SlotGrant(grant) => {
                 self.lock().granted(from, grant);
                 self.freed.notify_waiters();
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -477,6 +477,18 @@
 #[doc = "    {"]
 #[doc = "      \"type\": \"object\","]
 #[doc = "      \"required\": ["]
+#[doc = "        \"slot_handover\""]
+#[doc = "      ],"]
+#[doc = "      \"properties\": {"]
+#[doc = "        \"slot_handover\": {"]
+#[doc = "          \"$ref\": \"#/definitions/SlotHandover\""]
+#[doc = "        }"]
+#[doc = "      },"]
+#[doc = "      \"additionalProperties\": false"]
+#[doc = "    },"]
+#[doc = "    {"]
+#[doc = "      \"type\": \"object\","]
+#[doc = "      \"required\": ["]
 #[doc = "        \"slot_grant\""]
 #[doc = "      ],"]
 #[doc = "      \"properties\": {"]
@@ -580,6 +592,8 @@
     Touch(Touch),
     #[serde(rename = "slot_request")]
     SlotRequest(SlotRequest),
+    #[serde(rename = "slot_handover")]
+    SlotHandover(SlotHandover),
     #[serde(rename = "slot_grant")]
     SlotGrant(SlotGrant),
     #[serde(rename = "ratings")]
@@ -640,6 +654,11 @@
         Self::SlotRequest(value)
     }
 }
+impl ::std::convert::From<SlotHandover> for Frame {
+    fn from(value: SlotHandover) -> Self {
+        Self::SlotHandover(value)
+    }
+}
 impl ::std::convert::From<SlotGrant> for Frame {
     fn from(value: SlotGrant) -> Self {
         Self::SlotGrant(value)
@@ -854,6 +873,57 @@
         value.clone()
     }
 }
+#[doc = "Slots that a holder may occupy, up to its grant of this sequence."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"Slots that a holder may occupy, up to its grant of this sequence.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"incarnation\","]
+#[doc = "    \"node\","]
+#[doc = "    \"sequence\","]
+#[doc = "    \"slots\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"incarnation\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"node\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"sequence\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"slots\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint32\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SlotCharge {
+    pub incarnation: u64,
+    pub node: ::std::string::String,
+    pub sequence: u64,
+    pub slots: u32,
+}
+impl ::std::convert::From<&SlotCharge> for SlotCharge {
+    fn from(value: &SlotCharge) -> Self {
+        value.clone()
+    }
+}
 #[doc = "Slots granted by the home until they expire, ttl_ms after the request was sent."]
 #[doc = r""]
 #[doc = r" <details><summary>JSON schema</summary>"]
@@ -912,6 +982,67 @@
         value.clone()
     }
 }
+#[doc = "What the home of a backend server knows, for the home that a change of members has put in its place."]
+#[doc = r""]
+#[doc = r" <details><summary>JSON schema</summary>"]
+#[doc = r""]
+#[doc = r" ```json"]
+#[doc = "{"]
+#[doc = "  \"description\": \"What the home of a backend server knows, for the home that a change of members has put in its place.\","]
+#[doc = "  \"type\": \"object\","]
+#[doc = "  \"required\": ["]
+#[doc = "    \"backend\","]
+#[doc = "    \"charges\","]
+#[doc = "    \"completed\","]
+#[doc = "    \"fence\","]
+#[doc = "    \"limit\""]
+#[doc = "  ],"]
+#[doc = "  \"properties\": {"]
+#[doc = "    \"backend\": {"]
+#[doc = "      \"type\": \"string\""]
+#[doc = "    },"]
+#[doc = "    \"charges\": {"]
+#[doc = "      \"type\": \"array\","]
+#[doc = "      \"items\": {"]
+#[doc = "        \"$ref\": \"#/definitions/SlotCharge\""]
+#[doc = "      }"]
+#[doc = "    },"]
+#[doc = "    \"completed\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"fence\": {"]
+#[doc = "      \"description\": \"Revision that made the receiver the home.\","]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint64\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    },"]
+#[doc = "    \"limit\": {"]
+#[doc = "      \"type\": \"integer\","]
+#[doc = "      \"format\": \"uint32\","]
+#[doc = "      \"minimum\": 0.0"]
+#[doc = "    }"]
+#[doc = "  },"]
+#[doc = "  \"additionalProperties\": false"]
+#[doc = "}"]
+#[doc = r" ```"]
+#[doc = r" </details>"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SlotHandover {
+    pub backend: ::std::string::String,
+    pub charges: ::std::vec::Vec<SlotCharge>,
+    pub completed: u64,
+    #[doc = "Revision that made the receiver the home."]
+    pub fence: u64,
+    pub limit: u32,
+}
+impl ::std::convert::From<&SlotHandover> for SlotHandover {
+    fn from(value: &SlotHandover) -> Self {
+        value.clone()
+    }
+}
 #[doc = "Asks the home of a backend server for slots; held counts requests in flight there now."]
 #[doc = r""]
 #[doc = r" <details><summary>JSON schema</summary>"]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,5 +9,5 @@
 pub use error::Error;
 pub use generated::{
     Beat, BillCopies, BillHeld, Cell, Delta, Entry, Fetch, Frame, Hello, Leave, Proof, Ratings,
-    SlotGrant, SlotRequest, Snapshot, Spend, Suspect, Touch,
+    SlotCharge, SlotGrant, SlotHandover, SlotRequest, Snapshot, Spend, Suspect, Touch,
 };
