--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -15,6 +15,9 @@
     /// No bearer key, or one that names nobody.
     #[error("the bearer key is missing or names no customer")]
     Unauthenticated,
+    /// The node failed while it handled the request: nothing can be said of its work.
+    #[error("this node failed while it handled the request")]
+    Internal,
     /// The request isn't in the expected form.
     #[error("{0}")]
     Malformed(String),
@@ -101,6 +104,9 @@
     /// It can't be told whether the call of that key ran.
     #[error("whether the call with this Idempotency-Key ran is unknown")]
     UnknownOutcome,
+    /// The call ran before, and its answer was too long to keep.
+    #[error("the call ran before, and its answer was too long to keep")]
+    AnswerNotKept,
     /// The platform's table service can't be reached.
     #[error("the table service can't be reached, and the call may not run without a record")]
     Platform,
@@ -115,6 +121,7 @@
     pub fn code(&self) -> Code {
         match self {
             Self::Unauthenticated => "unauthenticated",
+            Self::Internal => "internal",
             Self::Malformed(_) => "invalid_request",
             Self::Oversized { .. } => "body_too_large",
             Self::SlowBody(_) => "body_timeout",
@@ -136,6 +143,7 @@
             Self::KeyReused => "idempotency_key_reused",
             Self::InProgress => "in_progress",
             Self::UnknownOutcome => "unknown_outcome",
+            Self::AnswerNotKept => "answer_not_kept",
             Self::Platform => "platform_unreachable",
         }
     }
@@ -147,6 +155,7 @@
     /// ```
     pub fn status(&self) -> u16 {
         match self {
+            Self::Internal => 500,
             Self::Malformed(_) | Self::KeyMissing | Self::Session => 400,
             Self::Unauthenticated => 401,
             Self::Forbidden(_) => 403,
@@ -160,7 +169,10 @@
             Self::Backend {
                 source: backend::Error::Rejected { status, .. },
             } => *status,
-            Self::Backend { .. } | Self::Crashing { .. } | Self::UnknownOutcome => 502,
+            Self::Backend { .. }
+            | Self::Crashing { .. }
+            | Self::AnswerNotKept
+            | Self::UnknownOutcome => 502,
             Self::Capacity(_) | Self::Stale | Self::Starting | Self::Stopping | Self::Platform => {
                 503
             }
@@ -175,8 +187,10 @@
     /// ```
     pub fn ran(&self) -> Ran {
         match self {
+            Self::Internal => Ran::Unknown,
             Self::Deadline { ran, .. } | Self::Crashing { ran, .. } => *ran,
             Self::Backend { source } => source.ran(),
+            Self::AnswerNotKept => Ran::Yes,
             Self::InProgress | Self::UnknownOutcome => Ran::Unknown,
             _ => Ran::No,
         }
