Test the relay on nodes that have no link

Ruled out: more nodes in the same test (links of the start stay whatever the number). Change: eight nodes with a fan-out of two start one after another, and the test checks that the sender lacks links before it sends; starts of test nodes are a settings struct.

--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -44,71 +44,87 @@
     Ring::new(keys.iter().map(|key| Secret::new(*key)).collect())
 }
 
-async fn start(
+/// How one node starts.
+struct Start {
     index: u64,
     listen: SocketAddr,
     link: SocketAddr,
-    keys: &[&str],
-    table: &Memory,
-) -> Node {
-    start_with(index, listen, link, keys, table, Vec::new(), None).await
-}
-
-async fn start_with(
-    index: u64,
-    listen: SocketAddr,
-    link: SocketAddr,
-    keys: &[&str],
-    table: &Memory,
+    keys: Vec<&'static str>,
     seeds: Vec<String>,
     vms: Option<String>,
-) -> Node {
-    let member = Member {
-        node: format!("n{index}"),
-        incarnation: 1,
-        zone: "a".into(),
-        http: String::new(),
-        link: link.to_string(),
-        leaving: false,
-    };
-    let hub = Hub::new(link::Settings {
-        member: member.clone(),
-        keys: ring(keys),
-        ..link::Settings::default()
-    });
-    hub.listen(listen).await.unwrap();
-    let settings = sync::Settings {
-        member,
-        seeds,
-        view: view::Settings {
-            horizon: HORIZON,
-            heartbeat: Duration::from_millis(50),
-            silence: Duration::from_millis(300),
-            ..view::Settings::default()
-        },
-        poll: Duration::from_millis(100),
-        accept_timeout: Duration::from_secs(2),
-        lease_interval: Duration::from_millis(100),
-        lease_ttl: Duration::from_millis(500),
-        list_lag: Duration::from_millis(500),
-    };
-    let vms = vms.map(|url| {
-        vms::Client::new(vms::Settings {
-            url,
-            ..vms::Settings::default()
-        })
-    });
-    let vms = vms.transpose().unwrap();
-    let replica = Replica::new(settings, table.clone(), Arc::clone(&hub), vms);
-    let run = tokio::spawn(Arc::clone(&replica).run());
-    Node { hub, replica, run }
+    fanout: usize,
+}
+
+impl Start {
+    fn new(index: u64, address: SocketAddr) -> Self {
+        Self {
+            index,
+            listen: address,
+            link: address,
+            keys: vec!["the-shared-key"],
+            seeds: Vec::new(),
+            vms: None,
+            fanout: 8,
+        }
+    }
+
+    async fn run(self, table: &Memory) -> Node {
+        let Start {
+            index,
+            listen,
+            link,
+            keys,
+            seeds,
+            vms,
+            fanout,
+        } = self;
+        let member = Member {
+            node: format!("n{index}"),
+            incarnation: 1,
+            zone: "a".into(),
+            http: String::new(),
+            link: link.to_string(),
+            leaving: false,
+        };
+        let hub = Hub::new(link::Settings {
+            member: member.clone(),
+            keys: ring(&keys),
+            ..link::Settings::default()
+        });
+        hub.listen(listen).await.unwrap();
+        let settings = sync::Settings {
+            member,
+            seeds,
+            view: view::Settings {
+                horizon: HORIZON,
+                heartbeat: Duration::from_millis(50),
+                silence: Duration::from_millis(300),
+                fanout,
+            },
+            poll: Duration::from_millis(100),
+            accept_timeout: Duration::from_secs(2),
+            lease_interval: Duration::from_millis(100),
+            lease_ttl: Duration::from_millis(500),
+            list_lag: Duration::from_millis(500),
+        };
+        let vms = vms.map(|url| {
+            vms::Client::new(vms::Settings {
+                url,
+                ..vms::Settings::default()
+            })
+        });
+        let vms = vms.transpose().unwrap();
+        let replica = Replica::new(settings, table.clone(), Arc::clone(&hub), vms);
+        let run = tokio::spawn(Arc::clone(&replica).run());
+        Node { hub, replica, run }
+    }
 }
 
 async fn cluster(count: u64, table: &Memory) -> Vec<Node> {
     let mut nodes = Vec::new();
     for index in 0..count {
         let address = free_address();
-        nodes.push(start(index, address, address, &["the-shared-key"], table).await);
+        nodes.push(Start::new(index, address).run(table).await);
     }
     let all = |node: &Node| node.replica.config().members().count() == count as usize;
     until(|| {
@@ -179,14 +195,11 @@
     let nodes = cluster(3, &table).await;
     table.set_down(true);
     // One of three without links to the others: neither platform nor majority confirms.
-    let alone = start(
-        9,
-        free_address(),
-        free_address(),
-        &["another-shared-key"],
-        &table,
-    )
-    .await;
+    let stranger = Start {
+        keys: vec!["another-shared-key"],
+        ..Start::new(9, free_address())
+    };
+    let alone = stranger.run(&table).await;
     sleep(HORIZON).await;
     assert!(!serves(&alone) && serves(&nodes[0]));
 }
@@ -212,16 +225,11 @@
             .link
             .clone(),
     ];
-    let late = start_with(
-        9,
-        address,
-        address,
-        &["the-shared-key"],
-        &table,
+    let late = Start {
         seeds,
-        None,
-    )
-    .await;
+        ..Start::new(9, address)
+    };
+    let late = late.run(&table).await;
     until(|| serves(&late)).await;
     assert!(late.replica.config().zone_out("a") && !late.replica.joined());
 }
@@ -245,18 +253,19 @@
 #[tokio::test]
 async fn broadcast_reaches_nodes_without_a_link_once() {
     let table = Memory::default();
-    let mut nodes = Vec::new();
-    for index in 0..14 {
+    let mut nodes: Vec<Node> = Vec::new();
+    for count in 1..=8 {
         let address = free_address();
-        nodes.push(start(index, address, address, &["the-shared-key"], &table).await);
+        let few_links = Start {
+            fanout: 2,
+            ..Start::new(count, address)
+        };
+        nodes.push(few_links.run(&table).await);
+        let knows_all = |node: &Node| node.replica.config().members().count() as u64 == count;
+        until(|| nodes.iter().all(knows_all)).await;
     }
-    until(|| {
-        nodes
-            .iter()
-            .all(|node| node.replica.config().members().count() == 14)
-    })
-    .await;
     sleep(Duration::from_millis(500)).await;
+    assert!(nodes[0].hub.linked().len() < 7, "some have no link");
     let mut receivers: Vec<_> = nodes[1..].iter().map(|node| node.hub.subscribe()).collect();
     let suspect = Suspect {
         fingerprint: "f".into(),
@@ -266,7 +275,7 @@
     nodes[0].hub.broadcast(&Frame::Suspect(suspect));
     sleep(Duration::from_millis(500)).await;
     for frames in &mut receivers {
-        assert_eq!(frames.try_recv().unwrap().from, "n0");
+        assert_eq!(frames.try_recv().unwrap().from, "n1");
         assert!(frames.try_recv().is_err());
     }
 }
@@ -328,9 +337,11 @@
             let url = list_of(&$listed).await;
             let mut nodes = Vec::new();
             for index in 0..3 {
-                let at = free_address();
-                let keys = ["the-shared-key"];
-                nodes.push(start_with(index, at, at, &keys, &table, Vec::new(), Some(url.clone())).await);
+                let with_list = Start {
+                    vms: Some(url.clone()),
+                    ..Start::new(index, free_address())
+                };
+                nodes.push(with_list.run(&table).await);
             }
             until(|| nodes.iter().all(|node| node.replica.config().members().count() == 3)).await;
             nodes[2].halt();
@@ -353,8 +364,9 @@
         async fn $name() {
             let table = Memory::default();
             let (a, b) = (free_address(), free_address());
-            let first = start(0, a, a, &$first, &table).await;
-            let second = start(1, b, b, &$second, &table).await;
+            let first = Start { keys: $first.to_vec(), ..Start::new(0, a) };
+            let second = Start { keys: $second.to_vec(), ..Start::new(1, b) };
+            let (first, second) = (first.run(&table).await, second.run(&table).await);
             first.hub.call("n1", b.to_string());
             sleep(Duration::from_millis(500)).await;
             assert_eq!(first.hub.is_linked("n1"), $linked);
@@ -413,22 +425,15 @@
     let table = Memory::default();
     let frozen = Arc::new(AtomicBool::new(false));
     let (a, b) = (free_address(), free_address());
-    let first = start(
-        0,
-        a,
-        proxy(a, frozen.clone()).await,
-        &["the-shared-key"],
-        &table,
-    )
-    .await;
-    let second = start(
-        1,
-        b,
-        proxy(b, frozen.clone()).await,
-        &["the-shared-key"],
-        &table,
-    )
-    .await;
+    let first = Start {
+        link: proxy(a, frozen.clone()).await,
+        ..Start::new(0, a)
+    };
+    let second = Start {
+        link: proxy(b, frozen.clone()).await,
+        ..Start::new(1, b)
+    };
+    let (first, second) = (first.run(&table).await, second.run(&table).await);
     let nodes = [first, second];
     until(|| nodes.iter().all(|node| node.hub.linked().len() == 1)).await;
     frozen.store(true, Ordering::SeqCst);
