Repeat reports to a new home until it has heard them

Cause: a member's report to a new home was sent once. Sent before the home had applied the revision or was linked, it was lost, and a backend server in cold start then got no grant until ttl + horizon + 60 s had passed: demo.sh saw 503 no_capacity 18 s after the start. Also, a call that was refused before it was sent kept its key for a moment, and its repetition got 409 in_progress, ran unknown. Ruled out: the change of home itself (dump: all homes agreed, links up, free slots 0 everywhere). Change: reports are repeated until a grant with a fencing number answers them; a refused call gives its key back before the refusal goes out.

--- a/crates/limits/src/slot/lane.rs
+++ b/crates/limits/src/slot/lane.rs
@@ -33,6 +33,8 @@
     chilled: Option<Instant>,
     first_byte: Option<Duration>,
     slow: u32,
+    /// Requests from this one on count as reports that a home must hear.
+    unheard: Option<u64>,
 }
 
 impl Lane {
@@ -54,6 +56,7 @@
             chilled: None,
             first_byte: None,
             slow: 0,
+            unheard: None,
         }
     }
 
@@ -126,6 +129,9 @@
         let Some((_, sent)) = found.copied() else {
             return;
         };
+        if grant.fence > 0 && self.unheard.is_some_and(|first| grant.sequence >= first) {
+            self.unheard = None;
+        }
         let reduced = grant.slots < self.slots;
         self.using = grant.sequence;
         self.slots = grant.slots;
@@ -137,8 +143,10 @@
         }
     }
 
-    /// A new home must hear of this lane, also when nothing is wanted.
+    /// A new home must hear of this lane, also when nothing is wanted. Reports are repeated until
+    /// the home has answered as one.
     pub(super) fn report(&mut self, now: Instant) {
+        self.unheard = Some(self.sequence + 1);
         self.due = Some(now);
     }
 
@@ -166,9 +174,10 @@
             chills: self.chills,
         };
         let unmet = self.refused > 0 || self.free(now) + self.held < wanted;
+        let unmet = unmet || self.unheard.is_some();
         self.due = match (wanted, unmet) {
-            (0, _) => None,
             (_, true) => Some(now + settings.retry),
+            (0, false) => None,
             (_, false) => Some(now + settings.renew),
         };
         self.sent.push_back((self.sequence, now));
--- a/crates/node/src/dispatch/service.rs
+++ b/crates/node/src/dispatch/service.rs
@@ -96,7 +96,13 @@
     }
 
     async fn run(&self, mut ticket: Ticket) -> Result<Reply, Error> {
-        let place = self.place(&[]).await?;
+        let place = match self.place(&[]).await {
+            Ok(place) => place,
+            Err(error) => {
+                self.app.runs.give_back(ticket).await;
+                return Err(error);
+            }
+        };
         ticket.dispatch();
         match self.send(place).await {
             Ok(reply) => {
@@ -114,6 +120,7 @@
             Err(error) => {
                 if error.ran() == Ran::No {
                     ticket.refused();
+                    self.app.runs.give_back(ticket).await;
                 }
                 Err(error)
             }
--- a/crates/node/src/record/runs.rs
+++ b/crates/node/src/record/runs.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// Gives the key of a call back that was never sent, so that its sender may try again at once.
+    pub async fn give_back(&self, ticket: Ticket) {
+        drop(ticket);
+        self.records.sweep().await;
+    }
+
     /// Writes what couldn't be written before, for as long as the node runs.
     pub async fn run(&self) {
         loop {
