--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -2,10 +2,14 @@
 
 use crate::Error;
 use crate::app::{Gate, Keys, Parts, Stay};
+use crate::bill::Bills;
 use crate::decide::{Decide, Funds};
-use crate::dispatch::{Load, Signer};
+use crate::dispatch::Signer;
 use crate::fleet::{Fleet, Server};
 use crate::link::Hub;
+use crate::metrics::{Counter, Metrics};
+use crate::record::Runs;
+use crate::slot::Slots;
 use crate::sync::Replica;
 use backend::Pool;
 use contract::{Config, CustomerId, Incarnation};
@@ -30,8 +34,12 @@
     pub fleet: Fleet,
     /// Connections to backend servers.
     pub pool: Pool,
-    /// Own requests in flight.
-    pub load: Arc<Load>,
+    /// What this node may send to backend servers.
+    pub slots: Arc<Slots>,
+    /// Records of calls that may not be repeated.
+    pub runs: Arc<Runs<table::Client>>,
+    /// Bills on their way to the table.
+    pub bills: Arc<Bills<table::Client>>,
     /// Keys that sign session tokens.
     pub session_keys: Ring,
     /// Keys shared by nodes.
@@ -46,6 +54,8 @@
     pub decide: Arc<Decide>,
     /// Shares of customers' budgets.
     pub funds: Funds<table::Client>,
+    /// Where metrics are sent.
+    pub metrics: Metrics,
     suspects: Mutex<Suspects>,
     gate: Arc<Gate>,
     keys: Keys,
@@ -65,7 +75,8 @@
         Self {
             signer: Signer::new(session_keys.clone()),
             session_keys,
-            link_keys: Ring::new(settings.link_key.clone()),
+            link_keys: parts.hub.keys(),
+            metrics: Metrics::start(&settings),
             settings,
             incarnation: parts.replica.incarnation(),
             replica: parts.replica,
@@ -74,7 +85,9 @@
             funds: parts.funds,
             fleet: Fleet::default(),
             pool: Pool::new(limits),
-            load: Arc::default(),
+            slots: parts.slots,
+            runs: parts.runs,
+            bills: parts.bills,
             suspects: Mutex::new(Suspects::new(suspect::Settings::default())),
             gate: Arc::default(),
             keys: Keys::default(),
@@ -88,6 +101,11 @@
         self.replica.config()
     }
 
+    /// Whether the node knows the configuration and the backend servers.
+    pub fn ready(&self) -> bool {
+        self.fleet.listed() && self.config().revision() > 0
+    }
+
     /// Customer of a bearer key.
     pub fn customer_of(&self, key: &str) -> Option<CustomerId> {
         self.keys.customer(&self.config(), key)
@@ -112,10 +130,10 @@
     /// Addresses for callers, nearest first.
     pub fn entries(&self, zone: Option<&str>) -> Vec<String> {
         let near = zone.unwrap_or(&self.settings.zone);
-        let leaving = self.leaving.load(Ordering::SeqCst);
+        let serves = self.ready() && !self.leaving.load(Ordering::SeqCst);
         let mut members = self.replica.members(Instant::now());
         members.retain(|one| one.state == State::Live);
-        members.retain(|one| !leaving || one.node != self.settings.node);
+        members.retain(|one| serves || one.node != self.settings.node);
         members.sort_by_key(|one| (one.zone != near, one.node != self.settings.node));
         members.into_iter().map(|one| one.http).collect()
     }
@@ -123,10 +141,24 @@
     /// Takes the node out of every answer to callers.
     pub async fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
+        if let Err(error) = self.replica.leave().await {
+            log::warn!(event = 1212; "peers are not told by the log that this node leaves: {error}");
+        }
     }
 
     /// Hands over what the node still holds, once its work has ended.
-    pub async fn close(&self) {}
+    pub async fn close(&self) {
+        let deadline = Instant::now() + self.settings.drain;
+        self.slots.close();
+        let claims = self.runs.close(deadline.into()).await;
+        let bills = self.bills.flush_all(deadline.into()).await;
+        if claims + bills > 0 {
+            log::error!(event = 1006, claims, bills; "the table lacks records of this node");
+        }
+        if let Err(error) = self.replica.quit().await {
+            log::warn!(event = 1213; "this node stays a member until others remove it: {error}");
+        }
+    }
 
     /// Whether a backend server may receive new work: it stays, and its zone is in.
     pub fn open(&self, config: &Config, server: &Server) -> bool {
@@ -167,8 +199,15 @@
             .crash(Instant::now(), &suspect.fingerprint, &suspect.backend, age);
     }
 
-    /// Bills a request.
-    pub fn bill(&self, bill: Bill) {
+    /// Counts a bill in the metrics and the log.
+    pub fn count(&self, bill: &Bill) {
+        let version = [("model", bill.model.as_str()), ("version", &bill.version)];
+        self.metrics.count(Counter::Answers, 1, &version);
+        self.metrics
+            .count(Counter::OutputTokens, bill.output_tokens, &version);
+        let customer = [("customer", bill.customer.as_str())];
+        self.metrics
+            .count(Counter::CostMicros, bill.micros, &customer);
         log::info!(
             event = 1101,
             request = bill.request_id.as_str(),
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -60,6 +60,9 @@
     /// The node's configuration isn't proved to be current.
     #[error("this node can't tell whether its configuration is current")]
     Stale,
+    /// The node doesn't know the configuration or the backend servers yet.
+    #[error("this node is starting")]
+    Starting,
     /// The node is stopping.
     #[error("this node is stopping")]
     Stopping,
@@ -98,6 +101,9 @@
     /// It can't be told whether the call of that key ran.
     #[error("whether the call with this Idempotency-Key ran is unknown")]
     UnknownOutcome,
+    /// The call ran before, and its answer was too long to keep.
+    #[error("the call ran before, and its answer was too long to keep")]
+    AnswerNotKept,
     /// The platform's table service can't be reached.
     #[error("the table service can't be reached, and the call may not run without a record")]
     Platform,
@@ -124,6 +130,7 @@
             Self::Capacity(_) => "no_capacity",
             Self::Overloaded { .. } => "overloaded",
             Self::Stale => "stale",
+            Self::Starting => "starting",
             Self::Stopping => "stopping",
             Self::Deadline { .. } => "deadline",
             Self::Backend { .. } => "backend_failed",
@@ -132,6 +139,7 @@
             Self::KeyReused => "idempotency_key_reused",
             Self::InProgress => "in_progress",
             Self::UnknownOutcome => "unknown_outcome",
+            Self::AnswerNotKept => "answer_not_kept",
             Self::Platform => "platform_unreachable",
         }
     }
@@ -156,8 +164,13 @@
             Self::Backend {
                 source: backend::Error::Rejected { status, .. },
             } => *status,
-            Self::Backend { .. } | Self::Crashing { .. } | Self::UnknownOutcome => 502,
-            Self::Capacity(_) | Self::Stale | Self::Stopping | Self::Platform => 503,
+            Self::Backend { .. }
+            | Self::Crashing { .. }
+            | Self::AnswerNotKept
+            | Self::UnknownOutcome => 502,
+            Self::Capacity(_) | Self::Stale | Self::Starting | Self::Stopping | Self::Platform => {
+                503
+            }
             Self::Deadline { .. } => 504,
         }
     }
@@ -171,6 +184,7 @@
         match self {
             Self::Deadline { ran, .. } | Self::Crashing { ran, .. } => *ran,
             Self::Backend { source } => source.ran(),
+            Self::AnswerNotKept => Ran::Yes,
             Self::InProgress | Self::UnknownOutcome => Ran::Unknown,
             _ => Ran::No,
         }
@@ -188,6 +202,7 @@
             | Self::Crashing { retry_after, .. } => Some(*retry_after),
             Self::Capacity(_)
             | Self::Stale
+            | Self::Starting
             | Self::Stopping
             | Self::Platform
             | Self::InProgress => Some(RETRY_SOON),
--- a/crates/node/src/operator/error.rs
+++ b/crates/node/src/operator/error.rs
@@ -18,6 +18,9 @@
     /// No key, or one that names no operator.
     #[error("the bearer key is missing or names no operator")]
     Unauthenticated,
+    /// The node has not learnt the configuration yet.
+    #[error("this node is starting and doesn't know the configuration yet")]
+    Starting,
     /// The request can't be read.
     #[error("refused with status {0}")]
     Request(Status),
@@ -27,6 +30,12 @@
     /// The body isn't what the route expects.
     #[error("the body can't be read: {0}")]
     Json(#[from] serde_json::Error),
+    /// The review ended without a result.
+    #[error("the change could not be reviewed")]
+    Review,
+    /// The change's id isn't a name.
+    #[error("found change id {0:?}, expected 1 to 64 letters, digits, dots, dashes or underscores")]
+    Id(String),
     /// No such path.
     #[error("no path {0}")]
     Path(String),
@@ -54,8 +63,11 @@
     fn code(&self) -> &'static str {
         match self {
             Self::Unauthenticated => "unauthenticated",
+            Self::Starting => "starting",
             Self::Request(_) | Self::Json(_) => "invalid_request",
             Self::Body(error) => error.code(),
+            Self::Review => "review_failed",
+            Self::Id(_) => "invalid_change",
             Self::Path(_) => "not_found",
             Self::Absent(_) => "unknown_object",
             Self::Change(_) => "unknown_change",
@@ -69,9 +81,10 @@
     fn status(&self) -> Status {
         match self {
             Self::Unauthenticated => Status::Unauthorized,
+            Self::Starting | Self::Review => Status::ServiceUnavailable,
             Self::Request(status) => *status,
             Self::Body(error) => Status::new(error.status()),
-            Self::Json(_) => Status::BadRequest,
+            Self::Id(_) | Self::Json(_) => Status::BadRequest,
             Self::Path(_) | Self::Absent(_) | Self::Change(_) => Status::NotFound,
             Self::Member(_) | Self::Findings(_) | Self::Ring(_) => Status::UnprocessableEntity,
             Self::Sync(error) => sync_status(error),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,7 +1,8 @@
 //! Starts the parts of a node and stops them in order.
 
 use crate::app::{App, Parts};
-use crate::{caller, decide, inbox, operator, stop};
+use crate::metrics::{self, Meter};
+use crate::{caller, decide, inbox, link, operator, stop};
 use platform::vms;
 use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
 use settings::node::Settings;
@@ -20,6 +21,9 @@
     /// No policy has the name that the settings give.
     #[error(transparent)]
     Policy(#[from] decide::Unknown),
+    /// The port for other nodes can't be opened.
+    #[error("{0}")]
+    Link(#[from] link::Error),
     /// The threads can't be started.
     #[error("threads: {0}")]
     Runtime(#[source] std::io::Error),
@@ -43,14 +47,29 @@
         let app = Arc::clone(&app);
         async move { app.fleet.run(&vms, app.settings.vms_poll).await }
     });
+    app.hub.listen(settings.link).await?;
     tokio::spawn(Arc::clone(&app.replica).run());
     tokio::spawn(inbox::run(Arc::clone(&app)));
+    tokio::spawn({
+        let app = Arc::clone(&app);
+        async move { app.slots.run(app.as_ref()).await }
+    });
+    tokio::spawn({
+        let app = Arc::clone(&app);
+        async move { app.bills.run(app.as_ref()).await }
+    });
+    tokio::spawn({
+        let app = Arc::clone(&app);
+        async move { app.runs.run().await }
+    });
+    tokio::spawn(metrics::run(Arc::clone(&app)));
     tokio::spawn({
         let app = Arc::clone(&app);
         async move { app.decide.run(|frame| app.hub.broadcast(&frame)).await }
     });
     let rocket = rocket::custom(rocket_config(&settings))
         .manage(Arc::clone(&app))
+        .attach(Meter(app.metrics.clone()))
         .mount("/", caller::routes())
         .register("/", caller::catchers())
         .mount("/", operator::routes())
@@ -58,9 +77,11 @@
         .ignite()
         .await
         .map_err(Box::new)?;
+    let sent = app.metrics.clone();
     let signals = stop::Signals::new().map_err(Error::Runtime)?;
     tokio::spawn(stop::stop(app, signals, rocket.shutdown()));
     rocket.launch().await.map_err(Box::new)?;
+    sent.flush();
     log::info!(event = 1004; "node stopped");
     Ok(())
 }
--- /dev/null
+++ b/crates/node/src/sync/lease.rs
@@ -0,0 +1,41 @@
+//! The lease that shows the platform that this node runs.
+
+use super::{Replica, rows};
+use platform::Table;
+use platform::table::{Condition, Item};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Most renewals a second by all members together.
+const FLEET_RENEWALS: u32 = 20;
+
+impl<T: Table> Replica<T> {
+    /// Renews the lease while the node is a member. Nobody loses anything by its lapse alone.
+    pub(super) async fn keep_lease(&self) {
+        let mut renewals = self.incarnation();
+        loop {
+            sleep(self.lease_times().0).await;
+            if !self.joined() {
+                continue;
+            }
+            renewals += 1;
+            let node = &self.settings.member.node;
+            let item = Item::new(rows::LEASES, node.as_str(), renewals, "{}");
+            self.writes.fetch_add(1, Ordering::Relaxed);
+            if let Err(error) = self.log.table.put(item, Condition::Any).await {
+                log::debug!(event = 1204; "lease can't be renewed: {error}");
+            }
+        }
+    }
+
+    /// Interval of renewals and time after which a lease has lapsed. Both grow with the number of
+    /// members, so that the writes of a large fleet stay bounded.
+    pub(super) fn lease_times(&self) -> (Duration, Duration) {
+        let members = self.config().members().count() as u32;
+        let interval = self.settings.lease_interval;
+        let stretched = interval.max(Duration::from_secs(1) * members / FLEET_RENEWALS);
+        let ttl = self.settings.lease_ttl + (stretched - interval) * 3;
+        (stretched, ttl)
+    }
+}
