--- a/crates/standin/examples/measure/policy/report.rs
+++ b/crates/standin/examples/measure/policy/report.rs
@@ -3,7 +3,7 @@
 use super::scenario::{Kind, Scenario};
 use super::site::Site;
 use super::strategy::Strategy;
-use super::tally::{Tally, share};
+use super::tally::Tally;
 use serde::Serialize;
 use standin::Error;
 use std::time::Duration;
@@ -72,6 +72,14 @@
             cold_overruns: tally.cold_overruns,
             notes: notes(scenario, tally),
         });
+        self.progress();
+    }
+
+    /// Tells on the error stream how far the measurement is.
+    fn progress(&self) {
+        if let Some(row) = self.rows.last() {
+            log::info!("{}, {}: {}", row.site, row.scenario, row.strategy);
+        }
     }
 
     pub fn print(&self, json: bool) -> Result<(), Error> {
@@ -197,7 +205,7 @@
     let before = tally.between(from / 4, from);
     let during = tally.between(from, tally.length);
     let out = tally.between(from, until);
-    let lost = share(during.answers().map(|(_, answer)| answer.late)) + during.refused();
+    let lost = during.late() + during.refused();
     let ratio = |task| during.latency(task, 0.95) as f64 / before.latency(task, 0.95).max(1) as f64;
     vec![
         ("refused or late from the leaving on", lost),
--- a/crates/standin/examples/measure/policy/tally.rs
+++ b/crates/standin/examples/measure/policy/tally.rs
@@ -7,6 +7,8 @@
 pub enum Outcome {
     /// Not run, and the caller was told so.
     Refused,
+    /// Still waiting long after the last request came.
+    Unfinished,
     Answered(Answer),
 }
 
@@ -65,7 +67,7 @@
             .iter()
             .filter_map(|record| match &record.outcome {
                 Outcome::Answered(answer) => Some((record, answer)),
-                Outcome::Refused => None,
+                Outcome::Refused | Outcome::Unfinished => None,
             })
     }
 
@@ -94,8 +96,17 @@
         )
     }
 
+    /// Share of late answers, of those that weren't refused.
     pub fn late(&self) -> f64 {
-        share(self.answers().map(|(_, answer)| answer.late))
+        let late = self
+            .records
+            .iter()
+            .filter_map(|record| match record.outcome {
+                Outcome::Refused => None,
+                Outcome::Unfinished => Some(true),
+                Outcome::Answered(answer) => Some(answer.late),
+            });
+        share(late)
     }
 
     /// Good answers in time a second.
