settings: choices are checked with the rest; the generator has a crate of its own

Cause: `--policy dearest` was no wrong setting until the node had started, and `schema/generate.sh` could not run once the generated code no longer fitted: its generator was an example of the crate that it generates for. Ruled out: an enum per choice in the schema, which would tie settings to the crates that read them. Change: settings of the kind `choice` list what is allowed, in the check, the help and the page; crate `schema` (never shipped) holds the generator. My event 1006 is 1007 now, the second 1403 (dispatch/service.rs) is 1405. The catalogue test lists everything that is missing at once. Conclusion: the code is generated from the schema whatever state it is in.

--- a/crates/node/src/dispatch/service.rs
+++ b/crates/node/src/dispatch/service.rs
@@ -89,7 +89,7 @@
             Ok(Claim::Answer(Answer::Unknown)) => Err(Error::UnknownOutcome),
             Err(ledger::Error::Conflict) => Err(Error::KeyReused),
             Err(error) => {
-                log::warn!(event = 1403; "call can't be claimed: {error}");
+                log::warn!(event = 1405; "call can't be claimed: {error}");
                 Err(Error::Platform)
             }
         }
--- a/crates/node/src/metrics/metrics.rs
+++ b/crates/node/src/metrics/metrics.rs
@@ -38,7 +38,7 @@
                 client: Some(Arc::new(client)),
             },
             Err(error) => {
-                log::warn!(event = 1006; "metrics are not sent: {error}");
+                log::warn!(event = 1007; "metrics are not sent: {error}");
                 Self::default()
             }
         }
--- a/crates/settings/examples/generate.rs
+++ b/crates/schema/src/lib.rs
@@ -1,6 +1,4 @@
-//! Generates the settings of a node from schema/settings.json.
-//!
-//! Usage: `generate SCHEMA` writes Rust to standard output.
+//! Generates the settings of a node from schema/settings.json. Never shipped.
 
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -8,7 +6,7 @@
 
 /// The parts of the schema that are used.
 #[derive(Deserialize)]
-pub struct Schema {
+struct Schema {
     required: Vec<String>,
     #[serde(rename = "x-order")]
     order: Vec<String>,
@@ -22,6 +20,8 @@
     kind: String,
     description: String,
     default: Option<serde_json::Value>,
+    #[serde(default, rename = "enum")]
+    choices: Vec<String>,
     #[serde(default)]
     minimum: u64,
     #[serde(default)]
@@ -35,10 +35,11 @@
             "address" => ("Address", "SocketAddr"),
             "addresses" => ("Addresses", "Vec<SocketAddr>"),
             "bytes" => ("Bytes", "u64"),
+            "choice" => ("Choice", "String"),
             "count" => ("Count", "usize"),
             "filter" => ("Filter", "String"),
             "keys" => ("Keys", "Vec<Secret>"),
-            "log-format" => ("LogFormat", "Format"),
+            "log-format" => ("Choice", "Format"),
             "milliseconds" => ("Milliseconds", "Duration"),
             "name" => ("Name", "String"),
             "optional-address" => ("Address", "Option<SocketAddr>"),
@@ -80,6 +81,11 @@
 }
 
 /// Writes the Rust code of the settings.
+///
+/// ```
+/// let schema = r#"{ "required": [], "x-order": [], "properties": {} }"#;
+/// assert!(schema::generate(schema).contains("pub struct Settings"));
+/// ```
 pub fn generate(schema: &str) -> String {
     let schema: Schema = serde_json::from_str(schema).expect("schema/settings.json");
     assert_eq!(schema.order.len(), schema.properties.len(), "x-order");
@@ -141,8 +147,9 @@
         let env = format!("SARDINEBANK_{}", flag.replace('-', "_").to_uppercase());
         let _ = writeln!(
             out,
-            "Spec {{\nflag: {flag:?},\nenv: {env:?},\nkind: Kind::{kind},\ndefault: {:?},\nrequired: {},\nminimum: {},\nmaximum: {},\nhelp: {:?},\n}},",
+            "Spec {{\nflag: {flag:?},\nenv: {env:?},\nkind: Kind::{kind},\ndefault: {:?},\nchoices: &{:?},\nrequired: {},\nminimum: {},\nmaximum: {},\nhelp: {:?},\n}},",
             property.default_text(),
+            property.choices,
             schema.required.contains(flag),
             property.minimum,
             property.maximum,
@@ -151,10 +158,3 @@
     }
     out.push_str("];\n");
 }
-
-#[allow(dead_code)]
-fn main() {
-    let path = std::env::args().nth(1).expect("path of the schema");
-    let schema = std::fs::read_to_string(&path).expect("schema");
-    print!("{}", generate(&schema));
-}
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -142,7 +142,11 @@
     } else {
         ""
     };
-    let help = format!("{} [{default}; {}{repeated}]", spec.help, spec.env);
+    let choices = match spec.choices.is_empty() {
+        true => String::new(),
+        false => format!(": {}", spec.choices.join(", ")),
+    };
+    let help = format!("{}{choices} [{default}; {}{repeated}]", spec.help, spec.env);
     long(spec.flag)
         .help(help.as_str())
         .argument::<String>(spec.metavar())
--- a/crates/settings/src/spec.rs
+++ b/crates/settings/src/spec.rs
@@ -15,14 +15,14 @@
     Addresses,
     /// A number of bytes.
     Bytes,
+    /// One of the choices.
+    Choice,
     /// A number of things.
     Count,
     /// A filter of log events.
     Filter,
     /// Keys; the flag may be repeated.
     Keys,
-    /// Form of log events.
-    LogFormat,
     /// A time in milliseconds.
     Milliseconds,
     /// A name.
@@ -42,6 +42,8 @@
     pub kind: Kind,
     /// Default as text; empty if there is none.
     pub default: &'static str,
+    /// Values allowed, if there are only a few.
+    pub choices: &'static [&'static str],
     /// Whether a value must be given.
     pub required: bool,
     /// Smallest number allowed.
@@ -64,10 +66,10 @@
         match self.kind {
             Kind::Address | Kind::Addresses => "an address ip:port".to_owned(),
             Kind::Bytes => format!("a number of bytes from {low} to {high}"),
+            Kind::Choice => self.choices.join(" or "),
             Kind::Count => format!("a number from {low} to {high}"),
             Kind::Filter => "a filter such as info or warn,sardinebank=debug".to_owned(),
             Kind::Keys => format!("a key of at least {MIN_KEY_CHARS} printable characters"),
-            Kind::LogFormat => "text or json".to_owned(),
             Kind::Milliseconds => format!("milliseconds from {low} to {high}"),
             Kind::Name => format!(
                 "a name of 1 to {MAX_NAME_CHARS} letters, digits, dots, dashes or underscores"
@@ -81,10 +83,10 @@
         match self.kind {
             Kind::Address | Kind::Addresses => "IP:PORT",
             Kind::Bytes => "BYTES",
+            Kind::Choice => "CHOICE",
             Kind::Count => "N",
             Kind::Filter => "FILTER",
             Kind::Keys => "KEY",
-            Kind::LogFormat => "text|json",
             Kind::Milliseconds => "MS",
             Kind::Name => "NAME",
             Kind::Url => "URL",
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -49,6 +49,7 @@
     fn set(&mut self, texts: &[String], spec: &Spec) -> Option<()> {
         let text = single(texts)?;
         let valid = match spec.kind {
+            Kind::Choice => spec.choices.contains(&text),
             Kind::Name => is_name(text),
             Kind::Url => is_url(text),
             _ => !text.is_empty(),
--- a/crates/settings/tests/catalogues.rs
+++ b/crates/settings/tests/catalogues.rs
@@ -1,6 +1,7 @@
 //! The pages of events and settings against the code.
 
 use settings::node::SPECS;
+use settings::spec::Spec;
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -88,19 +89,27 @@
 #[test]
 fn each_setting_has_its_row() {
     let page = page("SETTINGS.md");
-    for spec in SPECS {
-        let default = match (spec.required, spec.default) {
-            (true, _) => "required".to_owned(),
-            (false, "") => "none".to_owned(),
-            (false, default) => default.to_owned(),
-        };
-        let row = format!(
-            "| `--{}` | `{}` | {default} | {} | {} |",
-            spec.flag,
-            spec.env,
-            spec.expected(),
-            spec.help
-        );
-        assert!(page.contains(&row), "docs/SETTINGS.md lacks\n{row}");
-    }
+    let missing: Vec<_> = SPECS
+        .iter()
+        .map(row)
+        .filter(|row| !page.contains(row))
+        .collect();
+    assert!(
+        missing.is_empty(),
+        "docs/SETTINGS.md lacks\n{}",
+        missing.join("\n")
+    );
+}
+
+fn row(spec: &Spec) -> String {
+    let default = match (spec.required, spec.default) {
+        (true, _) => "required",
+        (false, "") => "none",
+        (false, default) => default,
+    };
+    let expected = spec.expected();
+    format!(
+        "| `--{}` | `{}` | {default} | {expected} | {} |",
+        spec.flag, spec.env, spec.help
+    )
 }
--- a/crates/settings/tests/node.rs
+++ b/crates/settings/tests/node.rs
@@ -4,9 +4,6 @@
 use settings::{Error, Problem};
 use std::time::Duration;
 
-#[path = "../examples/generate.rs"]
-mod generate;
-
 const KEY: &str = "a-key-of-operators-1";
 const OTHER_KEY: &str = "a-key-of-operators-2";
 
@@ -71,6 +68,8 @@
         "--lease-ms (SARDINEBANK_LEASE_MS): found 10s, expected milliseconds from 200 to 600000";
     wrong_environment: [], [("SARDINEBANK_HTTP", "localhost")] =>
         "--http (SARDINEBANK_HTTP): found localhost, expected an address ip:port";
+    no_choice: ["--policy", "dearest"], [] =>
+        "--policy (SARDINEBANK_POLICY): found dearest, expected planned or best or cheapest or round-robin or least-outstanding";
     given_twice: ["--workers", "1", "--workers", "2"], [] =>
         "--workers (SARDINEBANK_WORKERS): found 1 2, expected a number from 1 to 1024";
     short_key_stays_hidden: ["--link-key", "sesame"], [] =>
@@ -168,7 +167,7 @@
 #[test]
 fn generated_code_matches_the_schema() {
     let plain = |text: &str| text.replace([' ', '\n', ','], "");
-    let generated = generate::generate(include_str!("../../../schema/settings.json"));
+    let generated = schema::generate(include_str!("../../../schema/settings.json"));
     assert_eq!(
         plain(&generated),
         plain(include_str!("../src/generated.rs"))
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -8,6 +8,6 @@
   rustfmt --edition 2024 "$out"
 done
 out=crates/settings/src/generated.rs
-cargo run --quiet -p settings --example generate -- schema/settings.json >"$out.new"
+cargo run --quiet -p schema --example settings -- schema/settings.json >"$out.new"
 mv "$out.new" "$out"
 rustfmt --edition 2024 "$out"
