--- a/crates/standin/src/fleet/running.rs
+++ b/crates/standin/src/fleet/running.rs
@@ -83,15 +83,16 @@
     /// Kills a node.
     pub async fn kill(&mut self, index: usize) -> Result<(), Error> {
         let node = &mut self.nodes[index];
-        let event = Interruption {
-            node: node.name.clone(),
-            at_ms: unix_ms(),
-        };
-        self.log.interruption(event);
-        match &mut node.process {
-            Some(process) => process.kill().await,
-            None => Ok(()),
+        let at_ms = unix_ms();
+        if let Some(process) = &mut node.process {
+            process.kill().await?;
         }
+        self.log.interruption(Interruption {
+            node: node.name.clone(),
+            at_ms,
+            until_ms: unix_ms(),
+        });
+        Ok(())
     }
 
     /// Starts a node again with nothing kept.
--- a/crates/standin/src/history/check/answers.rs
+++ b/crates/standin/src/history/check/answers.rs
@@ -37,7 +37,7 @@
 /// Whether the node was killed, or its callers cut off, while the request was under way.
 pub(super) fn interrupted(history: &History, request: &Request) -> bool {
     history.interruptions.iter().any(|event| {
-        let during = request.sent_ms <= event.at_ms && event.at_ms <= request.ended_ms;
+        let during = request.sent_ms <= event.until_ms && event.at_ms <= request.ended_ms;
         event.node == request.node && during
     })
 }
--- a/crates/standin/src/history/event.rs
+++ b/crates/standin/src/history/event.rs
@@ -7,8 +7,10 @@
 pub struct Interruption {
     /// Name of the node.
     pub node: String,
-    /// When, in milliseconds since the Unix epoch.
+    /// When it began, in milliseconds since the Unix epoch.
     pub at_ms: u64,
+    /// When it was over: the process had ended, or callers could reach it again.
+    pub until_ms: u64,
 }
 
 /// A planned stop of a node.
