--- a/crates/node/src/dispatch/service.rs
+++ b/crates/node/src/dispatch/service.rs
@@ -89,14 +89,20 @@
             Ok(Claim::Answer(Answer::Unknown)) => Err(Error::UnknownOutcome),
             Err(ledger::Error::Conflict) => Err(Error::KeyReused),
             Err(error) => {
-                log::warn!(event = 1403; "call can't be claimed: {error}");
+                log::warn!(event = 1405; "call can't be claimed: {error}");
                 Err(Error::Platform)
             }
         }
     }
 
     async fn run(&self, mut ticket: Ticket) -> Result<Reply, Error> {
-        let place = self.place(&[]).await?;
+        let place = match self.place(&[]).await {
+            Ok(place) => place,
+            Err(error) => {
+                self.app.runs.give_back(ticket).await;
+                return Err(error);
+            }
+        };
         ticket.dispatch();
         match self.send(place).await {
             Ok(reply) => {
@@ -114,6 +120,7 @@
             Err(error) => {
                 if error.ran() == Ran::No {
                     ticket.refused();
+                    self.app.runs.give_back(ticket).await;
                 }
                 Err(error)
             }
