Close links that the overlay doesn't need

Cause: a fleet that grew past a full mesh kept the links of its start, so a node's links had no bound; the view kept the peer of a link that it had asked to replace. Ruled out: closing by age alone (slots use links to homes outside the overlay); pruning on one side's word (both ends compute the same overlay from the same members). Change: a link that neither end should make, and that no part has used for 30 s, is closed; the view drops the peer when it asks for a replacement.

--- a/crates/node/src/link/hub.rs
+++ b/crates/node/src/link/hub.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
 use tokio::net::TcpListener;
 use tokio::sync::{broadcast, mpsc, oneshot};
 use wire::{Frame, Relay};
@@ -80,6 +81,7 @@
     /// will not arrive. Without an error it may still be lost with the link.
     pub fn send(self: &Arc<Self>, to: &str, frame: Frame) -> Result<(), Error> {
         let bytes = self.encode(&frame)?;
+        self.table.touch(to);
         match self.table.send(to, bytes.clone()) {
             Err(Error::Unlinked(node)) => {
                 let address = self.addresses.of(to).ok_or(Error::Unlinked(node))?;
@@ -168,6 +170,11 @@
         self.table.close(node)
     }
 
+    /// Nodes whose links no part other than the configuration has used for a while.
+    pub(crate) fn idle(&self) -> Vec<NodeId> {
+        self.table.idle(self.settings.idle)
+    }
+
     /// Events of the links; they can be followed once.
     pub(crate) fn follow(&self) -> Option<mpsc::Receiver<Event>> {
         let mut follower = self.follower.lock().unwrap_or_else(PoisonError::into_inner);
@@ -232,6 +239,7 @@
             dialler,
             frames,
             task: task.abort_handle(),
+            used: Mutex::new(Instant::now()),
         };
         if self.table.insert(&greeting, link) {
             let _ = start.send(());
@@ -283,6 +291,7 @@
 
     async fn deliver(&self, peer: &Greeting, frame: Frame) {
         if !is_of_configuration(&frame) {
+            self.table.touch(&peer.node);
             self.give(Received {
                 from: peer.node.clone(),
                 incarnation: peer.incarnation,
--- a/crates/node/src/link/settings.rs
+++ b/crates/node/src/link/settings.rs
@@ -19,6 +19,8 @@
     pub queue: usize,
     /// Frames waiting for one subscriber.
     pub backlog: usize,
+    /// Time without frames of other parts after which a link that the overlay doesn't need is closed.
+    pub idle: Duration,
     /// Connections that may be greeting at once.
     pub greetings: usize,
 }
@@ -39,6 +41,7 @@
             write_timeout: Duration::from_secs(2),
             queue: 1024,
             backlog: 4096,
+            idle: Duration::from_secs(30),
             greetings: 64,
         }
     }
--- a/crates/node/src/link/table.rs
+++ b/crates/node/src/link/table.rs
@@ -3,7 +3,8 @@
 use super::{Error, Greeting};
 use bytes::Bytes;
 use contract::{Incarnation, Map, NodeId};
-use std::sync::{PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+use std::sync::{Mutex, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
@@ -22,6 +23,8 @@
     pub dialler: NodeId,
     pub frames: mpsc::Sender<Bytes>,
     pub task: AbortHandle,
+    /// When a part other than the configuration last used it.
+    pub used: Mutex<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -31,7 +34,7 @@
     calling: Map<NodeId, Vec<Bytes>>,
 }
 
-/// The links that are up. Its lock is the innermost: nothing is locked while it is held.
+/// The links that are up. While its lock is held, only the time of a link is locked.
 #[derive(Debug, Default)]
 pub(super) struct Table {
     links: RwLock<Links>,
@@ -89,6 +92,24 @@
         self.read().up.contains_key(node)
     }
 
+    /// Notes that a part other than the configuration uses a link.
+    pub(super) fn touch(&self, node: &str) {
+        if let Some(link) = self.read().up.get(node) {
+            *link.used.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+        }
+    }
+
+    /// Nodes whose links no other part has used for a while.
+    pub(super) fn idle(&self, limit: Duration) -> Vec<NodeId> {
+        let is_idle = |link: &Link| {
+            let used = link.used.lock().unwrap_or_else(PoisonError::into_inner);
+            used.elapsed() > limit
+        };
+        let links = self.read();
+        let idle = links.up.iter().filter(|(_, link)| is_idle(link));
+        idle.map(|(node, _)| node.clone()).collect()
+    }
+
     /// Queues a frame on a link that is up.
     pub(super) fn send(&self, to: &str, frame: Bytes) -> Result<(), Error> {
         let links = self.read();
--- a/crates/node/src/sync/follow.rs
+++ b/crates/node/src/sync/follow.rs
@@ -9,6 +9,8 @@
 
 /// Interval at which missing links are made.
 const CALL_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which links that the overlay doesn't need are closed.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 /// Parts of the heartbeat interval between two looks at the clock.
 const TICKS: u32 = 4;
 
@@ -28,6 +30,7 @@
         let mut ticks = interval(self.settings.view.heartbeat / TICKS);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut called: Option<Instant> = None;
+        let mut pruned = Instant::now();
         loop {
             ticks.tick().await;
             let now = Instant::now();
@@ -36,6 +39,10 @@
                 called = Some(now);
                 self.call_neighbours();
             }
+            if pruned.elapsed() >= PRUNE_INTERVAL {
+                pruned = Instant::now();
+                self.close_idle_links();
+            }
         }
     }
 
@@ -71,6 +78,16 @@
         self.call_seeds();
     }
 
+    fn close_idle_links(&self) {
+        let mut view = self.view();
+        for node in self.hub.idle() {
+            if !view.needs_link(&node) && self.hub.close(&node) {
+                view.disconnect(&node);
+                log::info!(event = 1228; "link to {node} is idle and closed");
+            }
+        }
+    }
+
     /// A node that knows no configuration yet asks the seeds for it.
     fn call_seeds(&self) {
         let view = self.view();
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -89,6 +89,7 @@
         let hub = Hub::new(link::Settings {
             member: member.clone(),
             keys: ring(&keys),
+            idle: Duration::from_millis(500),
             ..link::Settings::default()
         });
         hub.listen(listen).await.unwrap();
@@ -265,7 +266,8 @@
         until(|| nodes.iter().all(knows_all)).await;
     }
     sleep(Duration::from_millis(500)).await;
-    assert!(nodes[0].hub.linked().len() < 7, "some have no link");
+    let links = |node: &Node| node.hub.linked().len();
+    until(|| nodes.iter().all(|node| links(node) == 2)).await;
     let mut receivers: Vec<_> = nodes[1..].iter().map(|node| node.hub.subscribe()).collect();
     let suspect = Suspect {
         fingerprint: "f".into(),
--- a/crates/view/src/exchange.rs
+++ b/crates/view/src/exchange.rs
@@ -139,6 +139,20 @@
         overlay::neighbours(&self.me.node, self.config.members(), self.settings.fanout)
     }
 
+    /// Whether the overlay needs the link to a node: one of the two should call the other. Until both
+    /// are members every link is needed.
+    pub fn needs_link(&self, node: &str) -> bool {
+        if !self.joined() || self.incarnation(node).is_none() {
+            return true;
+        }
+        let fanout = self.settings.fanout;
+        let calls = |from: &str, to: &str| {
+            let called = overlay::neighbours(from, self.config.members(), fanout);
+            called.iter().any(|member| member.node == to)
+        };
+        calls(&self.me.node, node) || calls(node, &self.me.node)
+    }
+
     /// Whether this node reads the head for its zone. Nodes that are no members yet read it for
     /// themselves, and so does each node once no proof arrives.
     pub fn is_reader(&self, now: Instant) -> bool {
@@ -332,9 +346,11 @@
         let silence = self.settings.silence;
         let silent = |peer: &Peer| now.saturating_duration_since(peer.heard) > silence;
         let nodes = self.peers.iter().filter(|(_, peer)| silent(peer));
-        nodes
-            .map(|(node, _)| Action::Replace(node.clone()))
-            .collect()
+        let nodes: Vec<NodeId> = nodes.map(|(node, _)| node.clone()).collect();
+        for node in &nodes {
+            self.disconnect(node);
+        }
+        nodes.into_iter().map(Action::Replace).collect()
     }
 }
 
