--- a/crates/limits/src/slot/book.rs
+++ b/crates/limits/src/slot/book.rs
@@ -13,8 +13,8 @@
     pub(super) fence: Revision,
     /// When that revision was seen to be accepted.
     settled: Option<Instant>,
-    /// Owners that may have work in flight under an earlier home.
-    unheard: Set<Owner>,
+    /// Owners that may have grants of an earlier home, or work in flight under them.
+    unconfirmed: Set<Owner>,
     holders: Map<Owner, Holding>,
     /// Whether the load found at the change of home has been taken over.
     carried: bool,
@@ -27,7 +27,7 @@
             server,
             fence,
             settled: None,
-            unheard: owners,
+            unconfirmed: owners,
             holders: Map::default(),
             carried: false,
         }
@@ -39,8 +39,9 @@
 
     /// Whether every grant of an earlier home has ended.
     pub(super) fn ready(&self, now: Instant, settings: &Settings) -> bool {
-        self.settled
-            .is_some_and(|settled| now >= settled + settings.handover())
+        self.settled.is_some_and(|settled| {
+            self.unconfirmed.is_empty() || now >= settled + settings.handover()
+        })
     }
 
     /// Whether work may be in flight that nobody has reported.
@@ -48,7 +49,7 @@
         let bound = settings.handover() + settings.silent;
         let warming = self.server.cold_slots < self.server.slots;
         warming
-            && !self.unheard.is_empty()
+            && !self.unconfirmed.is_empty()
             && self.settled.is_none_or(|settled| now < settled + bound)
     }
 
@@ -56,13 +57,13 @@
     pub(super) fn observe(&mut self, now: Instant, running: u32, settings: &Settings) {
         let known: u32 = self.charges(now, settings).map(|(_, charge)| charge).sum();
         if running <= known {
-            self.unheard.clear();
+            self.unconfirmed.clear();
         }
     }
 
     /// Owners whose work in flight isn't known yet.
-    pub(super) fn unheard(&self) -> usize {
-        self.unheard.len()
+    pub(super) fn unconfirmed(&self) -> usize {
+        self.unconfirmed.len()
     }
 
     /// Answers a request and remembers the answer.
@@ -144,13 +145,15 @@
         settings: &Settings,
     ) -> bool {
         self.forget(now, settings);
-        self.unheard.remove(owner);
         let holding = self
             .holders
             .entry(owner.clone())
             .or_insert_with(|| Holding::new(now));
         let chilled = request.chills > 0 && request.chills != holding.report().chills;
         holding.hear(now, request);
+        if holding.confirmed() {
+            self.unconfirmed.remove(owner);
+        }
         let completed = holding.completions();
         self.ramp.complete(&self.server, completed);
         if !self.carried && self.ready(now, settings) {
--- a/crates/limits/src/slot/holding.rs
+++ b/crates/limits/src/slot/holding.rs
@@ -13,6 +13,8 @@
     /// Granted slots by sequence, from the newest confirmed one on.
     grants: VecDeque<(u64, u32)>,
     report: Request,
+    /// Sequence of the first request that this home heard.
+    first: u64,
     /// When the newest request arrived. Its grant can't last longer than the TTL from here.
     heard: Instant,
     /// Since when demand isn't met.
@@ -27,6 +29,7 @@
         Self {
             grants: VecDeque::new(),
             report: Request::default(),
+            first: u64::MAX,
             heard: now,
             waiting: None,
             base: None,
@@ -57,6 +60,7 @@
     pub(super) fn hear(&mut self, now: Instant, request: &Request) {
         self.heard = now;
         self.report = request.clone();
+        self.first = self.first.min(request.sequence);
         while self
             .grants
             .front()
@@ -66,6 +70,12 @@
         }
     }
 
+    /// Whether the holder uses a grant of this home, so that none of an earlier home stands and
+    /// its report names all that it has in flight.
+    pub(super) fn confirmed(&self) -> bool {
+        self.report.using >= self.first
+    }
+
     /// Remembers a grant until the holder confirms a newer one.
     pub(super) fn grant(&mut self, grant: &Grant) {
         self.grants.push_back((grant.sequence, grant.slots));
--- a/crates/limits/src/slot/home.rs
+++ b/crates/limits/src/slot/home.rs
@@ -6,9 +6,10 @@
 
 /// The backend servers whose home this node is.
 ///
-/// A new home grants nothing until every grant of an earlier home has ended, and nothing at a
-/// server in cold start until every earlier holder has reported, the server itself has shown
-/// that nothing else runs there, or the longest request has ended.
+/// A new home grants nothing until every owner that may hold a grant of an earlier home has
+/// confirmed one of this home, or all such grants have ended. At a server with a cold start it
+/// then waits until the server itself has shown that nothing unreported runs there, or the
+/// longest request has ended.
 ///
 /// ```
 /// use limits::slot::{Home, Request, Server, Settings};
@@ -135,7 +136,7 @@
     pub fn uncertain(&self) -> impl Iterator<Item = &BackendId> {
         self.books
             .iter()
-            .filter(|(_, book)| book.unheard() > 0)
+            .filter(|(_, book)| book.unconfirmed() > 0)
             .map(|(backend, _)| backend)
     }
 
--- a/specs/config.pml
+++ b/specs/config.pml
@@ -28,7 +28,6 @@
 byte head;                      /* newest revision on the platform */
 byte kind[REVISIONS + 1];       /* what a revision changes */
 byte subject[REVISIONS + 1];    /* the member that it removes or admits */
-byte acked[REVISIONS + 1];      /* set of members that have acknowledged */
 bool accepted[REVISIONS + 1];
 byte accepted_age[REVISIONS + 1];
 
@@ -172,34 +171,30 @@
 	touch_age[n * NODES + m] = 0
 }
 
-/* sync::Accepted: counts acknowledgements of the members before the revision. A first
- * incarnation that the list of VMs no longer has counts as having acknowledged. */
-inline acknowledge(n, v) {
-	is_member(n, v - 1);
-	if
-	:: v <= head && member && applied[n] >= v -> acked[v] = acked[v] | (1 << n)
-	:: v <= head && !member && restarted[n] -> acked[v] = acked[v] | (1 << n)
-	:: else
-	fi;
-	member = false;
-	count = 0; j = 0;
+/* sync::Accepted: a majority of the members before the revision have acknowledged it. A first
+ * incarnation that is replaced counts as having acknowledged, by the list of VMs; any other never
+ * has less than it once acknowledged, so that no set of acknowledgements has to be kept. */
+inline accept(v) {
+	count = 0; i = 0;
 	do
-	:: j < NODES ->
+	:: i < NODES ->
+		is_member(i, v - 1);
 		if
-		:: acked[v] & (1 << j) -> count++
+		:: member && applied[i] >= v -> count++
+		:: !member && restarted[i] -> count++
 		:: else
 		fi;
-		j++
+		i++
 	:: else -> break
 	od;
-	j = 0;
+	i = 0; member = false;
 #ifdef LAPSE_SHRINKS
 	members_at(v);
 #else
 	members_at(v - 1);
 #endif
 #ifdef NO_ACK_MAJORITY
-	ok = (v <= head);
+	ok = true;
 #else
 	ok = (2 * count > size);
 #endif
@@ -207,10 +202,7 @@
 	:: ok && v > 1 && kind[v - 1] != PLAIN -> ok = accepted[v - 1]
 	:: else
 	fi;
-	if
-	:: ok -> accepted[v] = true
-	:: else
-	fi;
+	accepted[v] = ok;
 	ok = false; count = 0; size = 0
 }
 
@@ -268,9 +260,9 @@
 #define PROPOSE(k, n)	:: d_step { head < REVISIONS -> propose(k, n) }
 #define READ(n)		:: d_step { (proof_age[n] > 0 || applied[n] < head) -> read_head(n); check(n) }
 #define HEAR(n, m)	:: d_step { (touch_age[n * NODES + m] > 0 || applied[n] < applied[m] || proof_age[m] < proof_age[n]) -> hear(n, m); check(n) }
-#define ACKNOWLEDGE(n, v) :: d_step { (v <= head && !(acked[v] & (1 << n))) -> acknowledge(n, v); check_all() }
+#define ACCEPT(v)	:: d_step { (v <= head && !accepted[v]) -> accept(v); check_all() }
 #define RESTART(n)	:: d_step { !restarted[n] -> restart(n) }
-#define NODE(n)		READ(n) ACKNOWLEDGE(n, 1) ACKNOWLEDGE(n, 2) RESTART(n)
+#define NODE(n)		READ(n) RESTART(n)
 
 /* Nodes are alike, so that the first change of members may concern the last node. */
 #define FIRST		(head == 0 || kind[1] == PLAIN)
@@ -283,6 +275,8 @@
 	PROPOSE(ADMIT, 2)
 	:: d_step { head < REVISIONS && !FIRST -> propose(REMOVE, 1) }
 	:: d_step { head < REVISIONS && !FIRST -> propose(ADMIT, 1) }
+	ACCEPT(1)
+	ACCEPT(2)
 	NODE(0)
 	NODE(1)
 	NODE(2)
