--- a/crates/limits/src/slot/lane.rs
+++ b/crates/limits/src/slot/lane.rs
@@ -131,6 +131,8 @@
         };
         if grant.fence > 0 && self.unheard.is_some_and(|first| grant.sequence >= first) {
             self.unheard = None;
+            // One more request confirms the grant.
+            self.hasten(sent + settings.retry);
         }
         let reduced = grant.slots < self.slots;
         self.using = grant.sequence;
