--- a/crates/standin/examples/measure/policy/world.rs
+++ b/crates/standin/examples/measure/policy/world.rs
@@ -36,6 +36,9 @@
 /// Latest time of a rating that nobody waits for.
 const LATE_RATING: Duration = Duration::from_secs(5);
 
+/// Time after the last request at which a run ends.
+const PATIENCE: Duration = Duration::from_secs(120);
+
 /// Share of the ratings that are lost.
 const LOST_RATINGS: f64 = 0.05;
 
@@ -76,6 +79,7 @@
     begun: Duration,
     cost: u64,
     good: bool,
+    delivered: bool,
 }
 
 /// The run of one strategy.
@@ -153,13 +157,27 @@
             self.now = at;
             self.handle(event);
             let ended = self.tally.records.len() == self.requests.len();
-            if ended {
+            if ended || at > length + PATIENCE {
                 break;
             }
         }
+        self.abandon();
         self.tally
     }
 
+    /// Records the requests that still wait.
+    fn abandon(&mut self) {
+        let waiting: Vec<_> = self
+            .flights
+            .iter()
+            .filter(|(_, flight)| !flight.delivered)
+            .map(|(index, flight)| (*index, flight.cost))
+            .collect();
+        for (index, cost) in waiting {
+            self.record(index, cost, Outcome::Unfinished);
+        }
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(index) => self.arrive(index),
@@ -243,6 +261,7 @@
             begun: self.now,
             cost: 0,
             good: false,
+            delivered: false,
         };
         self.flights.insert(index, flight);
         self.enter(index);
@@ -475,7 +494,9 @@
     }
 
     fn deliver(&mut self, index: usize) {
-        let flight = self.flights[&index];
+        let flight = self.flights.get_mut(&index).expect("a request under way");
+        flight.delivered = true;
+        let flight = *flight;
         let request = &self.requests[index];
         let task = &self.site.tasks[request.task];
         let took = self.now - request.at;
