--- a/crates/settings/src/spec.rs
+++ b/crates/settings/src/spec.rs
@@ -106,9 +106,4 @@
     pub(crate) fn repeated(&self) -> bool {
         matches!(self.kind, Kind::Addresses | Kind::Keys)
     }
-
-    /// Whether the value is a key.
-    pub(crate) fn secret(&self) -> bool {
-        self.kind == Kind::Keys
-    }
 }
--- a/crates/settings/tests/node.rs
+++ b/crates/settings/tests/node.rs
@@ -105,7 +105,9 @@
 
 /// What is said of a wrong `--store-url`.
 fn store_url(url: &str) -> String {
-    let Err(Error::Invalid(problems)) = parse(&["--store-url", url], |_| None) else {
+    let Err(Error::Invalid(problems)) = parse(&[], |name| {
+        (name == "SARDINEBANK_STORE_URL").then(|| url.to_owned())
+    }) else {
         panic!("accepted");
     };
     let problem = problems.iter().find(|one| one.flag == "store-url");
