--- a/crates/limits/src/slot/book.rs
+++ b/crates/limits/src/slot/book.rs
@@ -13,8 +13,8 @@
     pub(super) fence: Revision,
     /// When that revision was seen to be accepted.
     settled: Option<Instant>,
-    /// Owners that may have work in flight under an earlier home.
-    unheard: Set<Owner>,
+    /// Owners that may have grants of an earlier home, or work in flight under them.
+    unconfirmed: Set<Owner>,
     holders: Map<Owner, Holding>,
     /// Whether the load found at the change of home has been taken over.
     carried: bool,
@@ -29,7 +29,7 @@
             server,
             fence,
             settled: None,
-            unheard: owners,
+            unconfirmed: owners,
             holders: Map::default(),
             carried: false,
             handed: false,
@@ -65,7 +65,7 @@
         }
         self.handed = true;
         self.carried = true;
-        self.unheard.clear();
+        self.unconfirmed.clear();
         self.ramp = handover.ramp;
         self.ramp.adjust(&self.server);
         for Charge {
@@ -91,7 +91,8 @@
     /// Whether every grant of an earlier home has ended.
     pub(super) fn ready(&self, now: Instant, settings: &Settings) -> bool {
         let waited = |settled| now >= settled + settings.handover();
-        self.handed || self.settled.is_some_and(waited)
+        let settled = self.settled;
+        self.handed || settled.is_some_and(|at| self.unconfirmed.is_empty() || waited(at))
     }
 
     /// Whether work may be in flight that nobody has reported.
@@ -99,7 +100,7 @@
         let bound = settings.handover() + settings.silent;
         let warming = self.server.cold_slots < self.server.slots;
         warming
-            && !self.unheard.is_empty()
+            && !self.unconfirmed.is_empty()
             && self.settled.is_none_or(|settled| now < settled + bound)
     }
 
@@ -107,13 +108,13 @@
     pub(super) fn observe(&mut self, now: Instant, running: u32, settings: &Settings) {
         let known: u32 = self.charges(now, settings).map(|(_, charge)| charge).sum();
         if running <= known {
-            self.unheard.clear();
+            self.unconfirmed.clear();
         }
     }
 
     /// Owners whose work in flight isn't known yet.
-    pub(super) fn unheard(&self) -> usize {
-        self.unheard.len()
+    pub(super) fn unconfirmed(&self) -> usize {
+        self.unconfirmed.len()
     }
 
     /// Answers a request and remembers the answer.
@@ -195,13 +196,15 @@
         settings: &Settings,
     ) -> bool {
         self.forget(now, settings);
-        self.unheard.remove(owner);
         let holding = self
             .holders
             .entry(owner.clone())
             .or_insert_with(|| Holding::new(now));
         let chilled = request.chills > 0 && request.chills != holding.report().chills;
         holding.hear(now, request);
+        if holding.confirmed() {
+            self.unconfirmed.remove(owner);
+        }
         let completed = holding.completions();
         self.ramp.complete(&self.server, completed);
         if !self.carried && self.ready(now, settings) {
