Let more ratings of other customers count where a customer agrees with them

Ruled out: only raising the limit to 150: the test many_ratings_of_others_dont_drown_ones_own failed, rightly: 40 bad ratings of one's own left the estimate above 0.55. Change: the limit is 150, divided by the square of the distance in standard errors between the customer's own share and the others'.

--- a/crates/policy/src/quality/settings.rs
+++ b/crates/policy/src/quality/settings.rs
@@ -20,7 +20,7 @@
         Self {
             half_life: Duration::from_secs(600),
             prior: 8.0,
-            shared: 40.0,
+            shared: 150.0,
             deviations: 1.0,
         }
     }
--- a/crates/policy/src/quality/table.rs
+++ b/crates/policy/src/quality/table.rs
@@ -129,7 +129,7 @@
     }
 
     /// Quality of a version for a customer: the prior, other customers' ratings with a capped weight,
-    /// and the customer's own.
+    /// and the customer's own. The weight shrinks as the customer's own ratings disagree.
     ///
     /// ```
     /// use policy::quality::{Subject, Table};
@@ -152,7 +152,8 @@
             .map(|entry| entry.total.read(now, settings.half_life))
             .unwrap_or_default();
         let others = (pool.all.read(now, settings.half_life) - own).clamped();
-        let weight = (settings.shared / others.total()).min(1.0);
+        let shared = settings.shared / disagreement(own, others, settings.prior);
+        let weight = (shared / others.total()).min(1.0);
         let counts = prior + own + others.scaled(weight);
         Estimate::beta(counts, settings.deviations)
     }
@@ -225,3 +226,18 @@
         })
     }
 }
+
+/// How far a customer's ratings are from the others': 1 up to one standard error, then its square.
+/// The customer's share is drawn towards the others' by a few ratings, as one rating proves little.
+fn disagreement(own: Counts, others: Counts, smoothing: f64) -> f64 {
+    let total = others.total();
+    if total <= 0.0 || own.total() <= 0.0 {
+        return 1.0;
+    }
+    // One rating more of either kind, so that a share of exactly 0 or 1 has a variance too.
+    let share = (others.good + 1.0) / (total + 2.0);
+    let weight = own.total() + smoothing;
+    let mine = (own.good + share * smoothing) / weight;
+    let variance = share * (1.0 - share) / weight;
+    ((mine - share).powi(2) / variance).max(1.0)
+}
