Leave failing backend servers alone, and let suspects wait to run alone

Cause: a backend server that fails each request was tried again by each new one, at the cost of the retry budget; and after one crash under a request, all others in flight there were suspects that could run only at a server without any request of this node, and under load were refused. Ruled out: dropping the rule that a suspect runs alone, since the second death takes what else is in flight there along.

--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -1,7 +1,7 @@
 //! What a node holds while it runs.
 
 use crate::Error;
-use crate::app::{Gate, Keys, Parts, Stay};
+use crate::app::{Gate, Keys, Parts, Quarantine, Stay};
 use crate::bill::Bills;
 use crate::decide::{Decide, Funds};
 use crate::dispatch::Signer;
@@ -44,6 +44,8 @@
     pub session_keys: Ring,
     /// Keys shared by nodes.
     pub link_keys: Ring,
+    /// Backend servers that have failed here.
+    pub quarantine: Quarantine,
     /// Session tokens.
     pub signer: Signer,
     /// The configuration and the members.
@@ -83,6 +85,7 @@
             hub: parts.hub,
             decide: parts.decide,
             funds: parts.funds,
+            quarantine: Quarantine::default(),
             fleet: Fleet::default(),
             pool: Pool::new(limits),
             slots: parts.slots,
--- /dev/null
+++ b/crates/node/src/app/quarantine.rs
@@ -0,0 +1,64 @@
+//! Backend servers that fail at this node are left alone for a while.
+
+use contract::{BackendId, Map};
+use limits::quarantine::{Breaker, Settings};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+/// Circuit breakers of the backend servers that have failed. One lock, held for single steps.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    breakers: Mutex<Map<BackendId, Breaker>>,
+}
+
+impl Quarantine {
+    /// Whether a request could go to a backend server now.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// let quarantine = node::app::Quarantine::default();
+    /// (0..3).for_each(|_| quarantine.fail(Instant::now(), "127.0.0.1:1"));
+    /// assert!(!quarantine.open(Instant::now(), "127.0.0.1:1"));
+    /// quarantine.succeed("127.0.0.1:1");
+    /// assert!(quarantine.open(Instant::now(), "127.0.0.1:1"));
+    /// ```
+    pub fn open(&self, now: Instant, backend: &str) -> bool {
+        let breakers = self.lock();
+        breakers
+            .get(backend)
+            .is_none_or(|breaker| breaker.open(now))
+    }
+
+    /// Asks for one request to go; in quarantine only a probe may.
+    pub fn begin(&self, now: Instant, backend: &str) -> bool {
+        let mut breakers = self.lock();
+        breakers
+            .get_mut(backend)
+            .is_none_or(|breaker| breaker.begin(now))
+    }
+
+    /// A request succeeded: the quarantine ends.
+    pub fn succeed(&self, backend: &str) {
+        self.lock().remove(backend);
+    }
+
+    /// A request failed by the backend server's fault.
+    pub fn fail(&self, now: Instant, backend: &str) {
+        let mut breakers = self.lock();
+        let breaker = breakers
+            .entry(backend.to_owned())
+            .or_insert_with(|| Breaker::new(Settings::default()));
+        breaker.fail(now, &mut rand::rng());
+    }
+
+    /// Backend servers that are left alone now.
+    pub fn closed(&self, now: Instant) -> Vec<BackendId> {
+        let breakers = self.lock();
+        let closed = breakers.iter().filter(|(_, breaker)| !breaker.open(now));
+        closed.map(|(backend, _)| backend.clone()).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Map<BackendId, Breaker>> {
+        self.breakers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/node/src/dispatch/leg.rs
+++ b/crates/node/src/dispatch/leg.rs
@@ -172,10 +172,10 @@
             tried,
             capacity: self.candidate.spec.slots,
             deadline: self.job.deadline(),
+            suspect: app.verdict(&self.job.fingerprint) == Verdict::Alone,
         };
-        let alone = app.verdict(&self.job.fingerprint) == Verdict::Alone;
-        let hold = need.hold(|spare| self.choose(&need, alone, spare)).await?;
-        Ok(Place::new(hold, Some(pass)))
+        let hold = need.hold(|spare, alone| self.choose(&need, spare, alone));
+        Ok(Place::new(app, hold.await?, Some(pass)))
     }
 
     fn entry<'b>(&'b self, served: &'b str, tried: &[BackendId]) -> Entry<'b> {
@@ -201,13 +201,13 @@
         }
     }
 
-    /// Chooses a backend server. A suspect of crashes runs alone, and never on the last one.
-    fn choose(&self, need: &Need<'_>, alone: bool, spare: u32) -> Option<BackendId> {
+    /// Chooses a backend server; never the last one for a suspect of crashes.
+    fn choose(&self, need: &Need<'_>, spare: u32, alone: bool) -> Option<BackendId> {
         let app = &self.job.app;
         let Candidate { model, version, .. } = self.candidate;
         let servers = app.fleet.servers();
         let runs = servers.iter().filter(|one| one.runs(model, version));
-        if alone && runs.count() < 2 {
+        if need.suspect && runs.count() < 2 {
             return None;
         }
         let query = place::Query {
--- a/crates/node/src/dispatch/place.rs
+++ b/crates/node/src/dispatch/place.rs
@@ -10,6 +10,7 @@
 use policy::place::Load;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::time::sleep;
 
 /// Longest wait for a slot at one backend server before another is looked for.
 const SLOT_STEP: Duration = Duration::from_millis(50);
@@ -17,6 +18,9 @@
 /// Longest wait for a slot at any backend server.
 const SLOT_WAIT: Duration = Duration::from_secs(3);
 
+/// Longest wait of a suspect of crashes for a backend server that runs nothing else.
+const ALONE_WAIT: Duration = Duration::from_secs(1);
+
 /// A search for a slot.
 pub(super) struct Need<'a> {
     pub(super) app: &'a Arc<App>,
@@ -28,10 +32,13 @@
     pub(super) capacity: u32,
     /// When the request is no longer of use.
     pub(super) deadline: Instant,
+    /// Whether the request is suspected of crashing backend servers: it runs alone if it can.
+    pub(super) suspect: bool,
 }
 
 /// A slot in use; it is given back when dropped.
 pub(super) struct Place {
+    app: Arc<App>,
     pub(super) backend: BackendId,
     hold: Hold,
     taken: Instant,
@@ -41,30 +48,41 @@
 
 impl Need<'_> {
     /// Occupies a slot at the backend server that `choose` names, given the slots of each that its
-    /// home may still grant.
+    /// home may still grant, and whether the request has to run alone.
     pub(super) async fn hold(
         &self,
-        choose: impl Fn(u32) -> Option<BackendId>,
+        choose: impl Fn(u32, bool) -> Option<BackendId>,
     ) -> Result<Hold, Error> {
-        let none = || Error::Capacity(self.what.to_owned());
-        let end = self.deadline.min(Instant::now() + SLOT_WAIT);
+        let started = Instant::now();
+        let end = self.deadline.min(started + SLOT_WAIT);
         loop {
-            if let Some(free) = choose(0) {
+            let now = Instant::now();
+            let alone = self.suspect && now < started + ALONE_WAIT;
+            if let Some(free) = choose(0, alone) {
                 if let Ok(hold) = self.app.slots.acquire(&free) {
                     return Ok(hold);
                 }
             }
-            let next = choose(1).ok_or_else(none)?;
-            let wait = SLOT_STEP.min(end.saturating_duration_since(Instant::now()));
-            if let Ok(hold) = self.app.slots.acquire_within(&next, wait).await {
-                return Ok(hold);
+            let wait = SLOT_STEP.min(end.saturating_duration_since(now));
+            match choose(1, alone) {
+                Some(next) => {
+                    if let Ok(hold) = self.app.slots.acquire_within(&next, wait).await {
+                        return Ok(hold);
+                    }
+                }
+                None if alone => sleep(wait).await,
+                None => return Err(self.none()),
             }
             if Instant::now() >= end {
-                return Err(none());
+                return Err(self.none());
             }
         }
     }
 
+    fn none(&self) -> Error {
+        Error::Capacity(self.what.to_owned())
+    }
+
     /// Load of a backend server that may receive new work and has a free slot, counting `spare`
     /// slots that its home may still grant.
     pub(super) fn load(&self, server: &Server, spare: u32) -> Option<Load> {
@@ -72,6 +90,9 @@
         if self.tried.contains(&server.id) || !app.open(&app.config(), server) {
             return None;
         }
+        if !app.quarantine.open(Instant::now(), &server.id) {
+            return None;
+        }
         let free = app.slots.free(&server.id) + spare;
         (free > 0).then(|| Load {
             free,
@@ -83,8 +104,9 @@
 }
 
 impl Place {
-    pub(super) fn new(hold: Hold, pass: Option<Pass>) -> Self {
+    pub(super) fn new(app: &Arc<App>, hold: Hold, pass: Option<Pass>) -> Self {
         Self {
+            app: Arc::clone(app),
             backend: hold.backend().clone(),
             hold,
             taken: Instant::now(),
@@ -96,9 +118,12 @@
     /// Checks, last thing before bytes leave, that the slot may still be used; gives the fencing
     /// number.
     pub(super) fn check(&self, now: Instant) -> Result<Revision, Error> {
-        self.hold
-            .check(now)
-            .map_err(|_| Error::Capacity(self.backend.clone()))
+        let none = || Error::Capacity(self.backend.clone());
+        let fence = self.hold.check(now).map_err(|_| none())?;
+        if !self.app.quarantine.begin(now, &self.backend) {
+            return Err(none());
+        }
+        Ok(fence)
     }
 
     /// Notes that the answer has begun.
@@ -108,13 +133,18 @@
 
     /// Gives the place back after a whole answer.
     pub(super) fn complete(self) {
+        self.app.quarantine.succeed(&self.backend);
         let first_byte = self.first_byte.unwrap_or_else(|| self.taken.elapsed());
         self.hold.end(&Outcome::Completed { first_byte });
     }
 
     /// Gives the place back after a failure.
     pub(super) fn fail(self, error: &backend::Error) {
-        self.hold.end(&outcome(error));
+        let outcome = outcome(error);
+        if !matches!(outcome, Outcome::Cancelled | Outcome::Refused) {
+            self.app.quarantine.fail(Instant::now(), &self.backend);
+        }
+        self.hold.end(&outcome);
     }
 }
 
--- a/crates/node/src/dispatch/service.rs
+++ b/crates/node/src/dispatch/service.rs
@@ -161,9 +161,10 @@
             tried,
             capacity: self.slots,
             deadline: self.deadline,
+            suspect: false,
         };
-        let hold = need.hold(|spare| self.choose(&need, spare)).await?;
-        Ok(Place::new(hold, None))
+        let hold = need.hold(|spare, _| self.choose(&need, spare)).await?;
+        Ok(Place::new(self.app, hold, None))
     }
 
     fn choose(&self, need: &Need<'_>, spare: u32) -> Option<BackendId> {
