--- a/crates/settings/src/generated.rs
+++ b/crates/settings/src/generated.rs
@@ -74,8 +74,6 @@
     pub body_limit_bytes: u64,
     /// Requests that this node runs at once.
     pub max_streams: usize,
-    /// Connections of callers that this node holds at once.
-    pub max_connections: usize,
     /// Worker threads.
     pub workers: usize,
     /// How versions and backend servers are chosen; all but planned are baselines for measurements.
@@ -123,7 +121,6 @@
             drain: Duration::from_millis(30000),
             body_limit_bytes: 2097152,
             max_streams: 4096,
-            max_connections: 8192,
             workers: 4,
             policy: "planned".to_owned(),
             log: "info".to_owned(),
@@ -169,7 +166,6 @@
             "drain-ms" => &mut self.drain,
             "body-limit-bytes" => &mut self.body_limit_bytes,
             "max-streams" => &mut self.max_streams,
-            "max-connections" => &mut self.max_connections,
             "workers" => &mut self.workers,
             "policy" => &mut self.policy,
             "log" => &mut self.log,
@@ -534,17 +530,6 @@
         maximum: 1000000,
         help: "Requests that this node runs at once",
     },
-    Spec {
-        flag: "max-connections",
-        env: "SARDINEBANK_MAX_CONNECTIONS",
-        kind: Kind::Count,
-        default: "8192",
-        choices: &[],
-        required: false,
-        minimum: 1,
-        maximum: 1000000,
-        help: "Connections of callers that this node holds at once",
-    },
     Spec {
         flag: "workers",
         env: "SARDINEBANK_WORKERS",
