--- a/crates/limits/tests/slots.rs
+++ b/crates/limits/tests/slots.rs
@@ -166,6 +166,21 @@
         assert_eq!(bench.renew(1, 0), 0, "the first holder confirms");
         assert_eq!(bench.renew(1, 1), 1);
     };
+    confirmations_of_all_owners_end_the_wait => |mut bench| {
+        bench.renew(0, 0);
+        bench.settle(1, 2);
+        assert_eq!([bench.renew(1, 0), bench.renew(1, 1), bench.renew(1, 0)], [0, 0, 0]);
+        assert_eq!(bench.renew(1, 1), 0, "the first holder has waited longer");
+        assert_eq!(bench.renew(1, 0), 1);
+    };
+    unseen_owners_are_waited_out => |mut bench| {
+        bench.settle(1, 2);
+        bench.homes[1].gap(SERVER);
+        let rounds: Vec<_> = (0..6).map(|round| bench.renew(1, round % 2)).collect();
+        assert_eq!(rounds, [0; 6]);
+        bench.now += bench.settings.handover();
+        assert_eq!(bench.renew(1, 0) + bench.renew(1, 1) + bench.renew(1, 0), 1);
+    };
     a_home_that_handed_over_grants_nothing => |mut bench| {
         bench.renew(0, 0);
         bench.homes[0].hand_over(bench.now, SERVER, 2).unwrap();
