--- a/crates/node/src/slot/core.rs
+++ b/crates/node/src/slot/core.rs
@@ -91,6 +91,9 @@
                 let fence = self.membership.revision;
                 self.home
                     .assign(&server.id, carry, fence, owners.iter().cloned());
+                if seen == Seen::Many {
+                    self.home.gap(&server.id);
+                }
             } else {
                 self.cede(now, &server.id, &home.node);
             }
