Find backend servers by index, and keep the list while it says the same

Cause: each request walked the whole list of VMs several times (the queue's capacity, readiness of each version, each server looked at), and each poll of the list rebuilt pools and homes although nothing had changed. Change: fleet::Listing indexes by address and served version; a list that says the same is not put in force again. Conclusion: the cost of a request no longer grows with the whole fleet, only with its pool.

--- a/crates/node/src/dispatch/job.rs
+++ b/crates/node/src/dispatch/job.rs
@@ -88,15 +88,15 @@
     pub(super) fn plan(&self) -> Result<Picked, Error> {
         let app = &self.app;
         let config = app.config();
-        let servers = app.fleet.servers();
+        let listing = app.fleet.listing();
         let offered: Vec<_> = self
             .choice
             .candidates
             .iter()
             .map(|one| {
-                let ready = servers.iter().any(|server| {
-                    server.runs(&one.model, &one.version) && app.open(&config, server)
-                });
+                let ready = listing
+                    .running(&one.served())
+                    .any(|server| app.open(&config, server));
                 ((one.model.as_str(), &one.spec), ready)
             })
             .collect();
--- a/crates/node/src/dispatch/leg.rs
+++ b/crates/node/src/dispatch/leg.rs
@@ -180,13 +180,11 @@
 
     fn entry<'b>(&'b self, served: &'b str, tried: &[BackendId]) -> Entry<'b> {
         let app = &self.job.app;
-        let Candidate { model, version, .. } = self.candidate;
         let config = app.config();
-        let servers = app.fleet.servers();
-        let capacity = servers
-            .iter()
-            .filter(|one| one.runs(model, version) && app.open(&config, one))
-            .filter(|one| !tried.contains(&one.id))
+        let listing = app.fleet.listing();
+        let capacity = listing
+            .running(served)
+            .filter(|one| app.open(&config, one) && !tried.contains(&one.id))
             .map(|one| app.slots.held(&one.id) + app.slots.free(&one.id) + SPARE_SLOTS)
             .sum();
         let expected = app.decide.durations(self.subject());
@@ -205,9 +203,8 @@
     fn choose(&self, need: &Need<'_>, spare: u32, alone: bool) -> Option<BackendId> {
         let app = &self.job.app;
         let Candidate { model, version, .. } = self.candidate;
-        let servers = app.fleet.servers();
-        let runs = servers.iter().filter(|one| one.runs(model, version));
-        if need.suspect && runs.count() < 2 {
+        let listing = app.fleet.listing();
+        if need.suspect && listing.running(need.what).count() < 2 {
             return None;
         }
         let query = place::Query {
@@ -216,11 +213,12 @@
             preferred: None,
             avoid: need.tried.last().map(String::as_str),
         };
-        app.decide.place(&servers, (model, version), &query, |id| {
-            let server = servers.iter().find(|one| one.id == id)?;
-            let load = need.load(server, spare)?;
-            (!alone || app.slots.held(id) == 0).then_some(load)
-        })
+        app.decide
+            .place(&listing.servers, (model, version), &query, |id| {
+                let server = listing.get(id)?;
+                let load = need.load(server, spare)?;
+                (!alone || app.slots.held(id) == 0).then_some(load)
+            })
     }
 
     async fn attempt(&self, mut place: Place) -> Result<Open, Error> {
--- a/crates/node/src/dispatch/service.rs
+++ b/crates/node/src/dispatch/service.rs
@@ -168,7 +168,7 @@
     }
 
     fn choose(&self, need: &Need<'_>, spare: u32) -> Option<BackendId> {
-        let servers = self.app.fleet.servers();
+        let listing = self.app.fleet.listing();
         let query = Query {
             key: None,
             zone: &self.app.settings.zone,
@@ -176,10 +176,12 @@
             avoid: need.tried.last().map(String::as_str),
         };
         let service = &self.request.service;
-        self.app.decide.place_call(&servers, service, &query, |id| {
-            let server = servers.iter().find(|one| one.id == id)?;
-            need.load(server, spare)
-        })
+        self.app
+            .decide
+            .place_call(&listing.servers, service, &query, |id| {
+                let server = listing.get(id)?;
+                need.load(server, spare)
+            })
     }
 }
 
--- a/crates/node/src/fleet/fleet.rs
+++ b/crates/node/src/fleet/fleet.rs
@@ -1,6 +1,6 @@
 //! The list of backend servers, read from the platform again and again.
 
-use crate::fleet::{Kind, Server};
+use crate::fleet::{Kind, Listing, Server};
 use platform::vms::{self, State, Vm};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
@@ -9,7 +9,7 @@
 /// Backend servers as last listed. A list that can't be read leaves the one before it in force.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    servers: RwLock<Arc<Vec<Server>>>,
+    listing: RwLock<Arc<Listing>>,
     listed: AtomicBool,
 }
 
@@ -20,8 +20,13 @@
     /// assert!(node::fleet::Fleet::default().servers().is_empty());
     /// ```
     pub fn servers(&self) -> Arc<Vec<Server>> {
-        let servers = self.servers.read().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(&servers)
+        Arc::clone(&self.listing().servers)
+    }
+
+    /// The list as last read.
+    pub fn listing(&self) -> Arc<Listing> {
+        let listing = self.listing.read().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&listing)
     }
 
     /// Whether a list was ever read.
@@ -29,10 +34,12 @@
         self.listed.load(Ordering::Acquire)
     }
 
-    /// Puts a new list in force.
+    /// Puts a new list in force. One that says the same leaves all that was built on the old one.
     pub fn replace(&self, servers: Vec<Server>) {
-        let mut current = self.servers.write().unwrap_or_else(PoisonError::into_inner);
-        *current = Arc::new(servers);
+        if *self.listing().servers != servers {
+            let fresh = Arc::new(Listing::new(servers));
+            *self.listing.write().unwrap_or_else(PoisonError::into_inner) = fresh;
+        }
         self.listed.store(true, Ordering::Release);
     }
 
