--- a/crates/standin/examples/demo/site.rs
+++ b/crates/standin/examples/demo/site.rs
@@ -132,6 +132,8 @@
         site.apply_samples().await?;
         site.wait_for("sample contracts at the nodes", |site| site.knows_callers())
             .await?;
+        site.wait_for("capacity of backend servers", |site| site.has_capacity())
+            .await?;
         Ok(site)
     }
 
@@ -274,6 +276,23 @@
         true
     }
 
+    /// Whether every node can send work: new homes of backend servers first wait out old grants.
+    async fn has_capacity(&self) -> bool {
+        for entry in &self.entries {
+            let url = format!("{entry}/v1/services/reservations/bookings/0");
+            let call = self
+                .client
+                .get(url)
+                .bearer_auth(CALLER_KEYS[0].1)
+                .send()
+                .await;
+            if !call.is_ok_and(|response| response.status().as_u16() < 500) {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Whether every node knows the customers of the samples.
     async fn knows_callers(&self) -> bool {
         for entry in &self.entries {
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -108,7 +108,13 @@
     };
     let job = match shared.admit(&call, &headers).await {
         Ok(job) => job,
-        Err(refusal) => return refuse(refusal),
+        Err(refusal) => {
+            if refusal == Refusal::Fallen {
+                // A process that died answers nothing: the proxy cuts the connection meanwhile.
+                tokio::time::sleep(shared.settings.recovery).await;
+            }
+            return refuse(refusal);
+        }
     };
     let id = format!("chatcmpl-{}", headers.request_id);
     if call.stream {
--- a/crates/standin/src/fleet/config.rs
+++ b/crates/standin/src/fleet/config.rs
@@ -3,6 +3,9 @@
 use contract::{Contract, Key, Model, Object, Route, Service, Task, Version};
 use std::collections::BTreeMap;
 
+/// Completed requests after which engines of tests are warm.
+pub(super) const WARM_AFTER: u32 = 2;
+
 /// Two customers, two models and a reservation service. The bearer key of a customer is its name
 /// followed by `-key`.
 ///
@@ -28,7 +31,7 @@
         output_micros: micros * 3,
         quality: Some(quality),
         slots: 16,
-        warm_after: 4,
+        warm_after: WARM_AFTER,
     });
     Model {
         name: name.to_owned(),
--- a/crates/standin/src/fleet/load.rs
+++ b/crates/standin/src/fleet/load.rs
@@ -194,7 +194,7 @@
 
     fn subject(&mut self, kind: &str) -> String {
         self.sent += 1;
-        format!("{kind} {}-{}", self.number, self.sent)
+        format!("{kind}-{}-{}", self.number, self.sent)
     }
 
     fn draw(&mut self, names: &[String]) -> String {
--- a/crates/standin/src/fleet/running.rs
+++ b/crates/standin/src/fleet/running.rs
@@ -14,8 +14,8 @@
 
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const READY_PAUSE: Duration = Duration::from_millis(50);
-/// Time in which nodes read the list of VMs at least once.
-const LIST_PAUSE: Duration = Duration::from_millis(600);
+/// Time in which nodes read the list of VMs, and homes of backend servers wait out older grants.
+const LIST_PAUSE: Duration = Duration::from_millis(2_000);
 const SETTLE_PAUSE: Duration = Duration::from_millis(300);
 const SETTLE_ROUNDS: usize = 20;
 const STOP_LIMIT: Duration = Duration::from_secs(40);
--- a/crates/standin/src/fleet/settings.rs
+++ b/crates/standin/src/fleet/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a fleet.
 
+use super::config::WARM_AFTER;
 use crate::engine;
 use crate::launch::EngineSpec;
 use std::time::Duration;
@@ -68,6 +69,7 @@
             model: model.to_owned(),
             version: version.to_owned(),
             quality,
+            warm_after: WARM_AFTER as usize,
             first_token: Duration::from_millis(first_token_ms),
             inter_token: Duration::from_millis(4),
             ..engine::Settings::default()
--- a/crates/standin/src/scenario/stage.rs
+++ b/crates/standin/src/scenario/stage.rs
@@ -7,6 +7,9 @@
 use crate::serve::unix_ms;
 use std::time::Duration;
 
+/// Time in which backend servers become warm under load, as nodes see them.
+const WARM_UP_MS: u64 = 2_500;
+
 /// A fleet under load.
 #[derive(Debug)]
 pub struct Stage {
@@ -32,12 +35,14 @@
         let fleet = Fleet::start(settings).await?;
         let watch = Watch::start(&fleet);
         let load = fleet.load(mix);
-        Ok(Self {
+        let stage = Self {
             fleet,
             load,
             watch,
             failures: Vec::new(),
-        })
+        };
+        stage.run(WARM_UP_MS).await;
+        Ok(stage)
     }
 
     /// Lets the load run for a while.
