--- a/crates/limits/src/slot/book.rs
+++ b/crates/limits/src/slot/book.rs
@@ -15,6 +15,8 @@
     settled: Option<Instant>,
     /// Owners that may have grants of an earlier home, or work in flight under them.
     unconfirmed: Set<Owner>,
+    /// Whether these are all such owners.
+    complete: bool,
     holders: Map<Owner, Holding>,
     /// Whether the load found at the change of home has been taken over.
     carried: bool,
@@ -30,6 +32,7 @@
             fence,
             settled: None,
             unconfirmed: owners,
+            complete: true,
             holders: Map::default(),
             carried: false,
             handed: false,
@@ -84,6 +87,11 @@
         }
     }
 
+    /// Members may have come and gone unseen: their grants have to be waited out.
+    pub(super) fn gap(&mut self) {
+        self.complete = false;
+    }
+
     pub(super) fn settle(&mut self, now: Instant) {
         self.settled.get_or_insert(now);
     }
@@ -91,8 +99,8 @@
     /// Whether every grant of an earlier home has ended.
     pub(super) fn ready(&self, now: Instant, settings: &Settings) -> bool {
         let waited = |settled| now >= settled + settings.handover();
-        let settled = self.settled;
-        self.handed || settled.is_some_and(|at| self.unconfirmed.is_empty() || waited(at))
+        let confirmed = self.complete && self.unconfirmed.is_empty();
+        self.handed || self.settled.is_some_and(|at| confirmed || waited(at))
     }
 
     /// Whether work may be in flight that nobody has reported.
--- a/crates/node/src/slot/slots.rs
+++ b/crates/node/src/slot/slots.rs
@@ -1,7 +1,7 @@
 //! The node's slots, shared by its requests.
 
 use super::core::{Core, Outgoing};
-use super::{Context, Hold};
+use super::{Context, Hold, probe};
 use contract::{Config, NodeId, Owner};
 use limits::slot::{Outcome, Permit, Refusal, Settings};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -42,6 +42,10 @@
 
     /// Asks homes for slots and follows the configuration for as long as the node runs.
     pub async fn run<C: Context>(&self, context: &C) {
+        tokio::join!(self.ask(context), probe::run(self));
+    }
+
+    async fn ask<C: Context>(&self, context: &C) {
         loop {
             let outgoing = self.step(context);
             send(context, outgoing);
