Stop retrying a request once two backend servers have died of it

The verdict on a suspect was asked when a request arrived, not before its next attempt, so the first sending alone ran on three engines. Ruled out: The spread of suspects between nodes: all 8 later sendings were refused as crashing at every entry. A looser bound in the scenario: the second death refuses the request fleet-wide, so a third is too many. Conclusion: A second leg of a cascade still starts without asking the verdict again.

--- a/crates/node/src/dispatch/leg.rs
+++ b/crates/node/src/dispatch/leg.rs
@@ -124,7 +124,9 @@
     }
 
     fn may_retry(&self, tried: &[BackendId]) -> bool {
-        tried.len() < MAX_ATTEMPTS && self.job.app.decide.may_retry()
+        let app = &self.job.app;
+        let is_refused = matches!(app.verdict(&self.job.fingerprint), Verdict::Refused(_));
+        !is_refused && tried.len() < MAX_ATTEMPTS && app.decide.may_retry()
     }
 
     async fn read(&self, open: Open) -> Result<Collected, Error> {
