--- a/crates/standin/examples/measure/policy/mod.rs
+++ b/crates/standin/examples/measure/policy/mod.rs
@@ -1,10 +1,11 @@
-//! Decisions against baselines, run in one process.
+//! Decisions against baselines, in one process or, with `--nodes`, with real nodes.
 //!
-//! The decision code of the crates `policy` and `limits` answers seeded requests against a small model
+//! In one process the decision code of the crates `policy` and `limits` answers seeded requests against a small model
 //! of arrivals, service times and ratings. There are no nodes, links or sockets in it; only the
-//! decisions are measured.
+//! decisions are measured. Nothing but the baselines is compared with real nodes.
 
 mod line;
+mod nodes;
 mod plot;
 mod report;
 mod request;
@@ -33,6 +34,8 @@
     seconds: u64,
     /// Only the run of this scenario
     scenario: Option<String>,
+    /// Seconds of load for each policy with real nodes, in place of the runs in one process
+    nodes: Option<u64>,
     /// Folder for the plots
     output: Option<PathBuf>,
     /// Print JSON only
@@ -41,6 +44,9 @@
 
 /// Runs the measurement.
 pub async fn run(settings: Settings) -> Result<(), Error> {
+    if let Some(seconds) = settings.nodes {
+        return nodes::run(seconds, settings.seed, settings.json).await;
+    }
     let mut report = Report::default();
     for site in Site::all() {
         let rate = scenario::capacity(&site, settings.seed);
