Draw listening ports in tests below those of outgoing connections

Ruled out: two nodes of one fleet with the same port. Change: ports come from 10,000 to 31,999, where the system gives none out. Conclusion: two drawers can still meet, at about 1 in 22,000 a pair.

--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -5,6 +5,7 @@
 use node::sync::{self, Replica};
 use platform::table::Memory;
 use platform::vms;
+use rand::Rng;
 use settings::{Ring, Secret};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -35,9 +36,15 @@
     }
 }
 
+/// An address on which nothing listens now, below the ports of outgoing connections.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    loop {
+        let port = rand::rng().random_range(10_000..32_000);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn ring(keys: &[&str]) -> Ring {
--- a/crates/standin/src/serve/server.rs
+++ b/crates/standin/src/serve/server.rs
@@ -1,6 +1,7 @@
 //! A Rocket instance on a loopback port.
 
 use crate::Error;
+use rand::Rng;
 use rocket::config::{LogLevel, Shutdown as ShutdownSettings};
 use rocket::fairing::AdHoc;
 use rocket::{Build, Config, Rocket, Shutdown};
@@ -8,6 +9,12 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
+/// Ports below those of outgoing connections.
+const LISTEN_PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// Ports that are tried before giving up.
+const PORT_TRIES: usize = 100;
+
 /// A running HTTP server; it stops when dropped.
 #[derive(Debug)]
 pub struct Server {
@@ -29,12 +36,21 @@
     SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port)
 }
 
-/// A loopback address on which nothing listens now.
+/// A loopback address on which nothing listens now, from ports that the system gives to no
+/// outgoing connection.
 pub async fn free_address() -> Result<SocketAddr, Error> {
-    let address = loopback(0);
-    let socket = |source| Error::Socket { address, source };
-    let listener = TcpListener::bind(address).await.map_err(socket)?;
-    listener.local_addr().map_err(socket)
+    let mut last = loopback(0);
+    for _ in 0..PORT_TRIES {
+        last = loopback(rand::rng().random_range(LISTEN_PORTS));
+        if TcpListener::bind(last).await.is_ok() {
+            return Ok(last);
+        }
+    }
+    let source = std::io::ErrorKind::AddrInUse.into();
+    Err(Error::Socket {
+        address: last,
+        source,
+    })
 }
 
 impl Server {
