--- a/crates/standin/examples/measure/control/members.rs
+++ b/crates/standin/examples/measure/control/members.rs
@@ -7,6 +7,8 @@
 use view::{Action, Settings, View};
 use wire::{Beat, Delta, Entry, Frame, Proof, Touch};
 
+/// A node's heartbeat unless it is set.
+const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Links of the node.
 const LINKS: usize = 8;
 /// Time that is played through.
@@ -63,7 +65,11 @@
             revision: 1,
         };
         let now = Instant::now() + PLAYED;
-        let mut view = View::new(Settings::default(), member(0));
+        let settings = Settings {
+            heartbeat: HEARTBEAT,
+            ..Settings::default()
+        };
+        let mut view = View::new(settings, member(0));
         view.restore(config, last);
         for index in 1..=LINKS.min(members - 1) {
             let _ = view.connect(&member(index).node, 1, "", now);
@@ -80,7 +86,7 @@
     }
 
     fn step(&mut self) -> Result<(), Error> {
-        self.now += Settings::default().heartbeat;
+        self.now += HEARTBEAT;
         let actions = self.view.tick(self.now);
         for action in actions {
             let Action::Send(node, frame) = action else {
--- a/crates/view/src/exchange.rs
+++ b/crates/view/src/exchange.rs
@@ -9,7 +9,7 @@
 use wire::{Beat, Delta, Entry, Fetch, Frame, Leave, Snapshot, Touch};
 
 /// Members for each heartbeat interval between two touch frames, so that their bytes stay bounded.
-const TOUCH_SHARE: usize = 128;
+const TOUCH_SHARE: usize = 256;
 /// Wait for an answer before revisions are asked for again.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/crates/view/src/overlay.rs
+++ b/crates/view/src/overlay.rs
@@ -31,7 +31,8 @@
     others.sort_by_cached_key(|member| place(&member.node).wrapping_sub(mine));
     let mut picks = others.split_off(RING_LINKS);
     picks.sort_by_cached_key(|member| contract::stable_hash([me, member.node.as_str()]));
-    others.extend(picks.into_iter().take(fanout / 2 - RING_LINKS));
+    let picked = (fanout / 2).saturating_sub(RING_LINKS);
+    others.extend(picks.into_iter().take(picked));
     others
 }
 
