--- a/crates/limits/src/slot/home.rs
+++ b/crates/limits/src/slot/home.rs
@@ -6,10 +6,10 @@
 
 /// The backend servers whose home this node is.
 ///
-/// A new home grants nothing until every owner that may hold a grant of an earlier home has
-/// confirmed one of this home, or all such grants have ended. At a server with a cold start it
-/// then waits until the server itself has shown that nothing unreported runs there, or the
-/// longest request has ended.
+/// A new home grants nothing until the home before has handed over, every earlier owner has
+/// confirmed a grant of this home, or every grant of an earlier home has ended. In the last case
+/// it also waits, at a server with a cold start, until the server itself has shown that nothing
+/// unreported runs there, or the longest request has ended.
 ///
 /// ```
 /// use limits::slot::{Home, Request, Server, Settings};
@@ -63,6 +63,13 @@
         }
     }
 
+    /// Owners that `assign` wasn't told of may hold grants of an earlier home.
+    pub fn gap(&mut self, backend: &str) {
+        if let Some(book) = self.books.get_mut(backend) {
+            book.gap();
+        }
+    }
+
     /// This node is no longer the home. Becoming it again starts over.
     pub fn resign(&mut self, backend: &str) {
         self.books.remove(backend);
