--- a/crates/limits/tests/slots.rs
+++ b/crates/limits/tests/slots.rs
@@ -263,6 +263,32 @@
     };
 }
 
+/// Ten seconds of one request every ten milliseconds, each of which would take two messages if
+/// the home forwarded it. Prints the messages that grants take.
+#[test]
+fn grants_take_few_messages() {
+    let mut bench = Bench::new();
+    bench.homes[0].assign(SERVER, Server::steady(16), 3, []);
+    let (mut messages, mut refused) = (0, 0);
+    for _ in 0..1_000 {
+        bench.now += 10 * MS;
+        for (_, request) in bench.holders[0].requests_due(bench.now) {
+            let grant = bench.answer(0, 0, &request);
+            bench.holders[0].grant(SERVER, &grant);
+            messages += 2;
+        }
+        match bench.acquire(0) {
+            Some(permit) => {
+                let done = Outcome::Completed { first_byte: MS };
+                bench.holders[0].release(bench.now, permit, &done);
+            }
+            None => refused += 1,
+        }
+    }
+    println!("grants: {messages} messages, {refused} waits; forwarding: 2000 messages, 1000 waits");
+    assert!(messages < 100 && refused <= 1, "{messages} {refused}");
+}
+
 #[test]
 fn a_home_moves_only_with_its_member() {
     let member = |node: &str, leaving| Member {
