--- a/crates/standin/src/scenario/stage.rs
+++ b/crates/standin/src/scenario/stage.rs
@@ -3,7 +3,7 @@
 use super::{Report, Tally};
 use crate::Error;
 use crate::fleet::{Fleet, Load, Mix, Settings, Watch};
-use crate::history::Request;
+use crate::history::{Outcome, Request};
 use crate::serve::unix_ms;
 use std::time::Duration;
 
@@ -73,7 +73,7 @@
         let later: Vec<&Request> = history
             .requests
             .iter()
-            .filter(|one| one.sent_ms >= from_ms)
+            .filter(|one| one.sent_ms >= from_ms && !rightly_refused(one))
             .collect();
         let answered = later.iter().filter(|one| one.answered()).count();
         let sent = later.len();
@@ -106,3 +106,8 @@
         })
     }
 }
+
+/// A session whose version is withdrawn has to be refused.
+fn rightly_refused(request: &Request) -> bool {
+    matches!(&request.outcome, Outcome::Refused { code, .. } if code == "version_withdrawn")
+}
