--- a/crates/standin/src/serve/server.rs
+++ b/crates/standin/src/serve/server.rs
@@ -1,19 +1,19 @@
 //! A Rocket instance on a loopback port.
 
 use crate::Error;
+use rand::Rng;
 use rocket::config::{LogLevel, Shutdown as ShutdownSettings};
 use rocket::fairing::AdHoc;
 use rocket::{Build, Config, Rocket, Shutdown};
-use std::io::ErrorKind;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU32, Ordering};
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
-const FIRST_PORT: u16 = 20_000;
-const PORTS: u32 = 10_000;
-/// Ports between the first ones of two processes with neighbouring ids.
-const PORT_STRIDE: u32 = 131;
+/// Ports below those of outgoing connections.
+const LISTEN_PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// Ports that are tried before giving up.
+const PORT_TRIES: usize = 100;
 
 /// A running HTTP server; it stops when dropped.
 #[derive(Debug)]
@@ -36,20 +36,21 @@
     SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port)
 }
 
-/// A loopback address on which nothing listens now. Its port is outside the range from which the
-/// system draws those of outgoing connections, so that none takes it before it is bound.
+/// A loopback address on which nothing listens now, from ports that the system gives to no
+/// outgoing connection.
 pub async fn free_address() -> Result<SocketAddr, Error> {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let own = std::process::id().wrapping_mul(PORT_STRIDE);
-    loop {
-        let number = own.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
-        let address = loopback(FIRST_PORT + number as u16);
-        match TcpListener::bind(address).await {
-            Ok(_) => return Ok(address),
-            Err(error) if error.kind() == ErrorKind::AddrInUse => {}
-            Err(source) => return Err(Error::Socket { address, source }),
+    let mut last = loopback(0);
+    for _ in 0..PORT_TRIES {
+        last = loopback(rand::rng().random_range(LISTEN_PORTS));
+        if TcpListener::bind(last).await.is_ok() {
+            return Ok(last);
         }
     }
+    let source = std::io::ErrorKind::AddrInUse.into();
+    Err(Error::Socket {
+        address: last,
+        source,
+    })
 }
 
 impl Server {
