--- a/crates/policy/src/plan/option.rs
+++ b/crates/policy/src/plan/option.rs
@@ -91,7 +91,7 @@
 
 fn expected(request: &Request, estimate: Estimate) -> f64 {
     if request.hopeful {
-        estimate.mean
+        estimate.upper
     } else {
         estimate.lower
     }
--- a/crates/policy/src/plan/request.rs
+++ b/crates/policy/src/plan/request.rs
@@ -30,8 +30,8 @@
     pub funds: Funds,
     /// The candidate on trial that this request is drawn for.
     pub trial: Option<usize>,
-    /// Whether to judge versions by their mean in place of the lower bound, which lets a version be
-    /// tried that has too few ratings.
+    /// Whether to judge versions by the upper bound in place of the lower, which lets a version be
+    /// tried again that had bad luck with few ratings.
     pub hopeful: bool,
     /// How far below the target a plan may be that is mixed with a better one, 0 to 1. At 0 no
     /// plans are mixed.
--- a/crates/policy/src/quality/estimate.rs
+++ b/crates/policy/src/quality/estimate.rs
@@ -10,6 +10,8 @@
     pub mean: f64,
     /// Lower bound of the posterior, 0 to 1.
     pub lower: f64,
+    /// Upper bound of the posterior, 0 to 1.
+    pub upper: f64,
     /// Ratings behind the estimate, the prior included.
     pub weight: f64,
 }
@@ -25,11 +27,12 @@
         Self {
             mean: share,
             lower: share,
+            upper: share,
             weight: f64::INFINITY,
         }
     }
 
-    /// Mean and lower bound of a Beta posterior.
+    /// Mean and bounds of a Beta posterior.
     ///
     /// ```
     /// use policy::quality::{Counts, Estimate};
@@ -44,6 +47,7 @@
         Self {
             mean,
             lower: (mean - deviations * deviation).max(0.0),
+            upper: (mean + deviations * deviation).min(1.0),
             weight,
         }
     }
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -215,3 +215,24 @@
         prop_assert!(mean(|plan| plan.cost) <= sure.cost + spread);
     }
 }
+
+#[test]
+fn a_hopeful_plan_tries_a_version_that_had_bad_luck() {
+    let candidates = with(|all| {
+        all[0].quality = Estimate {
+            upper: 0.93,
+            ..all[0].quality
+        }
+    });
+    let hopeful = Request {
+        cascade: false,
+        hopeful: true,
+        ..request()
+    };
+    plans(hopeful, &candidates, Mode::Met, Shape::Single(0));
+    let cautious = Request {
+        hopeful: false,
+        ..hopeful
+    };
+    plans(cautious, &candidates, Mode::Met, Shape::Single(1));
+}
