--- a/crates/limits/src/slot/book.rs
+++ b/crates/limits/src/slot/book.rs
@@ -1,6 +1,6 @@
 //! What a home keeps for one backend server.
 
-use super::{Grant, Ramp, Request, Server, Settings, holding::Holding};
+use super::{Charge, Grant, Handover, Ramp, Request, Server, Settings, holding::Holding};
 use contract::{Map, Owner, Revision, Set};
 use std::time::Instant;
 
@@ -13,11 +13,15 @@
     pub(super) fence: Revision,
     /// When that revision was seen to be accepted.
     settled: Option<Instant>,
-    /// Owners that may have work in flight under an earlier home.
-    unheard: Set<Owner>,
+    /// Owners that may have grants of an earlier home, or work in flight under them.
+    unconfirmed: Set<Owner>,
+    /// Whether these are all such owners.
+    complete: bool,
     holders: Map<Owner, Holding>,
     /// Whether the load found at the change of home has been taken over.
     carried: bool,
+    /// Whether the home before has handed over.
+    handed: bool,
 }
 
 impl Book {
@@ -27,20 +31,76 @@
             server,
             fence,
             settled: None,
-            unheard: owners,
+            unconfirmed: owners,
+            complete: true,
             holders: Map::default(),
             carried: false,
+            handed: false,
         }
     }
 
+    /// What the next home must know; none while this home itself doesn't know it all.
+    pub(super) fn hand_over(
+        &self,
+        now: Instant,
+        fence: Revision,
+        settings: &Settings,
+    ) -> Option<Handover> {
+        if !self.ready(now, settings) || self.uncertain(now, settings) {
+            return None;
+        }
+        let charges = self.holders.iter().map(|(owner, holding)| Charge {
+            owner: owner.clone(),
+            sequence: holding.answered(),
+            slots: holding.charge(now, settings.ttl, settings.silent),
+        });
+        Some(Handover {
+            fence,
+            ramp: self.ramp.clone(),
+            charges: charges.collect(),
+        })
+    }
+
+    /// Takes over from the home before; too late once this home is ready by itself.
+    pub(super) fn take_over(&mut self, now: Instant, handover: Handover, settings: &Settings) {
+        if handover.fence != self.fence || self.ready(now, settings) {
+            return;
+        }
+        self.handed = true;
+        self.carried = true;
+        self.unconfirmed.clear();
+        self.ramp = handover.ramp;
+        self.ramp.adjust(&self.server);
+        for Charge {
+            owner,
+            sequence,
+            slots,
+        } in handover.charges
+        {
+            match self.holders.get_mut(&owner) {
+                Some(holding) => holding.precede(sequence, slots),
+                None => {
+                    let holding = Holding::handed(now, sequence, slots);
+                    self.holders.insert(owner, holding);
+                }
+            }
+        }
+    }
+
+    /// Members may have come and gone unseen: their grants have to be waited out.
+    pub(super) fn gap(&mut self) {
+        self.complete = false;
+    }
+
     pub(super) fn settle(&mut self, now: Instant) {
         self.settled.get_or_insert(now);
     }
 
     /// Whether every grant of an earlier home has ended.
     pub(super) fn ready(&self, now: Instant, settings: &Settings) -> bool {
-        self.settled
-            .is_some_and(|settled| now >= settled + settings.handover())
+        let waited = |settled| now >= settled + settings.handover();
+        let confirmed = self.complete && self.unconfirmed.is_empty();
+        self.handed || self.settled.is_some_and(|at| confirmed || waited(at))
     }
 
     /// Whether work may be in flight that nobody has reported.
@@ -48,7 +108,7 @@
         let bound = settings.handover() + settings.silent;
         let warming = self.server.cold_slots < self.server.slots;
         warming
-            && !self.unheard.is_empty()
+            && !self.unconfirmed.is_empty()
             && self.settled.is_none_or(|settled| now < settled + bound)
     }
 
@@ -56,13 +116,13 @@
     pub(super) fn observe(&mut self, now: Instant, running: u32, settings: &Settings) {
         let known: u32 = self.charges(now, settings).map(|(_, charge)| charge).sum();
         if running <= known {
-            self.unheard.clear();
+            self.unconfirmed.clear();
         }
     }
 
     /// Owners whose work in flight isn't known yet.
-    pub(super) fn unheard(&self) -> usize {
-        self.unheard.len()
+    pub(super) fn unconfirmed(&self) -> usize {
+        self.unconfirmed.len()
     }
 
     /// Answers a request and remembers the answer.
@@ -144,13 +204,15 @@
         settings: &Settings,
     ) -> bool {
         self.forget(now, settings);
-        self.unheard.remove(owner);
         let holding = self
             .holders
             .entry(owner.clone())
             .or_insert_with(|| Holding::new(now));
         let chilled = request.chills > 0 && request.chills != holding.report().chills;
         holding.hear(now, request);
+        if holding.confirmed() {
+            self.unconfirmed.remove(owner);
+        }
         let completed = holding.completions();
         self.ramp.complete(&self.server, completed);
         if !self.carried && self.ready(now, settings) {
--- a/crates/limits/src/slot/holding.rs
+++ b/crates/limits/src/slot/holding.rs
@@ -13,6 +13,8 @@
     /// Granted slots by sequence, from the newest confirmed one on.
     grants: VecDeque<(u64, u32)>,
     report: Request,
+    /// Sequence of the first request that this home heard.
+    first: u64,
     /// When the newest request arrived. Its grant can't last longer than the TTL from here.
     heard: Instant,
     /// Since when demand isn't met.
@@ -27,6 +29,7 @@
         Self {
             grants: VecDeque::new(),
             report: Request::default(),
+            first: u64::MAX,
             heard: now,
             waiting: None,
             base: None,
@@ -34,6 +37,28 @@
         }
     }
 
+    /// A holder as an earlier home has left it.
+    pub(super) fn handed(now: Instant, sequence: u64, slots: u32) -> Self {
+        Self {
+            grants: VecDeque::from([(sequence, slots)]),
+            ..Self::new(now)
+        }
+    }
+
+    /// Adds what an earlier home granted, unless the holder has confirmed something newer.
+    pub(super) fn precede(&mut self, sequence: u64, slots: u32) {
+        if sequence >= self.report.using {
+            self.grants.push_front((sequence, slots));
+        }
+    }
+
+    /// Newest request that was answered.
+    pub(super) fn answered(&self) -> u64 {
+        self.grants
+            .back()
+            .map_or(self.report.sequence, |(sequence, _)| *sequence)
+    }
+
     /// Slots that the holder may occupy at the backend server now: what it reported in flight,
     /// or what any grant that it may still be using allows.
     pub(super) fn charge(&self, now: Instant, ttl: Duration, silent: Duration) -> u32 {
@@ -57,6 +82,7 @@
     pub(super) fn hear(&mut self, now: Instant, request: &Request) {
         self.heard = now;
         self.report = request.clone();
+        self.first = self.first.min(request.sequence);
         while self
             .grants
             .front()
@@ -66,6 +92,12 @@
         }
     }
 
+    /// Whether the holder uses a grant of this home, so that none of an earlier home stands and
+    /// its report names all that it has in flight.
+    pub(super) fn confirmed(&self) -> bool {
+        self.report.using >= self.first
+    }
+
     /// Remembers a grant until the holder confirms a newer one.
     pub(super) fn grant(&mut self, grant: &Grant) {
         self.grants.push_back((grant.sequence, grant.slots));
--- a/crates/node/src/dispatch/service.rs
+++ b/crates/node/src/dispatch/service.rs
@@ -89,14 +89,20 @@
             Ok(Claim::Answer(Answer::Unknown)) => Err(Error::UnknownOutcome),
             Err(ledger::Error::Conflict) => Err(Error::KeyReused),
             Err(error) => {
-                log::warn!(event = 1403; "call can't be claimed: {error}");
+                log::warn!(event = 1405; "call can't be claimed: {error}");
                 Err(Error::Platform)
             }
         }
     }
 
     async fn run(&self, mut ticket: Ticket) -> Result<Reply, Error> {
-        let place = self.place(&[]).await?;
+        let place = match self.place(&[]).await {
+            Ok(place) => place,
+            Err(error) => {
+                self.app.runs.give_back(ticket).await;
+                return Err(error);
+            }
+        };
         ticket.dispatch();
         match self.send(place).await {
             Ok(reply) => {
@@ -114,6 +120,7 @@
             Err(error) => {
                 if error.ran() == Ran::No {
                     ticket.refused();
+                    self.app.runs.give_back(ticket).await;
                 }
                 Err(error)
             }
@@ -154,13 +161,14 @@
             tried,
             capacity: self.slots,
             deadline: self.deadline,
+            suspect: false,
         };
-        let hold = need.hold(|spare| self.choose(&need, spare)).await?;
-        Ok(Place::new(hold, None))
+        let hold = need.hold(|spare, _| self.choose(&need, spare)).await?;
+        Ok(Place::new(self.app, hold, None))
     }
 
     fn choose(&self, need: &Need<'_>, spare: u32) -> Option<BackendId> {
-        let servers = self.app.fleet.servers();
+        let listing = self.app.fleet.listing();
         let query = Query {
             key: None,
             zone: &self.app.settings.zone,
@@ -168,10 +176,12 @@
             avoid: need.tried.last().map(String::as_str),
         };
         let service = &self.request.service;
-        self.app.decide.place_call(&servers, service, &query, |id| {
-            let server = servers.iter().find(|one| one.id == id)?;
-            need.load(server, spare)
-        })
+        self.app
+            .decide
+            .place_call(&listing.servers, service, &query, |id| {
+                let server = listing.get(id)?;
+                need.load(server, spare)
+            })
     }
 }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -18,12 +18,12 @@
     /// A client of the platform can't be built.
     #[error("client of the platform: {0}")]
     Platform(#[from] platform::Error),
-    /// No policy has the name that the settings give.
-    #[error(transparent)]
-    Policy(#[from] decide::Unknown),
     /// The port for other nodes can't be opened.
     #[error("{0}")]
     Link(#[from] link::Error),
+    /// No policy has the name that the settings give.
+    #[error(transparent)]
+    Policy(#[from] decide::Unknown),
     /// The threads can't be started.
     #[error("threads: {0}")]
     Runtime(#[source] std::io::Error),
