Move the baselines' choice of versions into a file of its own

Ruled out: leaving it: baselines are for measurements and read apart. Change: node::decide::baseline holds Policy::narrow; nothing behaves otherwise. Before / after: the 8 tests of node's decisions pass before and after.

--- a/crates/node/src/decide/mod.rs
+++ b/crates/node/src/decide/mod.rs
@@ -3,6 +3,7 @@
 //! Locks, in the order in which they may be taken, each held for a few lines and never over an await:
 //! planner, pools, lanes, one lane, purses, budgets.
 
+mod baseline;
 #[allow(clippy::module_inception)]
 mod decide;
 mod door;
