Tell the worst of all attempts, and never queue where nobody serves

Cause: test refusal_after_a_crash_is_not_told_as_not_run: (1) a request whose two backend servers had failed waited in the queue of a pool with no server left until its deadline (60 s and no answer); (2) with that mended, a request under which one server died and that the other refused was answered with ran "no" although it had run. Both were seen to fail first. Ruled out: the slots: the search ends after 3 s; the suspect's wait: 1 s. Change: an empty pool is refused before the queue; each failed attempt is noted, over both legs of a cascade and for repeatable calls of services, and the error that goes out says the worst; the second leg asks the verdict on crashes too. Conclusion: "not run" now covers all attempts behind a refusal.

--- a/crates/backend/src/error.rs
+++ b/crates/backend/src/error.rs
@@ -3,16 +3,16 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Whether a backend server ran the work.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// Whether a backend server ran the work, in the order of what it takes to say so.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Ran {
     /// No byte reached a backend server, or the server proved that it refused.
     No,
-    /// A backend server answered.
-    Yes,
     /// Bytes left, and nothing tells what became of them.
     Unknown,
+    /// A backend server answered.
+    Yes,
 }
 
 /// Why a call of a backend server failed.
--- a/crates/node/src/dispatch/chat.rs
+++ b/crates/node/src/dispatch/chat.rs
@@ -26,10 +26,12 @@
     let job = Job::new(app, customer, ask, token)?;
     let picked = job.plan()?;
     let account = job.open_account(&picked).await?;
-    if job.ask.stream && picked.then.is_none() {
-        return stream(job, &picked, account).await;
-    }
-    collect(job, &picked, account).await
+    let attempts = Arc::clone(&job.attempts);
+    let answer = match job.ask.stream && picked.then.is_none() {
+        true => stream(job, &picked, account).await,
+        false => collect(job, &picked, account).await,
+    };
+    answer.map_err(|error| attempts.tell(error))
 }
 
 async fn stream(job: Job, picked: &Picked, account: Account) -> Result<Answer, Error> {
--- a/crates/node/src/dispatch/job.rs
+++ b/crates/node/src/dispatch/job.rs
@@ -4,6 +4,7 @@
 use crate::app::{App, Stay};
 use crate::decide::{Order, Picked, until_renewal};
 use crate::dispatch::account::Account;
+use crate::dispatch::attempts::Attempts;
 use crate::dispatch::{Ask, Candidate, Choice, Session, resolve};
 use contract::{Contract, CustomerId};
 use limits::suspect::{Fingerprint, Verdict};
@@ -26,6 +27,8 @@
     pub(super) fingerprint: Fingerprint,
     pub(super) started: Instant,
     pub(super) limit: Duration,
+    /// What the attempts so far have come to.
+    pub(super) attempts: Arc<Attempts>,
     _stay: Stay,
     session: Option<Session>,
 }
@@ -62,6 +65,7 @@
             choice,
             ask,
             fingerprint,
+            attempts: Arc::default(),
             _stay: stay,
             session,
         })
--- a/crates/node/src/dispatch/leg.rs
+++ b/crates/node/src/dispatch/leg.rs
@@ -98,6 +98,7 @@
     }
 
     async fn open_untried(&self, tried: &mut Vec<BackendId>) -> Result<Open, Error> {
+        self.check_verdict()?;
         let mut last = None;
         loop {
             let place = match self.place(tried).await {
@@ -123,6 +124,17 @@
         }
     }
 
+    /// Refuses a request that has crashed backend servers, also in an earlier leg.
+    fn check_verdict(&self) -> Result<(), Error> {
+        match self.job.app.verdict(&self.job.fingerprint) {
+            Verdict::Refused(retry_after) => Err(Error::Crashing {
+                retry_after,
+                ran: Ran::No,
+            }),
+            _ => Ok(()),
+        }
+    }
+
     fn may_retry(&self, tried: &[BackendId]) -> bool {
         let app = &self.job.app;
         let is_refused = matches!(app.verdict(&self.job.fingerprint), Verdict::Refused(_));
@@ -161,7 +173,12 @@
     async fn place(&self, tried: &[BackendId]) -> Result<Place, Error> {
         let app = &self.job.app;
         let served = self.candidate.served();
-        let pass = app.decide.door.enter(self.entry(&served, tried)).await;
+        let entry = self.entry(&served, tried);
+        if entry.capacity == 0 {
+            // Nobody would ever call the request up from the queue.
+            return Err(Error::Capacity(served));
+        }
+        let pass = app.decide.door.enter(entry).await;
         let pass = pass.map_err(|refusal| match refusal {
             limits::Refusal::Full { retry_after } | limits::Refusal::Late { retry_after, .. } => {
                 Error::Overloaded { retry_after }
@@ -259,6 +276,7 @@
             self.job.app.suspect(&self.job.fingerprint, &place.backend);
         }
         place.fail(&source);
+        self.job.attempts.note(source.ran());
         Error::Backend { source }
     }
 
@@ -280,7 +298,10 @@
     async fn in_time<T>(&self, work: impl Future<Output = T>) -> Result<T, Error> {
         timeout_at(self.job.deadline().into(), work)
             .await
-            .map_err(|_| self.late(Ran::Unknown))
+            .map_err(|_| {
+                self.job.attempts.note(Ran::Unknown);
+                self.late(Ran::Unknown)
+            })
     }
 
     fn late(&self, ran: Ran) -> Error {
--- a/crates/node/src/dispatch/mod.rs
+++ b/crates/node/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod ask;
 mod assembly;
+mod attempts;
 mod chat;
 mod flight;
 mod job;
--- a/crates/node/src/dispatch/service.rs
+++ b/crates/node/src/dispatch/service.rs
@@ -2,6 +2,7 @@
 
 use crate::Error;
 use crate::app::App;
+use crate::dispatch::attempts::Attempts;
 use crate::dispatch::place::{Need, Place};
 use backend::{Call, Ran, Reply, Service};
 use contract::BackendId;
@@ -63,6 +64,12 @@
 impl Task<'_> {
     /// Sends a call that may be repeated, to another backend server where one fails.
     async fn repeat(&self) -> Result<Reply, Error> {
+        let attempts = Attempts::default();
+        let reply = self.attempt_all(&attempts).await;
+        reply.map_err(|error| attempts.tell(error))
+    }
+
+    async fn attempt_all(&self, attempts: &Attempts) -> Result<Reply, Error> {
         let mut tried = Vec::new();
         loop {
             let place = self.place(&tried).await?;
@@ -70,6 +77,7 @@
             match self.send(place).await {
                 Ok(reply) => return Ok(reply),
                 Err(error) => {
+                    attempts.note(error.ran());
                     if tried.len() >= MAX_ATTEMPTS || !self.app.decide.may_retry() {
                         return Err(error);
                     }
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -107,12 +107,39 @@
     /// The call ran before, and its answer was too long to keep.
     #[error("the call ran before, and its answer was too long to keep")]
     AnswerNotKept,
+    /// The last attempt failed, and an earlier one may have run.
+    #[error("{last}")]
+    Repeated {
+        /// Why the last attempt failed.
+        #[source]
+        last: Box<Error>,
+        /// Whether a backend server ran any of the attempts.
+        ran: Ran,
+    },
     /// The platform's table service can't be reached.
     #[error("the table service can't be reached, and the call may not run without a record")]
     Platform,
 }
 
 impl Error {
+    /// The error of a request whose earlier attempts are told of as well.
+    ///
+    /// ```
+    /// use backend::Ran;
+    /// let error = node::Error::Stale.after(Ran::Unknown);
+    /// assert_eq!((error.code(), error.ran()), ("stale", Ran::Unknown));
+    /// assert_eq!(node::Error::UnknownOutcome.after(Ran::No).ran(), Ran::Unknown);
+    /// ```
+    pub fn after(self, earlier: Ran) -> Self {
+        if earlier <= self.ran() {
+            return self;
+        }
+        Self::Repeated {
+            last: Box::new(self),
+            ran: earlier,
+        }
+    }
+
     /// Stable name.
     ///
     /// ```
@@ -144,6 +171,7 @@
             Self::InProgress => "in_progress",
             Self::UnknownOutcome => "unknown_outcome",
             Self::AnswerNotKept => "answer_not_kept",
+            Self::Repeated { last, .. } => last.code(),
             Self::Platform => "platform_unreachable",
         }
     }
@@ -176,6 +204,7 @@
             Self::Capacity(_) | Self::Stale | Self::Starting | Self::Stopping | Self::Platform => {
                 503
             }
+            Self::Repeated { last, .. } => last.status(),
             Self::Deadline { .. } => 504,
         }
     }
@@ -188,7 +217,9 @@
     pub fn ran(&self) -> Ran {
         match self {
             Self::Internal => Ran::Unknown,
-            Self::Deadline { ran, .. } | Self::Crashing { ran, .. } => *ran,
+            Self::Deadline { ran, .. }
+            | Self::Crashing { ran, .. }
+            | Self::Repeated { ran, .. } => *ran,
             Self::Backend { source } => source.ran(),
             Self::AnswerNotKept => Ran::Yes,
             Self::InProgress | Self::UnknownOutcome => Ran::Unknown,
@@ -203,6 +234,7 @@
     /// ```
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
+            Self::Repeated { last, .. } => last.retry_after(),
             Self::Spent { retry_after }
             | Self::Overloaded { retry_after }
             | Self::Crashing { retry_after, .. } => Some(*retry_after),
--- a/crates/standin/tests/callers.rs
+++ b/crates/standin/tests/callers.rs
@@ -2,6 +2,7 @@
 
 use serde_json::{Value, json};
 use standin::Error;
+use standin::engine::Order;
 use standin::fleet::{Fleet, Settings};
 use standin::launch::EngineSpec;
 use std::net::SocketAddr;
@@ -53,6 +54,7 @@
     service_call_needs_its_key,
     service_path_may_not_climb,
     plan_is_explained_on_request,
+    refusal_after_a_crash_is_not_told_as_not_run,
 ];
 
 async fn start() -> Result<Fleet, Error> {
@@ -63,9 +65,11 @@
     ];
     let own = own.map(|(flag, value)| (flag.to_owned(), value));
     let in_zone = |engine: &EngineSpec| engine.zone == "a";
+    let mut engines: Vec<_> = usual.engines.into_iter().filter(in_zone).collect();
+    engines.extend(engines.first().cloned());
     let fleet = Fleet::start(Settings {
         zones: vec![("a".to_owned(), 1)],
-        engines: usual.engines.into_iter().filter(in_zone).collect(),
+        engines,
         services: vec!["a".to_owned()],
         flags: usual.flags.into_iter().chain(own).collect(),
         vms_lag: Duration::ZERO,
@@ -370,4 +374,36 @@
         assert!(!response.headers().contains_key("x-sardinebank-why"));
         Ok(())
     }
+
+    /// One backend server dies of the request, the other refuses it.
+    pub async fn refusal_after_a_crash_is_not_told_as_not_run(
+        fleet: &mut Fleet,
+    ) -> Result<(), Error> {
+        let engines: Vec<_> = fleet
+            .backends
+            .iter()
+            .filter_map(|backend| backend.engine.as_ref())
+            .collect();
+        let (first, last) = (engines[0], engines[engines.len() - 1]);
+        let started = || first.counters().started + last.counters().started;
+        first.order(Order::Poison(Some("poison".to_owned())));
+        last.order(Order::Leave);
+        let mut crashed = 0;
+        for number in 0..4 {
+            let before = started();
+            let body = json!({
+                "model": "small@1",
+                "messages": [{ "role": "user", "content": format!("{number} poison") }],
+            });
+            let answer: Value = chat(fleet, body.to_string()).send().await?.json().await?;
+            if started() > before {
+                crashed += 1;
+                assert_eq!(answer["error"]["ran"], "unknown", "{answer}");
+            }
+            // The engine that has fallen over comes back.
+            tokio::time::sleep(Duration::from_millis(800)).await;
+        }
+        assert!(crashed > 0, "no request reached the engine that dies of it");
+        Ok(())
+    }
 }
