Measure the path and the slopes, and start docs/CAPACITY.md

Ruled out: timers of the async runtime as pace of the load (1 ms steps); engines in the measuring process, whose time would be counted with the load's; VmRSS for tables in this process (noise), so stats_alloc, which the workspace has, counts bytes. Change: `path` sends open-loop load straight to an engine process and through one node, taking turns. `capacity` gives slopes of a node's tables up to 12,000 backend servers, of the view up to 1,100 members and of small fleets of processes. The page holds inputs, slopes, formulas, limits and verdicts; tests/capacity.rs computes them again. Usage of processes and the line fit moved out of control.rs into usage.rs; the start of stand-ins moved from the demo into launch. standin's examples now use node and stats_alloc as dev-dependencies. The page lists what isn't measured.

--- a/crates/standin/examples/demo/site.rs
+++ b/crates/standin/examples/demo/site.rs
@@ -4,12 +4,11 @@
 use serde_json::{Value, json};
 use standin::Error;
 use standin::fleet::{Process, program};
-use standin::launch::Announcement;
+use standin::launch;
 use standin::serve::free_address;
 use standin::vms::Target;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 
 pub const OPERATOR_KEY: &str = "demo-operator-key";
@@ -103,7 +102,7 @@
         let mut standins = Vec::new();
         let mut urls = Vec::new();
         for kind in ["table", "objects", "vms", "ratings", "journal"] {
-            let (child, addresses) = standin(&[kind]).await?;
+            let (child, addresses) = launch::start(&[kind]).await?;
             standins.push(child);
             urls.push(format!("http://{}", addresses[0]));
         }
@@ -197,7 +196,7 @@
                 .collect();
             let mut arguments = vec!["engines", &journal];
             arguments.extend(own.iter().map(|(_, spec)| spec.as_str()));
-            let (child, addresses) = standin(&arguments).await?;
+            let (child, addresses) = launch::start(&arguments).await?;
             self._standins.push(child);
             for ((zone, spec), address) in own.iter().zip(&addresses) {
                 let served = spec.trim_start_matches("--engine=");
@@ -206,7 +205,7 @@
                     .await?;
             }
         }
-        let (child, addresses) = standin(&["reservations", &journal]).await?;
+        let (child, addresses) = launch::start(&["reservations", &journal]).await?;
         self._standins.push(child);
         self.put(vms, &Target::service(&addresses[0], "a", "reservations"))
             .await
@@ -303,23 +302,6 @@
     }
 }
 
-/// Starts a stand-in and reads its addresses.
-async fn standin(arguments: &[&str]) -> Result<(Child, Vec<String>), Error> {
-    let mut child = Command::new(program("examples/standin")?)
-        .args(arguments)
-        .stdout(std::process::Stdio::piped())
-        .kill_on_drop(true)
-        .spawn()?;
-    let output = child
-        .stdout
-        .take()
-        .ok_or(Error::Timeout("output of a stand-in"))?;
-    let mut line = String::new();
-    BufReader::new(output).read_line(&mut line).await?;
-    let announcement: Announcement = serde_json::from_str(&line)?;
-    Ok((child, announcement.addresses))
-}
-
 async fn start_node(zone: &str, platform: [&String; 4]) -> Result<(Process, String), Error> {
     let http = free_address().await?.to_string();
     let link = free_address().await?.to_string();
--- a/crates/standin/examples/measure/control.rs
+++ b/crates/standin/examples/measure/control.rs
@@ -1,7 +1,8 @@
 //! What control costs a node, and how fast changes and deaths are known everywhere.
 
-mod members;
+pub mod members;
 
+use crate::usage::{self, cpu_seconds, memory_mib, millis, quantile};
 use bpaf::Bpaf;
 use contract::{Object, Zone};
 use serde::Serialize;
@@ -14,8 +15,6 @@
 
 /// Key of operators in the fleet.
 const OPERATOR_KEY: &str = "operator-key-of-tests";
-/// Clock ticks a second in /proc.
-const TICKS_PER_SECOND: f64 = 100.0;
 const ZONES: usize = 4;
 /// Members for which the view of one node is measured alone.
 const MEMBERS: [usize; 4] = [7, 100, 300, 1100];
@@ -40,24 +39,24 @@
 
 /// What one fleet showed. Rates are a second, those of nodes the mean over nodes.
 #[derive(Debug, Serialize)]
-struct Row {
-    nodes: usize,
-    accepted_ms_p50: f64,
-    accepted_ms_p99: f64,
-    in_force_ms_p50: f64,
-    in_force_ms_p99: f64,
-    idle_platform_reads: f64,
-    idle_platform_writes: f64,
-    idle_node_bytes: f64,
-    idle_node_core_percent: f64,
-    node_memory_mib: f64,
-    changes_a_second: f64,
-    change_platform_reads: f64,
-    change_platform_writes: f64,
-    change_node_bytes: f64,
-    change_node_core_percent: f64,
-    death_noticed_ms: f64,
-    rejoined_ms: f64,
+pub struct Row {
+    pub nodes: usize,
+    pub accepted_ms_p50: f64,
+    pub accepted_ms_p99: f64,
+    pub in_force_ms_p50: f64,
+    pub in_force_ms_p99: f64,
+    pub idle_platform_reads: f64,
+    pub idle_platform_writes: f64,
+    pub idle_node_bytes: f64,
+    pub idle_node_core_percent: f64,
+    pub node_memory_mib: f64,
+    pub changes_a_second: f64,
+    pub change_platform_reads: f64,
+    pub change_platform_writes: f64,
+    pub change_node_bytes: f64,
+    pub change_node_core_percent: f64,
+    pub death_noticed_ms: f64,
+    pub rejoined_ms: f64,
 }
 
 /// Counters of a fleet at one time.
@@ -79,7 +78,8 @@
             found: count.to_owned(),
             expected: "numbers separated by commas",
         })?;
-        let row = measure(count, &settings).await?;
+        let window = Duration::from_secs(settings.window);
+        let row = measure(count, window, settings.changes).await?;
         if !settings.json {
             eprintln!("{row:?}");
         }
@@ -95,17 +95,17 @@
     Ok(())
 }
 
-async fn measure(count: usize, settings: &Settings) -> Result<Row, Error> {
+/// Measures a fleet: a window without changes, one with them, a death and a return.
+pub async fn measure(count: usize, window: Duration, changes: usize) -> Result<Row, Error> {
     let mut fleet = Fleet::start(fleet_settings(count)).await?;
     let client = reqwest::Client::new();
     joined(&fleet, &client, count).await?;
-    let window = Duration::from_secs(settings.window);
     let before = sample(&fleet, &client).await?;
     sleep(window).await;
     let idle = sample(&fleet, &client).await?;
-    let pause = window / settings.changes.max(1) as u32;
+    let pause = window / changes.max(1) as u32;
     let (mut accepted, mut in_force) = (Vec::new(), Vec::new());
-    for number in 0..settings.changes {
+    for number in 0..changes {
         let due = Instant::now() + pause;
         let (first, second) = change(&fleet, &client, number).await?;
         accepted.push(first);
@@ -127,7 +127,7 @@
         idle_node_bytes: per_node(rate(&before, &idle, |one| one.sent_bytes)),
         idle_node_core_percent: 100.0 * per_node(rate(&before, &idle, |one| one.cpu_s)),
         node_memory_mib: per_node(busy.memory_mib),
-        changes_a_second: settings.changes as f64 / (busy.at - idle.at).as_secs_f64(),
+        changes_a_second: changes as f64 / (busy.at - idle.at).as_secs_f64(),
         change_platform_reads: rate(&idle, &busy, |one| one.reads),
         change_platform_writes: rate(&idle, &busy, |one| one.writes),
         change_node_bytes: per_node(rate(&idle, &busy, |one| one.sent_bytes)),
@@ -285,60 +285,18 @@
     Ok(millis(start.elapsed()))
 }
 
-fn cpu_seconds(id: u32) -> Result<f64, Error> {
-    let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
-    let fields = stat
-        .rsplit(')')
-        .next()
-        .unwrap_or_default()
-        .split_whitespace();
-    // User and system time are fields 14 and 15 of the line, of which two stand before the bracket.
-    let ticks: f64 = fields
-        .skip(11)
-        .take(2)
-        .filter_map(|one| one.parse::<f64>().ok())
-        .sum();
-    Ok(ticks / TICKS_PER_SECOND)
-}
-
-fn memory_mib(id: u32) -> Result<f64, Error> {
-    let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let kib = line.and_then(|line| line.split_whitespace().nth(1));
-    let kib: f64 = kib.and_then(|kib| kib.parse().ok()).unwrap_or_default();
-    Ok(kib / 1024.0)
-}
-
 fn rate(from: &Sample, to: &Sample, value: impl Fn(&Sample) -> f64) -> f64 {
     (value(to) - value(from)) / (to.at - from.at).as_secs_f64()
 }
 
-fn millis(time: Duration) -> f64 {
-    time.as_secs_f64() * 1000.0
-}
-
-fn quantile(values: &mut [f64], share: f64) -> f64 {
-    values.sort_by(f64::total_cmp);
-    let place = (share * values.len() as f64).ceil() as usize;
-    values
-        .get(place.saturating_sub(1))
-        .copied()
-        .unwrap_or_default()
-}
-
 /// Growth a node, by least squares over the fleets.
 fn slopes(rows: &[Row]) -> Value {
     let slope = |value: fn(&Row) -> f64| {
-        let points = rows.iter().map(|row| (row.nodes as f64, value(row)));
-        let count = rows.len() as f64;
-        let (mut x, mut y, mut xx, mut xy) = (0.0, 0.0, 0.0, 0.0);
-        for (nodes, value) in points {
-            x += nodes;
-            y += value;
-            xx += nodes * nodes;
-            xy += nodes * value;
-        }
-        (count * xy - x * y) / (count * xx - x * x)
+        let points: Vec<_> = rows
+            .iter()
+            .map(|row| (row.nodes as f64, value(row)))
+            .collect();
+        usage::line(&points).slope
     };
     json!({
         "platform_reads": slope(|row| row.idle_platform_reads),
--- a/crates/standin/examples/measure/control/members.rs
+++ b/crates/standin/examples/measure/control/members.rs
@@ -17,11 +17,11 @@
 /// What a view costs; rates are a second of played time.
 #[derive(Debug, Serialize)]
 pub struct Row {
-    members: usize,
-    sent_bytes: f64,
-    received_bytes: f64,
-    core_percent: f64,
-    touch_frame_bytes: usize,
+    pub members: usize,
+    pub sent_bytes: f64,
+    pub received_bytes: f64,
+    pub core_percent: f64,
+    pub touch_frame_bytes: usize,
 }
 
 /// Plays heartbeats of a node with eight links through.
@@ -133,7 +133,8 @@
     }
 }
 
-fn member(index: usize) -> Member {
+/// A member of a fleet of any size.
+pub fn member(index: usize) -> Member {
     Member {
         node: format!("node-{index:04}"),
         incarnation: 1,
--- a/crates/standin/examples/measure/main.rs
+++ b/crates/standin/examples/measure/main.rs
@@ -5,9 +5,15 @@
 mod faults;
 mod path;
 mod policy;
+mod usage;
 
 use bpaf::Bpaf;
 use standin::Error;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use std::alloc::System;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 /// What to measure.
 #[derive(Bpaf, Clone, Debug)]
