--- a/crates/limits/tests/slots.rs
+++ b/crates/limits/tests/slots.rs
@@ -157,11 +157,34 @@
         assert_eq!(bench.renew(1, 1), 0);
     };
     a_planned_change_of_home_needs_no_wait => |mut bench| {
+        bench.renew(0, 0);
+        bench.settle(1, 2);
+        let handover = bench.homes[0].hand_over(bench.now, SERVER, 2).unwrap();
+        bench.homes[1].take_over(bench.now, SERVER, handover);
+        assert_eq!(bench.renew(1, 1), 0, "the first holder's old grant stands");
+        assert_eq!(bench.renew(1, 0), 0, "the second holder waits");
+        assert_eq!(bench.renew(1, 0), 0, "the first holder confirms");
+        assert_eq!(bench.renew(1, 1), 1);
+    };
+    confirmations_of_all_owners_end_the_wait => |mut bench| {
         bench.renew(0, 0);
         bench.settle(1, 2);
         assert_eq!([bench.renew(1, 0), bench.renew(1, 1), bench.renew(1, 0)], [0, 0, 0]);
         assert_eq!(bench.renew(1, 1), 0, "the first holder has waited longer");
-        assert_eq!(bench.renew(1, 0), 1, "both holders have confirmed the second home");
+        assert_eq!(bench.renew(1, 0), 1);
+    };
+    unseen_owners_are_waited_out => |mut bench| {
+        bench.settle(1, 2);
+        bench.homes[1].gap(SERVER);
+        let rounds: Vec<_> = (0..6).map(|round| bench.renew(1, round % 2)).collect();
+        assert_eq!(rounds, [0; 6]);
+        bench.now += bench.settings.handover();
+        assert_eq!(bench.renew(1, 0) + bench.renew(1, 1) + bench.renew(1, 0), 1);
+    };
+    a_home_that_handed_over_grants_nothing => |mut bench| {
+        bench.renew(0, 0);
+        bench.homes[0].hand_over(bench.now, SERVER, 2).unwrap();
+        assert_eq!(bench.renew(0, 0), 0);
     };
     a_home_that_isn_t_settled_grants_nothing => |mut bench| {
         bench.homes[1].assign(SERVER, cold(), 2, [owner(0), owner(1)]);
@@ -240,6 +263,32 @@
     };
 }
 
+/// Ten seconds of one request every ten milliseconds, each of which would take two messages if
+/// the home forwarded it. Prints the messages that grants take.
+#[test]
+fn grants_take_few_messages() {
+    let mut bench = Bench::new();
+    bench.homes[0].assign(SERVER, Server::steady(16), 3, []);
+    let (mut messages, mut refused) = (0, 0);
+    for _ in 0..1_000 {
+        bench.now += 10 * MS;
+        for (_, request) in bench.holders[0].requests_due(bench.now) {
+            let grant = bench.answer(0, 0, &request);
+            bench.holders[0].grant(SERVER, &grant);
+            messages += 2;
+        }
+        match bench.acquire(0) {
+            Some(permit) => {
+                let done = Outcome::Completed { first_byte: MS };
+                bench.holders[0].release(bench.now, permit, &done);
+            }
+            None => refused += 1,
+        }
+    }
+    println!("grants: {messages} messages, {refused} waits; forwarding: 2000 messages, 1000 waits");
+    assert!(messages < 100 && refused <= 1, "{messages} {refused}");
+}
+
 #[test]
 fn a_home_moves_only_with_its_member() {
     let member = |node: &str, leaving| Member {
--- a/crates/node/src/dispatch/leg.rs
+++ b/crates/node/src/dispatch/leg.rs
@@ -124,7 +124,9 @@
     }
 
     fn may_retry(&self, tried: &[BackendId]) -> bool {
-        tried.len() < MAX_ATTEMPTS && self.job.app.decide.may_retry()
+        let app = &self.job.app;
+        let is_refused = matches!(app.verdict(&self.job.fingerprint), Verdict::Refused(_));
+        !is_refused && tried.len() < MAX_ATTEMPTS && app.decide.may_retry()
     }
 
     async fn read(&self, open: Open) -> Result<Collected, Error> {
@@ -172,21 +174,19 @@
             tried,
             capacity: self.candidate.spec.slots,
             deadline: self.job.deadline(),
+            suspect: app.verdict(&self.job.fingerprint) == Verdict::Alone,
         };
-        let alone = app.verdict(&self.job.fingerprint) == Verdict::Alone;
-        let hold = need.hold(|spare| self.choose(&need, alone, spare)).await?;
-        Ok(Place::new(hold, Some(pass)))
+        let hold = need.hold(|spare, alone| self.choose(&need, spare, alone));
+        Ok(Place::new(app, hold.await?, Some(pass)))
     }
 
     fn entry<'b>(&'b self, served: &'b str, tried: &[BackendId]) -> Entry<'b> {
         let app = &self.job.app;
-        let Candidate { model, version, .. } = self.candidate;
         let config = app.config();
-        let servers = app.fleet.servers();
-        let capacity = servers
-            .iter()
-            .filter(|one| one.runs(model, version) && app.open(&config, one))
-            .filter(|one| !tried.contains(&one.id))
+        let listing = app.fleet.listing();
+        let capacity = listing
+            .running(served)
+            .filter(|one| app.open(&config, one) && !tried.contains(&one.id))
             .map(|one| app.slots.held(&one.id) + app.slots.free(&one.id) + SPARE_SLOTS)
             .sum();
         let expected = app.decide.durations(self.subject());
@@ -201,13 +201,12 @@
         }
     }
 
-    /// Chooses a backend server. A suspect of crashes runs alone, and never on the last one.
-    fn choose(&self, need: &Need<'_>, alone: bool, spare: u32) -> Option<BackendId> {
+    /// Chooses a backend server; never the last one for a suspect of crashes.
+    fn choose(&self, need: &Need<'_>, spare: u32, alone: bool) -> Option<BackendId> {
         let app = &self.job.app;
         let Candidate { model, version, .. } = self.candidate;
-        let servers = app.fleet.servers();
-        let runs = servers.iter().filter(|one| one.runs(model, version));
-        if alone && runs.count() < 2 {
+        let listing = app.fleet.listing();
+        if need.suspect && listing.running(need.what).count() < 2 {
             return None;
         }
         let query = place::Query {
@@ -216,11 +215,12 @@
             preferred: None,
             avoid: need.tried.last().map(String::as_str),
         };
-        app.decide.place(&servers, (model, version), &query, |id| {
-            let server = servers.iter().find(|one| one.id == id)?;
-            let load = need.load(server, spare)?;
-            (!alone || app.slots.held(id) == 0).then_some(load)
-        })
+        app.decide
+            .place(&listing.servers, (model, version), &query, |id| {
+                let server = listing.get(id)?;
+                let load = need.load(server, spare)?;
+                (!alone || app.slots.held(id) == 0).then_some(load)
+            })
     }
 
     async fn attempt(&self, mut place: Place) -> Result<Open, Error> {
--- a/crates/node/src/slot/mod.rs
+++ b/crates/node/src/slot/mod.rs
@@ -4,6 +4,7 @@
 mod core;
 mod frames;
 mod hold;
+mod probe;
 mod slots;
 
 pub use context::Context;
--- a/crates/standin/src/scenario/stage.rs
+++ b/crates/standin/src/scenario/stage.rs
@@ -3,10 +3,13 @@
 use super::{Report, Tally};
 use crate::Error;
 use crate::fleet::{Fleet, Load, Mix, Settings, Watch};
-use crate::history::Request;
+use crate::history::{Outcome, Request};
 use crate::serve::unix_ms;
 use std::time::Duration;
 
+/// Time in which backend servers become warm under load, as nodes see them.
+const WARM_UP_MS: u64 = 2_500;
+
 /// A fleet under load.
 #[derive(Debug)]
 pub struct Stage {
@@ -32,12 +35,14 @@
         let fleet = Fleet::start(settings).await?;
         let watch = Watch::start(&fleet);
         let load = fleet.load(mix);
-        Ok(Self {
+        let stage = Self {
             fleet,
             load,
             watch,
             failures: Vec::new(),
-        })
+        };
+        stage.run(WARM_UP_MS).await;
+        Ok(stage)
     }
 
     /// Lets the load run for a while.
@@ -68,7 +73,7 @@
         let later: Vec<&Request> = history
             .requests
             .iter()
-            .filter(|one| one.sent_ms >= from_ms)
+            .filter(|one| one.sent_ms >= from_ms && !rightly_refused(one))
             .collect();
         let answered = later.iter().filter(|one| one.answered()).count();
         let sent = later.len();
@@ -101,3 +106,8 @@
         })
     }
 }
+
+/// A session whose version is withdrawn has to be refused.
+fn rightly_refused(request: &Request) -> bool {
+    matches!(&request.outcome, Outcome::Refused { code, .. } if code == "version_withdrawn")
+}
--- a/crates/view/tests/view/main.rs
+++ b/crates/view/tests/view/main.rs
@@ -1,5 +1,6 @@
 //! The view, driven without sockets.
 
+mod replays;
 mod scenarios;
 mod schedules;
 mod world;
--- a/specs/slots.pml
+++ b/specs/slots.pml
@@ -11,7 +11,7 @@
  *
  * Scenarios: the home changes (the default), the server closes (-DCLOSING).
  * Seeded mistakes: -DSKIP_WAIT -DSKIP_REPORTS -DANY_REPORT -DTRUST_HELD -DNO_LAST_CHECK
- * -DTTL_FROM_RECEIPT
+ * -DTTL_FROM_RECEIPT -DKEEP_GRANTING
  */
 
 #define HOLDERS 2
@@ -53,10 +53,15 @@
 byte granted[HOMES * HOLDERS];
 bool held[HOMES * HOLDERS];
 byte heard[HOMES * HOLDERS];	/* ticks for which the last word still counts */
+byte confirmed_using[HOLDERS];	/* newest grant that a report to the second home has named */
 bool confirmed[HOLDERS];	/* a grant of the second home, and with it all work in flight */
 
 bool moved;			/* the second home's revision is accepted */
 byte old_left;			/* ticks for which the first home may not know it */
+bool handing;			/* the first home has handed over; it grants no more */
+bool handed;			/* the second home has taken over */
+byte carried[HOLDERS];		/* the first home's charge of a holder, as the request answered, or 0 */
+byte answered[HOLDERS];		/* newest request that the first home answered */
 bool settled;			/* the second home knows that it is accepted */
 byte wait;			/* ticks until the second home may grant */
 byte silent;			/* ticks until unreported work has ended */
@@ -100,10 +105,15 @@
 #ifdef SKIP_REPORTS
 #define MAY_GRANT_SECOND (settled && wait == 0)
 #else
-#define MAY_GRANT_SECOND (settled && (ALL_CONFIRMED || silent == 0))
+#define MAY_GRANT_SECOND (handed || settled && (ALL_CONFIRMED || silent == 0))
 #endif
 #endif
-#define MAY_GRANT(h) (((h) == 0 && (!moved || old_left > 0)) || ((h) == 1 && MAY_GRANT_SECOND))
+#ifdef KEEP_GRANTING
+#define HANDED_OVER false
+#else
+#define HANDED_OVER handing
+#endif
+#define MAY_GRANT(h) (((h) == 0 && !HANDED_OVER && (!moved || old_left > 0)) || ((h) == 1 && MAY_GRANT_SECOND))
 
 /* A report counts once it confirms a grant of this home: before that, its sender may still
  * start work under a grant of the home before. */
@@ -129,6 +139,10 @@
 	:: request_to[x] == 1 && CONFIRMS(x) -> confirmed[x] = true
 	:: else
 	fi;
+	if
+	:: request_to[x] == 1 && !handed -> confirmed_using[x] = request_using[x]
+	:: else
+	fi;
 	/* Book::allot. */
 	if
 	:: MAY_GRANT(request_to[x]) && !CLOSED_FOR_HOME && CHARGE(request_to[x], 1 - x) < LIMIT -> free = 1
@@ -138,6 +152,10 @@
 	:: free -> granted[i] = granted[i] | (1 << asked[x])
 	:: else
 	fi;
+	if
+	:: request_to[x] == 0 && !handing -> answered[x] = asked[x]
+	:: else
+	fi;
 	answer[x] = true; answer_number[x] = asked[x];
 	answer_slots[x] = free; answer_age[x] = request_age[x];
 	answer_new[x] = (request_to[x] == 1);
@@ -184,6 +202,43 @@
 	stands[x] = 0
 }
 
+/* Core::cede, Book::hand_over: the first home learns the change and tells what it knows. */
+inline hand_over() {
+	handing = true;
+	i = 0;
+	do
+	:: i < HOLDERS ->
+		if
+		:: CHARGE(0, i) == 1 -> carried[i] = answered[i]
+		:: else
+		fi;
+		answered[i] = 0;
+		granted[AT(0, i)] = 0; held[AT(0, i)] = false; heard[AT(0, i)] = 0;
+		i++
+	:: else -> break
+	od;
+	i = 0
+}
+
+/* Book::take_over, Holding::precede: a charge counts until its holder confirms a newer grant. */
+inline take_over() {
+	i = 0;
+	do
+	:: i < HOLDERS ->
+		if
+		:: carried[i] > 0 && !(heard[AT(1, i)] > 0 && confirmed_using[i] > carried[i]) ->
+			granted[AT(1, i)] = granted[AT(1, i)] | (1 << carried[i]);
+			heard[AT(1, i)] = TTL + RUN + 1
+		:: else
+		fi;
+		carried[i] = 0;
+		i++
+	:: else -> break
+	od;
+	i = 0;
+	handed = true
+}
+
 #define DOWN(v) v = (v > 0 -> v - 1 : 0)
 #define UP(v) v = (v < LATE -> v + 1 : v)
 
@@ -261,6 +316,8 @@
 #else
 	/* The change of home is accepted; the first home learns it within the horizon. */
 	:: d_step { !moved -> moved = true; old_left = HORIZON }
+	:: d_step { moved && !handing -> hand_over() }
+	:: d_step { handing && !handed -> take_over(); confirmed_using[0] = 0; confirmed_using[1] = 0 }
 	/* Home::assign and Home::settle at the second home. */
 	:: d_step { moved && !settled -> settled = true; wait = TTL + HORIZON; silent = TTL + HORIZON + RUN }
 #endif
