Let queued requests go on when slots are granted, and write bills in turn

Cause: (1) `measure -- path` opened 10 long streams at once and not all had begun after 15 s: the queue before a pool took its capacity only when a request came or ended, so that slots granted in between helped nobody. (2) A node wrote a batch of bills every 20 ms: 7,000 writes a second at 1,100 nodes against the platform's several hundred. The path measurement runs one node with two peers, as copies need them. Before / after: the new test capacity_that_grows_lets_the_next_in can't be passed by the old queue, which had no way to be told; 9 tests of decide and 3 of bill_latency pass. Writes at 1,100 nodes by the rule: 200 a second.

--- a/crates/ledger/src/bill/journal.rs
+++ b/crates/ledger/src/bill/journal.rs
@@ -3,7 +3,7 @@
 use super::{Batch, Bill, Copies, Held, Settings};
 use contract::{Map, NodeId, Owner};
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Notices of what the platform keeps that an idle owner sends in the time after which a peer
 /// takes it for silent.
@@ -45,7 +45,7 @@
 /// ```
 /// use contract::Owner;
 /// use ledger::bill::{Journal, Leg, Meter, Settings};
-/// use std::time::Instant;
+/// use std::time::{Duration, Instant};
 /// let settings = Settings::default();
 /// let mut journal = Journal::new(Owner::new("n1", 1), settings.clone());
 /// let now = Instant::now();
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Age at which the open batch is due from now on.
+    pub fn set_flush(&mut self, flush: Duration) {
+        self.settings.flush = flush;
+    }
+
     /// Whether there is room for the bills of new requests. Ask before a request is sent: the
     /// bill of one that has run is always taken.
     pub fn has_room(&self) -> bool {
--- a/crates/node/src/app/context.rs
+++ b/crates/node/src/app/context.rs
@@ -35,6 +35,10 @@
 }
 
 impl bill::Context for App {
+    fn nodes(&self) -> u32 {
+        App::nodes(self)
+    }
+
     fn peers(&self) -> Vec<NodeId> {
         let config = self.replica.config();
         let members: Vec<_> = config.members().cloned().collect();
--- a/crates/node/src/bill/bills.rs
+++ b/crates/node/src/bill/bills.rs
@@ -12,6 +12,8 @@
 
 /// Longest time between looks at what is due.
 const STEP: Duration = Duration::from_millis(5);
+/// Batches that all nodes together may write in a second.
+const BATCHES_PER_SECOND: u32 = 200;
 /// Time between looks at bills of silent owners.
 const RECOVERY: Duration = Duration::from_secs(1);
 
@@ -137,9 +139,11 @@
     async fn copy<C: Context>(&self, context: &C) {
         loop {
             let peers = context.peers();
+            let flush = self.flush(context.nodes());
             let due = {
                 let mut journal = self.journal();
                 journal.set_peers(&peers);
+                journal.set_flush(flush);
                 journal.copies_due(Instant::now())
             };
             for (peer, copies) in due {
@@ -154,6 +158,13 @@
         }
     }
 
+    /// Age at which a batch is written: all nodes together keep to the platform's write budget.
+    /// Until then copies at peers make its bills safe.
+    fn flush(&self, nodes: u32) -> Duration {
+        let turn = Duration::from_secs(1) / BATCHES_PER_SECOND;
+        self.settings.ledger.flush.max(turn * nodes)
+    }
+
     /// Writes the bills of owners that have fallen silent.
     async fn recover(&self) {
         loop {
--- a/crates/node/src/bill/context.rs
+++ b/crates/node/src/bill/context.rs
@@ -5,6 +5,9 @@
 
 /// What bills need from the rest of the node.
 pub trait Context: Send + Sync {
+    /// Nodes that share the platform's write budget.
+    fn nodes(&self) -> u32;
+
     /// Nodes that hold copies of this node's bills, as [`super::peers`] chooses them.
     fn peers(&self) -> Vec<NodeId>;
 
--- a/crates/node/src/decide/door.rs
+++ b/crates/node/src/decide/door.rs
@@ -51,6 +51,11 @@
         self.lane(pool).expected_wait(request)
     }
 
+    /// Lets more or fewer requests run at a pool at once; those that wait may go on.
+    pub fn resize(&self, pool: &str, capacity: u32) {
+        self.lane(pool).resize(capacity);
+    }
+
     /// Requests that run and wait at a pool.
     pub fn counts(&self, pool: &str) -> (u32, usize) {
         self.lane(pool).counts()
--- a/crates/node/src/decide/lane.rs
+++ b/crates/node/src/decide/lane.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// Lets more or fewer requests run at once from now on.
+    pub(super) fn resize(self: &Arc<Self>, capacity: u32) {
+        self.lock().queue.resize(capacity);
+        self.pump();
+    }
+
     pub(super) fn expected_wait(&self, request: &Request) -> Duration {
         self.lock().queue.expected_wait(request)
     }
--- a/crates/node/src/dispatch/leg.rs
+++ b/crates/node/src/dispatch/leg.rs
@@ -14,11 +14,14 @@
 use policy::place;
 use policy::quality::Subject;
 use std::time::{Duration, Instant};
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 
 /// Backend servers that one request may be sent to for one version.
 const MAX_ATTEMPTS: usize = 3;
 
+/// Time between looks at how many requests may leave the queue.
+const QUEUE_STEP: Duration = Duration::from_millis(20);
+
 /// Slots of a backend server that a node may ask for beyond those it has.
 const SPARE_SLOTS: u32 = 1;
 
@@ -178,7 +181,18 @@
             // Nobody would ever call the request up from the queue.
             return Err(Error::Capacity(served));
         }
-        let pass = app.decide.door.enter(entry).await;
+        let enter = app.decide.door.enter(entry);
+        tokio::pin!(enter);
+        let pass = loop {
+            tokio::select! {
+                pass = &mut enter => break pass,
+                // Slots may have been granted since, or taken back.
+                () = sleep(QUEUE_STEP) => {
+                    let capacity = self.entry(&served, tried).capacity;
+                    app.decide.door.resize(&served, capacity);
+                }
+            }
+        };
         let pass = pass.map_err(|refusal| match refusal {
             limits::Refusal::Full { retry_after } | limits::Refusal::Late { retry_after, .. } => {
                 Error::Overloaded { retry_after }
--- a/crates/node/tests/bill_latency.rs
+++ b/crates/node/tests/bill_latency.rs
@@ -64,6 +64,10 @@
 }
 
 impl Context for Links {
+    fn nodes(&self) -> u32 {
+        NODES.len() as u32
+    }
+
     fn peers(&self) -> Vec<NodeId> {
         self.peers.clone()
     }
--- a/crates/node/tests/decide.rs
+++ b/crates/node/tests/decide.rs
@@ -38,6 +38,23 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn capacity_that_grows_lets_the_next_in() -> Result<(), Refusal> {
+    let door = Arc::new(Door::new(Default::default()));
+    let _first = door.enter(entry(1, "a")).await?;
+    let waiting = tokio::spawn({
+        let door = Arc::clone(&door);
+        async move { door.enter(entry(1, "b")).await }
+    });
+    while door.counts("small@1") != (1, 1) {
+        tokio::task::yield_now().await;
+    }
+    door.resize("small@1", 2);
+    let second = tokio::time::timeout(Duration::from_secs(10), waiting).await;
+    assert!(matches!(second, Ok(Ok(Ok(_)))), "{second:?}");
+    Ok(())
+}
+
 #[tokio::test]
 async fn callers_that_leave_give_up_their_place() -> Result<(), Refusal> {
     let door = Arc::new(Door::new(Default::default()));
--- a/crates/standin/examples/measure/path/site.rs
+++ b/crates/standin/examples/measure/path/site.rs
@@ -1,4 +1,4 @@
-//! One node before two engines, each a process of its own.
+//! One node with two peers before two engines, each a process of its own.
 
 use super::load::Target;
 use crate::usage;
@@ -12,6 +12,8 @@
 use tokio::time::sleep;
 
 const ZONE: &str = "a";
+/// The node under load and two peers, which hold copies of its bills.
+const ZONES: [&str; 3] = [ZONE, "b", "c"];
 /// Version that answers fast.
 const QUICK: &str = "small@1";
 /// Version whose streams stay open.
@@ -56,7 +58,7 @@
     /// Starts everything and waits until the node answers from both engines.
     pub async fn start() -> Result<Self, Error> {
         let settings = Settings {
-            zones: vec![(ZONE.to_owned(), 1)],
+            zones: ZONES.map(|zone| (zone.to_owned(), 1)).to_vec(),
             engines: Vec::new(),
             services: Vec::new(),
             writes_per_second: None,
