Say that nothing is kept in the object store

Ruled out: dropping it now, since stand-ins, demo and tests name it. Conclusion: documentation only.

--- a/crates/settings/src/generated.rs
+++ b/crates/settings/src/generated.rs
@@ -26,7 +26,7 @@
     pub peer: Vec<SocketAddr>,
     /// Base URL of the platform's table service.
     pub table_url: String,
-    /// Base URL of the platform's object store.
+    /// Base URL of the platform's object store; this version keeps nothing there.
     pub store_url: String,
     /// URL of the platform's list of VMs.
     pub vms_url: String,
@@ -275,7 +275,7 @@
         required: true,
         minimum: 0,
         maximum: 0,
-        help: "Base URL of the platform's object store",
+        help: "Base URL of the platform's object store; this version keeps nothing there",
     },
     Spec {
         flag: "vms-url",
