--- a/crates/node/src/caller/chat.rs
+++ b/crates/node/src/caller/chat.rs
@@ -61,12 +61,8 @@
                 response
                     .header(ContentType::JSON)
                     .sized_body(body.len(), Cursor::new(body));
-                headers(
-                    &mut response,
-                    &receipt,
-                    &session,
-                    explain(request).then_some(why),
-                );
+                let why = explain(request).then(|| why.to_string());
+                headers(&mut response, &receipt, &session, why);
                 response.raw_header("X-Sardinebank-Cost-Micros", receipt.cost_micros.to_string());
                 response.ok()
             }
@@ -78,7 +74,7 @@
 fn stream<'r>(flight: Flight, request: &'r Request<'_>) -> Result<'r> {
     let receipt = flight.receipt.clone();
     let session = flight.session.clone();
-    let why = explain(request).then(|| flight.why.clone());
+    let why = explain(request).then(|| flight.why.to_string());
     let events = ByteStream::from(flight.events()).respond_to(request)?;
     let mut response = Response::build_from(events);
     response
--- a/crates/node/src/caller/service.rs
+++ b/crates/node/src/caller/service.rs
@@ -46,7 +46,7 @@
 impl Handler for Carrier {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         match carry(request, data).await {
-            Ok(reply) => Outcome::from(request, respond(reply)),
+            Ok(reply) => Outcome::from(request, Answer(reply)),
             Err(error) => Outcome::from(request, Failure(error)),
         }
     }
@@ -110,10 +110,7 @@
     Ok(Some(key.to_owned()))
 }
 
-fn respond(reply: Reply) -> Answer {
-    Answer(reply)
-}
-
+/// The reply of a plain service on its way to a caller.
 struct Answer(Reply);
 
 impl<'r> Responder<'r, 'static> for Answer {
--- a/crates/node/src/dispatch/answer.rs
+++ b/crates/node/src/dispatch/answer.rs
@@ -3,6 +3,7 @@
 use crate::dispatch::Flight;
 use backend::Ran;
 use contract::{Micros, ModelId, VersionId};
+use policy::plan::Explanation;
 use serde::Serialize;
 
 /// What became of a request, for the caller's records.
@@ -32,7 +33,7 @@
         /// Token of the session.
         session: String,
         /// Why the plan was chosen.
-        why: String,
+        why: Explanation,
     },
     /// Events as they come.
     Stream(Box<Flight>),
--- a/crates/node/src/dispatch/chat.rs
+++ b/crates/node/src/dispatch/chat.rs
@@ -28,13 +28,13 @@
     let account = job.open_account(&picked).await?;
     let attempts = Arc::clone(&job.attempts);
     let answer = match job.ask.stream && picked.then.is_none() {
-        true => stream(job, &picked, account).await,
-        false => collect(job, &picked, account).await,
+        true => stream(job, picked, account).await,
+        false => collect(job, picked, account).await,
     };
     answer.map_err(|error| attempts.tell(error))
 }
 
-async fn stream(job: Job, picked: &Picked, account: Account) -> Result<Answer, Error> {
+async fn stream(job: Job, picked: Picked, account: Account) -> Result<Answer, Error> {
     let candidate = job.candidate(&picked.first)?.clone();
     let leg = Leg {
         job: &job,
@@ -45,10 +45,10 @@
     Ok(Answer::Stream(Box::new(flight)))
 }
 
-async fn collect(job: Job, picked: &Picked, mut account: Account) -> Result<Answer, Error> {
-    let Final { leg, collected } = run(&job, picked, &mut account).await?;
+async fn collect(job: Job, picked: Picked, mut account: Account) -> Result<Answer, Error> {
+    let Final { leg, collected } = run(&job, &picked, &mut account).await?;
     let candidate = leg.candidate.clone();
-    let why = picked.explanation.to_string();
+    let why = picked.explanation;
     let session = job.token(&candidate);
     let receipt = Receipt {
         request_id: job.request_id.clone(),
--- a/crates/node/src/dispatch/flight.rs
+++ b/crates/node/src/dispatch/flight.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use futures::stream::BoxStream;
 use futures::{Stream, StreamExt};
+use policy::plan::Explanation;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::fmt;
@@ -26,7 +27,7 @@
     /// Token of the session.
     pub session: String,
     /// Why the plan was chosen.
-    pub why: String,
+    pub why: Explanation,
     job: Job,
     candidate: Candidate,
     account: Account,
@@ -51,7 +52,7 @@
         candidate: Candidate,
         open: Open,
         account: Account,
-        picked: &Picked,
+        picked: Picked,
     ) -> Self {
         let run = Run {
             place: open.place,
@@ -70,8 +71,9 @@
             cost_micros: 0,
             ran: Ran::Yes,
         };
-        let why = picked.explanation.to_string();
-        let mut flight = Self::replay(job, candidate, vec![open.first], account, receipt, why);
+        let chunks = vec![open.first];
+        let why = picked.explanation;
+        let mut flight = Self::replay(job, candidate, chunks, account, receipt, why);
         flight.run = Some(run);
         flight
     }
@@ -83,7 +85,7 @@
         chunks: Vec<Chunk>,
         account: Account,
         receipt: Receipt,
-        why: String,
+        why: Explanation,
     ) -> Self {
         Self {
             session: job.token(&candidate),
