Ask only servers with a cold start for their own load

Change: Home::uncertain leaves servers without a cold start out. Before / after: the new case failed before (two servers asked), passes now; 24 cases of the slots tests pass. Conclusion: plain services get no calls that they don't know.

--- a/crates/limits/src/slot/book.rs
+++ b/crates/limits/src/slot/book.rs
@@ -106,12 +106,16 @@
     /// Whether work may be in flight that nobody has reported.
     fn uncertain(&self, now: Instant, settings: &Settings) -> bool {
         let bound = settings.handover() + settings.silent;
-        let warming = self.server.cold_slots < self.server.slots;
-        warming
+        self.warms()
             && !self.unconfirmed.is_empty()
             && self.settled.is_none_or(|settled| now < settled + bound)
     }
 
+    /// Whether the server has a cold start, so that unreported work there matters.
+    pub(super) fn warms(&self) -> bool {
+        self.server.cold_slots < self.server.slots
+    }
+
     /// Takes the server's own count of running requests, read once all earlier grants had ended.
     pub(super) fn observe(&mut self, now: Instant, running: u32, settings: &Settings) {
         let known: u32 = self.charges(now, settings).map(|(_, charge)| charge).sum();
--- a/crates/limits/src/slot/home.rs
+++ b/crates/limits/src/slot/home.rs
@@ -170,11 +170,11 @@
         std::mem::take(&mut self.revocations)
     }
 
-    /// Backend servers whose work in flight isn't fully known.
+    /// Backend servers with a cold start whose work in flight isn't fully known.
     pub fn uncertain(&self) -> impl Iterator<Item = &BackendId> {
         self.books
             .iter()
-            .filter(|(_, book)| book.unconfirmed() > 0)
+            .filter(|(_, book)| book.warms() && book.unconfirmed() > 0)
             .map(|(backend, _)| backend)
     }
 
--- a/crates/limits/tests/slots.rs
+++ b/crates/limits/tests/slots.rs
@@ -136,6 +136,13 @@
         bench.now += bench.settings.handover();
         assert_eq!(bench.renew(1, 1), 1);
     };
+    only_servers_with_a_cold_start_are_asked_for_their_load => |mut bench| {
+        let home = &mut bench.homes[1];
+        home.assign("10.0.0.2:8000", Server::steady(4), 2, [owner(0)]);
+        home.assign(SERVER, cold(), 2, [owner(0)]);
+        let asked: Vec<_> = home.uncertain().cloned().collect();
+        assert_eq!(asked, [SERVER]);
+    };
     a_new_home_waits_for_unreported_work => |mut bench| {
         bench.renew(0, 0);
         let _permit = bench.acquire(0).unwrap();
