--- a/crates/node/src/decide/mod.rs
+++ b/crates/node/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub use door::Door;
 pub use funds::{Funds, until_renewal};
 pub use lane::{Entry, Pass};
+pub(crate) use order::{DEFAULT_DEADLINE, DEFAULT_MAX_TOKENS};
 pub use order::{Order, Picked};
 pub use pools::Pools;
 pub use rater::{Rater, Sample};
--- a/crates/node/src/decide/order.rs
+++ b/crates/node/src/decide/order.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 /// Time of a request whose contract names no deadline.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+pub(crate) const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
 /// Longest answer in tokens of a request whose contract names none.
-const DEFAULT_MAX_TOKENS: u32 = 1_024;
+pub(crate) const DEFAULT_MAX_TOKENS: u32 = 1_024;
 
 /// A request that needs a plan.
 #[derive(Clone, Copy, Debug)]
--- a/crates/node/src/dispatch/job.rs
+++ b/crates/node/src/dispatch/job.rs
@@ -2,7 +2,7 @@
 
 use crate::Error;
 use crate::app::{App, Stay};
-use crate::decide::{Order, Picked, until_renewal};
+use crate::decide::{DEFAULT_DEADLINE, DEFAULT_MAX_TOKENS, Order, Picked, until_renewal};
 use crate::dispatch::account::Account;
 use crate::dispatch::attempts::Attempts;
 use crate::dispatch::{Ask, Candidate, Choice, Session, resolve};
@@ -11,12 +11,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time for a request whose contract names none.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
-
-/// Longest answer in tokens for a request whose contract names none.
-const DEFAULT_MAX_TOKENS: u64 = 1_024;
-
 /// A request with its contract and what may answer it.
 pub(super) struct Job {
     pub(super) app: Arc<App>,
@@ -81,10 +75,9 @@
 
     /// Longest answer in tokens.
     pub(super) fn max_tokens(&self) -> u64 {
-        let most = match &self.choice.expected {
-            Some(task) => u64::from(task.max_tokens),
-            None => DEFAULT_MAX_TOKENS,
-        };
+        let expected = self.choice.expected.as_ref();
+        let most = expected.map_or(DEFAULT_MAX_TOKENS, |task| task.max_tokens);
+        let most = u64::from(most);
         self.ask.max_tokens.unwrap_or(most).min(most)
     }
 
