--- a/crates/platform/src/error.rs
+++ b/crates/clients/src/error.rs
@@ -52,7 +52,7 @@
     /// Whether the call may have been executed all the same.
     ///
     /// ```
-    /// assert!(!platform::Error::Throttled.may_have_run());
+    /// assert!(!clients::Error::Throttled.may_have_run());
     /// ```
     pub fn may_have_run(&self) -> bool {
         matches!(self, Self::Unknown(_))
@@ -61,7 +61,7 @@
     /// Whether the platform itself is out of reach or failing, as opposed to a refusal of this call.
     ///
     /// ```
-    /// assert!(!platform::Error::Conflict { failed: vec![0] }.is_outage());
+    /// assert!(!clients::Error::Conflict { failed: vec![0] }.is_outage());
     /// ```
     pub fn is_outage(&self) -> bool {
         matches!(self, Self::Unknown(_) | Self::Unreachable { .. })
--- a/crates/platform/src/ratings/client.rs
+++ b/crates/clients/src/ratings/client.rs
@@ -32,7 +32,7 @@
     /// Makes a client; no connection is made yet.
     ///
     /// ```
-    /// let client = platform::ratings::Client::new(platform::ratings::Settings::default());
+    /// let client = clients::ratings::Client::new(clients::ratings::Settings::default());
     /// assert!(client.is_ok());
     /// ```
     pub fn new(settings: Settings) -> Result<Self, Error> {
@@ -44,7 +44,7 @@
     /// Rates an answer to a prompt of a task, from 0 to 1.
     ///
     /// ```no_run
-    /// # async fn run(client: platform::ratings::Client) -> Result<(), platform::Error> {
+    /// # async fn run(client: clients::ratings::Client) -> Result<(), clients::Error> {
     /// let score = client.score("tag", "Is it urgent?", "yes").await?;
     /// assert!((0.0..=1.0).contains(&score));
     /// # Ok(()) }
--- a/crates/platform/src/store/client.rs
+++ b/crates/clients/src/store/client.rs
@@ -16,7 +16,7 @@
     /// Makes a client; no connection is made yet.
     ///
     /// ```
-    /// let client = platform::store::Client::new(platform::store::Settings::default());
+    /// let client = clients::store::Client::new(clients::store::Settings::default());
     /// assert!(client.is_ok());
     /// ```
     pub fn new(settings: Settings) -> Result<Self, Error> {
@@ -28,7 +28,7 @@
     /// Puts an object unless one stands under the key, which is a conflict.
     ///
     /// ```no_run
-    /// # async fn run(client: platform::store::Client) -> Result<(), platform::Error> {
+    /// # async fn run(client: clients::store::Client) -> Result<(), clients::Error> {
     /// client.put_absent("bills/n1/1/1", "{}".into()).await?;
     /// # Ok(()) }
     /// ```
@@ -47,7 +47,7 @@
     /// Reads an object.
     ///
     /// ```no_run
-    /// # async fn run(client: platform::store::Client) -> Result<(), platform::Error> {
+    /// # async fn run(client: clients::store::Client) -> Result<(), clients::Error> {
     /// assert!(client.get("bills/none").await?.is_none());
     /// # Ok(()) }
     /// ```
--- a/crates/platform/src/table/client.rs
+++ b/crates/clients/src/table/client.rs
@@ -16,7 +16,7 @@
     /// Makes a client; no connection is made yet.
     ///
     /// ```
-    /// use platform::table::{Client, Settings};
+    /// use clients::table::{Client, Settings};
     /// let client = Client::new(Settings { url: "http://127.0.0.1:1".into(), ..Settings::default() });
     /// assert!(client.is_ok());
     /// ```
--- a/crates/platform/src/table/condition.rs
+++ b/crates/clients/src/table/condition.rs
@@ -16,7 +16,7 @@
     /// Whether the condition holds against the revision of a row that may exist.
     ///
     /// ```
-    /// use platform::table::Condition;
+    /// use clients::table::Condition;
     /// assert!(Condition::Rev(3).holds(Some(3)));
     /// assert!(!Condition::Absent.holds(Some(3)));
     /// ```
--- a/crates/platform/src/table/item.rs
+++ b/crates/clients/src/table/item.rs
@@ -17,7 +17,7 @@
     /// Makes a row.
     ///
     /// ```
-    /// let item = platform::table::Item::new("config", "head", 1, "{}");
+    /// let item = clients::table::Item::new("config", "head", 1, "{}");
     /// assert_eq!(item.rev, 1);
     /// ```
     pub fn new(
--- a/crates/platform/src/table/memory.rs
+++ b/crates/clients/src/table/memory.rs
@@ -29,7 +29,7 @@
 /// A table in memory whose clones share their rows. Faults are given for coming calls in order.
 ///
 /// ```
-/// use platform::table::{Fault, Memory};
+/// use clients::table::{Fault, Memory};
 /// let table = Memory::default();
 /// table.fail(Fault::AnswerLost);
 /// ```
@@ -42,8 +42,8 @@
     /// Adds a fault for the next call that has none.
     ///
     /// ```
-    /// let table = platform::table::Memory::default();
-    /// table.fail(platform::table::Fault::Throttled);
+    /// let table = clients::table::Memory::default();
+    /// table.fail(clients::table::Fault::Throttled);
     /// ```
     pub fn fail(&self, fault: Fault) {
         self.lock().faults.push_back(fault);
@@ -52,7 +52,7 @@
     /// Starts or ends an outage in which each call is lost unexecuted.
     ///
     /// ```
-    /// platform::table::Memory::default().set_down(true);
+    /// clients::table::Memory::default().set_down(true);
     /// ```
     pub fn set_down(&self, down: bool) {
         self.lock().down = down;
--- a/crates/platform/src/table/range.rs
+++ b/crates/clients/src/table/range.rs
@@ -18,7 +18,7 @@
     /// Whether a sort key lies in the range.
     ///
     /// ```
-    /// use platform::table::Range;
+    /// use clients::table::Range;
     /// assert!(Range::After("a".into()).contains("b"));
     /// assert!(!Range::After("a".into()).contains("a"));
     /// ```
--- a/crates/platform/src/table/write.rs
+++ b/crates/clients/src/table/write.rs
@@ -27,7 +27,7 @@
     /// Partition and sort key of the row.
     ///
     /// ```
-    /// use platform::table::{Condition, Item, Write};
+    /// use clients::table::{Condition, Item, Write};
     /// let item = Item::new("lease", "n1", 1, "{}");
     /// let write = Write::Put { item, condition: Condition::Any };
     /// assert_eq!(write.key(), ("lease", "n1"));
@@ -44,7 +44,7 @@
     /// What must hold before.
     ///
     /// ```
-    /// use platform::table::{Condition, Item, Write};
+    /// use clients::table::{Condition, Item, Write};
     /// let item = Item::new("lease", "n1", 1, "{}");
     /// let write = Write::Put { item, condition: Condition::Absent };
     /// assert_eq!(write.condition(), Condition::Absent);
--- a/crates/platform/src/vms/client.rs
+++ b/crates/clients/src/vms/client.rs
@@ -15,7 +15,7 @@
     /// Makes a client; no connection is made yet.
     ///
     /// ```
-    /// let client = platform::vms::Client::new(platform::vms::Settings::default());
+    /// let client = clients::vms::Client::new(clients::vms::Settings::default());
     /// assert!(client.is_ok());
     /// ```
     pub fn new(settings: Settings) -> Result<Self, Error> {
@@ -29,7 +29,7 @@
     /// Reads the whole list.
     ///
     /// ```no_run
-    /// # async fn run(client: platform::vms::Client) -> Result<(), platform::Error> {
+    /// # async fn run(client: clients::vms::Client) -> Result<(), clients::Error> {
     /// for vm in client.list().await? {
     ///     println!("{} in {}", vm.address, vm.zone);
     /// }
--- a/crates/platform/tests/table.rs
+++ b/crates/clients/tests/table.rs
@@ -1,7 +1,7 @@
 //! What each answer of the table service means for the write it answers.
 
-use platform::table::{Client, Condition, Item, Memory, Range, Settings, Table, Write};
-use platform::{Error, table::Fault};
+use clients::table::{Client, Condition, Item, Memory, Range, Settings, Table, Write};
+use clients::{Error, table::Fault};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
--- /dev/null
+++ b/crates/edge/src/app/mod.rs
@@ -0,0 +1,9 @@
+//! What the parts of a node share.
+
+mod app;
+mod mirror;
+mod state;
+
+pub use app::App;
+pub use mirror::Mirror;
+pub use state::{State, Table};
--- /dev/null
+++ b/crates/edge/src/app/state.rs
@@ -0,0 +1,303 @@
+//! What a node believes.
+
+use super::Mirror;
+use crate::membership;
+use contract::{Map, Set};
+use limits::retry::{self, Budget};
+use platform::Intent;
+use platform::store::{Page, Row};
+use route::config::Config;
+use route::member::Members;
+use route::pool::{self, Pool, Query, Refusal};
+use route::rollout::Order;
+use route::server::Listing;
+use route::site::Site;
+use route::{ServerId, ServiceName, table};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Largest fleet that the shares of nodes are cut for, in times of the nodes known at start.
+const FLEET_MARGIN: f64 = 1.7;
+/// Time after an outage of the store in which entries that lapsed meanwhile come back.
+const LAPSE_TIME: Duration = Duration::from_millis(2000);
+/// Part of the retry ratio that nodes spend: windows of nodes and of the site don't coincide.
+const RETRY_PART: f64 = 0.8;
+
+/// A table of the store that nodes copy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Table {
+    /// What the operator asks for.
+    Intents,
+    /// The backend servers.
+    Servers,
+    /// The nodes.
+    Members,
+    /// What the operator reads back.
+    Status,
+}
+
+impl Table {
+    /// All of them.
+    pub const ALL: [Self; 4] = [Self::Intents, Self::Servers, Self::Members, Self::Status];
+
+    /// Name of the table in the store.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Intents => platform::store::INTENTS,
+            Self::Servers => platform::store::SERVERS,
+            Self::Members => membership::TABLE,
+            Self::Status => platform::store::STATUS,
+        }
+    }
+}
+
+/// What a node believes.
+#[derive(Debug)]
+pub struct State {
+    /// Routes and keys in force.
+    pub routes: Arc<table::Table>,
+    /// The backend servers.
+    pub pool: Pool,
+    /// The other nodes.
+    pub members: Members,
+    /// Whether the node is to stop.
+    pub stopping: bool,
+    /// Roll-outs that the operator asks for, with the time at which this node learnt of them.
+    pub orders: Map<ServiceName, (Order, Instant)>,
+    zones_out: Set<String>,
+    mirrors: [Mirror; 4],
+    /// Whether the list of backend servers was read.
+    listed: bool,
+    store_lost: Option<Instant>,
+    lapsed: Vec<(ServerId, Instant)>,
+    budgets: Map<ServiceName, Budget>,
+    retry: retry::Settings,
+    cold: (f64, f64),
+}
+
+impl State {
+    /// Knows nothing yet.
+    pub fn new(site: &Site) -> Self {
+        let bounds = &site.bounds;
+        Self {
+            routes: Arc::default(),
+            pool: Pool::new(pool::Settings::default()),
+            members: Members::default(),
+            stopping: false,
+            orders: Map::default(),
+            zones_out: Set::default(),
+            mirrors: Default::default(),
+            listed: false,
+            store_lost: None,
+            lapsed: Vec::new(),
+            budgets: Map::default(),
+            retry: retry::Settings {
+                ratio: bounds.retry_ratio * RETRY_PART,
+                burst: bounds.retry_extra,
+                floor: 0.0,
+            },
+            cold: (bounds.cold_factor, bounds.cold_extra),
+        }
+    }
+
+    /// Whether the node can serve requests.
+    pub fn ready(&self) -> bool {
+        self.configured() && self.listed && !self.stopping
+    }
+
+    /// Whether the node knows a configuration.
+    pub fn configured(&self) -> bool {
+        self.routes.config().revision > 0
+    }
+
+    /// The copy of a table.
+    pub fn mirror(&self, table: Table) -> &Mirror {
+        &self.mirrors[table as usize]
+    }
+
+    /// Takes in changes of a table.
+    pub fn update(&mut self, now: Instant, table: Table, page: Page) {
+        let news = self.mirrors[table as usize].update(page);
+        self.apply(now, table, news);
+    }
+
+    /// Takes in changes that another node knows of. The own position stays, so that the store is
+    /// still asked for all that came since.
+    pub fn update_from_peer(&mut self, now: Instant, table: Table, mut page: Page) {
+        page.position = 0;
+        self.listed |= table == Table::Servers;
+        self.update(now, table, page);
+    }
+
+    /// Takes in a whole table.
+    pub fn replace(&mut self, now: Instant, table: Table, page: Page) {
+        let news = self.mirrors[table as usize].replace(page);
+        self.apply(now, table, news);
+        self.listed |= table == Table::Servers;
+    }
+
+    fn apply(&mut self, now: Instant, table: Table, news: Vec<Row>) {
+        for row in &news {
+            match table {
+                Table::Intents => self.apply_intent(now, row),
+                Table::Servers => self.apply_server(now, row),
+                Table::Members => self.apply_member(row),
+                Table::Status => (),
+            }
+        }
+        if table == Table::Intents && !news.is_empty() {
+            self.apply_zones(now);
+        }
+        if table == Table::Members && !news.is_empty() {
+            self.share(now);
+        }
+    }
+
+    fn apply_intent(&mut self, now: Instant, row: &Row) {
+        match (platform::intent(&row.key), &row.value) {
+            (Intent::Config, Some(value)) => self.apply_config(now, value),
+            (Intent::Rollout(service), Some(value)) if !row.removed => {
+                match platform::rollout(value) {
+                    Ok(order) => {
+                        log::info!(event = 1721, service = service, to = order.to.as_str(); "roll-out ordered");
+                        self.orders.insert(service.to_owned(), (order, now));
+                    }
+                    Err(error) => log::warn!(event = 1720, row = row.key.as_str(); "{error}"),
+                }
+            }
+            (Intent::Rollout(service), _) => {
+                self.orders.remove(service);
+            }
+            (Intent::ZoneOut(zone), _) => {
+                let out = !row.removed;
+                log::info!(event = 1722, zone = zone, out = out; "availability zone changed");
+                match out {
+                    true => self.zones_out.insert(zone.to_owned()),
+                    false => self.zones_out.remove(zone),
+                };
+            }
+            (Intent::Config | Intent::Other, _) => {
+                log::warn!(event = 1720, row = row.key.as_str(); "row of no known meaning");
+            }
+        }
+    }
+
+    fn apply_config(&mut self, now: Instant, value: &[u8]) {
+        let config = match platform::config(value) {
+            Ok(config) => config,
+            Err(error) => return log::error!(event = 1720, row = "config"; "{error}"),
+        };
+        if config.revision <= self.routes.config().revision {
+            return;
+        }
+        log::info!(event = 1723, revision = config.revision, routes = config.routes.len(); "configuration in force");
+        self.routes = Arc::new(table::Table::new(config));
+        self.share(now);
+    }
+
+    fn apply_zones(&mut self, now: Instant) {
+        let config = Arc::clone(self.routes.config());
+        let cold = |service: &str| {
+            let service = config.services.get(service);
+            service.map_or(Duration::ZERO, |service| service.cold)
+        };
+        self.pool.set_zones_out(now, self.zones_out.clone(), cold);
+    }
+
+    fn apply_server(&mut self, now: Instant, row: &Row) {
+        if row.removed {
+            return self.apply_removed(now, &row.key);
+        }
+        let decoded = platform::listing(&row.key, row.value.as_deref().unwrap_or_default());
+        match decoded {
+            Ok(listing) => self.apply_listing(now, listing),
+            Err(error) => log::warn!(event = 1720, row = row.key.as_str(); "{error}"),
+        }
+    }
+
+    fn apply_listing(&mut self, now: Instant, listing: Listing) {
+        log::info!(event = 1724, server = listing.id.as_str(), service = listing.service.as_str(),
+            zone = listing.zone.as_str(), version = listing.version.as_str(),
+            cold_ms = listing.cold.as_millis() as u64, state = format!("{:?}", listing.state).as_str();
+            "backend server listed");
+        self.lapsed.retain(|(id, _)| *id != listing.id);
+        self.pool.list(now, listing);
+    }
+
+    fn apply_removed(&mut self, now: Instant, id: &str) {
+        let lost = self.store_lost;
+        if lost.is_some_and(|lost| now.saturating_duration_since(lost) < LAPSE_TIME) {
+            self.lapsed.push((id.to_owned(), now + LAPSE_TIME));
+            return;
+        }
+        log::info!(event = 1725, server = id; "backend server gone");
+        self.pool.remove(id);
+    }
+
+    fn apply_member(&mut self, row: &Row) {
+        if let Some(member) = membership::decode(row) {
+            self.members.add(member);
+        }
+    }
+
+    /// Takes in whether the store answers.
+    pub fn store_answers(&mut self, now: Instant, answers: bool) {
+        if !answers {
+            self.store_lost = Some(now);
+        }
+    }
+
+    /// Forgets backend servers whose entries lapsed and didn't come back.
+    pub fn sweep(&mut self, now: Instant) {
+        let over: Vec<_> = self.lapsed.extract_if(.., |(_, until)| now >= *until).collect();
+        for (id, _) in over {
+            log::info!(event = 1725, server = id.as_str(); "backend server gone");
+            self.pool.remove(&id);
+        }
+    }
+
+    /// Cuts what all nodes share into this node's part.
+    fn share(&mut self, now: Instant) {
+        let nodes = (1 + self.members.all().count()) as f64 * FLEET_MARGIN;
+        let config: &Config = self.routes.config();
+        let mut ramps = Map::default();
+        for (name, service) in &config.services {
+            if service.cold_rate > 0.0 {
+                let bound = service.cold_rate * self.cold.0 + self.cold.1;
+                ramps.insert(name.clone(), (bound / nodes) as usize);
+            }
+            let burst = (self.retry.burst / nodes).max(1.0);
+            let settings = retry::Settings {
+                burst,
+                ..self.retry.clone()
+            };
+            self.budgets
+                .entry(name.clone())
+                .or_insert_with(|| Budget::new(settings, now));
+        }
+        self.pool.set_ramps(ramps);
+    }
+
+    /// Chooses a backend server for a request.
+    pub fn pick(
+        &mut self,
+        now: Instant,
+        query: &Query,
+        _session: Option<&str>,
+    ) -> Result<Listing, Refusal> {
+        self.pool.pick(now, query, |_| true)
+    }
+
+    /// Counts the first send of a request.
+    pub fn count_request(&mut self, service: &str) {
+        if let Some(budget) = self.budgets.get_mut(service) {
+            budget.fill();
+        }
+    }
+
+    /// Takes a further send of a request out of the budget.
+    pub fn take_retry(&mut self, now: Instant, service: &str) -> bool {
+        let budget = self.budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.take(now))
+    }
+}
--- /dev/null
+++ b/crates/edge/src/follow/follow.rs
@@ -0,0 +1,81 @@
+//! One loop a table: the whole table once, then its changes.
+
+use crate::app::{App, Table};
+use crate::backoff::Backoff;
+use platform::Error;
+use platform::store::Page;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// Time for which a call waits for changes. Probes of the connection find one that went silent, so
+/// a long wait costs nothing but keeps calls few.
+const WAIT: Duration = Duration::from_secs(20);
+/// First pause after a failed call; it doubles up to the longest.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause: a store that is back is found within it, well inside the time for a change.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Pause between two looks at entries that lapsed.
+const SWEEP_PAUSE: Duration = Duration::from_millis(100);
+
+/// Follows a table for as long as the node runs.
+pub async fn follow(app: Arc<App>, table: Table) {
+    let mut backoff = Backoff::new(PAUSE, LONGEST_PAUSE);
+    let mut answering = true;
+    loop {
+        let position = app.state().mirror(table).position();
+        let whole = position == 0;
+        let answer = match whole {
+            true => app.store.rows(table.name()).await,
+            false => app.store.changes(table.name(), position, WAIT).await,
+        };
+        let answer = match answer {
+            Err(Error::Compacted) => {
+                log::warn!(event = 1704, table = table.name(), position = position; "history is gone, reading the whole table");
+                app.store.rows(table.name()).await.map(|page| (true, page))
+            }
+            answer => answer.map(|page| (whole, page)),
+        };
+        match answer {
+            Ok((whole, page)) => {
+                if !std::mem::replace(&mut answering, true) {
+                    log::info!(event = 1705, table = table.name(); "the store answers again");
+                }
+                backoff.reset();
+                take(&app, table, whole, page);
+            }
+            Err(error) => {
+                app.state().store_answers(Instant::now(), false);
+                if std::mem::replace(&mut answering, false) {
+                    log::warn!(event = 1706, table = table.name(); "the store doesn't answer: {error}");
+                }
+                backoff.wait().await;
+            }
+        }
+    }
+}
+
+/// Takes in an answer and wakes those who wait for a change.
+fn take(app: &App, table: Table, whole: bool, page: Page) {
+    let now = Instant::now();
+    let mut state = app.state();
+    let before = state.mirror(table).newest();
+    match whole {
+        true => state.replace(now, table, page),
+        false => state.update(now, table, page),
+    }
+    let changed = state.mirror(table).newest() != before;
+    drop(state);
+    if changed {
+        app.room.notify_waiters();
+        app.news.notify_waiters();
+    }
+}
+
+/// Forgets backend servers whose entries lapsed, for as long as the node runs.
+pub async fn sweep(app: Arc<App>) {
+    loop {
+        sleep(SWEEP_PAUSE).await;
+        app.state().sweep(Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/edge/src/follow/mod.rs
@@ -0,0 +1,5 @@
+//! Following the tables of the platform's store.
+
+mod follow;
+
+pub use follow::{follow, sweep};
--- /dev/null
+++ b/crates/edge/src/forward/attempt.rs
@@ -0,0 +1,145 @@
+//! One send to a backend server, with what it tells of the server.
+
+use super::head::text;
+use super::job::Job;
+use crate::app::App;
+use crate::upstream::{self, Answer};
+use hyper::StatusCode;
+use hyper::header::CONTENT_ENCODING;
+use platform::header;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use route::ServerId;
+use route::pool::{Outcome, Query, Refusal};
+use route::server::Listing;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout_at;
+
+/// A request's place on a backend server, for as long as the value lives.
+#[derive(Debug)]
+pub struct Place {
+    app: Arc<App>,
+    /// The backend server.
+    pub server: Listing,
+    begun: Instant,
+    outcome: Outcome,
+    unread: f64,
+}
+
+impl Place {
+    /// Notes how the send ended.
+    pub fn note(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    /// Id of the backend server.
+    pub fn id(&self) -> &ServerId {
+        &self.server.id
+    }
+
+    /// Time since the send.
+    pub fn age(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    /// Notes that the prompt was read.
+    pub fn read(&mut self) {
+        let tokens = std::mem::take(&mut self.unread);
+        self.app.state().pool.prompt_read(&self.server.id, tokens);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut state = self.app.state();
+        let mut rng = SmallRng::from_os_rng();
+        state
+            .pool
+            .end(Instant::now(), &self.server.id, self.outcome, &mut rng);
+        drop(state);
+        self.app.room.notify_one();
+    }
+}
+
+/// What came of a send.
+#[derive(Debug)]
+pub enum Sent {
+    /// An answer that the backend server stands for.
+    Answer(Box<Answer>, Place),
+    /// It hasn't run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// Chooses a backend server and counts the request there.
+pub fn place(app: &Arc<App>, job: &Job) -> Result<Place, Refusal> {
+    let now = Instant::now();
+    let mut state = app.state();
+    let query = Query {
+        service: &job.service,
+        model: job.model.as_ref().map(|(model, pace)| (model.as_str(), *pace)),
+        work: &job.work,
+        zone: &app.site.zone,
+        tried: &job.tried,
+    };
+    let server = state.pick(now, &query, job.session.as_deref())?;
+    let unread = state.pool.begin(now, &server.id, &query);
+    Ok(Place {
+        app: Arc::clone(app),
+        server,
+        begun: now,
+        outcome: Outcome::Unknown,
+        unread,
+    })
+}
+
+/// Sends a request to the backend server where it has its place, and waits for the head of the
+/// answer for as long as given.
+pub async fn send(job: &mut Job, mut place: Place, until: Instant) -> Sent {
+    let request = job.request(Instant::now(), place.id());
+    let address = place.server.address;
+    job.tried.push(place.id().clone());
+    let answer = timeout_at(until.into(), upstream::send(address, request)).await;
+    let answer = match answer {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(upstream::Error::NotSent(error))) => {
+            place.note(Outcome::Failed);
+            log::info!(event = 1731, request = job.name(), server = place.id().as_str(); "not sent: {error}");
+            return Sent::NotRun;
+        }
+        Ok(Err(error)) => {
+            job.sends += 1;
+            place.note(Outcome::Failed);
+            log::info!(event = 1732, request = job.name(), server = place.id().as_str(); "{error}");
+            return Sent::Unknown;
+        }
+        Err(_) => {
+            job.sends += 1;
+            place.note(Outcome::Failed);
+            log::info!(event = 1733, request = job.name(), server = place.id().as_str(),
+                waited_ms = place.age().as_millis() as u64; "no answer in time");
+            return Sent::Unknown;
+        }
+    };
+    job.sends += 1;
+    let status = answer.head.status;
+    let headers = &answer.head.headers;
+    if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_RUN) {
+        place.note(Outcome::Full);
+        log::info!(event = 1734, request = job.name(), server = place.id().as_str(), status = status.as_u16(); "not run");
+        return Sent::NotRun;
+    }
+    let own = job.id.as_ref().is_none_or(|id| {
+        let echo = headers.get(header::ATTEMPT);
+        echo.is_none_or(|echo| echo == id)
+    });
+    let signed = !status.is_success() || text(headers, header::SIGNATURE).is_some();
+    if !own || !signed || headers.contains_key(CONTENT_ENCODING) {
+        place.note(Outcome::Failed);
+        log::warn!(event = 1735, request = job.name(), server = place.id().as_str(), status = status.as_u16(), own = own; "answer of another kind");
+        return Sent::Unknown;
+    }
+    Sent::Answer(Box::new(answer), place)
+}
--- /dev/null
+++ b/crates/edge/src/forward/job.rs
@@ -0,0 +1,154 @@
+//! A request on its way.
+
+use super::head::{number, strip, text};
+use bytes::Bytes;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Uri};
+use platform::header;
+use route::ServerId;
+use route::config::Route;
+use route::pool::Work;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Part of the time left that is kept for the way back to the caller.
+const WAY_BACK: Duration = Duration::from_millis(20);
+
+/// A request on its way: what was received, and what has become of it.
+#[derive(Debug)]
+pub struct Job {
+    /// Id of the caller's attempt.
+    pub id: Option<HeaderValue>,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Headers that go on.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// The route that takes it.
+    pub route: Arc<Route>,
+    /// The service that is to run it.
+    pub service: String,
+    /// What it makes an engine read and write.
+    pub work: Work,
+    /// The model that is to answer, where the caller leaves the choice open, with its pace.
+    pub model: Option<(String, f64)>,
+    /// Session that it belongs to.
+    pub session: Option<String>,
+    /// When it was received.
+    pub received: Instant,
+    /// When nobody waits for an answer any more.
+    pub limit: Instant,
+    /// Backend servers that had it.
+    pub tried: Vec<ServerId>,
+    /// Sends so far that reached a backend server.
+    pub sends: u32,
+    /// Whether a backend server may have run it.
+    pub ran: bool,
+    /// Number of the last event that the caller has.
+    pub last_event: Option<u64>,
+}
+
+impl Job {
+    /// A request as it was received, with its route and customer.
+    pub fn new(
+        received: Instant,
+        parts: hyper::http::request::Parts,
+        body: Bytes,
+        route: Arc<Route>,
+        customer: Option<&str>,
+    ) -> Self {
+        let mut headers = parts.headers;
+        let left = number(&headers, header::TIME_LEFT_MS)
+            .and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok());
+        let time = left.map_or(route.timeout, |left| left.min(route.timeout));
+        let work = work(&headers);
+        let session = text(&headers, header::SESSION).map(str::to_owned);
+        let id = headers.get(header::ATTEMPT).cloned();
+        let last_event = number(&headers, header::LAST_EVENT).map(|number| number as u64);
+        strip(&mut headers);
+        for name in header::RESERVED {
+            headers.remove(*name);
+        }
+        if let Some(Ok(name)) = customer.map(HeaderValue::from_str) {
+            headers.insert(HeaderName::from_static(header::CUSTOMER), name);
+        }
+        Self {
+            id,
+            method: parts.method,
+            uri: parts.uri,
+            headers,
+            body,
+            service: String::new(),
+            work,
+            model: None,
+            session,
+            received,
+            limit: received + time.saturating_sub(WAY_BACK),
+            tried: Vec::new(),
+            sends: 0,
+            ran: false,
+            last_event,
+            route,
+        }
+    }
+
+    /// Id of the caller's attempt, for logs.
+    pub fn name(&self) -> &str {
+        let id = self.id.as_ref();
+        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
+    /// Whether the caller leaves the choice of the model open.
+    pub fn any_model(&self) -> bool {
+        text(&self.headers, header::MODEL) == Some(header::ANY_MODEL)
+    }
+
+    /// Whether one more backend server may get it.
+    pub fn may_send(&self) -> bool {
+        self.sends < self.route.attempts.max(1) && (!self.ran || self.route.kind.repeatable())
+    }
+
+    /// The request for a backend server.
+    pub fn request(&self, now: Instant, server: &str) -> hyper::Request<http_body_util::Full<Bytes>> {
+        let mut request = hyper::Request::new(http_body_util::Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let headers = request.headers_mut();
+        *headers = self.headers.clone();
+        let left = self.limit.saturating_duration_since(now).as_millis();
+        let mut set = |name, value: String| {
+            if let Ok(value) = HeaderValue::from_str(&value) {
+                headers.insert(HeaderName::from_static(name), value);
+            }
+        };
+        set(header::TIME_LEFT_MS, left.to_string());
+        set(header::MEANT_SERVER, server.to_owned());
+        if let Some((model, _)) = &self.model {
+            set(header::MODEL, model.clone());
+        }
+        if let Some(event) = self.last_event {
+            set(header::LAST_EVENT, event.to_string());
+        }
+        request
+    }
+}
+
+/// What a request makes an engine read and write, from its headers.
+fn work(headers: &HeaderMap) -> Work {
+    let tokens = text(headers, header::TOKENS).unwrap_or_default();
+    let (prompt, most) = tokens.split_once(',').unwrap_or((tokens, ""));
+    let most = most.trim().parse().unwrap_or(0.0);
+    let parts = text(headers, header::PROMPT_PARTS).unwrap_or_default();
+    let parts = parts.split(',').filter_map(|part| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        Some((id.to_owned(), tokens.parse().ok()?))
+    });
+    Work {
+        parts: parts.collect(),
+        prompt: prompt.trim().parse().unwrap_or(0.0),
+        output: number(headers, header::EXPECTED_TOKENS).unwrap_or(most),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/forward/mod.rs
@@ -0,0 +1,12 @@
+//! The way of a request from its caller to a backend server and back.
+
+mod attempt;
+mod event;
+mod forward;
+mod head;
+mod job;
+mod plain;
+mod refusal;
+mod stream;
+
+pub use forward::forward;
--- /dev/null
+++ b/crates/edge/src/forward/plain.rs
@@ -0,0 +1,90 @@
+//! Requests with a whole answer.
+
+use super::attempt::{Sent, send};
+use super::forward::{Next, find};
+use super::head::strip;
+use super::job::Job;
+use super::refusal::Refusal;
+use crate::app::App;
+use crate::body::Body;
+use crate::upstream::Answer;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::Response;
+use route::config::Kind;
+use route::pool::Outcome;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::time::timeout_at;
+
+/// Longest answer that is kept as a whole, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// Serves a request whose answer is passed on as a whole.
+pub async fn serve(app: &Arc<App>, job: &mut Job) -> Result<Response<Body>, Refusal> {
+    let mut failure = None;
+    loop {
+        let place = match find(app, job, failure.is_some()).await {
+            Next::Place(place) => place,
+            Next::Refused(refusal) => {
+                // An answer that a backend server gave goes before words of the node's own.
+                return failure.ok_or(refusal);
+            }
+        };
+        let until = until(job);
+        match send(job, place, until).await {
+            Sent::NotRun => (),
+            Sent::Unknown => job.ran = true,
+            Sent::Answer(answer, mut place) => {
+                job.ran = true;
+                let failed = answer.head.status.is_server_error();
+                let whole = match timeout_at(until.into(), collect(*answer)).await {
+                    Ok(Some(whole)) => whole,
+                    Ok(None) | Err(_) => {
+                        place.note(Outcome::Failed);
+                        log::info!(event = 1736, request = job.name(), server = place.id().as_str(); "answer broke off");
+                        continue;
+                    }
+                };
+                if !failed {
+                    place.note(Outcome::Sound);
+                    return Ok(whole);
+                }
+                place.note(Outcome::Failed);
+                log::info!(event = 1737, request = job.name(), server = place.id().as_str(),
+                    status = whole.status().as_u16(); "backend server failed");
+                // 503 says that a request hasn't run: a backend server's own doesn't.
+                if !matches!(whole.status().as_u16(), 408 | 421 | 429 | 503) {
+                    failure = Some(whole);
+                }
+            }
+        }
+    }
+}
+
+/// Until when one backend server is waited for. Where the request may be repeated, a silent one
+/// leaves time for another.
+fn until(job: &Job) -> Instant {
+    let last = job.sends + 1 >= job.route.attempts;
+    if job.route.kind != Kind::Idempotent || last {
+        return job.limit;
+    }
+    let now = Instant::now();
+    let left = job.limit.saturating_duration_since(now);
+    now + (job.route.target * 2).min(left / 2)
+}
+
+/// The whole answer; none when it breaks off.
+async fn collect(mut answer: Answer) -> Option<Response<Body>> {
+    let whole = Limited::new(&mut answer.body, MAX_ANSWER).collect().await;
+    let body: Bytes = match whole {
+        Ok(whole) => whole.to_bytes(),
+        Err(error) => {
+            log::debug!(event = 1736; "{error}");
+            return None;
+        }
+    };
+    let mut response = Response::from_parts(answer.head, Body::whole(body));
+    strip(response.headers_mut());
+    Some(response)
+}
--- /dev/null
+++ b/crates/edge/src/forward/stream.rs
@@ -0,0 +1,262 @@
+//! Requests whose answer is a stream of events.
+
+use super::attempt::{Place, Sent, send};
+use super::event::{Event, Events};
+use super::forward::{Next, find};
+use super::head::strip;
+use super::job::Job;
+use super::refusal::Refusal;
+use crate::app::App;
+use crate::body::{Body, Broken};
+use crate::stop::Entered;
+use crate::upstream::Answer;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::http::response::Parts;
+use route::pool::Outcome;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::sync::mpsc;
+use tokio::time::timeout_at;
+
+/// Events that wait for a caller that reads slowly.
+const MAX_WAITING: usize = 16;
+/// Part of the longest pause after which a silent backend server is given up for another: the rest
+/// is for the other to read the prompt.
+const SILENCE: f64 = 0.5;
+/// Part of the target after which a backend server without a first event is given up.
+const FIRST_EVENT: f64 = 0.6;
+
+/// A stream from one backend server.
+struct Source {
+    answer: Box<Answer>,
+    place: Place,
+    events: Events,
+}
+
+/// What a stream gives next.
+enum Item {
+    Event(Event),
+    /// The end as its backend server meant it.
+    End,
+    /// It broke off or fell silent.
+    Broken,
+}
+
+impl Source {
+    fn new(answer: Box<Answer>, place: Place) -> Self {
+        Self {
+            answer,
+            place,
+            events: Events::default(),
+        }
+    }
+
+    async fn next(&mut self, until: Instant) -> Item {
+        loop {
+            if let Some(event) = self.events.next() {
+                return Item::Event(event);
+            }
+            if self.events.is_too_long() {
+                return Item::Broken;
+            }
+            match timeout_at(until.into(), self.answer.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        self.events.push(&bytes);
+                    }
+                }
+                Ok(None) if !self.events.is_partial() => return Item::End,
+                Ok(None) => return Item::Broken,
+                Ok(Some(Err(error))) => {
+                    log::debug!(event = 1741; "stream broke off: {error}");
+                    return Item::Broken;
+                }
+                Err(_) => return Item::Broken,
+            }
+        }
+    }
+}
+
+/// What came before a caller got anything.
+enum First {
+    /// A stream with its first event.
+    Stream(Source, Event),
+    /// A whole answer: a failure, or a stream without events.
+    Whole(Response<Body>),
+}
+
+/// Serves a request whose answer is a stream.
+pub async fn serve(
+    app: &Arc<App>,
+    mut job: Job,
+    entered: Entered,
+) -> Result<Response<Body>, Refusal> {
+    let (source, event) = match first(app, &mut job).await? {
+        First::Stream(source, event) => (source, event),
+        First::Whole(response) => return Ok(response),
+    };
+    let mut head = Response::new(());
+    *head.status_mut() = source.answer.head.status;
+    *head.headers_mut() = source.answer.head.headers.clone();
+    strip(head.headers_mut());
+    let (events, body) = mpsc::channel(MAX_WAITING);
+    let app = Arc::clone(app);
+    tokio::spawn(async move {
+        let _entered = entered;
+        relay(&app, job, source, event, events).await;
+    });
+    Ok(head.map(|()| Body::Events(body)))
+}
+
+async fn first(app: &Arc<App>, job: &mut Job) -> Result<First, Refusal> {
+    let mut failure: Option<Response<Body>> = None;
+    loop {
+        let place = match find(app, job, failure.is_some()).await {
+            Next::Place(place) => place,
+            Next::Refused(refusal) => return failure.map(First::Whole).ok_or(refusal),
+        };
+        let until = first_until(job);
+        let (answer, place) = match send(job, place, until).await {
+            Sent::NotRun => continue,
+            Sent::Unknown => {
+                job.ran = true;
+                continue;
+            }
+            Sent::Answer(answer, place) => (answer, place),
+        };
+        job.ran = true;
+        let status = answer.head.status;
+        let mut source = Source::new(answer, place);
+        if !status.is_success() {
+            source.place.note(Outcome::Failed);
+            log::info!(event = 1737, request = job.name(), server = source.place.id().as_str(),
+                status = status.as_u16(); "backend server failed");
+            if !matches!(status.as_u16(), 408 | 421 | 429 | 503) {
+                failure = failed(source).await.or(failure);
+            }
+            continue;
+        }
+        match source.next(until).await {
+            Item::Event(event) => {
+                source.place.read();
+                return Ok(First::Stream(source, event));
+            }
+            Item::End => {
+                source.place.note(Outcome::Sound);
+                let head = source.answer.head.clone();
+                return Ok(First::Whole(whole(head, Bytes::new())));
+            }
+            Item::Broken => {
+                source.place.note(Outcome::Failed);
+                log::info!(event = 1740, request = job.name(), server = source.place.id().as_str(),
+                    waited_ms = source.place.age().as_millis() as u64; "no first event");
+            }
+        }
+    }
+}
+
+/// The whole answer of a backend server that failed.
+async fn failed(source: Source) -> Option<Response<Body>> {
+    let body = source.answer.body.collect().await.ok()?;
+    Some(whole(source.answer.head.clone(), body.to_bytes()))
+}
+
+fn whole(head: Parts, body: Bytes) -> Response<Body> {
+    let mut response = Response::from_parts(head, Body::whole(body));
+    strip(response.headers_mut());
+    response
+}
+
+/// Until when a backend server may take for its first event.
+fn first_until(job: &Job) -> Instant {
+    if job.sends + 1 >= job.route.attempts || !job.route.kind.repeatable() {
+        return job.limit;
+    }
+    (Instant::now() + job.route.target.mul_f64(FIRST_EVENT)).min(job.limit)
+}
+
+/// Passes events on, from another backend server where one breaks off.
+async fn relay(
+    app: &Arc<App>,
+    mut job: Job,
+    mut source: Source,
+    first: Event,
+    events: mpsc::Sender<Result<Bytes, Broken>>,
+) {
+    let mut next = Item::Event(first);
+    loop {
+        match next {
+            Item::Event(event) => {
+                let known = event.id.is_some() && event.id <= job.last_event;
+                if event.id.is_some() && !known {
+                    job.last_event = event.id;
+                }
+                if !known && events.send(Ok(event.bytes)).await.is_err() {
+                    return left(&job);
+                }
+            }
+            Item::End => {
+                source.place.note(Outcome::Sound);
+                log::info!(event = 1742, request = job.name(), server = source.place.id().as_str(),
+                    took_ms = job.received.elapsed().as_millis() as u64; "stream ended");
+                return;
+            }
+            Item::Broken => {
+                source.place.note(Outcome::Failed);
+                log::info!(event = 1741, request = job.name(), server = source.place.id().as_str(),
+                    last_event = job.last_event.unwrap_or(0); "stream broke off");
+                drop(source);
+                let again = tokio::select! {
+                    again = resume(app, &mut job) => again,
+                    () = events.closed() => return left(&job),
+                };
+                let Some(again) = again else {
+                    log::warn!(event = 1743, request = job.name(), sends = job.sends; "stream given up");
+                    // The caller is gone if this fails, and needs no word.
+                    let _ = events.send(Err(Broken)).await;
+                    return;
+                };
+                source = again;
+            }
+        }
+        let until = next_until(&job);
+        next = tokio::select! {
+            item = source.next(until) => item,
+            () = events.closed() => return left(&job),
+        };
+    }
+}
+
+fn left(job: &Job) {
+    log::info!(event = 1744, request = job.name(), last_event = job.last_event.unwrap_or(0); "caller left");
+}
+
+fn next_until(job: &Job) -> Instant {
+    if !job.may_send() || job.route.pause.is_zero() {
+        return job.limit;
+    }
+    (Instant::now() + job.route.pause.mul_f64(SILENCE)).min(job.limit)
+}
+
+/// Goes on with a stream at another backend server, after the last event that the caller has.
+async fn resume(app: &Arc<App>, job: &mut Job) -> Option<Source> {
+    loop {
+        if Instant::now() >= job.limit || !job.route.kind.repeatable() {
+            return None;
+        }
+        let place = match find(app, job, false).await {
+            Next::Place(place) => place,
+            Next::Refused(_) => return None,
+        };
+        let until = first_until(job);
+        let Sent::Answer(answer, mut place) = send(job, place, until).await else {
+            continue;
+        };
+        if answer.head.status.is_success() {
+            return Some(Source::new(answer, place));
+        }
+        place.note(Outcome::Failed);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,18 @@
+//! An entry node on the operators' platform: callers on one side, backend servers on the other.
+
+mod app;
+mod backoff;
+mod body;
+mod directory;
+mod error;
+mod follow;
+mod forward;
+mod link;
+mod listen;
+mod membership;
+mod run;
+mod stop;
+mod upstream;
+
+pub use error::Error;
+pub use run::{Options, options, run};
--- /dev/null
+++ b/crates/edge/src/link/dial.rs
@@ -0,0 +1,90 @@
+//! Links that this node opens: one to each other node.
+
+use super::frame::Frame;
+use super::listen::config;
+use super::serve::{beat, serve};
+use crate::app::App;
+use crate::backoff::Backoff;
+use crate::upstream::watch;
+use contract::Set;
+use futures::{SinkExt, StreamExt};
+use route::member::Member;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use tokio_tungstenite::{client_async_with_config, tungstenite};
+
+/// Time between two beats: several fit into the silence after which a node counts as gone.
+const BEAT: Duration = Duration::from_millis(300);
+/// Time to open a link.
+const OPEN_TIME: Duration = Duration::from_millis(600);
+/// First pause before a link is opened again; it doubles up to the longest.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause before a link is opened again.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// Pause between two looks for new nodes.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Keeps a link to each other node for as long as this one runs.
+pub async fn dial(app: Arc<App>) {
+    let mut dialed: Set<SocketAddrV4> = Set::default();
+    loop {
+        let members: Vec<Member> = app.state().members.all().cloned().collect();
+        for member in members {
+            if member.node != app.site.node && dialed.insert(member.link) {
+                tokio::spawn(keep(Arc::clone(&app), member));
+            }
+        }
+        sleep(LOOK).await;
+    }
+}
+
+async fn keep(app: Arc<App>, member: Member) {
+    let mut backoff = Backoff::new(PAUSE, LONGEST_PAUSE);
+    loop {
+        let opened = tokio::time::Instant::now();
+        match tell(&app, member.link).await {
+            Ok(()) => log::info!(event = 1710, peer = member.node.as_str(); "link closed"),
+            Err(error) => log::debug!(event = 1710, peer = member.node.as_str(); "link down: {error}"),
+        }
+        if opened.elapsed() > LONGEST_PAUSE {
+            backoff.reset();
+        }
+        backoff.wait().await;
+    }
+}
+
+/// Opens a link and tells the other node what this one knows, until the link ends.
+async fn tell(app: &App, address: SocketAddrV4) -> Result<(), tungstenite::Error> {
+    let open = async {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        watch(&stream)?;
+        client_async_with_config(format!("ws://{address}/"), stream, Some(config())).await
+    };
+    let opened = timeout(OPEN_TIME, open).await;
+    let (mut link, _) = opened.map_err(std::io::Error::from)??;
+    loop {
+        if let Some(message) = beat(app).encode() {
+            link.send(message).await?;
+        }
+        let news = app.news.notified();
+        tokio::select! {
+            () = sleep(BEAT) => (),
+            () = news => (),
+            message = link.next() => {
+                let Some(message) = message.transpose()? else {
+                    return Ok(());
+                };
+                let Some(frame) = Frame::decode(&message) else {
+                    continue;
+                };
+                for answer in serve(app, frame).iter().filter_map(Frame::encode) {
+                    link.send(answer).await?;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/link/listen.rs
@@ -0,0 +1,66 @@
+//! Links that other nodes open.
+
+use super::frame::Frame;
+use super::serve::serve;
+use crate::Error;
+use crate::app::App;
+use crate::upstream::watch;
+use futures::{SinkExt, StreamExt};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{accept_async_with_config, tungstenite};
+
+/// Time without a frame after which a link is given up; the other side opens a new one.
+const SILENCE: Duration = Duration::from_secs(3);
+/// Bytes of a link's read buffer: a beat fits, and a node has a link for each other node.
+const READ_BUFFER: usize = 8 << 10;
+
+/// How links are set up.
+pub fn config() -> WebSocketConfig {
+    WebSocketConfig::default().read_buffer_size(READ_BUFFER)
+}
+
+/// Accepts links for as long as the node runs.
+pub async fn listen(app: Arc<App>) -> Result<(), Error> {
+    let address = app.member().link;
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.map_err(|source| Error::Listen { address, source })?;
+    tokio::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(accept(Arc::clone(&app), stream));
+                }
+                Err(error) => {
+                    log::warn!(event = 1711; "link can't be accepted: {error}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn accept(app: Arc<App>, stream: TcpStream) {
+    if let Err(error) = receive(app, stream).await {
+        log::debug!(event = 1711; "link ended: {error}");
+    }
+}
+
+async fn receive(app: Arc<App>, stream: TcpStream) -> Result<(), tungstenite::Error> {
+    watch(&stream)?;
+    stream.set_nodelay(true)?;
+    let mut link = accept_async_with_config(stream, Some(config())).await?;
+    while let Ok(Some(message)) = timeout(SILENCE, link.next()).await {
+        let Some(frame) = Frame::decode(&message?) else {
+            continue;
+        };
+        for answer in serve(&app, frame).iter().filter_map(Frame::encode) {
+            link.send(answer).await?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/edge/src/listen.rs
@@ -0,0 +1,82 @@
+//! Listening for callers.
+
+use crate::Error;
+use crate::app::App;
+use crate::body::Body;
+use crate::stop::Stop;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Least buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER: usize = 8192;
+/// Pause after a connection that can't be accepted: descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Listens on an address and answers each request by a function.
+pub async fn listen<S, F>(
+    app: Arc<App>,
+    stop: Stop,
+    address: SocketAddrV4,
+    serve: S,
+) -> Result<(), Error>
+where
+    S: Fn(Arc<App>, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.map_err(|source| Error::Listen { address, source })?;
+    tokio::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let (app, stop, serve) = (Arc::clone(&app), stop.clone(), serve.clone());
+                    tokio::spawn(connection(app, stop, stream, serve));
+                }
+                Err(error) => {
+                    log::warn!(event = 1707; "connection can't be accepted: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn connection<S, F>(app: Arc<App>, mut stop: Stop, stream: TcpStream, serve: S)
+where
+    S: Fn(Arc<App>, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        return log::debug!(event = 1708; "connection ended: {error}");
+    }
+    let limits = app.state().routes.config().limits.clone();
+    let service = service_fn(|request| {
+        let answer = serve(Arc::clone(&app), request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(served);
+    let ended = tokio::select! {
+        ended = served.as_mut() => ended,
+        () = stop.wait() => {
+            served.as_mut().graceful_shutdown();
+            served.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(event = 1708; "connection ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/edge/src/stop.rs
@@ -0,0 +1,80 @@
+//! The end of a process.
+
+use crate::app::App;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+/// Time after SIGTERM in which new requests are taken: callers that keep the address learn of the
+/// end by then.
+const TAKE_TIME: Duration = Duration::from_millis(2500);
+/// Part of the grace in which requests may finish.
+const GRACE_PART: f64 = 0.97;
+/// Pause between two looks at the requests inside.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Tells connections to end after their present request.
+#[derive(Clone, Debug)]
+pub struct Stop(watch::Receiver<bool>);
+
+impl Stop {
+    /// A switch and what it tells.
+    pub fn new() -> (watch::Sender<bool>, Self) {
+        let (sender, receiver) = watch::channel(false);
+        (sender, Self(receiver))
+    }
+
+    /// Waits for the end.
+    pub async fn wait(&mut self) {
+        if self.0.wait_for(|stopped| *stopped).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+/// Requests that a node is working on.
+#[derive(Debug, Default)]
+pub struct Inside(AtomicUsize);
+
+/// One of them.
+#[derive(Debug)]
+pub struct Entered(Arc<Inside>);
+
+impl Inside {
+    /// Counts a request for as long as the value lives.
+    pub fn enter(self: &Arc<Self>) -> Entered {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        Entered(Arc::clone(self))
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Leaves the directory, takes requests for a while yet, and waits for those inside.
+pub async fn drain(app: Arc<App>, stop: watch::Sender<bool>) {
+    let begun = Instant::now();
+    app.state().stopping = true;
+    app.news.notify_waiters();
+    stop.send_replace(true);
+    log::info!(event = 1702, inside = app.inside.count(); "stopping");
+    let grace = app.site.bounds.grace.mul_f64(GRACE_PART);
+    loop {
+        sleep(LOOK).await;
+        let past = begun.elapsed();
+        if past >= grace || (past >= TAKE_TIME && app.inside.count() == 0) {
+            break;
+        }
+    }
+    log::info!(event = 1719, inside = app.inside.count(); "stopped");
+}
--- a/crates/ledger/src/bill/batch.rs
+++ b/crates/ledger/src/bill/batch.rs
@@ -2,8 +2,8 @@
 
 use super::Bill;
 use contract::Owner;
-use platform::Table;
-use platform::table::{Condition, Item};
+use clients::Table;
+use clients::table::{Condition, Item};
 
 /// Partition of all batches.
 const PARTITION: &str = "bill";
--- a/crates/ledger/src/error.rs
+++ b/crates/ledger/src/error.rs
@@ -18,7 +18,7 @@
     Conflict,
     /// The platform can't record the claim, so the call was not sent.
     #[error("the call can't be recorded: {0}")]
-    Platform(#[from] platform::Error),
+    Platform(#[from] clients::Error),
     /// A row can't be read.
     #[error("run record can't be read: {0}")]
     Row(#[from] serde_json::Error),
--- a/crates/ledger/src/record/records.rs
+++ b/crates/ledger/src/record/records.rs
@@ -4,15 +4,15 @@
 use super::{Answer, Claim, Key, Row, Settings, State, Stored, Ticket};
 use crate::Error;
 use contract::Owner;
-use platform::Table;
-use platform::table::{Condition, Item};
+use clients::Table;
+use clients::table::{Condition, Item};
 
 /// Run records of one node over a table.
 ///
 /// ```
 /// use contract::Owner;
 /// use ledger::record::{Answer, Claim, Key, Records, Settings, Stored};
-/// use platform::table::Memory;
+/// use clients::table::Memory;
 /// # #[tokio::main(flavor = "current_thread")] async fn main() -> Result<(), ledger::Error> {
 /// let table = Memory::default();
 /// let n1 = Records::new(table.clone(), Owner::new("n1", 1), Settings::default());
@@ -101,7 +101,7 @@
                 Err(Error::Platform(error)) => error,
                 Err(error) => return Err(error),
             };
-            let conflict = matches!(error, platform::Error::Conflict { .. });
+            let conflict = matches!(error, clients::Error::Conflict { .. });
             if !conflict && !error.may_have_run() {
                 return Err(error.into());
             }
@@ -163,7 +163,7 @@
         let condition = Condition::Rev(row.claim_revision());
         match self.put(place, row, condition).await {
             // A conflict is an earlier write of this row whose answer was lost.
-            Ok(()) | Err(Error::Platform(platform::Error::Conflict { .. })) => {}
+            Ok(()) | Err(Error::Platform(clients::Error::Conflict { .. })) => {}
             Err(error) => return Err(error),
         }
         self.local.settle(place, row.sequence);
--- a/crates/ledger/tests/bill.rs
+++ b/crates/ledger/tests/bill.rs
@@ -2,8 +2,8 @@
 
 use contract::Owner;
 use ledger::bill::{Batch, Bill, Copies, Held, Journal, Leg, Meter, Replica, Settings};
-use platform::Table;
-use platform::table::{Fault, Memory, Range};
+use clients::Table;
+use clients::table::{Fault, Memory, Range};
 use std::time::{Duration, Instant};
 
 fn bill(request_id: &str) -> Bill {
--- a/crates/ledger/tests/record.rs
+++ b/crates/ledger/tests/record.rs
@@ -3,8 +3,8 @@
 use contract::Owner;
 use ledger::Error;
 use ledger::record::{Answer, Claim, Key, Records, Settings, Stored, Ticket};
-use platform::Table;
-use platform::table::{Condition, Fault, Item, Memory, Range, Write};
+use clients::Table;
+use clients::table::{Condition, Fault, Item, Memory, Range, Write};
 use std::sync::Arc;
 use tokio::sync::Semaphore;
 
@@ -34,11 +34,11 @@
 }
 
 impl Table for Gated {
-    async fn get(&self, partition: &str, sort: &str) -> Result<Option<Item>, platform::Error> {
+    async fn get(&self, partition: &str, sort: &str) -> Result<Option<Item>, clients::Error> {
         self.table.get(partition, sort).await
     }
 
-    async fn put(&self, item: Item, condition: Condition) -> Result<(), platform::Error> {
+    async fn put(&self, item: Item, condition: Condition) -> Result<(), clients::Error> {
         self.table.put(item, condition).await
     }
 
@@ -47,7 +47,7 @@
         partition: &str,
         sort: &str,
         condition: Condition,
-    ) -> Result<(), platform::Error> {
+    ) -> Result<(), clients::Error> {
         let _permit = self.gate.acquire().await.unwrap();
         self.table.delete(partition, sort, condition).await
     }
@@ -57,11 +57,11 @@
         partition: &str,
         range: &Range,
         limit: usize,
-    ) -> Result<Vec<Item>, platform::Error> {
+    ) -> Result<Vec<Item>, clients::Error> {
         self.table.list(partition, range, limit).await
     }
 
-    async fn transact(&self, writes: &[Write], token: &str) -> Result<(), platform::Error> {
+    async fn transact(&self, writes: &[Write], token: &str) -> Result<(), clients::Error> {
         self.table.transact(writes, token).await
     }
 }
--- a/crates/node/src/app/app.rs
+++ b/crates/node/src/app/app.rs
@@ -15,7 +15,7 @@
 use contract::{Config, CustomerId, Incarnation};
 use ledger::bill::Bill;
 use limits::suspect::{self, Suspects, Verdict};
-use platform::table;
+use clients::table;
 use settings::Ring;
 use settings::node::Settings;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
--- a/crates/node/src/app/parts.rs
+++ b/crates/node/src/app/parts.rs
@@ -8,7 +8,7 @@
 use crate::sync::{self, Replica};
 use contract::{Incarnation, Member, Owner};
 use limits::slot;
-use platform::{ratings, table, vms};
+use clients::{ratings, table, vms};
 use settings::Ring;
 use settings::node::Settings;
 use std::net::SocketAddr;
@@ -46,9 +46,9 @@
     /// let settings = settings::node::Settings { node: "n1".into(), ..Default::default() };
     /// let parts = node::app::Parts::new(&settings, 1)?;
     /// assert_eq!(parts.replica.incarnation(), 1);
-    /// # Ok::<(), platform::Error>(())
+    /// # Ok::<(), clients::Error>(())
     /// ```
-    pub fn new(settings: &Settings, incarnation: Incarnation) -> Result<Self, platform::Error> {
+    pub fn new(settings: &Settings, incarnation: Incarnation) -> Result<Self, clients::Error> {
         let table = || {
             table::Client::new(table::Settings {
                 url: settings.table_url.clone(),
--- a/crates/node/src/bill/bills.rs
+++ b/crates/node/src/bill/bills.rs
@@ -3,7 +3,7 @@
 use super::{Context, Settings, frames};
 use contract::Owner;
 use ledger::bill::{Batch, Bill, Journal, Replica};
-use platform::Table;
+use clients::Table;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -34,7 +34,7 @@
     ///
     /// ```
     /// use contract::Owner;
-    /// let table = platform::table::Memory::default();
+    /// let table = clients::table::Memory::default();
     /// let bills = node::bill::Bills::new(table, Owner::new("n1", 1), Default::default());
     /// assert_eq!(bills.pending(), 0);
     /// ```
--- a/crates/node/src/decide/decide.rs
+++ b/crates/node/src/decide/decide.rs
@@ -60,16 +60,16 @@
     ///
     /// ```
     /// use node::decide::{Decide, Settings};
-    /// let ratings = platform::ratings::Client::new(Default::default())?;
+    /// let ratings = clients::ratings::Client::new(Default::default())?;
     /// let decide = Decide::new(Settings::default(), "n1".into(), 1, ratings);
     /// assert!(decide.dump().versions.is_empty());
-    /// # Ok::<(), platform::Error>(())
+    /// # Ok::<(), clients::Error>(())
     /// ```
     pub fn new(
         settings: Settings,
         node: NodeId,
         incarnation: Incarnation,
-        ratings: platform::ratings::Client,
+        ratings: clients::ratings::Client,
     ) -> Self {
         let now = Instant::now();
         Self {
--- a/crates/node/src/decide/funds.rs
+++ b/crates/node/src/decide/funds.rs
@@ -3,8 +3,8 @@
 use contract::{Budget, CustomerId, Map, Micros};
 use limits::Refusal;
 use limits::spend::{Account, Hold, Purse, Settings, State};
-use platform::Table;
-use platform::table::{Condition, Item};
+use clients::Table;
+use clients::table::{Condition, Item};
 use policy::plan;
 use serde::{Deserialize, Serialize};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -56,7 +56,7 @@
     ///
     /// ```
     /// use node::decide::Funds;
-    /// use platform::table::Memory;
+    /// use clients::table::Memory;
     /// let funds = Funds::new(Default::default(), Memory::default(), "n1-1".into());
     /// assert_eq!(funds.left("c"), 0);
     /// ```
@@ -136,7 +136,7 @@
         budget: &Budget,
         period: u64,
         wanted: Micros,
-    ) -> Result<bool, platform::Error> {
+    ) -> Result<bool, clients::Error> {
         let partition = format!("spend/{customer}");
         let sort = format!("{period:020}");
         let found = self.table.get(&partition, &sort).await?;
@@ -166,8 +166,8 @@
                 self.grant(customer, period, account.granted, share);
                 Ok(true)
             }
-            Err(platform::Error::Conflict { .. }) => Ok(false),
-            Err(platform::Error::Unknown(_)) => {
+            Err(clients::Error::Conflict { .. }) => Ok(false),
+            Err(clients::Error::Unknown(_)) => {
                 let mut purses = self.lock();
                 purses.pending.insert(customer.to_owned(), pending);
                 Ok(false)
--- a/crates/node/src/decide/rater.rs
+++ b/crates/node/src/decide/rater.rs
@@ -2,7 +2,7 @@
 
 use contract::{CustomerId, ModelId, TaskId, VersionId};
 use limits::quarantine::{self, Breaker};
-use platform::ratings::Client;
+use clients::ratings::Client;
 use policy::answer::Mean;
 use policy::quality::Subject;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -65,10 +65,10 @@
     /// held up by them.
     ///
     /// ```
-    /// use platform::ratings::{Client, Settings};
+    /// use clients::ratings::{Client, Settings};
     /// let rater = node::decide::Rater::new(Client::new(Settings::default())?, 8);
     /// assert!(rater.expected(std::time::Instant::now()).is_some());
-    /// # Ok::<(), platform::Error>(())
+    /// # Ok::<(), clients::Error>(())
     /// ```
     pub fn new(client: Client, samples: usize) -> Self {
         let health = Health {
--- a/crates/node/src/fleet/fleet.rs
+++ b/crates/node/src/fleet/fleet.rs
@@ -1,7 +1,7 @@
 //! The list of backend servers, read from the platform again and again.
 
 use crate::fleet::{Kind, Listing, Server};
-use platform::vms::{self, State, Vm};
+use clients::vms::{self, State, Vm};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -3,7 +3,16 @@
 use settings::node::Command;
 use std::process::ExitCode;
 
+/// Word of the command line that starts an entry node on the operators' platform.
+const EDGE: &str = "edge";
+
+/// Width of help texts, in characters.
+const HELP_WIDTH: usize = 100;
+
 fn main() -> ExitCode {
+    if std::env::args().nth(1).as_deref() == Some(EDGE) {
+        return run_edge();
+    }
     let settings = match settings::node::read() {
         Ok(Command::Run(settings)) => settings,
         Ok(Command::Print(list)) => {
@@ -33,3 +42,22 @@
         .map_err(node::RunError::Runtime)?
         .block_on(node::run(settings))
 }
+
+fn run_edge() -> ExitCode {
+    let args: Vec<_> = std::env::args_os().skip(2).collect();
+    let options = match edge::options().run_inner(args.as_slice()) {
+        Ok(options) => options,
+        Err(failure) => {
+            failure.print_message(HELP_WIDTH);
+            return ExitCode::from(failure.exit_code() as u8);
+        }
+    };
+    match edge::run(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(event = 1003; "node failed: {error}");
+            eprintln!("sardinebank: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/node/src/record/runs.rs
+++ b/crates/node/src/record/runs.rs
@@ -3,7 +3,7 @@
 use contract::{Config, Owner};
 use ledger::Error;
 use ledger::record::{Claim, Key, Records, Settings, Stored, Ticket};
-use platform::Table;
+use clients::Table;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -25,7 +25,7 @@
     ///
     /// ```
     /// use contract::Owner;
-    /// let table = platform::table::Memory::default();
+    /// let table = clients::table::Memory::default();
     /// let runs = node::record::Runs::new(table, Owner::new("n1", 1), Default::default());
     /// assert!(std::sync::Arc::strong_count(&runs) == 1);
     /// ```
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -3,7 +3,7 @@
 use crate::app::{App, Parts};
 use crate::metrics::{self, Meter};
 use crate::{caller, decide, inbox, link, operator, stop};
-use platform::vms;
+use clients::vms;
 use rocket::config::{Config as RocketConfig, Ident, LogLevel, Shutdown};
 use settings::node::Settings;
 use std::sync::Arc;
@@ -17,7 +17,7 @@
 pub enum Error {
     /// A client of the platform can't be built.
     #[error("client of the platform: {0}")]
-    Platform(#[from] platform::Error),
+    Platform(#[from] clients::Error),
     /// The port for other nodes can't be opened.
     #[error("{0}")]
     Link(#[from] link::Error),
--- a/crates/node/src/sync/catch_up.rs
+++ b/crates/node/src/sync/catch_up.rs
@@ -2,7 +2,7 @@
 
 use super::{Error, Replica};
 use contract::{Config, Revision};
-use platform::Table;
+use clients::Table;
 use std::convert::Infallible;
 use std::time::{Duration, Instant};
 use tokio::time::{MissedTickBehavior, interval};
--- a/crates/node/src/sync/dump.rs
+++ b/crates/node/src/sync/dump.rs
@@ -2,7 +2,7 @@
 
 use super::Replica;
 use contract::{NodeId, Revision};
-use platform::Table;
+use clients::Table;
 use serde::Serialize;
 use std::time::{Duration, Instant};
 
@@ -36,7 +36,7 @@
     ///
     /// ```
     /// # let hub = node::link::Hub::new(Default::default());
-    /// # let table = platform::table::Memory::default();
+    /// # let table = clients::table::Memory::default();
     /// # let replica = node::sync::Replica::new(Default::default(), table, hub, None);
     /// assert!(!replica.dump(std::time::Instant::now()).joined);
     /// ```
@@ -61,7 +61,7 @@
     ///
     /// ```
     /// # let hub = node::link::Hub::new(Default::default());
-    /// # let table = platform::table::Memory::default();
+    /// # let table = clients::table::Memory::default();
     /// # let replica = node::sync::Replica::new(Default::default(), table, hub, None);
     /// assert!(replica.head_age(std::time::Instant::now()).is_none());
     /// ```
--- a/crates/node/src/sync/error.rs
+++ b/crates/node/src/sync/error.rs
@@ -45,14 +45,14 @@
     Contended,
     /// The platform refused or can't be reached: not written.
     #[error("not written: {0}")]
-    Platform(#[source] platform::Error),
+    Platform(#[source] clients::Error),
     /// The platform's answer was lost and can't be settled now; asking again with the change id settles it.
     #[error("change {change} may be in the log: {source}")]
     Unknown {
         /// The change id.
         change: ChangeId,
         /// What was seen last.
-        source: platform::Error,
+        source: clients::Error,
     },
     /// In the log, and not acknowledged by a majority of members in time; asking again with the change id tells more.
     #[error("revision {revision} is written and not yet accepted")]
--- a/crates/node/src/sync/follow.rs
+++ b/crates/node/src/sync/follow.rs
@@ -2,7 +2,7 @@
 
 use super::Replica;
 use crate::link::Event;
-use platform::Table;
+use clients::Table;
 use std::convert::Infallible;
 use std::time::{Duration, Instant};
 use tokio::time::{MissedTickBehavior, interval};
--- a/crates/node/src/sync/lease.rs
+++ b/crates/node/src/sync/lease.rs
@@ -1,8 +1,8 @@
 //! The lease that shows the platform that this node runs.
 
 use super::{Replica, rows};
-use platform::Table;
-use platform::table::{Condition, Item};
+use clients::Table;
+use clients::table::{Condition, Item};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::sleep;
--- a/crates/node/src/sync/log.rs
+++ b/crates/node/src/sync/log.rs
@@ -2,8 +2,8 @@
 
 use super::{Error, rows};
 use contract::{Config, Object, Revision};
-use platform::Table;
-use platform::table::Range;
+use clients::Table;
+use clients::table::Range;
 use wire::Delta;
 
 /// Most revisions read in one call.
--- a/crates/node/src/sync/membership.rs
+++ b/crates/node/src/sync/membership.rs
@@ -2,7 +2,7 @@
 
 use super::{Error, Replica};
 use contract::{Member, Object};
-use platform::Table;
+use clients::Table;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::sleep;
--- a/crates/node/src/sync/propose.rs
+++ b/crates/node/src/sync/propose.rs
@@ -2,7 +2,7 @@
 
 use super::{Accepted, Conflict, Error, Replica, rows};
 use contract::{ChangeId, Object, Revision, Set};
-use platform::Table;
+use clients::Table;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -20,7 +20,7 @@
     Written,
     Again,
     /// The answer was lost: the same write has to be settled before anything else.
-    Lost(platform::Error),
+    Lost(clients::Error),
 }
 
 impl<T: Table> Replica<T> {
@@ -32,7 +32,7 @@
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
     /// # let hub = node::link::Hub::new(Default::default());
-    /// # let table = platform::table::Memory::default();
+    /// # let table = clients::table::Memory::default();
     /// # let replica = node::sync::Replica::new(Default::default(), table, hub, None);
     /// let entry = wire::Entry {
     ///     key: "zone/a".into(),
@@ -69,7 +69,7 @@
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
     /// # let hub = node::link::Hub::new(Default::default());
-    /// # let table = platform::table::Memory::default();
+    /// # let table = clients::table::Memory::default();
     /// # let replica = node::sync::Replica::new(Default::default(), table, hub, None);
     /// assert!(replica.outcome("c1").await.unwrap().is_none());
     /// # });
@@ -124,7 +124,7 @@
                 self.publish(delta)?;
                 Ok(Attempt::Written)
             }
-            Err(platform::Error::Conflict { .. } | platform::Error::Throttled) => {
+            Err(clients::Error::Conflict { .. } | clients::Error::Throttled) => {
                 Ok(Attempt::Again)
             }
             Err(error) if error.may_have_run() => Ok(Attempt::Lost(error)),
@@ -203,7 +203,7 @@
 }
 
 /// After a lost answer, only a refusal that proves the change absent may say "not written".
-fn settle(change: ChangeId, lost: Option<platform::Error>, error: Error) -> Error {
+fn settle(change: ChangeId, lost: Option<clients::Error>, error: Error) -> Error {
     match (lost, error) {
         (None, error) => error,
         (Some(_), error @ (Error::Conflict(_) | Error::Reused { .. })) => error,
--- a/crates/node/src/sync/replica.rs
+++ b/crates/node/src/sync/replica.rs
@@ -4,7 +4,7 @@
 use super::{Error, InForce, Settings};
 use crate::link::Hub;
 use contract::{Config, Incarnation, Revision};
-use platform::{Table, vms};
+use clients::{Table, vms};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
@@ -37,7 +37,7 @@
     /// ```
     /// use node::sync::{Replica, Settings};
     /// let hub = node::link::Hub::new(Default::default());
-    /// let table = platform::table::Memory::default();
+    /// let table = clients::table::Memory::default();
     /// let replica = Replica::new(Settings::default(), table, hub, None);
     /// assert_eq!(replica.config().revision(), 0);
     /// ```
@@ -73,7 +73,7 @@
     ///
     /// ```
     /// # let hub = node::link::Hub::new(Default::default());
-    /// # let table = platform::table::Memory::default();
+    /// # let table = clients::table::Memory::default();
     /// # let replica = node::sync::Replica::new(Default::default(), table, hub, None);
     /// assert!(replica.config().members().next().is_none());
     /// ```
@@ -90,7 +90,7 @@
     ///
     /// ```
     /// # let hub = node::link::Hub::new(Default::default());
-    /// # let table = platform::table::Memory::default();
+    /// # let table = clients::table::Memory::default();
     /// # let replica = node::sync::Replica::new(Default::default(), table, hub, None);
     /// assert_eq!(replica.watch().borrow().revision(), 0);
     /// ```
@@ -103,7 +103,7 @@
     ///
     /// ```
     /// # let hub = node::link::Hub::new(Default::default());
-    /// # let table = platform::table::Memory::default();
+    /// # let table = clients::table::Memory::default();
     /// # let replica = node::sync::Replica::new(Default::default(), table, hub, None);
     /// assert!(replica.may_start(std::time::Instant::now()).is_err());
     /// ```
--- a/crates/node/src/sync/rows.rs
+++ b/crates/node/src/sync/rows.rs
@@ -2,7 +2,7 @@
 
 use super::Error;
 use contract::{ChangeId, Revision};
-use platform::table::{Condition, Item, Write};
+use clients::table::{Condition, Item, Write};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt::Write as _;
--- a/crates/node/src/sync/sweep.rs
+++ b/crates/node/src/sync/sweep.rs
@@ -2,8 +2,8 @@
 
 use super::{Error, Replica, rows};
 use contract::{Map, Set};
-use platform::Table;
-use platform::vms::Kind;
+use clients::Table;
+use clients::vms::Kind;
 use std::convert::Infallible;
 use std::time::{Duration, Instant};
 use tokio::time::{MissedTickBehavior, interval};
--- a/crates/node/tests/bill_latency.rs
+++ b/crates/node/tests/bill_latency.rs
@@ -3,8 +3,8 @@
 use contract::{NodeId, Owner};
 use ledger::bill::{Bill, Leg, Meter};
 use node::bill::{Bills, Context, Settings};
-use platform::Table;
-use platform::table::{Condition, Item, Memory, Range, Write};
+use clients::Table;
+use clients::table::{Condition, Item, Memory, Range, Write};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
@@ -22,11 +22,11 @@
 struct Slow(Memory);
 
 impl Table for Slow {
-    async fn get(&self, partition: &str, sort: &str) -> Result<Option<Item>, platform::Error> {
+    async fn get(&self, partition: &str, sort: &str) -> Result<Option<Item>, clients::Error> {
         self.0.get(partition, sort).await
     }
 
-    async fn put(&self, item: Item, condition: Condition) -> Result<(), platform::Error> {
+    async fn put(&self, item: Item, condition: Condition) -> Result<(), clients::Error> {
         sleep(TABLE_WRITE).await;
         self.0.put(item, condition).await
     }
@@ -36,7 +36,7 @@
         partition: &str,
         sort: &str,
         condition: Condition,
-    ) -> Result<(), platform::Error> {
+    ) -> Result<(), clients::Error> {
         self.0.delete(partition, sort, condition).await
     }
 
@@ -45,11 +45,11 @@
         partition: &str,
         range: &Range,
         limit: usize,
-    ) -> Result<Vec<Item>, platform::Error> {
+    ) -> Result<Vec<Item>, clients::Error> {
         self.0.list(partition, range, limit).await
     }
 
-    async fn transact(&self, writes: &[Write], token: &str) -> Result<(), platform::Error> {
+    async fn transact(&self, writes: &[Write], token: &str) -> Result<(), clients::Error> {
         self.0.transact(writes, token).await
     }
 }
--- a/crates/node/tests/decide.rs
+++ b/crates/node/tests/decide.rs
@@ -4,7 +4,7 @@
 use limits::Refusal;
 use node::decide::{Decide, Door, Entry, Funds, Order, Policy, Sample, Settings};
 use node::fleet::{Kind, Server};
-use platform::table::{Fault, Memory};
+use clients::table::{Fault, Memory};
 use policy::place::{Load, Query};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -113,11 +113,11 @@
         ..Default::default()
     };
     // Nothing listens there: each rating fails at once.
-    let ratings = platform::ratings::Settings {
+    let ratings = clients::ratings::Settings {
         url: "http://127.0.0.1:9".into(),
         ..Default::default()
     };
-    let client = platform::ratings::Client::new(ratings).expect("a client");
+    let client = clients::ratings::Client::new(ratings).expect("a client");
     Arc::new(Decide::new(settings, node.into(), 1, client))
 }
 
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -3,8 +3,8 @@
 use contract::Member;
 use node::link::{self, Hub};
 use node::sync::{self, Replica};
-use platform::table::Memory;
-use platform::vms;
+use clients::table::Memory;
+use clients::vms;
 use rand::Rng;
 use settings::{Ring, Secret};
 use std::net::{SocketAddr, TcpListener};
--- a/crates/node/tests/sync.rs
+++ b/crates/node/tests/sync.rs
@@ -2,7 +2,7 @@
 
 use node::link::{self, Hub};
 use node::sync::{Error, Replica, Settings};
-use platform::table::{Fault, Memory};
+use clients::table::{Fault, Memory};
 use std::sync::Arc;
 use wire::Entry;
 
--- /dev/null
+++ b/crates/route/src/config/kind.rs
@@ -0,0 +1,38 @@
+//! What may be repeated.
+
+/// What may be repeated of a route's requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Kind {
+    /// A request may run more than once.
+    Idempotent,
+    /// A request runs at most once.
+    #[default]
+    Unrepeatable,
+    /// The answer is a stream of numbered events.
+    Stream {
+        /// Another run may go on after the last event that was received.
+        resumable: bool,
+    },
+}
+
+impl Kind {
+    /// Whether a request that may have run can be sent to another backend server.
+    ///
+    /// ```
+    /// use route::config::Kind;
+    /// assert!(Kind::Stream { resumable: true }.repeatable());
+    /// assert!(!Kind::Unrepeatable.repeatable());
+    /// ```
+    pub fn repeatable(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Stream { resumable: true })
+    }
+
+    /// Whether the answer is a stream of events.
+    ///
+    /// ```
+    /// assert!(!route::config::Kind::Idempotent.is_stream());
+    /// ```
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
--- /dev/null
+++ b/crates/route/src/config/mod.rs
@@ -0,0 +1,16 @@
+//! The configuration that an operator writes.
+
+mod config;
+mod customer;
+mod kind;
+mod limits;
+mod route;
+mod service;
+
+
+pub use config::Config;
+pub use kind::Kind;
+pub use limits::Limits;
+pub use route::{Route, Share};
+pub use service::{Engine, Service, Size};
+pub use customer::Customer;
--- /dev/null
+++ b/crates/route/src/ids.rs
@@ -0,0 +1,18 @@
+//! Names of a site's objects.
+
+/// Name of a node, unique among the running VMs.
+pub type NodeName = String;
+/// Name of a service.
+pub type ServiceName = String;
+/// Id of one start of a backend server.
+pub type ServerId = String;
+/// Name of an availability zone.
+pub type Zone = String;
+/// Version of a backend server's software.
+pub type Version = String;
+/// Name of a model.
+pub type Model = String;
+/// Revision of the site's configuration: greater is newer.
+pub type Revision = u64;
+/// Position in the history of the platform's store: greater is newer.
+pub type Position = u64;
--- /dev/null
+++ b/crates/route/src/member/member.rs
@@ -0,0 +1,17 @@
+//! One node of the fleet.
+
+use crate::{NodeName, Zone};
+use std::net::SocketAddrV4;
+
+/// One node of the fleet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// Its name.
+    pub node: NodeName,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Where callers send requests.
+    pub requests: SocketAddrV4,
+    /// Where other nodes link to it.
+    pub link: SocketAddrV4,
+}
--- /dev/null
+++ b/crates/route/src/member/members.rs
@@ -0,0 +1,111 @@
+//! Who lives.
+
+use super::Member;
+use crate::NodeName;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+/// When a member counts as alive.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Time without a word after which a member isn't named to callers.
+    pub silence: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            silence: Duration::from_millis(1300),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    member: Member,
+    heard: Option<Instant>,
+    ready: bool,
+}
+
+/// The other nodes of the fleet.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    settings: Settings,
+    entries: BTreeMap<NodeName, Entry>,
+}
+
+impl Members {
+    /// Knows no other node.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            entries: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in that there is a member; true when that is news.
+    pub fn add(&mut self, member: Member) -> bool {
+        match self.entries.get_mut(&member.node) {
+            Some(entry) if entry.member == member => false,
+            Some(entry) => {
+                entry.member = member;
+                true
+            }
+            None => {
+                let entry = Entry {
+                    member: member.clone(),
+                    heard: None,
+                    ready: false,
+                };
+                self.entries.insert(member.node, entry);
+                true
+            }
+        }
+    }
+
+    /// Takes in a word from a member.
+    pub fn hear(&mut self, now: Instant, node: &str, ready: bool) {
+        if let Some(entry) = self.entries.get_mut(node) {
+            entry.heard = Some(now);
+            entry.ready = ready;
+        }
+    }
+
+    /// All known members, alive or not.
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        self.entries.values().map(|entry| &entry.member)
+    }
+
+    /// Members heard of of late.
+    pub fn alive(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        let silence = self.settings.silence;
+        self.entries
+            .values()
+            .filter(move |entry| entry.lives(now, silence))
+            .map(|entry| &entry.member)
+    }
+
+    /// Whether a member was heard of of late.
+    pub fn lives(&self, now: Instant, node: &str) -> bool {
+        self.entries
+            .get(node)
+            .is_some_and(|entry| entry.lives(now, self.settings.silence))
+    }
+
+    /// Addresses of the members that take requests.
+    pub fn addresses(&self, now: Instant) -> Vec<SocketAddrV4> {
+        self.entries
+            .values()
+            .filter(|entry| entry.ready && entry.lives(now, self.settings.silence))
+            .map(|entry| entry.member.requests)
+            .collect()
+    }
+}
+
+impl Entry {
+    fn lives(&self, now: Instant, silence: Duration) -> bool {
+        self.heard
+            .is_some_and(|heard| now.saturating_duration_since(heard) < silence)
+    }
+}
--- /dev/null
+++ b/crates/route/src/pool/query.rs
@@ -0,0 +1,43 @@
+//! What is placed.
+
+use crate::ServerId;
+
+/// Parts of a prompt with their tokens, and the tokens of the answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Parts in order, shared ones first; the last belongs to the request or its session.
+    pub parts: Vec<(String, f64)>,
+    /// Tokens of the whole prompt.
+    pub prompt: f64,
+    /// Tokens that the answer may have.
+    pub output: f64,
+}
+
+impl Work {
+    /// The last part that other requests share, if there is one.
+    ///
+    /// ```
+    /// use route::pool::Work;
+    /// let parts = vec![("system".to_owned(), 9.0), ("own".to_owned(), 9.0)];
+    /// assert_eq!(Work { parts, ..Work::default() }.subject(), Some("system"));
+    /// ```
+    pub fn subject(&self) -> Option<&str> {
+        let index = self.parts.len().checked_sub(2)?;
+        Some(&self.parts[index].0)
+    }
+}
+
+/// What a request asks of a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The model to be used, with how many times the smallest one's time it takes.
+    pub model: Option<(&'a str, f64)>,
+    /// What the request makes an engine read and write.
+    pub work: &'a Work,
+    /// Availability zone of this node.
+    pub zone: &'a str,
+    /// Backend servers that had the request before.
+    pub tried: &'a [ServerId],
+}
--- /dev/null
+++ b/crates/route/src/pool/server.rs
@@ -0,0 +1,142 @@
+//! What a node knows of one backend server.
+
+use super::{Query, Ramp, Settings};
+use crate::server::{Listing, State};
+use crate::{Model, NodeName};
+use contract::Map;
+use limits::quarantine::{self, Breaker};
+use rand::Rng;
+use std::time::{Duration, Instant};
+
+/// How a send ended, as far as it tells something of the backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It answered as it should.
+    Sound,
+    /// It failed, broke off or kept silent.
+    Failed,
+    /// It had no room: nothing ran.
+    Full,
+    /// The caller left, or the answer tells nothing.
+    Unknown,
+}
+
+/// Failures in a row that put a backend server into quarantine.
+const FAILURES: u32 = 3;
+/// First pause of a quarantine; it doubles up to the longest.
+const PAUSE: Duration = Duration::from_millis(700);
+/// Longest pause of a quarantine: a backend server that is back is found within it.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Time for which a backend server that had no room is passed over.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+
+/// What a node knows of one backend server.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Its entry in the platform's list.
+    pub listing: Listing,
+    /// When the entry was first seen to be gone, while that may pass.
+    pub lapsed: Option<Instant>,
+    /// Until when it is cold.
+    pub cold_until: Instant,
+    /// Requests that this node has sent and that haven't ended.
+    pub open: u32,
+    /// Prompt tokens of these that the engine has yet to read.
+    pub unread: f64,
+    /// Requests of other nodes, by node.
+    pub others: Map<NodeName, u32>,
+    /// Share of failures among the last answers.
+    pub failures: f64,
+    /// Parts of prompts that it was sent, by model, with the time of the last use.
+    parts: Map<(Model, String), Instant>,
+    full_until: Option<Instant>,
+    pub(super) breaker: Breaker,
+    pub(super) ramp: Ramp,
+}
+
+impl Server {
+    /// A backend server just read from the list.
+    pub fn new(listing: Listing, now: Instant) -> Self {
+        let settings = quarantine::Settings {
+            failures: FAILURES,
+            pause: PAUSE,
+            longest_pause: LONGEST_PAUSE,
+            probe: LONGEST_PAUSE,
+            ..quarantine::Settings::default()
+        };
+        Self {
+            cold_until: now + listing.cold,
+            listing,
+            lapsed: None,
+            open: 0,
+            unread: 0.0,
+            others: Map::default(),
+            failures: 0.0,
+            parts: Map::default(),
+            full_until: None,
+            breaker: Breaker::new(settings),
+            ramp: Ramp::default(),
+        }
+    }
+
+    /// Takes over a newer entry of the same start.
+    pub fn update(&mut self, listing: Listing, now: Instant) {
+        self.cold_until = self.cold_until.max(now + listing.cold);
+        self.listing = listing;
+        self.lapsed = None;
+    }
+
+    /// Whether it takes new work.
+    pub fn takes_work(&self) -> bool {
+        self.listing.state == State::Ready
+    }
+
+    /// Requests on it, as far as is known.
+    pub fn load(&self) -> u32 {
+        self.open + self.others.values().sum::<u32>()
+    }
+
+    /// Whether it has just said that it has no room.
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|until| now < until)
+    }
+
+    /// Tokens of the prompt that it has yet to read.
+    pub fn missing(&self, now: Instant, query: &Query, settings: &Settings) -> f64 {
+        let model = query.model.map_or("", |(name, _)| name);
+        let mut kept = 0.0;
+        for (part, tokens) in &query.work.parts {
+            let used = self.parts.get(&(model.to_owned(), part.clone()));
+            if !used.is_some_and(|&at| now.saturating_duration_since(at) < settings.part_age) {
+                break;
+            }
+            kept += tokens;
+        }
+        (query.work.prompt - kept).max(0.0)
+    }
+
+    /// Remembers the parts of a prompt that it is sent.
+    pub fn read(&mut self, now: Instant, query: &Query, settings: &Settings) {
+        let model = query.model.map_or("", |(name, _)| name);
+        for (part, _) in &query.work.parts {
+            self.parts.insert((model.to_owned(), part.clone()), now);
+        }
+        if self.parts.len() <= settings.max_parts {
+            return;
+        }
+        self.parts
+            .retain(|_, &mut at| now.saturating_duration_since(at) < settings.part_age);
+    }
+
+    /// Takes in how a send ended.
+    pub fn learn(&mut self, now: Instant, outcome: Outcome, settings: &Settings, rng: &mut impl Rng) {
+        match outcome {
+            Outcome::Sound => self.breaker.succeed(),
+            Outcome::Failed => self.breaker.fail(now, rng),
+            Outcome::Full => self.full_until = Some(now + FULL_PAUSE),
+            Outcome::Unknown => return,
+        }
+        let failed = f64::from(u8::from(outcome == Outcome::Failed));
+        self.failures += settings.failure_weight * (failed - self.failures);
+    }
+}
--- /dev/null
+++ b/crates/route/src/rollout/mod.rs
@@ -0,0 +1,7 @@
+//! Roll-outs of a service's new version.
+
+mod order;
+mod outcome;
+
+pub use order::Order;
+pub use outcome::Outcome;
--- /dev/null
+++ b/crates/route/src/rollout/order.rs
@@ -0,0 +1,15 @@
+//! What the operator asks for.
+
+use crate::{ServiceName, Version};
+use std::time::Duration;
+
+/// A roll-out that the operator asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// The service.
+    pub service: ServiceName,
+    /// The new version.
+    pub to: Version,
+    /// Time from the order to the end of the roll-out.
+    pub time: Duration,
+}
--- /dev/null
+++ b/crates/route/src/site/site.rs
@@ -0,0 +1,35 @@
+//! Where a node runs.
+
+use super::Bounds;
+use crate::{NodeName, Zone};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+/// Where a node runs, what its VM can carry and which bounds hold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Site {
+    /// Name of the node.
+    pub node: NodeName,
+    /// Address of its VM.
+    pub ip: Ipv4Addr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Where callers send requests.
+    pub requests: SocketAddrV4,
+    /// Where the platform asks whether the node is ready.
+    pub ready: SocketAddrV4,
+    /// Where callers ask which address to use.
+    pub directory: SocketAddrV4,
+    /// First and last port for links between nodes.
+    pub link_ports: (u16, u16),
+    /// Share of a core that the VM gives.
+    pub cpu_share: f64,
+    /// Memory of the VM in bytes.
+    pub memory: u64,
+    /// Address of the platform's store.
+    pub store: SocketAddrV4,
+    /// Time between two reports of a backend server to the store.
+    pub heartbeat: Duration,
+    /// Bounds of the site.
+    pub bounds: Bounds,
+}
--- /dev/null
+++ b/crates/route/src/table/mod.rs
@@ -0,0 +1,7 @@
+//! The routing table made from a configuration.
+
+mod error;
+mod table;
+
+pub use error::Error;
+pub use table::Table;
--- a/crates/standin/examples/measure/policy/nodes.rs
+++ b/crates/standin/examples/measure/policy/nodes.rs
@@ -1,6 +1,6 @@
 //! Each policy with real nodes: processes behind proxies, with stand-in engines and platform.
 
-use platform::ratings;
+use clients::ratings;
 use serde::Serialize;
 use standin::Error;
 use standin::fleet::{Fleet, Mix, Settings};
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -23,7 +23,7 @@
 pub use log::Log;
 pub use node::Node;
 pub use operator::{Edit, Operator};
-pub use platform::Platform;
+pub use clients::Platform;
 pub use process::Process;
 pub use running::Fleet;
 pub use settings::Settings;
