Carry out roll-outs: sessions keep their version, all nodes judge, one writes

Ruled out: a session's version by hash alone: sessions begun before the order would move. Change: a trial by share of sessions, evidence and sessions told over the links, the outcome written under a condition on its row.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -3,10 +3,17 @@
 use super::State;
 use crate::stop::Inside;
 use platform::store;
+use route::Version;
 use route::member::Member;
 use route::site::Site;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, broadcast};
+
+/// Stays that wait for a link; one that is further behind is told all of them.
+const MAX_STAYS: usize = 1024;
+
+/// A session and the version that it is on.
+pub type Stay = (String, Version);
 
 /// What the parts of a node share. The state is the only lock; it is never held over an await.
 #[derive(Debug)]
@@ -19,6 +26,8 @@
     pub room: Notify,
     /// Wakes the links: something has to be told at once.
     pub news: Notify,
+    /// Versions that sessions are on, for the links.
+    pub sessions: broadcast::Sender<Stay>,
     /// Requests that the node is working on.
     pub inside: Arc<Inside>,
     state: Mutex<State>,
@@ -31,6 +40,7 @@
             store: store::Client::new(site.store)?,
             room: Notify::new(),
             news: Notify::new(),
+            sessions: broadcast::Sender::new(MAX_STAYS),
             inside: Arc::default(),
             state: Mutex::new(State::new(&site)),
             site,
--- a/crates/edge/src/app/mirror.rs
+++ b/crates/edge/src/app/mirror.rs
@@ -10,15 +10,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
     rows: BTreeMap<String, Row>,
-    /// All changes up to here are known.
-    position: Position,
+    /// All changes up to here are known; none while the table hasn't been read.
+    position: Option<Position>,
     /// Position of the newest change.
     newest: Position,
 }
 
 impl Mirror {
-    /// All changes up to here are known.
-    pub fn position(&self) -> Position {
+    /// All changes up to here are known; none while the table hasn't been read.
+    pub fn position(&self) -> Option<Position> {
         self.position
     }
 
@@ -29,9 +29,14 @@
 
     /// Takes in changes that follow what is known; gives those that are news.
     pub fn update(&mut self, page: Page) -> Vec<Row> {
-        self.position = self.position.max(page.position);
+        self.position = self.position.max(Some(page.position));
+        self.learn(page.rows)
+    }
+
+    /// Takes in some changes; gives those that are news.
+    pub fn learn(&mut self, rows: Vec<Row>) -> Vec<Row> {
         let mut news = Vec::new();
-        for row in page.rows {
+        for row in rows {
             self.newest = self.newest.max(row.position);
             let known = self.rows.get(&row.key).map_or(0, |known| known.position);
             if row.position > known {
@@ -66,7 +71,7 @@
         let rows = self.rows.values().filter(|row| row.position > position);
         Page {
             rows: rows.cloned().collect(),
-            position: self.position,
+            position: self.position.unwrap_or(0),
             ..Page::default()
         }
     }
--- a/crates/edge/src/app/mod.rs
+++ b/crates/edge/src/app/mod.rs
@@ -4,6 +4,6 @@
 mod mirror;
 mod state;
 
-pub use app::App;
+pub use app::{App, Stay};
 pub use mirror::Mirror;
 pub use state::{State, Table};
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -2,15 +2,16 @@
 
 use super::Mirror;
 use crate::membership;
-use contract::{Map, Set};
+use contract::{Map, Set, stable_hash};
 use limits::retry::{self, Budget};
 use platform::Intent;
 use platform::store::{Page, Row};
 use route::config::Config;
 use route::member::Members;
 use route::pool::{self, Pool, Query, Refusal};
-use route::rollout::Order;
+use route::rollout::{self, Order, Outcome, Trial};
 use route::server::Listing;
+use route::session::Sessions;
 use route::site::Site;
 use route::{ServerId, ServiceName, table};
 use std::sync::Arc;
@@ -62,8 +63,10 @@
     pub members: Members,
     /// Whether the node is to stop.
     pub stopping: bool,
-    /// Roll-outs that the operator asks for, with the time at which this node learnt of them.
-    pub orders: Map<ServiceName, (Order, Instant)>,
+    /// Roll-outs that the operator asks for, by service.
+    pub trials: Map<ServiceName, Trial>,
+    /// Versions that sessions are on.
+    pub sessions: Sessions,
     zones_out: Set<String>,
     mirrors: [Mirror; 4],
     /// Whether the list of backend servers was read.
@@ -73,6 +76,7 @@
     budgets: Map<ServiceName, Budget>,
     retry: retry::Settings,
     cold: (f64, f64),
+    rollout: rollout::Settings,
 }
 
 impl State {
@@ -84,7 +88,8 @@
             pool: Pool::new(pool::Settings::default()),
             members: Members::default(),
             stopping: false,
-            orders: Map::default(),
+            trials: Map::default(),
+            sessions: Sessions::default(),
             zones_out: Set::default(),
             mirrors: Default::default(),
             listed: false,
@@ -97,6 +102,11 @@
                 floor: 0.0,
             },
             cold: (bounds.cold_factor, bounds.cold_extra),
+            rollout: rollout::Settings {
+                expose_share: bounds.expose_share,
+                expose_extra: bounds.expose_extra,
+                ..rollout::Settings::default()
+            },
         }
     }
 
@@ -123,10 +133,10 @@
 
     /// Takes in changes that another node knows of. The own position stays, so that the store is
     /// still asked for all that came since.
-    pub fn update_from_peer(&mut self, now: Instant, table: Table, mut page: Page) {
-        page.position = 0;
+    pub fn learn(&mut self, now: Instant, table: Table, rows: Vec<Row>) {
+        let news = self.mirrors[table as usize].learn(rows);
         self.listed |= table == Table::Servers;
-        self.update(now, table, page);
+        self.apply(now, table, news);
     }
 
     /// Takes in a whole table.
@@ -148,6 +158,9 @@
         if table == Table::Intents && !news.is_empty() {
             self.apply_zones(now);
         }
+        if table == Table::Status && !news.is_empty() {
+            self.apply_outcomes();
+        }
         if table == Table::Members && !news.is_empty() {
             self.share(now);
         }
@@ -156,17 +169,14 @@
     fn apply_intent(&mut self, now: Instant, row: &Row) {
         match (platform::intent(&row.key), &row.value) {
             (Intent::Config, Some(value)) => self.apply_config(now, value),
-            (Intent::Rollout(service), Some(value)) if !row.removed => {
+            (Intent::Rollout(_), Some(value)) if !row.removed => {
                 match platform::rollout(value) {
-                    Ok(order) => {
-                        log::info!(event = 1721, service = service, to = order.to.as_str(); "roll-out ordered");
-                        self.orders.insert(service.to_owned(), (order, now));
-                    }
+                    Ok(order) => self.apply_order(now, order),
                     Err(error) => log::warn!(event = 1720, row = row.key.as_str(); "{error}"),
                 }
             }
             (Intent::Rollout(service), _) => {
-                self.orders.remove(service);
+                self.trials.remove(service);
             }
             (Intent::ZoneOut(zone), _) => {
                 let out = !row.removed;
@@ -182,6 +192,30 @@
         }
     }
 
+    fn apply_order(&mut self, now: Instant, order: Order) {
+        let known = self.trials.get(&order.service);
+        if known.is_some_and(|trial| trial.order == order) {
+            return;
+        }
+        log::info!(event = 1721, service = order.service.as_str(), to = order.to.as_str(); "roll-out ordered");
+        let trial = Trial::new(order, self.rollout.clone(), now);
+        self.trials.insert(trial.order.service.clone(), trial);
+        self.apply_outcomes();
+    }
+
+    /// Takes over how roll-outs ended, as it is written down for the operator.
+    fn apply_outcomes(&mut self) {
+        for (service, trial) in &mut self.trials {
+            let row = self.mirrors[Table::Status as usize].get(&platform::status_key(service));
+            let value = row.and_then(|row| row.value.as_deref());
+            match value.map(platform::read_status) {
+                Some(Ok((to, outcome))) if to == trial.order.to => trial.end(outcome),
+                Some(Err(error)) => log::warn!(event = 1720; "{error}"),
+                Some(Ok(_)) | None => (),
+            }
+        }
+    }
+
     fn apply_config(&mut self, now: Instant, value: &[u8]) {
         let config = match platform::config(value) {
             Ok(config) => config,
@@ -283,9 +317,40 @@
         &mut self,
         now: Instant,
         query: &Query,
-        _session: Option<&str>,
+        key: &str,
+        session: Option<&str>,
     ) -> Result<Listing, Refusal> {
-        self.pool.pick(now, query, |_| true)
+        let Some(trial) = self.trials.get(query.service) else {
+            return self.pool.pick(now, query, |_| true);
+        };
+        let known = session.and_then(|session| self.sessions.version(now, session));
+        let known = known.map(|version| trial.side_of(version));
+        let draw = stable_hash([trial.order.to.as_str(), session.unwrap_or(key)]);
+        let side = trial.side(now, draw as f64 / u64::MAX as f64, known);
+        let on_side = |listing: &Listing| trial.side_of(&listing.version) == side;
+        match self.pool.pick(now, query, on_side) {
+            // A version without a backend server leaves its requests to the other one, except that
+            // one that was found bad gets none.
+            Err(Refusal::Absent) if trial.outcome() != Outcome::RolledBack => {
+                self.pool.pick(now, query, |_| true)
+            }
+            picked => picked,
+        }
+    }
+
+    /// Counts a request of a session as sent to a version; true when the other nodes are to know.
+    pub fn sent(&mut self, now: Instant, listing: &Listing, session: Option<&str>) -> bool {
+        if let Some(trial) = self.trials.get_mut(&listing.service) {
+            trial.sent(trial.side_of(&listing.version));
+        }
+        session.is_some_and(|session| self.sessions.note(now, session, &listing.version))
+    }
+
+    /// Takes in an answer of a version.
+    pub fn answered(&mut self, listing: &Listing, bad: bool) {
+        if let Some(trial) = self.trials.get_mut(&listing.service) {
+            trial.answered(trial.side_of(&listing.version), bad);
+        }
     }
 
     /// Counts the first send of a request.
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -24,14 +24,14 @@
     let mut answering = true;
     loop {
         let position = app.state().mirror(table).position();
-        let whole = position == 0;
-        let answer = match whole {
-            true => app.store.rows(table.name()).await,
-            false => app.store.changes(table.name(), position, WAIT).await,
+        let whole = position.is_none();
+        let answer = match position {
+            None => app.store.rows(table.name()).await,
+            Some(after) => app.store.changes(table.name(), after, WAIT).await,
         };
         let answer = match answer {
             Err(Error::Compacted) => {
-                log::warn!(event = 1704, table = table.name(), position = position; "history is gone, reading the whole table");
+                log::warn!(event = 1704, table = table.name(), position = position.unwrap_or(0); "history is gone, reading the whole table");
                 app.store.rows(table.name()).await.map(|page| (true, page))
             }
             answer => answer.map(|page| (whole, page)),
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -57,6 +57,10 @@
         state
             .pool
             .end(Instant::now(), &self.server.id, self.outcome, &mut rng);
+        if matches!(self.outcome, Outcome::Sound | Outcome::Failed) {
+            let bad = self.outcome == Outcome::Failed;
+            state.answered(&self.server, bad);
+        }
         drop(state);
         self.app.room.notify_one();
     }
@@ -84,8 +88,14 @@
         zone: &app.site.zone,
         tried: &job.tried,
     };
-    let server = state.pick(now, &query, job.session.as_deref())?;
+    let server = state.pick(now, &query, job.name(), job.session.as_deref())?;
     let unread = state.pool.begin(now, &server.id, &query);
+    let news = state.sent(now, &server, job.session.as_deref());
+    drop(state);
+    if let (true, Some(session)) = (news, &job.session) {
+        // Without links there is nobody to tell.
+        let _ = app.sessions.send((session.clone(), server.version.clone()));
+    }
     Ok(Place {
         app: Arc::clone(app),
         server,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 mod backoff;
 mod body;
 mod directory;
+mod duty;
 mod error;
 mod follow;
 mod forward;
--- a/crates/edge/src/link/dial.rs
+++ b/crates/edge/src/link/dial.rs
@@ -3,7 +3,7 @@
 use super::frame::Frame;
 use super::listen::config;
 use super::serve::{beat, serve};
-use crate::app::App;
+use crate::app::{App, Stay};
 use crate::backoff::Backoff;
 use crate::upstream::watch;
 use contract::Set;
@@ -11,8 +11,10 @@
 use route::member::Member;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::broadcast::error::TryRecvError;
+use tokio::sync::broadcast::Receiver;
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::{client_async_with_config, tungstenite};
 
@@ -66,14 +68,16 @@
     };
     let opened = timeout(OPEN_TIME, open).await;
     let (mut link, _) = opened.map_err(std::io::Error::from)??;
+    let mut news = app.sessions.subscribe();
+    let mut stays = app.state().sessions.all(Instant::now());
     loop {
-        if let Some(message) = beat(app).encode() {
+        if let Some(message) = beat(app, std::mem::take(&mut stays)).encode() {
             link.send(message).await?;
         }
-        let news = app.news.notified();
+        let urgent = app.news.notified();
         tokio::select! {
             () = sleep(BEAT) => (),
-            () = news => (),
+            () = urgent => (),
             message = link.next() => {
                 let Some(message) = message.transpose()? else {
                     return Ok(());
@@ -86,5 +90,18 @@
                 }
             }
         }
+        stays = told(app, &mut news);
+    }
+}
+
+/// The sessions to tell the other node of: those noted since the last time.
+fn told(app: &App, news: &mut Receiver<Stay>) -> Vec<Stay> {
+    let mut stays = Vec::new();
+    loop {
+        match news.try_recv() {
+            Ok(stay) => stays.push(stay),
+            Err(TryRecvError::Lagged(_)) => return app.state().sessions.all(Instant::now()),
+            Err(TryRecvError::Empty | TryRecvError::Closed) => return stays,
+        }
     }
 }
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use platform::store::{Page, Row};
 use route::member::Member;
-use route::{NodeName, Position, ServerId, Zone};
+use crate::app::Stay;
+use route::{NodeName, Position, ServerId, ServiceName, Version, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -25,8 +26,6 @@
     Rows {
         /// Index of the table.
         table: u8,
-        /// Position up to which they are whole.
-        position: Position,
         /// The changes.
         rows: Vec<Change>,
     },
@@ -49,6 +48,10 @@
     pub newest: [Position; 4],
     /// Requests that it has on backend servers.
     pub loads: BTreeMap<ServerId, u32>,
+    /// Roll-outs under way as it sees them.
+    pub trials: Vec<Trial>,
+    /// Sessions with the versions that they are on, as far as the receiver hasn't been told.
+    pub stays: Vec<Stay>,
 }
 
 impl Beat {
@@ -63,6 +66,21 @@
     }
 }
 
+/// A roll-out as a node sees it.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Trial {
+    /// The service.
+    pub service: ServiceName,
+    /// The new version.
+    pub to: Version,
+    /// Milliseconds since the order.
+    pub age_ms: u64,
+    /// Requests sent, answers known and bad answers of the old version.
+    pub old: [u32; 3],
+    /// The same of the new version.
+    pub new: [u32; 3],
+}
+
 /// A change of a row.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct Change {
@@ -99,7 +117,6 @@
     pub fn rows(table: u8, page: Page) -> Self {
         Self::Rows {
             table,
-            position: page.position,
             rows: page.rows.into_iter().map(Change::from).collect(),
         }
     }
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -1,9 +1,11 @@
 //! What a node does with a frame.
 
-use super::frame::{Beat, Frame};
-use crate::app::{App, Table};
-use platform::store::{Page, Row};
-use std::time::Instant;
+use super::frame::{self, Beat, Frame};
+use crate::app::{App, State, Stay, Table};
+use platform::store::Row;
+use route::NodeName;
+use route::rollout::{Count, Tally, Trial};
+use std::time::{Duration, Instant};
 
 /// Takes in a frame; gives the answers to it.
 pub fn serve(app: &App, frame: Frame) -> Vec<Frame> {
@@ -15,17 +17,12 @@
         },
         Frame::Rows {
             table,
-            position,
             rows,
         } => {
             if let Some(table) = table_of(table) {
                 let rows = rows.into_iter().map(Row::from).collect();
-                let page = Page {
-                    rows,
-                    position,
-                    ..Page::default()
-                };
-                take(app, table, page);
+                app.state().learn(Instant::now(), table, rows);
+                app.room.notify_waiters();
             }
             Vec::new()
         }
@@ -44,30 +41,60 @@
     state.members.hear(now, &beat.node, beat.ready);
     let loads = beat.loads.into_iter().collect();
     state.pool.set_others(&beat.node, &loads);
+    for trial in &beat.trials {
+        hear_trial(&mut state, now, &beat.node, trial);
+    }
+    for (session, version) in &beat.stays {
+        state.sessions.note(now, session, version);
+    }
     if known {
         app.news.notify_waiters();
     }
     let behind = Table::ALL.into_iter().filter(|&table| {
         let mirror = state.mirror(table);
-        beat.newest[table as usize] > mirror.newest().max(mirror.position())
+        beat.newest[table as usize] > mirror.newest().max(mirror.position().unwrap_or(0))
     });
     behind
         .map(|table| Frame::Fetch {
             table: table as u8,
-            after: state.mirror(table).position(),
+            after: state.mirror(table).position().unwrap_or(0),
         })
         .collect()
 }
 
-fn take(app: &App, table: Table, page: Page) {
-    app.state().update_from_peer(Instant::now(), table, page);
-    app.room.notify_waiters();
+fn hear_trial(state: &mut State, now: Instant, node: &NodeName, told: &frame::Trial) {
+    let Some(trial) = state.trials.get_mut(&told.service) else {
+        return;
+    };
+    if trial.order.to != told.to {
+        return;
+    }
+    let count = |[sent, known, bad]: [u32; 3]| Count { sent, known, bad };
+    let tally = Tally {
+        old: count(told.old),
+        new: count(told.new),
+    };
+    trial.hear(node, tally);
+    trial.known_for(now, Duration::from_millis(told.age_ms));
 }
 
-/// What this node tells of itself.
-pub fn beat(app: &App) -> Frame {
+fn tell_trial(trial: &Trial, now: Instant) -> frame::Trial {
+    let counts = |count: Count| [count.sent, count.known, count.bad];
+    let own = trial.own();
+    frame::Trial {
+        service: trial.order.service.clone(),
+        to: trial.order.to.clone(),
+        age_ms: trial.age(now).as_millis() as u64,
+        old: counts(own.old),
+        new: counts(own.new),
+    }
+}
+
+/// What this node tells of itself, with the sessions that the receiver hasn't been told of.
+pub fn beat(app: &App, stays: Vec<Stay>) -> Frame {
     let state = app.state();
     let member = app.member();
+    let now = Instant::now();
     Frame::Beat(Beat {
         node: member.node,
         zone: member.zone,
@@ -76,5 +103,7 @@
         ready: state.ready(),
         newest: Table::ALL.map(|table| state.mirror(table).newest()),
         loads: state.pool.loads().into_iter().collect(),
+        trials: state.trials.values().map(|trial| tell_trial(trial, now)).collect(),
+        stays,
     })
 }
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -60,7 +60,7 @@
             let state = app.state();
             let mirror = state.mirror(Table::Members);
             let row = mirror.get(&member.node).and_then(|row| row.value.as_ref());
-            (mirror.position() > 0).then(|| row == Some(&value))
+            mirror.position().map(|_| row == Some(&value))
         };
         match known {
             Some(true) => return,
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::app::{App, Table};
 use crate::stop::{self, Stop};
-use crate::{Error, directory, follow, forward, link, listen, membership};
+use crate::{Error, directory, duty, follow, forward, link, listen, membership};
 use bpaf::{OptionParser, Parser, long};
 use settings::log::Format;
 use std::sync::Arc;
@@ -58,6 +58,7 @@
     tokio::spawn(follow::sweep(Arc::clone(&app)));
     tokio::spawn(membership::join(Arc::clone(&app)));
     tokio::spawn(link::dial(Arc::clone(&app)));
+    tokio::spawn(duty::run(Arc::clone(&app)));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod pool;
 pub mod rollout;
 pub mod server;
+pub mod session;
 pub mod site;
 pub mod table;
 
--- a/crates/route/src/rollout/mod.rs
+++ b/crates/route/src/rollout/mod.rs
@@ -2,6 +2,14 @@
 
 mod order;
 mod outcome;
+mod settings;
+mod side;
+mod tally;
+mod trial;
 
 pub use order::Order;
 pub use outcome::Outcome;
+pub use settings::Settings;
+pub use side::Side;
+pub use tally::{Count, Tally};
+pub use trial::Trial;
--- /dev/null
+++ b/crates/route/src/rollout/settings.rs
@@ -0,0 +1,40 @@
+//! Settings of roll-outs.
+
+/// How a new version is tried and taken over. Times are parts of the time that the operator gives.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Share of sessions that the new version gets on trial.
+    pub trial_share: f64,
+    /// From when on the new version gets none yet: nodes tell each other their sessions first.
+    pub trial_from: f64,
+    /// From when on sessions may move to the new version, and the share that it gets then.
+    pub steps: [(f64, f64); 3],
+    /// From when on the new version serves alone.
+    pub complete_from: f64,
+    /// Answers of the new version without which it isn't judged bad.
+    pub least_known: u32,
+    /// Difference of the shares of bad answers above which it is judged bad.
+    pub worse: f64,
+    /// Part of the allowed exposure that is used on trial: answers under way aren't counted yet.
+    pub exposure_part: f64,
+    /// Share of all requests of the service that a version on trial may get.
+    pub expose_share: f64,
+    /// Requests beyond that share.
+    pub expose_extra: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            trial_share: 0.08,
+            trial_from: 0.05,
+            steps: [(0.52, 0.25), (0.60, 0.5), (0.67, 1.0)],
+            complete_from: 0.88,
+            least_known: 8,
+            worse: 0.2,
+            exposure_part: 0.75,
+            expose_share: 0.1,
+            expose_extra: 10.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/rollout/trial.rs
@@ -0,0 +1,162 @@
+//! One roll-out under way.
+
+use super::{Order, Outcome, Settings, Side, Tally};
+use crate::NodeName;
+use contract::Map;
+use std::time::{Duration, Instant};
+
+/// One roll-out under way. All nodes judge alike from what they and the others have seen; a node
+/// stops sending to a bad version by itself, whoever writes down the outcome.
+#[derive(Clone, Debug)]
+pub struct Trial {
+    /// What the operator asks for.
+    pub order: Order,
+    settings: Settings,
+    since: Instant,
+    outcome: Outcome,
+    own: Tally,
+    others: Map<NodeName, Tally>,
+}
+
+impl Trial {
+    /// A roll-out of which this node has just learnt.
+    ///
+    /// ```
+    /// use route::rollout::{Order, Outcome, Settings, Trial};
+    /// let order = Order { service: "s".into(), to: "v2".into(), time: std::time::Duration::from_secs(12) };
+    /// let trial = Trial::new(order, Settings::default(), std::time::Instant::now());
+    /// assert_eq!(trial.outcome(), Outcome::Running);
+    /// ```
+    pub fn new(order: Order, settings: Settings, now: Instant) -> Self {
+        Self {
+            order,
+            settings,
+            since: now,
+            outcome: Outcome::Running,
+            own: Tally::default(),
+            others: Map::default(),
+        }
+    }
+
+    /// How it stands.
+    pub fn outcome(&self) -> Outcome {
+        self.outcome
+    }
+
+    /// Time since the order, as far as this node knows.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since)
+    }
+
+    /// Takes in how long another node has known the order.
+    pub fn known_for(&mut self, now: Instant, age: Duration) {
+        if let Some(since) = now.checked_sub(age) {
+            self.since = self.since.min(since);
+        }
+    }
+
+    /// Part of the operator's time that is over.
+    fn part(&self, now: Instant) -> f64 {
+        self.age(now).as_secs_f64() / self.order.time.as_secs_f64().max(f64::EPSILON)
+    }
+
+    /// Takes in how it ended.
+    pub fn end(&mut self, outcome: Outcome) {
+        if self.outcome == Outcome::Running {
+            self.outcome = outcome;
+        }
+    }
+
+    /// Counts a request sent to one of the versions.
+    pub fn sent(&mut self, side: Side) {
+        self.own.side(side).sent += 1;
+    }
+
+    /// Counts an answer of one of the versions.
+    pub fn answered(&mut self, side: Side, bad: bool) {
+        let count = self.own.side(side);
+        count.known += 1;
+        count.bad += u32::from(bad);
+    }
+
+    /// What this node has seen.
+    pub fn own(&self) -> Tally {
+        self.own
+    }
+
+    /// Takes in what another node has seen.
+    pub fn hear(&mut self, node: &NodeName, tally: Tally) {
+        self.others.insert(node.clone(), tally);
+    }
+
+    /// What all nodes have seen.
+    pub fn seen(&self) -> Tally {
+        self.others
+            .values()
+            .fold(self.own, |sum, tally| sum.plus(*tally))
+    }
+
+    /// Judges by what was seen; the outcome is kept.
+    ///
+    /// ```
+    /// use route::rollout::{Order, Outcome, Settings, Side, Trial};
+    /// let order = Order { service: "s".into(), to: "v2".into(), time: std::time::Duration::from_secs(12) };
+    /// let now = std::time::Instant::now();
+    /// let mut trial = Trial::new(order, Settings::default(), now);
+    /// (0..8).for_each(|_| trial.answered(Side::New, true));
+    /// assert_eq!(trial.judge(now), Outcome::RolledBack);
+    /// ```
+    pub fn judge(&mut self, now: Instant) -> Outcome {
+        if self.outcome != Outcome::Running {
+            return self.outcome;
+        }
+        let seen = self.seen();
+        let worse = seen.new.bad_share() - seen.old.bad_share();
+        if seen.new.known >= self.settings.least_known && worse > self.settings.worse {
+            self.outcome = Outcome::RolledBack;
+        } else if self.part(now) >= self.settings.complete_from {
+            self.outcome = Outcome::Completed;
+        }
+        self.outcome
+    }
+
+    /// The version for a request: `draw` is a number between 0 and 1 that is the same for all
+    /// requests of a session, `known` the version that the session is on.
+    pub fn side(&self, now: Instant, draw: f64, known: Option<Side>) -> Side {
+        match self.outcome {
+            Outcome::Completed => return Side::New,
+            Outcome::RolledBack => return Side::Old,
+            Outcome::Running if known == Some(Side::New) => return Side::New,
+            Outcome::Running => (),
+        }
+        let part = self.part(now);
+        let moved = self.settings.steps.iter().rev().find(|(from, _)| part >= *from);
+        if let Some((_, share)) = moved {
+            return match draw < *share {
+                true => Side::New,
+                false => Side::Old,
+            };
+        }
+        let trial = part >= self.settings.trial_from && draw < self.settings.trial_share;
+        match trial && known.is_none() && !self.is_exposed() {
+            true => Side::New,
+            false => Side::Old,
+        }
+    }
+
+    /// Whether the new version has had what it may get on trial.
+    fn is_exposed(&self) -> bool {
+        let seen = self.seen();
+        let all = f64::from(seen.old.sent + seen.new.sent);
+        let most = self.settings.expose_share * all + self.settings.expose_extra;
+        f64::from(seen.new.sent) >= most * self.settings.exposure_part
+    }
+
+    /// Which of the two versions a backend server has.
+    pub fn side_of(&self, version: &str) -> Side {
+        match version == self.order.to {
+            true => Side::New,
+            false => Side::Old,
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/session/mod.rs
@@ -0,0 +1,5 @@
+//! Sessions and the versions that they are on.
+
+mod sessions;
+
+pub use sessions::Sessions;
