--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -15,7 +15,7 @@
 use platform::header;
 use rand::Rng;
 use route::config::Route;
-use route::table;
+use route::{size, table};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::{timeout, timeout_at};
@@ -99,8 +99,8 @@
 
 /// The model that answers, with how many times the smallest one's time it takes.
 fn choose_model(route: &Route) -> Option<(String, f64)> {
-    let largest = route.sizes.last()?;
-    Some((largest.clone(), route.sizes.len() as f64))
+    let model = size::first(&route.sizes)?;
+    Some((model.to_owned(), size::pace(&route.sizes, model)))
 }
 
 fn refuse(error: table::Error) -> Refusal {
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -1,9 +1,9 @@
 //! Requests whose answer is a stream of events.
 
-use super::attempt::{Place, Sent, send};
+use super::attempt::{Place, Sent, place, send};
 use super::event::{Event, Events};
 use super::forward::{Next, find};
-use super::head::strip;
+use super::head::{number, strip};
 use super::job::Job;
 use super::refusal::Refusal;
 use crate::app::App;
@@ -14,7 +14,9 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::http::response::Parts;
+use platform::header;
 use route::pool::Outcome;
+use route::size;
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::mpsc;
@@ -112,10 +114,14 @@
 
 async fn first(app: &Arc<App>, job: &mut Job) -> Result<First, Refusal> {
     let mut failure: Option<Response<Body>> = None;
+    let mut next = None;
     loop {
-        let place = match find(app, job, failure.is_some()).await {
-            Next::Place(place) => place,
-            Next::Refused(refusal) => return failure.map(First::Whole).ok_or(refusal),
+        let place = match next.take() {
+            Some(place) => place,
+            None => match find(app, job, failure.is_some()).await {
+                Next::Place(place) => place,
+                Next::Refused(refusal) => return failure.map(First::Whole).ok_or(refusal),
+            },
         };
         let until = first_until(job);
         let (answer, place) = match send(job, place, until).await {
@@ -141,7 +147,14 @@
         match source.next(until).await {
             Item::Event(event) => {
                 source.place.read();
-                return Ok(First::Stream(source, event));
+                match escalate(app, job, &source) {
+                    None => return Ok(First::Stream(source, event)),
+                    Some(better) => {
+                        source.place.note(Outcome::Sound);
+                        job.tried.pop();
+                        next = Some(better);
+                    }
+                }
             }
             Item::End => {
                 source.place.note(Outcome::Sound);
@@ -157,6 +170,29 @@
     }
 }
 
+/// A place for a better model, where the present one thinks too little of its answer and there is
+/// room and budget.
+fn escalate(app: &Arc<App>, job: &mut Job, source: &Source) -> Option<Place> {
+    let confidence = number(&source.answer.head.headers, header::CONFIDENCE)?;
+    let (model, _) = job.model.as_ref()?;
+    let better = size::escalate(&job.route.sizes, model, confidence)?;
+    if job.sends >= job.route.attempts || !job.route.kind.repeatable() {
+        return None;
+    }
+    if !app.state().take_retry(Instant::now(), &job.service) {
+        return None;
+    }
+    let pace = size::pace(&job.route.sizes, better);
+    let present = job.model.replace((better.to_owned(), pace));
+    let last = job.tried.pop();
+    let place = place(app, job);
+    job.tried.extend(last);
+    if place.is_err() {
+        job.model = present;
+    }
+    place.ok()
+}
+
 /// The whole answer of a backend server that failed.
 async fn failed(source: Source) -> Option<Response<Body>> {
     let body = source.answer.body.collect().await.ok()?;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod server;
 pub mod session;
 pub mod site;
+pub mod size;
 pub mod table;
 
 pub use ids::*;
--- /dev/null
+++ b/crates/route/src/size/size.rs
@@ -0,0 +1,42 @@
+//! A cascade: the smallest model first, the largest where the first doubts its answer.
+
+use crate::Model;
+
+/// Opinion of a model of its answer, 0 to 100, below which a larger one is asked.
+const DOUBT: f64 = 50.0;
+/// How many times the time of a model one twice as far up the list takes.
+const PACE_STEP: f64 = 3.0;
+
+/// The model that is asked first.
+///
+/// ```
+/// let sizes = ["small".to_owned(), "large".to_owned()];
+/// assert_eq!(route::size::first(&sizes), Some("small"));
+/// ```
+pub fn first(sizes: &[Model]) -> Option<&str> {
+    sizes.first().map(Model::as_str)
+}
+
+/// The model that is asked after one that gave this opinion of its answer; none when it stands.
+///
+/// ```
+/// let sizes = ["small".to_owned(), "large".to_owned()];
+/// assert_eq!(route::size::escalate(&sizes, "small", 10.0), Some("large"));
+/// assert_eq!(route::size::escalate(&sizes, "small", 90.0), None);
+/// assert_eq!(route::size::escalate(&sizes, "large", 10.0), None);
+/// ```
+pub fn escalate<'a>(sizes: &'a [Model], model: &str, confidence: f64) -> Option<&'a str> {
+    let largest = sizes.last()?;
+    (confidence < DOUBT && largest != model).then_some(largest.as_str())
+}
+
+/// How many times the smallest model's time a model is taken to need.
+///
+/// ```
+/// let sizes = ["small".to_owned(), "large".to_owned()];
+/// assert_eq!(route::size::pace(&sizes, "small"), 1.0);
+/// ```
+pub fn pace(sizes: &[Model], model: &str) -> f64 {
+    let index = sizes.iter().position(|size| size == model).unwrap_or(0);
+    PACE_STEP.powi(index as i32)
+}
