--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -169,12 +169,10 @@
     fn apply_intent(&mut self, now: Instant, row: &Row) {
         match (platform::intent(&row.key), &row.value) {
             (Intent::Config, Some(value)) => self.apply_config(now, value),
-            (Intent::Rollout(_), Some(value)) if !row.removed => {
-                match platform::rollout(value) {
-                    Ok(order) => self.apply_order(now, order),
-                    Err(error) => log::warn!(event = 1720, row = row.key.as_str(); "{error}"),
-                }
-            }
+            (Intent::Rollout(_), Some(value)) if !row.removed => match platform::rollout(value) {
+                Ok(order) => self.apply_order(now, order),
+                Err(error) => log::warn!(event = 1720, row = row.key.as_str(); "{error}"),
+            },
             (Intent::Rollout(service), _) => {
                 self.trials.remove(service);
             }
@@ -283,7 +281,10 @@
 
     /// Forgets backend servers whose entries lapsed and didn't come back.
     pub fn sweep(&mut self, now: Instant) {
-        let over: Vec<_> = self.lapsed.extract_if(.., |(_, until)| now >= *until).collect();
+        let over: Vec<_> = self
+            .lapsed
+            .extract_if(.., |(_, until)| now >= *until)
+            .collect();
         for (id, _) in over {
             log::info!(event = 1725, server = id.as_str(); "backend server gone");
             self.pool.remove(&id);
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -88,7 +88,9 @@
     match app.store.write(&write).await {
         Ok(_) => log::info!(event = 1750, service = due.service.as_str(), to = due.to.as_str(),
             outcome = outcome.as_str(); "roll-out written down"),
-        Err(error) => log::warn!(event = 1751, service = due.service.as_str(), to = due.to.as_str(),
-            outcome = outcome.as_str(); "roll-out isn't written down: {error}"),
+        Err(error) => {
+            log::warn!(event = 1751, service = due.service.as_str(), to = due.to.as_str(),
+            outcome = outcome.as_str(); "roll-out isn't written down: {error}")
+        }
     }
 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -10,12 +10,15 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use route::ServerId;
-use route::pool::{Outcome, Query, Refusal};
+use route::pool::{Outcome, Query, Refusal, Server};
 use route::server::Listing;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
 
+/// Pause between two looks for a place elsewhere.
+const LOOK: Duration = Duration::from_millis(250);
+
 /// A request's place on a backend server, for as long as the value lives.
 #[derive(Debug)]
 pub struct Place {
@@ -75,6 +78,8 @@
     NotRun,
     /// It may have run.
     Unknown,
+    /// It may have run, took too long, and has a place elsewhere.
+    Elsewhere(Place),
 }
 
 /// Chooses a backend server and counts the request there.
@@ -83,7 +88,10 @@
     let mut state = app.state();
     let query = Query {
         service: &job.service,
-        model: job.model.as_ref().map(|(model, pace)| (model.as_str(), *pace)),
+        model: job
+            .model
+            .as_ref()
+            .map(|(model, pace)| (model.as_str(), *pace)),
         work: &job.work,
         zone: &app.site.zone,
         tried: &job.tried,
@@ -105,35 +113,89 @@
     })
 }
 
+/// What came of waiting for a backend server.
+#[derive(Debug)]
+pub enum Waited<T> {
+    /// What was waited for.
+    Done(T),
+    /// It took too long, and there is a place for the request elsewhere.
+    Elsewhere(Place),
+    /// The time for the request is over.
+    Over,
+}
+
+/// Waits for something of a backend server. When it takes longer than until the time given, a place
+/// elsewhere is looked for; without one the wait goes on, since a late answer is better than none.
+pub async fn wait<T>(
+    app: &Arc<App>,
+    job: &Job,
+    present: &Place,
+    mut until: Instant,
+    work: impl Future<Output = T>,
+) -> Waited<T> {
+    tokio::pin!(work);
+    loop {
+        let due = until.min(job.limit);
+        if let Ok(done) = timeout_at(due.into(), work.as_mut()).await {
+            return Waited::Done(done);
+        }
+        let now = Instant::now();
+        if now >= job.limit {
+            return Waited::Over;
+        }
+        if let Some(place) = elsewhere(app, job, present) {
+            return Waited::Elsewhere(place);
+        }
+        until = now + LOOK;
+    }
+}
+
+/// A place for a request on a backend server with less to do, if the request may go there.
+fn elsewhere(app: &Arc<App>, job: &Job, present: &Place) -> Option<Place> {
+    if job.sends >= job.route.attempts || !job.route.kind.repeatable() {
+        return None;
+    }
+    let place = place(app, job).ok()?;
+    let mut state = app.state();
+    let load = |id: &ServerId| state.pool.servers().get(id).map_or(0, Server::load);
+    // The place itself counts as a request there.
+    let lighter = load(place.id()) <= load(present.id()).max(1);
+    let may_go = lighter && state.take_retry(Instant::now(), &job.service);
+    drop(state);
+    may_go.then_some(place)
+}
+
 /// Sends a request to the backend server where it has its place, and waits for the head of the
-/// answer for as long as given.
-pub async fn send(job: &mut Job, mut place: Place, until: Instant) -> Sent {
+/// answer, elsewhere after the time given.
+pub async fn send(app: &Arc<App>, job: &mut Job, mut place: Place, until: Instant) -> Sent {
     let request = job.request(Instant::now(), place.id());
     let address = place.server.address;
     job.tried.push(place.id().clone());
-    let answer = timeout_at(until.into(), upstream::send(address, request)).await;
-    let answer = match answer {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(upstream::Error::NotSent(error))) => {
+    job.sends += 1;
+    let sending = upstream::send(address, request);
+    let answer = match wait(app, job, &place, until, sending).await {
+        Waited::Done(Ok(answer)) => answer,
+        Waited::Done(Err(upstream::Error::NotSent(error))) => {
+            job.sends -= 1;
             place.note(Outcome::Failed);
             log::info!(event = 1731, request = job.name(), server = place.id().as_str(); "not sent: {error}");
             return Sent::NotRun;
         }
-        Ok(Err(error)) => {
-            job.sends += 1;
+        Waited::Done(Err(error)) => {
             place.note(Outcome::Failed);
             log::info!(event = 1732, request = job.name(), server = place.id().as_str(); "{error}");
             return Sent::Unknown;
         }
-        Err(_) => {
-            job.sends += 1;
+        waited => {
             place.note(Outcome::Failed);
             log::info!(event = 1733, request = job.name(), server = place.id().as_str(),
                 waited_ms = place.age().as_millis() as u64; "no answer in time");
-            return Sent::Unknown;
+            return match waited {
+                Waited::Elsewhere(next) => Sent::Elsewhere(next),
+                _ => Sent::Unknown,
+            };
         }
     };
-    job.sends += 1;
     let status = answer.head.status;
     let headers = &answer.head.headers;
     if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_RUN) {
--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -128,10 +128,15 @@
 /// Finds a place for the next send of a request, waiting a little where none has room. A request
 /// that may not be sent again is given up.
 pub async fn find(app: &Arc<App>, job: &mut Job, failed: bool) -> Next {
+    let over = Instant::now() >= job.limit;
     let gave_up = match job.ran {
+        true if over => Refusal::Late,
         true => Refusal::Failed,
         false => Refusal::NotNow,
     };
+    if over {
+        return Next::Refused(gave_up);
+    }
     let again = !job.tried.is_empty();
     if again && (!job.may_send() || !app.state().take_retry(Instant::now(), &job.service)) {
         return Next::Refused(gave_up);
--- a/crates/edge/src/forward/job.rs
+++ b/crates/edge/src/forward/job.rs
@@ -112,7 +112,11 @@
     }
 
     /// The request for a backend server.
-    pub fn request(&self, now: Instant, server: &str) -> hyper::Request<http_body_util::Full<Bytes>> {
+    pub fn request(
+        &self,
+        now: Instant,
+        server: &str,
+    ) -> hyper::Request<http_body_util::Full<Bytes>> {
         let mut request = hyper::Request::new(http_body_util::Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
--- a/crates/edge/src/forward/plain.rs
+++ b/crates/edge/src/forward/plain.rs
@@ -1,6 +1,6 @@
 //! Requests with a whole answer.
 
-use super::attempt::{Sent, send};
+use super::attempt::{Sent, Waited, send, wait};
 use super::forward::{Next, find};
 use super::head::strip;
 use super::job::Job;
@@ -15,7 +15,6 @@
 use route::pool::Outcome;
 use std::sync::Arc;
 use std::time::Instant;
-use tokio::time::timeout_at;
 
 /// Longest answer that is kept as a whole, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
@@ -23,24 +22,33 @@
 /// Serves a request whose answer is passed on as a whole.
 pub async fn serve(app: &Arc<App>, job: &mut Job) -> Result<Response<Body>, Refusal> {
     let mut failure = None;
+    let mut next = None;
     loop {
-        let place = match find(app, job, failure.is_some()).await {
-            Next::Place(place) => place,
-            Next::Refused(refusal) => {
+        let place = match next.take() {
+            Some(place) => place,
+            None => match find(app, job, failure.is_some()).await {
+                Next::Place(place) => place,
                 // An answer that a backend server gave goes before words of the node's own.
-                return failure.ok_or(refusal);
-            }
+                Next::Refused(refusal) => return failure.ok_or(refusal),
+            },
         };
         let until = until(job);
-        match send(job, place, until).await {
+        match send(app, job, place, until).await {
             Sent::NotRun => (),
             Sent::Unknown => job.ran = true,
+            Sent::Elsewhere(place) => {
+                job.ran = true;
+                next = Some(place);
+            }
             Sent::Answer(answer, mut place) => {
                 job.ran = true;
                 let failed = answer.head.status.is_server_error();
-                let whole = match timeout_at(until.into(), collect(*answer)).await {
-                    Ok(Some(whole)) => whole,
-                    Ok(None) | Err(_) => {
+                let whole = match wait(app, job, &place, until, collect(*answer)).await {
+                    Waited::Done(Some(whole)) => whole,
+                    waited => {
+                        if let Waited::Elsewhere(place) = waited {
+                            next = Some(place);
+                        }
                         place.note(Outcome::Failed);
                         log::info!(event = 1736, request = job.name(), server = place.id().as_str(); "answer broke off");
                         continue;
@@ -65,8 +73,7 @@
 /// Until when one backend server is waited for. Where the request may be repeated, a silent one
 /// leaves time for another.
 fn until(job: &Job) -> Instant {
-    let last = job.sends + 1 >= job.route.attempts;
-    if job.route.kind != Kind::Idempotent || last {
+    if job.route.kind != Kind::Idempotent {
         return job.limit;
     }
     let now = Instant::now();
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -1,6 +1,6 @@
 //! Requests whose answer is a stream of events.
 
-use super::attempt::{Place, Sent, place, send};
+use super::attempt::{Place, Sent, Waited, place, send, wait};
 use super::event::{Event, Events};
 use super::forward::{Next, find};
 use super::head::{number, strip};
@@ -20,7 +20,6 @@
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::mpsc;
-use tokio::time::timeout_at;
 
 /// Events that wait for a caller that reads slowly.
 const MAX_WAITING: usize = 16;
@@ -42,8 +41,8 @@
     Event(Event),
     /// The end as its backend server meant it.
     End,
-    /// It broke off or fell silent.
-    Broken,
+    /// It broke off or fell silent; where it goes on, if there is a place already.
+    Broken(Option<Place>),
 }
 
 impl Source {
@@ -54,33 +53,48 @@
             events: Events::default(),
         }
     }
+}
 
-    async fn next(&mut self, until: Instant) -> Item {
-        loop {
-            if let Some(event) = self.events.next() {
-                return Item::Event(event);
-            }
-            if self.events.is_too_long() {
-                return Item::Broken;
-            }
-            match timeout_at(until.into(), self.answer.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    if let Ok(bytes) = frame.into_data() {
-                        self.events.push(&bytes);
-                    }
-                }
-                Ok(None) if !self.events.is_partial() => return Item::End,
-                Ok(None) => return Item::Broken,
-                Ok(Some(Err(error))) => {
-                    log::debug!(event = 1741; "stream broke off: {error}");
-                    return Item::Broken;
+/// The next event of a stream, or how it ends.
+async fn next(answer: &mut Answer, events: &mut Events) -> Item {
+    loop {
+        if let Some(event) = events.next() {
+            return Item::Event(event);
+        }
+        if events.is_too_long() {
+            return Item::Broken(None);
+        }
+        match answer.body.frame().await {
+            Some(Ok(frame)) => {
+                if let Ok(bytes) = frame.into_data() {
+                    events.push(&bytes);
                 }
-                Err(_) => return Item::Broken,
+            }
+            None if !events.is_partial() => return Item::End,
+            None => return Item::Broken(None),
+            Some(Err(error)) => {
+                log::debug!(event = 1741; "stream broke off: {error}");
+                return Item::Broken(None);
             }
         }
     }
 }
 
+/// What a stream gives next. One that is silent until the time given is left for another place,
+/// where there is one.
+async fn next_item(app: &Arc<App>, job: &Job, source: &mut Source, until: Instant) -> Item {
+    let Source {
+        answer,
+        place,
+        events,
+    } = source;
+    match wait(app, job, place, until, next(answer, events)).await {
+        Waited::Done(item) => item,
+        Waited::Elsewhere(place) => Item::Broken(Some(place)),
+        Waited::Over => Item::Broken(None),
+    }
+}
+
 /// What came before a caller got anything.
 enum First {
     /// A stream with its first event.
@@ -124,12 +138,17 @@
             },
         };
         let until = first_until(job);
-        let (answer, place) = match send(job, place, until).await {
+        let (answer, place) = match send(app, job, place, until).await {
             Sent::NotRun => continue,
             Sent::Unknown => {
                 job.ran = true;
                 continue;
             }
+            Sent::Elsewhere(place) => {
+                job.ran = true;
+                next = Some(place);
+                continue;
+            }
             Sent::Answer(answer, place) => (answer, place),
         };
         job.ran = true;
@@ -144,7 +163,7 @@
             }
             continue;
         }
-        match source.next(until).await {
+        match next_item(app, job, &mut source, until).await {
             Item::Event(event) => {
                 source.place.read();
                 match escalate(app, job, &source) {
@@ -161,7 +180,8 @@
                 let head = source.answer.head.clone();
                 return Ok(First::Whole(whole(head, Bytes::new())));
             }
-            Item::Broken => {
+            Item::Broken(place) => {
+                next = place;
                 source.place.note(Outcome::Failed);
                 log::info!(event = 1740, request = job.name(), server = source.place.id().as_str(),
                     waited_ms = source.place.age().as_millis() as u64; "no first event");
@@ -207,9 +227,6 @@
 
 /// Until when a backend server may take for its first event.
 fn first_until(job: &Job) -> Instant {
-    if job.sends + 1 >= job.route.attempts || !job.route.kind.repeatable() {
-        return job.limit;
-    }
     (Instant::now() + job.route.target.mul_f64(FIRST_EVENT)).min(job.limit)
 }
 
@@ -239,13 +256,13 @@
                     took_ms = job.received.elapsed().as_millis() as u64; "stream ended");
                 return;
             }
-            Item::Broken => {
+            Item::Broken(place) => {
                 source.place.note(Outcome::Failed);
                 log::info!(event = 1741, request = job.name(), server = source.place.id().as_str(),
                     last_event = job.last_event.unwrap_or(0); "stream broke off");
                 drop(source);
                 let again = tokio::select! {
-                    again = resume(app, &mut job) => again,
+                    again = resume(app, &mut job, place) => again,
                     () = events.closed() => return left(&job),
                 };
                 let Some(again) = again else {
@@ -259,7 +276,7 @@
         }
         let until = next_until(&job);
         next = tokio::select! {
-            item = source.next(until) => item,
+            item = next_item(app, &job, &mut source, until) => item,
             () = events.closed() => return left(&job),
         };
     }
@@ -270,25 +287,33 @@
 }
 
 fn next_until(job: &Job) -> Instant {
-    if !job.may_send() || job.route.pause.is_zero() {
+    if job.route.pause.is_zero() {
         return job.limit;
     }
     (Instant::now() + job.route.pause.mul_f64(SILENCE)).min(job.limit)
 }
 
 /// Goes on with a stream at another backend server, after the last event that the caller has.
-async fn resume(app: &Arc<App>, job: &mut Job) -> Option<Source> {
+async fn resume(app: &Arc<App>, job: &mut Job, mut next: Option<Place>) -> Option<Source> {
     loop {
         if Instant::now() >= job.limit || !job.route.kind.repeatable() {
             return None;
         }
-        let place = match find(app, job, false).await {
-            Next::Place(place) => place,
-            Next::Refused(_) => return None,
+        let place = match next.take() {
+            Some(place) => place,
+            None => match find(app, job, false).await {
+                Next::Place(place) => place,
+                Next::Refused(_) => return None,
+            },
         };
         let until = first_until(job);
-        let Sent::Answer(answer, mut place) = send(job, place, until).await else {
-            continue;
+        let (answer, mut place) = match send(app, job, place, until).await {
+            Sent::Answer(answer, place) => (answer, place),
+            Sent::Elsewhere(place) => {
+                next = Some(place);
+                continue;
+            }
+            Sent::NotRun | Sent::Unknown => continue,
         };
         if answer.head.status.is_success() {
             return Some(Source::new(answer, place));
--- a/crates/edge/src/link/dial.rs
+++ b/crates/edge/src/link/dial.rs
@@ -13,8 +13,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::sync::broadcast::error::TryRecvError;
 use tokio::sync::broadcast::Receiver;
+use tokio::sync::broadcast::error::TryRecvError;
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::{client_async_with_config, tungstenite};
 
@@ -49,7 +49,9 @@
         let opened = tokio::time::Instant::now();
         match tell(&app, member.link).await {
             Ok(()) => log::info!(event = 1710, peer = member.node.as_str(); "link closed"),
-            Err(error) => log::debug!(event = 1710, peer = member.node.as_str(); "link down: {error}"),
+            Err(error) => {
+                log::debug!(event = 1710, peer = member.node.as_str(); "link down: {error}")
+            }
         }
         if opened.elapsed() > LONGEST_PAUSE {
             backoff.reset();
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -1,9 +1,9 @@
 //! What nodes tell each other.
 
+use crate::app::Stay;
 use bytes::Bytes;
 use platform::store::{Page, Row};
 use route::member::Member;
-use crate::app::Stay;
 use route::{NodeName, Position, ServerId, ServiceName, Version, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -15,10 +15,7 @@
             Some(known) => vec![Frame::rows(table, app.state().mirror(known).since(after))],
             None => Vec::new(),
         },
-        Frame::Rows {
-            table,
-            rows,
-        } => {
+        Frame::Rows { table, rows } => {
             if let Some(table) = table_of(table) {
                 let rows = rows.into_iter().map(Row::from).collect();
                 app.state().learn(Instant::now(), table, rows);
@@ -103,7 +100,11 @@
         ready: state.ready(),
         newest: Table::ALL.map(|table| state.mirror(table).newest()),
         loads: state.pool.loads().into_iter().collect(),
-        trials: state.trials.values().map(|trial| tell_trial(trial, now)).collect(),
+        trials: state
+            .trials
+            .values()
+            .map(|trial| tell_trial(trial, now))
+            .collect(),
         stays,
     })
 }
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -68,7 +68,9 @@
                 let write = Write::new(TABLE).put(&member.node, value.clone());
                 match app.store.write(&write).await {
                     Ok(_) => return,
-                    Err(error) => log::warn!(event = 1703; "this node's row isn't written: {error}"),
+                    Err(error) => {
+                        log::warn!(event = 1703; "this node's row isn't written: {error}")
+                    }
                 }
             }
             None => (),
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -72,10 +72,11 @@
         }
     }));
     let response = sender.try_send_request(request).await;
-    let response: Response<Incoming> = response.map_err(|mut failed| match failed.take_message() {
-        Some(_) => Error::NotSent(io::Error::other(failed.into_error())),
-        None => Error::Lost(failed.into_error()),
-    })?;
+    let response: Response<Incoming> =
+        response.map_err(|mut failed| match failed.take_message() {
+            Some(_) => Error::NotSent(io::Error::other(failed.into_error())),
+            None => Error::Lost(failed.into_error()),
+        })?;
     let (head, body) = response.into_parts();
     Ok(Answer {
         head,
--- a/crates/ledger/src/bill/batch.rs
+++ b/crates/ledger/src/bill/batch.rs
@@ -1,9 +1,9 @@
 //! Bills that are written together.
 
 use super::Bill;
-use contract::Owner;
 use clients::Table;
 use clients::table::{Condition, Item};
+use contract::Owner;
 
 /// Partition of all batches.
 const PARTITION: &str = "bill";
--- a/crates/ledger/src/record/records.rs
+++ b/crates/ledger/src/record/records.rs
@@ -3,9 +3,9 @@
 use super::local::{Entry, Local, Place};
 use super::{Answer, Claim, Key, Row, Settings, State, Stored, Ticket};
 use crate::Error;
-use contract::Owner;
 use clients::Table;
 use clients::table::{Condition, Item};
+use contract::Owner;
 
 /// Run records of one node over a table.
 ///
--- a/crates/ledger/tests/bill.rs
+++ b/crates/ledger/tests/bill.rs
@@ -1,9 +1,9 @@
 //! Bills: batches, copies at peers and their recovery.
 
-use contract::Owner;
-use ledger::bill::{Batch, Bill, Copies, Held, Journal, Leg, Meter, Replica, Settings};
 use clients::Table;
 use clients::table::{Fault, Memory, Range};
+use contract::Owner;
+use ledger::bill::{Batch, Bill, Copies, Held, Journal, Leg, Meter, Replica, Settings};
 use std::time::{Duration, Instant};
 
 fn bill(request_id: &str) -> Bill {
--- a/crates/ledger/tests/record.rs
+++ b/crates/ledger/tests/record.rs
@@ -1,10 +1,10 @@
 //! Run records over a faulty table, with the counterexamples of specs/record.pml replayed.
 
+use clients::Table;
+use clients::table::{Condition, Fault, Item, Memory, Range, Write};
 use contract::Owner;
 use ledger::Error;
 use ledger::record::{Answer, Claim, Key, Records, Settings, Stored, Ticket};
-use clients::Table;
-use clients::table::{Condition, Fault, Item, Memory, Range, Write};
 use std::sync::Arc;
 use tokio::sync::Semaphore;
 
--- a/crates/node/src/bill/bills.rs
+++ b/crates/node/src/bill/bills.rs
@@ -1,9 +1,9 @@
 //! The node's bills on their way to the platform.
 
 use super::{Context, Settings, frames};
+use clients::Table;
 use contract::Owner;
 use ledger::bill::{Batch, Bill, Journal, Replica};
-use clients::Table;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
--- a/crates/node/src/decide/funds.rs
+++ b/crates/node/src/decide/funds.rs
@@ -1,10 +1,10 @@
 //! Shares of customers' budgets, taken from the platform's table service.
 
+use clients::Table;
+use clients::table::{Condition, Item};
 use contract::{Budget, CustomerId, Map, Micros};
 use limits::Refusal;
 use limits::spend::{Account, Hold, Purse, Settings, State};
-use clients::Table;
-use clients::table::{Condition, Item};
 use policy::plan;
 use serde::{Deserialize, Serialize};
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/node/src/decide/rater.rs
+++ b/crates/node/src/decide/rater.rs
@@ -1,8 +1,8 @@
 //! Ratings of answers, which come late or not at all.
 
+use clients::ratings::Client;
 use contract::{CustomerId, ModelId, TaskId, VersionId};
 use limits::quarantine::{self, Breaker};
-use clients::ratings::Client;
 use policy::answer::Mean;
 use policy::quality::Subject;
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/node/src/record/runs.rs
+++ b/crates/node/src/record/runs.rs
@@ -1,9 +1,9 @@
 //! Claims of this node, and the loop that writes what couldn't be written.
 
+use clients::Table;
 use contract::{Config, Owner};
 use ledger::Error;
 use ledger::record::{Claim, Key, Records, Settings, Stored, Ticket};
-use clients::Table;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
--- a/crates/node/src/sync/catch_up.rs
+++ b/crates/node/src/sync/catch_up.rs
@@ -1,8 +1,8 @@
 //! Reading what is missing from the table.
 
 use super::{Error, Replica};
-use contract::{Config, Revision};
 use clients::Table;
+use contract::{Config, Revision};
 use std::convert::Infallible;
 use std::time::{Duration, Instant};
 use tokio::time::{MissedTickBehavior, interval};
--- a/crates/node/src/sync/dump.rs
+++ b/crates/node/src/sync/dump.rs
@@ -1,8 +1,8 @@
 //! What the replica shows to operators.
 
 use super::Replica;
-use contract::{NodeId, Revision};
 use clients::Table;
+use contract::{NodeId, Revision};
 use serde::Serialize;
 use std::time::{Duration, Instant};
 
--- a/crates/node/src/sync/log.rs
+++ b/crates/node/src/sync/log.rs
@@ -1,9 +1,9 @@
 //! Reads of the log in the table.
 
 use super::{Error, rows};
-use contract::{Config, Object, Revision};
 use clients::Table;
 use clients::table::Range;
+use contract::{Config, Object, Revision};
 use wire::Delta;
 
 /// Most revisions read in one call.
--- a/crates/node/src/sync/membership.rs
+++ b/crates/node/src/sync/membership.rs
@@ -1,8 +1,8 @@
 //! Joining and leaving.
 
 use super::{Error, Replica};
-use contract::{Member, Object};
 use clients::Table;
+use contract::{Member, Object};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::sleep;
--- a/crates/node/src/sync/propose.rs
+++ b/crates/node/src/sync/propose.rs
@@ -1,8 +1,8 @@
 //! Changes of the configuration.
 
 use super::{Accepted, Conflict, Error, Replica, rows};
-use contract::{ChangeId, Object, Revision, Set};
 use clients::Table;
+use contract::{ChangeId, Object, Revision, Set};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -124,9 +124,7 @@
                 self.publish(delta)?;
                 Ok(Attempt::Written)
             }
-            Err(clients::Error::Conflict { .. } | clients::Error::Throttled) => {
-                Ok(Attempt::Again)
-            }
+            Err(clients::Error::Conflict { .. } | clients::Error::Throttled) => Ok(Attempt::Again),
             Err(error) if error.may_have_run() => Ok(Attempt::Lost(error)),
             Err(error) => Err(Error::Platform(error)),
         }
--- a/crates/node/src/sync/replica.rs
+++ b/crates/node/src/sync/replica.rs
@@ -3,8 +3,8 @@
 use super::log::Log;
 use super::{Error, InForce, Settings};
 use crate::link::Hub;
-use contract::{Config, Incarnation, Revision};
 use clients::{Table, vms};
+use contract::{Config, Incarnation, Revision};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
--- a/crates/node/src/sync/rows.rs
+++ b/crates/node/src/sync/rows.rs
@@ -1,8 +1,8 @@
 //! Rows of the configuration in the table.
 
 use super::Error;
-use contract::{ChangeId, Revision};
 use clients::table::{Condition, Item, Write};
+use contract::{ChangeId, Revision};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt::Write as _;
--- a/crates/node/src/sync/sweep.rs
+++ b/crates/node/src/sync/sweep.rs
@@ -1,9 +1,9 @@
 //! Removal of members that have ended.
 
 use super::{Error, Replica, rows};
-use contract::{Map, Set};
 use clients::Table;
 use clients::vms::Kind;
+use contract::{Map, Set};
 use std::convert::Infallible;
 use std::time::{Duration, Instant};
 use tokio::time::{MissedTickBehavior, interval};
--- a/crates/node/tests/bill_latency.rs
+++ b/crates/node/tests/bill_latency.rs
@@ -1,10 +1,10 @@
 //! What it costs to wait until a bill is safe. Prints figures; asserts no speed.
 
+use clients::Table;
+use clients::table::{Condition, Item, Memory, Range, Write};
 use contract::{NodeId, Owner};
 use ledger::bill::{Bill, Leg, Meter};
 use node::bill::{Bills, Context, Settings};
-use clients::Table;
-use clients::table::{Condition, Item, Memory, Range, Write};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
--- a/crates/node/tests/decide.rs
+++ b/crates/node/tests/decide.rs
@@ -1,10 +1,10 @@
 //! The decisions of a node: its locks, clocks and clients around the pure decisions.
 
+use clients::table::{Fault, Memory};
 use contract::{Budget, Config, Version};
 use limits::Refusal;
 use node::decide::{Decide, Door, Entry, Funds, Order, Policy, Sample, Settings};
 use node::fleet::{Kind, Server};
-use clients::table::{Fault, Memory};
 use policy::place::{Load, Query};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -1,10 +1,10 @@
 //! Nodes in one process, linked over loopback, against a table in memory.
 
+use clients::table::Memory;
+use clients::vms;
 use contract::Member;
 use node::link::{self, Hub};
 use node::sync::{self, Replica};
-use clients::table::Memory;
-use clients::vms;
 use rand::Rng;
 use settings::{Ring, Secret};
 use std::net::{SocketAddr, TcpListener};
--- a/crates/node/tests/sync.rs
+++ b/crates/node/tests/sync.rs
@@ -1,8 +1,8 @@
 //! Changes of the configuration against a table that loses answers and operators that race.
 
+use clients::table::{Fault, Memory};
 use node::link::{self, Hub};
 use node::sync::{Error, Replica, Settings};
-use clients::table::{Fault, Memory};
 use std::sync::Arc;
 use wire::Entry;
 
--- a/crates/route/src/config/mod.rs
+++ b/crates/route/src/config/mod.rs
@@ -7,10 +7,9 @@
 mod route;
 mod service;
 
-
 pub use config::Config;
+pub use customer::Customer;
 pub use kind::Kind;
 pub use limits::Limits;
 pub use route::{Route, Share};
 pub use service::{Engine, Service, Size};
-pub use customer::Customer;
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -50,7 +50,12 @@
 
     /// Sets the availability zones that are to get nothing. Backend servers of one that is taken
     /// back are cold for the time given by service.
-    pub fn set_zones_out(&mut self, now: Instant, zones: Set<Zone>, cold: impl Fn(&str) -> Duration) {
+    pub fn set_zones_out(
+        &mut self,
+        now: Instant,
+        zones: Set<Zone>,
+        cold: impl Fn(&str) -> Duration,
+    ) {
         for server in self.servers.values_mut() {
             let zone = &server.listing.zone;
             if self.zones_out.contains(zone) && !zones.contains(zone) {
@@ -105,7 +110,14 @@
             {
                 continue;
             }
-            let cost = cost(&self.settings, now, server, query, first.as_ref() == Some(id), cold);
+            let cost = cost(
+                &self.settings,
+                now,
+                server,
+                query,
+                first.as_ref() == Some(id),
+                cold,
+            );
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, id));
             }
--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -129,7 +129,13 @@
     }
 
     /// Takes in how a send ended.
-    pub fn learn(&mut self, now: Instant, outcome: Outcome, settings: &Settings, rng: &mut impl Rng) {
+    pub fn learn(
+        &mut self,
+        now: Instant,
+        outcome: Outcome,
+        settings: &Settings,
+        rng: &mut impl Rng,
+    ) {
         match outcome {
             Outcome::Sound => self.breaker.succeed(),
             Outcome::Failed => self.breaker.fail(now, rng),
--- a/crates/route/src/rollout/trial.rs
+++ b/crates/route/src/rollout/trial.rs
@@ -130,7 +130,12 @@
             Outcome::Running => (),
         }
         let part = self.part(now);
-        let moved = self.settings.steps.iter().rev().find(|(from, _)| part >= *from);
+        let moved = self
+            .settings
+            .steps
+            .iter()
+            .rev()
+            .find(|(from, _)| part >= *from);
         if let Some((_, share)) = moved {
             return match draw < *share {
                 true => Side::New,
