--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -2,18 +2,30 @@
 
 use super::State;
 use crate::stop::Inside;
+use limits::suspect::Fingerprint;
 use platform::store;
-use route::Version;
 use route::member::Member;
 use route::site::Site;
+use route::{ServerId, Version};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, broadcast};
 
-/// Stays that wait for a link; one that is further behind is told all of them.
-const MAX_STAYS: usize = 1024;
+/// Words that wait for a link; one that is further behind is told all that is known.
+const MAX_TOLD: usize = 1024;
 
 /// A session and the version that it is on.
 pub type Stay = (String, Version);
+/// A request, by its fingerprint, and a backend server that ended under it.
+pub type Crash = (Fingerprint, ServerId);
+
+/// What one node tells the others.
+#[derive(Clone, Debug)]
+pub enum Told {
+    /// A session is on a version.
+    Stay(Stay),
+    /// A backend server ended under a request.
+    Crash(Crash),
+}
 
 /// What the parts of a node share. The state is the only lock; it is never held over an await.
 #[derive(Debug)]
@@ -26,8 +38,8 @@
     pub room: Notify,
     /// Wakes the links: something has to be told at once.
     pub news: Notify,
-    /// Versions that sessions are on, for the links.
-    pub sessions: broadcast::Sender<Stay>,
+    /// What the links are to tell.
+    pub told: broadcast::Sender<Told>,
     /// Requests that the node is working on.
     pub inside: Arc<Inside>,
     state: Mutex<State>,
@@ -40,7 +52,7 @@
             store: store::Client::new(site.store)?,
             room: Notify::new(),
             news: Notify::new(),
-            sessions: broadcast::Sender::new(MAX_STAYS),
+            told: broadcast::Sender::new(MAX_TOLD),
             inside: Arc::default(),
             state: Mutex::new(State::new(&site)),
             site,
@@ -52,6 +64,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Tells the other nodes.
+    pub fn tell(&self, told: Told) {
+        // An error says that there are no links: then there is nobody to tell.
+        let _ = self.told.send(told);
+    }
+
     /// This node, as other nodes know it.
     pub fn member(&self) -> Member {
         Member {
--- a/crates/edge/src/app/mod.rs
+++ b/crates/edge/src/app/mod.rs
@@ -4,6 +4,6 @@
 mod mirror;
 mod state;
 
-pub use app::{App, Stay};
+pub use app::{App, Crash, Stay, Told};
 pub use mirror::Mirror;
 pub use state::{State, Table};
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -1,19 +1,20 @@
 //! What a node believes.
 
-use super::Mirror;
+use super::{Crash, Mirror};
 use crate::membership;
 use contract::{Map, Set, stable_hash};
 use limits::retry::{self, Budget};
+use limits::suspect::{self, Fingerprint, Suspects};
 use platform::Intent;
 use platform::store::{Page, Row};
 use route::config::Config;
 use route::member::Members;
-use route::pool::{self, Pool, Query, Refusal};
-use route::rollout::{self, Order, Outcome, Trial};
+use route::pool::{self, Bearing, Pool, Query, Refusal, Stage};
+use route::rollout::{self, Order, Outcome, Side, Trial};
 use route::server::Listing;
 use route::session::Sessions;
 use route::site::Site;
-use route::{ServerId, ServiceName, table};
+use route::{NodeName, ServerId, ServiceName, table};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -24,6 +25,16 @@
 /// Part of the retry ratio that nodes spend: windows of nodes and of the site don't coincide.
 const RETRY_PART: f64 = 0.8;
 
+/// Multiple of the usual time above which an answer counts as bad in a roll-out.
+const SLOW: f64 = 3.0;
+/// The same for a first event, which depends on what an engine keeps of the prompt.
+const SLOW_FIRST: f64 = 6.0;
+/// Time for which a request that ended backend servers is remembered.
+const SUSPECT_TIME: Duration = Duration::from_secs(60);
+/// Backend servers that one request may end before no node sends it on. A lost network path looks
+/// alike, so that two aren't enough.
+const SUSPECT_CRASHES: usize = 3;
+
 /// A table of the store that nodes copy.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Table {
@@ -52,6 +63,20 @@
     }
 }
 
+/// Time in which the end of a backend server explains a lost request: three missed heartbeats of
+/// the usual length, and a little.
+const LOST_TIME: Duration = Duration::from_secs(6);
+/// Lost requests that are remembered for it.
+const MAX_LOST: usize = 512;
+
+/// A request that lost its backend server.
+#[derive(Debug)]
+struct Loss {
+    fingerprint: Fingerprint,
+    server: ServerId,
+    at: Instant,
+}
+
 /// What a node believes.
 #[derive(Debug)]
 pub struct State {
@@ -63,10 +88,16 @@
     pub members: Members,
     /// Whether the node is to stop.
     pub stopping: bool,
+    /// Whether the node takes no request any more.
+    pub finishing: bool,
     /// Roll-outs that the operator asks for, by service.
     pub trials: Map<ServiceName, Trial>,
     /// Versions that sessions are on.
     pub sessions: Sessions,
+    /// Requests that end the backend servers which run them.
+    pub suspects: Suspects,
+    lost: Vec<Loss>,
+    crashes: Vec<Crash>,
     zones_out: Set<String>,
     mirrors: [Mirror; 4],
     /// Whether the list of backend servers was read.
@@ -76,6 +107,7 @@
     budgets: Map<ServiceName, Budget>,
     retry: retry::Settings,
     cold: (f64, f64),
+    node: NodeName,
     rollout: rollout::Settings,
 }
 
@@ -88,8 +120,16 @@
             pool: Pool::new(pool::Settings::default()),
             members: Members::default(),
             stopping: false,
+            finishing: false,
             trials: Map::default(),
             sessions: Sessions::default(),
+            suspects: Suspects::new(suspect::Settings {
+                memory: SUSPECT_TIME,
+                crashes: SUSPECT_CRASHES,
+                ..suspect::Settings::default()
+            }),
+            lost: Vec::new(),
+            crashes: Vec::new(),
             zones_out: Set::default(),
             mirrors: Default::default(),
             listed: false,
@@ -101,6 +141,7 @@
                 burst: bounds.retry_extra,
                 floor: 0.0,
             },
+            node: site.node.clone(),
             cold: (bounds.cold_factor, bounds.cold_extra),
             rollout: rollout::Settings {
                 expose_share: bounds.expose_share,
@@ -156,7 +197,7 @@
             }
         }
         if table == Table::Intents && !news.is_empty() {
-            self.apply_zones(now);
+            self.pool.set_zones_out(now, self.zones_out.clone());
         }
         if table == Table::Status && !news.is_empty() {
             self.apply_outcomes();
@@ -227,15 +268,6 @@
         self.share(now);
     }
 
-    fn apply_zones(&mut self, now: Instant) {
-        let config = Arc::clone(self.routes.config());
-        let cold = |service: &str| {
-            let service = config.services.get(service);
-            service.map_or(Duration::ZERO, |service| service.cold)
-        };
-        self.pool.set_zones_out(now, self.zones_out.clone(), cold);
-    }
-
     fn apply_server(&mut self, now: Instant, row: &Row) {
         if row.removed {
             return self.apply_removed(now, &row.key);
@@ -253,10 +285,15 @@
             cold_ms = listing.cold.as_millis() as u64, state = format!("{:?}", listing.state).as_str();
             "backend server listed");
         self.lapsed.retain(|(id, _)| *id != listing.id);
+        let known = self.pool.servers().get(&listing.id);
+        if known.is_some_and(|known| known.listing.born != listing.born) {
+            self.ended(now, &listing.id);
+        }
         self.pool.list(now, listing);
     }
 
     fn apply_removed(&mut self, now: Instant, id: &str) {
+        self.ended(now, id);
         let lost = self.store_lost;
         if lost.is_some_and(|lost| now.saturating_duration_since(lost) < LAPSE_TIME) {
             self.lapsed.push((id.to_owned(), now + LAPSE_TIME));
@@ -293,14 +330,25 @@
 
     /// Cuts what all nodes share into this node's part.
     fn share(&mut self, now: Instant) {
-        let nodes = (1 + self.members.all().count()) as f64 * FLEET_MARGIN;
+        let own = std::iter::once(self.node.clone());
+        let others = self.members.all().map(|member| member.node.clone());
+        let others = others.filter(|node| *node != self.node);
+        let names: Vec<_> = own.chain(others).collect();
+        let nodes = names.len() as f64 * FLEET_MARGIN;
+        self.pool.set_nodes(names);
         let config: &Config = self.routes.config();
-        let mut ramps = Map::default();
+        let mut bearings = Map::default();
         for (name, service) in &config.services {
-            if service.cold_rate > 0.0 {
-                let bound = service.cold_rate * self.cold.0 + self.cold.1;
-                ramps.insert(name.clone(), (bound / nodes) as usize);
-            }
+            let rate = service.cold_rate * self.cold.0 + self.cold.1;
+            let bearing = Bearing {
+                cold_rate: (service.cold_rate > 0.0).then_some(rate),
+                cold: service.cold,
+                memory: service
+                    .engine
+                    .as_ref()
+                    .map_or(0.0, |engine| engine.memory_tokens as f64),
+            };
+            bearings.insert(name.clone(), bearing);
             let burst = (self.retry.burst / nodes).max(1.0);
             let settings = retry::Settings {
                 burst,
@@ -310,7 +358,7 @@
                 .entry(name.clone())
                 .or_insert_with(|| Budget::new(settings, now));
         }
-        self.pool.set_ramps(ramps);
+        self.pool.set_bearings(bearings);
     }
 
     /// Chooses a backend server for a request.
@@ -347,6 +395,54 @@
         session.is_some_and(|session| self.sessions.note(now, session, &listing.version))
     }
 
+    /// Notes that a request lost its backend server: the server may have ended under it.
+    pub fn lost(&mut self, now: Instant, fingerprint: &str, server: &str) {
+        let recent = |at: Instant| now.saturating_duration_since(at) < LOST_TIME;
+        self.lost.retain(|loss| recent(loss.at));
+        if self.lost.len() < MAX_LOST {
+            self.lost.push(Loss {
+                fingerprint: fingerprint.to_owned(),
+                server: server.to_owned(),
+                at: now,
+            });
+        }
+    }
+
+    /// Notes that a backend server has ended: the requests that just lost it are suspect.
+    pub fn ended(&mut self, now: Instant, server: &str) {
+        let recent = |loss: &mut Loss| {
+            loss.server == server && now.saturating_duration_since(loss.at) < LOST_TIME
+        };
+        for loss in self.lost.extract_if(.., recent) {
+            let fingerprint = &loss.fingerprint;
+            if self
+                .suspects
+                .crash(now, fingerprint, server, Duration::ZERO)
+            {
+                self.crashes.push((fingerprint.clone(), server.to_owned()));
+            }
+        }
+    }
+
+    /// Crashes that the other nodes haven't been told of.
+    pub fn take_crashes(&mut self) -> Vec<Crash> {
+        std::mem::take(&mut self.crashes)
+    }
+
+    /// Takes in how long a stage of a request took; true when that is far beyond the usual.
+    pub fn timed(&mut self, listing: &Listing, model: &str, stage: Stage, millis: f64) -> bool {
+        let trial = self.trials.get(&listing.service);
+        let on_trial = trial.is_some_and(|trial| {
+            trial.outcome() != Outcome::Completed && trial.side_of(&listing.version) == Side::New
+        });
+        let ratio = self.pool.timed(listing, model, stage, millis, !on_trial);
+        let most = match stage {
+            Stage::First => SLOW_FIRST,
+            Stage::Pace | Stage::Whole => SLOW,
+        };
+        ratio.is_some_and(|ratio| ratio > most)
+    }
+
     /// Takes in an answer of a version.
     pub fn answered(&mut self, listing: &Listing, bad: bool) {
         if let Some(trial) = self.trials.get_mut(&listing.service) {
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -1,6 +1,6 @@
 //! One loop a table: the whole table once, then its changes.
 
-use crate::app::{App, Table};
+use crate::app::{App, Table, Told};
 use crate::backoff::Backoff;
 use platform::Error;
 use platform::store::Page;
@@ -76,6 +76,13 @@
 pub async fn sweep(app: Arc<App>) {
     loop {
         sleep(SWEEP_PAUSE).await;
-        app.state().sweep(Instant::now());
+        let crashes = {
+            let mut state = app.state();
+            state.sweep(Instant::now());
+            state.take_crashes()
+        };
+        for crash in crashes {
+            app.tell(Told::Crash(crash));
+        }
     }
 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::head::text;
 use super::job::Job;
-use crate::app::App;
+use crate::app::{App, Told};
 use crate::upstream::{self, Answer};
 use hyper::StatusCode;
 use hyper::header::CONTENT_ENCODING;
@@ -10,12 +10,14 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use route::ServerId;
-use route::pool::{Outcome, Query, Refusal, Server};
+use route::pool::{self, Load, Outcome, Query, Refusal, Stage};
 use route::server::Listing;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
 
+/// Events after which the pace of a stream is known.
+const PACE_EVENTS: u32 = 4;
 /// Pause between two looks for a place elsewhere.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -28,6 +30,12 @@
     begun: Instant,
     outcome: Outcome,
     unread: f64,
+    load: Load,
+    model: String,
+    /// Whether the roll-out has been told of the answer.
+    judged: bool,
+    first_event: Option<Instant>,
+    events: u32,
 }
 
 impl Place {
@@ -46,10 +54,37 @@
         self.begun.elapsed()
     }
 
-    /// Notes that the prompt was read.
-    pub fn read(&mut self) {
-        let tokens = std::mem::take(&mut self.unread);
-        self.app.state().pool.prompt_read(&self.server.id, tokens);
+    /// Notes an event of a stream; the first says that the prompt was read.
+    pub fn event(&mut self) {
+        self.events += 1;
+        match self.first_event {
+            None => {
+                self.first_event = Some(Instant::now());
+                let tokens = std::mem::take(&mut self.unread);
+                self.app.state().pool.prompt_read(&self.server.id, tokens);
+                self.time(Stage::First, self.age());
+            }
+            Some(first) if self.events == PACE_EVENTS => {
+                self.time(Stage::Pace, first.elapsed() / (PACE_EVENTS - 1));
+            }
+            Some(_) => (),
+        }
+    }
+
+    /// Notes the end of a whole answer.
+    pub fn whole(&mut self) {
+        self.time(Stage::Whole, self.age());
+    }
+
+    /// Notes how long a stage took. One far beyond the usual time speaks against the version at
+    /// once: a slow answer would tell it too late.
+    fn time(&mut self, stage: Stage, took: Duration) {
+        let millis = took.as_secs_f64() * 1e3;
+        let mut state = self.app.state();
+        let slow = state.timed(&self.server, &self.model, stage, millis);
+        if slow && !std::mem::replace(&mut self.judged, true) {
+            state.answered(&self.server, true);
+        }
     }
 }
 
@@ -57,10 +92,15 @@
     fn drop(&mut self) {
         let mut state = self.app.state();
         let mut rng = SmallRng::from_os_rng();
-        state
-            .pool
-            .end(Instant::now(), &self.server.id, self.outcome, &mut rng);
-        if matches!(self.outcome, Outcome::Sound | Outcome::Failed) {
+        state.pool.prompt_read(&self.server.id, self.unread);
+        state.pool.end(
+            Instant::now(),
+            &self.server.id,
+            self.load,
+            self.outcome,
+            &mut rng,
+        );
+        if !self.judged && matches!(self.outcome, Outcome::Sound | Outcome::Failed) {
             let bad = self.outcome == Outcome::Failed;
             state.answered(&self.server, bad);
         }
@@ -101,8 +141,7 @@
     let news = state.sent(now, &server, job.session.as_deref());
     drop(state);
     if let (true, Some(session)) = (news, &job.session) {
-        // Without links there is nobody to tell.
-        let _ = app.sessions.send((session.clone(), server.version.clone()));
+        app.tell(Told::Stay((session.clone(), server.version.clone())));
     }
     Ok(Place {
         app: Arc::clone(app),
@@ -110,6 +149,14 @@
         begun: now,
         outcome: Outcome::Unknown,
         unread,
+        load: pool::load_of(&query),
+        model: job
+            .model
+            .as_ref()
+            .map_or(String::new(), |(model, _)| model.clone()),
+        judged: false,
+        first_event: None,
+        events: 0,
     })
 }
 
@@ -157,7 +204,10 @@
     }
     let place = place(app, job).ok()?;
     let mut state = app.state();
-    let load = |id: &ServerId| state.pool.servers().get(id).map_or(0, Server::load);
+    let load = |id: &ServerId| {
+        let server = state.pool.servers().get(id);
+        server.map_or(0, |server| server.load().requests)
+    };
     // The place itself counts as a request there.
     let lighter = load(place.id()) <= load(present.id()).max(1);
     let may_go = lighter && state.take_retry(Instant::now(), &job.service);
@@ -178,11 +228,14 @@
         Waited::Done(Err(upstream::Error::NotSent(error))) => {
             job.sends -= 1;
             place.note(Outcome::Failed);
+            app.state().ended(Instant::now(), place.id());
             log::info!(event = 1731, request = job.name(), server = place.id().as_str(); "not sent: {error}");
             return Sent::NotRun;
         }
         Waited::Done(Err(error)) => {
             place.note(Outcome::Failed);
+            app.state()
+                .lost(Instant::now(), &job.fingerprint, place.id());
             log::info!(event = 1732, request = job.name(), server = place.id().as_str(); "{error}");
             return Sent::Unknown;
         }
--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response};
+use limits::suspect::Verdict;
 use platform::header;
 use rand::Rng;
 use route::config::Route;
@@ -61,7 +62,7 @@
 ) -> Result<Response<Body>, Refusal> {
     let routes = {
         let state = app.state();
-        if !state.configured() {
+        if state.finishing || !state.configured() {
             return Err(Refusal::NotNow);
         }
         Arc::clone(&state.routes)
@@ -77,6 +78,11 @@
     let time = time_for_body(&parts.headers, route);
     let body = read(body, limits.body_bytes, time).await?;
     let mut job = Job::new(received, parts, body, Arc::clone(route), customer);
+    let verdict = app.state().suspects.verdict(received, &job.fingerprint);
+    if let Verdict::Refused(_) = verdict {
+        log::warn!(event = 1745, request = job.name(); "request that ends backend servers");
+        return Err(Refusal::NotNow);
+    }
     let draw = rand::rng().random();
     let service = job.route.service(draw).ok_or(Refusal::NotNow)?;
     job.service = service.to_owned();
--- a/crates/edge/src/forward/job.rs
+++ b/crates/edge/src/forward/job.rs
@@ -4,16 +4,24 @@
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Uri};
+use limits::suspect::Fingerprint;
 use platform::header;
 use route::ServerId;
 use route::config::Route;
 use route::pool::Work;
+use rustc_hash::FxBuildHasher;
+use std::hash::BuildHasher;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Part of the time left that is kept for the way back to the caller.
 const WAY_BACK: Duration = Duration::from_millis(20);
 
+/// Bytes of the heads of a request and its answer, roughly.
+const HEAD_BYTES: f64 = 1200.0;
+/// Bytes of a token of an answer on the wire, roughly.
+const TOKEN_BYTES: f64 = 10.0;
+
 /// A request on its way: what was received, and what has become of it.
 #[derive(Debug)]
 pub struct Job {
@@ -35,6 +43,8 @@
     pub work: Work,
     /// The model that is to answer, where the caller leaves the choice open, with its pace.
     pub model: Option<(String, f64)>,
+    /// What it has in common with the same request of the same customer sent again.
+    pub fingerprint: Fingerprint,
     /// Session that it belongs to.
     pub session: Option<String>,
     /// When it was received.
@@ -64,10 +74,11 @@
         let left = number(&headers, header::TIME_LEFT_MS)
             .and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok());
         let time = left.map_or(route.timeout, |left| left.min(route.timeout));
-        let work = work(&headers);
+        let work = work(&headers, body.len());
         let session = text(&headers, header::SESSION).map(str::to_owned);
         let id = headers.get(header::ATTEMPT).cloned();
         let last_event = number(&headers, header::LAST_EVENT).map(|number| number as u64);
+        let fingerprint = fingerprint(&parts.uri, &body, customer);
         strip(&mut headers);
         for name in header::RESERVED {
             headers.remove(*name);
@@ -84,6 +95,7 @@
             service: String::new(),
             work,
             model: None,
+            fingerprint,
             session,
             received,
             limit: received + time.saturating_sub(WAY_BACK),
@@ -140,8 +152,14 @@
     }
 }
 
+/// Digest of a customer, a path and a body.
+fn fingerprint(uri: &Uri, body: &[u8], customer: Option<&str>) -> Fingerprint {
+    let hash = FxBuildHasher.hash_one((uri.path(), body, customer));
+    format!("{hash:016x}")
+}
+
 /// What a request makes an engine read and write, from its headers.
-fn work(headers: &HeaderMap) -> Work {
+fn work(headers: &HeaderMap, body: usize) -> Work {
     let tokens = text(headers, header::TOKENS).unwrap_or_default();
     let (prompt, most) = tokens.split_once(',').unwrap_or((tokens, ""));
     let most = most.trim().parse().unwrap_or(0.0);
@@ -150,9 +168,12 @@
         let (id, tokens) = part.trim().split_once(':')?;
         Some((id.to_owned(), tokens.parse().ok()?))
     });
+    let output = number(headers, header::EXPECTED_TOKENS).unwrap_or(most);
+    let bytes = body as f64 + HEAD_BYTES + output * TOKEN_BYTES;
     Work {
         parts: parts.collect(),
         prompt: prompt.trim().parse().unwrap_or(0.0),
-        output: number(headers, header::EXPECTED_TOKENS).unwrap_or(most),
+        output,
+        kilobytes: bytes / 1e3,
     }
 }
--- a/crates/edge/src/forward/plain.rs
+++ b/crates/edge/src/forward/plain.rs
@@ -55,6 +55,7 @@
                     }
                 };
                 if !failed {
+                    place.whole();
                     place.note(Outcome::Sound);
                     return Ok(whole);
                 }
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -164,23 +164,24 @@
             continue;
         }
         match next_item(app, job, &mut source, until).await {
-            Item::Event(event) => {
-                source.place.read();
-                match escalate(app, job, &source) {
-                    None => return Ok(First::Stream(source, event)),
-                    Some(better) => {
-                        source.place.note(Outcome::Sound);
-                        job.tried.pop();
-                        next = Some(better);
-                    }
+            Item::Event(event) => match escalate(app, job, &source) {
+                None => return Ok(First::Stream(source, event)),
+                Some(better) => {
+                    source.place.note(Outcome::Sound);
+                    job.tried.pop();
+                    next = Some(better);
                 }
-            }
+            },
             Item::End => {
                 source.place.note(Outcome::Sound);
                 let head = source.answer.head.clone();
                 return Ok(First::Whole(whole(head, Bytes::new())));
             }
             Item::Broken(place) => {
+                if place.is_none() {
+                    app.state()
+                        .lost(Instant::now(), &job.fingerprint, source.place.id());
+                }
                 next = place;
                 source.place.note(Outcome::Failed);
                 log::info!(event = 1740, request = job.name(), server = source.place.id().as_str(),
@@ -242,6 +243,7 @@
     loop {
         match next {
             Item::Event(event) => {
+                source.place.event();
                 let known = event.id.is_some() && event.id <= job.last_event;
                 if event.id.is_some() && !known {
                     job.last_event = event.id;
@@ -257,6 +259,10 @@
                 return;
             }
             Item::Broken(place) => {
+                if place.is_none() {
+                    app.state()
+                        .lost(Instant::now(), &job.fingerprint, source.place.id());
+                }
                 source.place.note(Outcome::Failed);
                 log::info!(event = 1741, request = job.name(), server = source.place.id().as_str(),
                     last_event = job.last_event.unwrap_or(0); "stream broke off");
--- a/crates/edge/src/link/dial.rs
+++ b/crates/edge/src/link/dial.rs
@@ -2,8 +2,8 @@
 
 use super::frame::Frame;
 use super::listen::config;
-use super::serve::{beat, serve};
-use crate::app::{App, Stay};
+use super::serve::{Words, beat, serve};
+use crate::app::App;
 use crate::backoff::Backoff;
 use crate::upstream::watch;
 use contract::Set;
@@ -11,10 +11,8 @@
 use route::member::Member;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::broadcast::Receiver;
-use tokio::sync::broadcast::error::TryRecvError;
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::{client_async_with_config, tungstenite};
 
@@ -70,10 +68,10 @@
     };
     let opened = timeout(OPEN_TIME, open).await;
     let (mut link, _) = opened.map_err(std::io::Error::from)??;
-    let mut news = app.sessions.subscribe();
-    let mut stays = app.state().sessions.all(Instant::now());
+    let mut told = app.told.subscribe();
+    let mut words = Words::all(app);
     loop {
-        if let Some(message) = beat(app, std::mem::take(&mut stays)).encode() {
+        if let Some(message) = beat(app, std::mem::take(&mut words)).encode() {
             link.send(message).await?;
         }
         let urgent = app.news.notified();
@@ -92,18 +90,6 @@
                 }
             }
         }
-        stays = told(app, &mut news);
-    }
-}
-
-/// The sessions to tell the other node of: those noted since the last time.
-fn told(app: &App, news: &mut Receiver<Stay>) -> Vec<Stay> {
-    let mut stays = Vec::new();
-    loop {
-        match news.try_recv() {
-            Ok(stay) => stays.push(stay),
-            Err(TryRecvError::Lagged(_)) => return app.state().sessions.all(Instant::now()),
-            Err(TryRecvError::Empty | TryRecvError::Closed) => return stays,
-        }
+        words = Words::news(app, &mut told);
     }
 }
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -1,6 +1,6 @@
 //! What nodes tell each other.
 
-use crate::app::Stay;
+use crate::app::{Crash, Stay};
 use bytes::Bytes;
 use platform::store::{Page, Row};
 use route::member::Member;
@@ -46,12 +46,14 @@
     pub ready: bool,
     /// Newest change that it knows of each table.
     pub newest: [Position; 4],
-    /// Requests that it has on backend servers.
-    pub loads: BTreeMap<ServerId, u32>,
+    /// Requests that it has on backend servers, with their tokens.
+    pub loads: BTreeMap<ServerId, (u32, u64)>,
     /// Roll-outs under way as it sees them.
     pub trials: Vec<Trial>,
     /// Sessions with the versions that they are on, as far as the receiver hasn't been told.
     pub stays: Vec<Stay>,
+    /// Requests and backend servers that ended under them, likewise.
+    pub crashes: Vec<Crash>,
 }
 
 impl Beat {
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -1,11 +1,15 @@
 //! What a node does with a frame.
 
 use super::frame::{self, Beat, Frame};
-use crate::app::{App, State, Stay, Table};
+use crate::app::{App, Crash, State, Stay, Table, Told};
 use platform::store::Row;
-use route::NodeName;
+use route::pool::Load;
 use route::rollout::{Count, Tally, Trial};
+use route::{NodeName, ServerId};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
+use tokio::sync::broadcast::Receiver;
+use tokio::sync::broadcast::error::TryRecvError;
 
 /// Takes in a frame; gives the answers to it.
 pub fn serve(app: &App, frame: Frame) -> Vec<Frame> {
@@ -36,7 +40,11 @@
     let mut state = app.state();
     let known = state.members.add(beat.member());
     state.members.hear(now, &beat.node, beat.ready);
-    let loads = beat.loads.into_iter().collect();
+    let loads = beat.loads.into_iter().map(|(id, (requests, tokens))| {
+        let tokens = tokens as f64;
+        (id, Load { requests, tokens })
+    });
+    let loads = loads.collect();
     state.pool.set_others(&beat.node, &loads);
     for trial in &beat.trials {
         hear_trial(&mut state, now, &beat.node, trial);
@@ -44,6 +52,11 @@
     for (session, version) in &beat.stays {
         state.sessions.note(now, session, version);
     }
+    for (fingerprint, server) in &beat.crashes {
+        state
+            .suspects
+            .crash(now, fingerprint, server, Duration::ZERO);
+    }
     if known {
         app.news.notify_waiters();
     }
@@ -75,6 +88,13 @@
     trial.known_for(now, Duration::from_millis(told.age_ms));
 }
 
+fn tell_loads(state: &State) -> BTreeMap<ServerId, (u32, u64)> {
+    let loads = state.pool.loads();
+    loads
+        .map(|(id, load)| (id.clone(), (load.requests, load.tokens as u64)))
+        .collect()
+}
+
 fn tell_trial(trial: &Trial, now: Instant) -> frame::Trial {
     let counts = |count: Count| [count.sent, count.known, count.bad];
     let own = trial.own();
@@ -87,8 +107,43 @@
     }
 }
 
-/// What this node tells of itself, with the sessions that the receiver hasn't been told of.
-pub fn beat(app: &App, stays: Vec<Stay>) -> Frame {
+/// Words for another node that it hasn't been told of.
+#[derive(Debug, Default)]
+pub struct Words {
+    stays: Vec<Stay>,
+    crashes: Vec<Crash>,
+}
+
+impl Words {
+    /// All that is known.
+    pub fn all(app: &App) -> Self {
+        let now = Instant::now();
+        let state = app.state();
+        let crashes = state.suspects.known(now);
+        Self {
+            stays: state.sessions.all(now),
+            crashes: crashes
+                .map(|(fingerprint, server, _)| (fingerprint.clone(), server.clone()))
+                .collect(),
+        }
+    }
+
+    /// What came since the last time.
+    pub fn news(app: &App, told: &mut Receiver<Told>) -> Self {
+        let mut words = Self::default();
+        loop {
+            match told.try_recv() {
+                Ok(Told::Stay(stay)) => words.stays.push(stay),
+                Ok(Told::Crash(crash)) => words.crashes.push(crash),
+                Err(TryRecvError::Lagged(_)) => return Self::all(app),
+                Err(TryRecvError::Empty | TryRecvError::Closed) => return words,
+            }
+        }
+    }
+}
+
+/// What this node tells of itself.
+pub fn beat(app: &App, words: Words) -> Frame {
     let state = app.state();
     let member = app.member();
     let now = Instant::now();
@@ -99,12 +154,13 @@
         link: member.link,
         ready: state.ready(),
         newest: Table::ALL.map(|table| state.mirror(table).newest()),
-        loads: state.pool.loads().into_iter().collect(),
+        loads: tell_loads(&state),
         trials: state
             .trials
             .values()
             .map(|trial| tell_trial(trial, now))
             .collect(),
-        stays,
+        stays: words.stays,
+        crashes: words.crashes,
     })
 }
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -3,7 +3,7 @@
 use crate::Error;
 use crate::app::App;
 use crate::body::Body;
-use crate::stop::Stop;
+use crate::stop::{Phase, Stop};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -34,8 +34,14 @@
     let listener = TcpListener::bind(address).await;
     let listener = listener.map_err(|source| Error::Listen { address, source })?;
     tokio::spawn(async move {
+        let mut ending = stop.clone();
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                // A closed port sends callers to another node at once.
+                () = ending.wait(Phase::Finishing) => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     let (app, stop, serve) = (Arc::clone(&app), stop.clone(), serve.clone());
                     tokio::spawn(connection(app, stop, stream, serve));
@@ -71,7 +77,7 @@
     tokio::pin!(served);
     let ended = tokio::select! {
         ended = served.as_mut() => ended,
-        () = stop.wait() => {
+        () = stop.wait(Phase::Leaving) => {
             served.as_mut().graceful_shutdown();
             served.await
         }
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -15,20 +15,31 @@
 /// Pause between two looks at the requests inside.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// Tells connections to end after their present request.
+/// How far the end of a process has come.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Phase {
+    /// Requests are served.
+    Serving,
+    /// Connections end after their present request; new ones are still served.
+    Leaving,
+    /// What is inside is finished, and nothing else is taken.
+    Finishing,
+}
+
+/// Tells connections and listeners of the end.
 #[derive(Clone, Debug)]
-pub struct Stop(watch::Receiver<bool>);
+pub struct Stop(watch::Receiver<Phase>);
 
 impl Stop {
     /// A switch and what it tells.
-    pub fn new() -> (watch::Sender<bool>, Self) {
-        let (sender, receiver) = watch::channel(false);
+    pub fn new() -> (watch::Sender<Phase>, Self) {
+        let (sender, receiver) = watch::channel(Phase::Serving);
         (sender, Self(receiver))
     }
 
-    /// Waits for the end.
-    pub async fn wait(&mut self) {
-        if self.0.wait_for(|stopped| *stopped).await.is_err() {
+    /// Waits for a phase.
+    pub async fn wait(&mut self, phase: Phase) {
+        if self.0.wait_for(|present| *present >= phase).await.is_err() {
             std::future::pending::<()>().await;
         }
     }
@@ -62,16 +73,20 @@
 }
 
 /// Leaves the directory, takes requests for a while yet, and waits for those inside.
-pub async fn drain(app: Arc<App>, stop: watch::Sender<bool>) {
+pub async fn drain(app: Arc<App>, stop: watch::Sender<Phase>) {
     let begun = Instant::now();
     app.state().stopping = true;
     app.news.notify_waiters();
-    stop.send_replace(true);
+    stop.send_replace(Phase::Leaving);
     log::info!(event = 1702, inside = app.inside.count(); "stopping");
     let grace = app.site.bounds.grace.mul_f64(GRACE_PART);
     loop {
         sleep(LOOK).await;
         let past = begun.elapsed();
+        if past >= TAKE_TIME && *stop.borrow() < Phase::Finishing {
+            app.state().finishing = true;
+            stop.send_replace(Phase::Finishing);
+        }
         if past >= grace || (past >= TAKE_TIME && app.inside.count() == 0) {
             break;
         }
--- /dev/null
+++ b/crates/route/src/pool/bearing.rs
@@ -0,0 +1,14 @@
+//! What the backend servers of a service bear.
+
+use std::time::Duration;
+
+/// What each backend server of a service bears.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Bearing {
+    /// Requests a second of all nodes while it is cold; none when it is never cold.
+    pub cold_rate: Option<f64>,
+    /// How long it is cold after its start.
+    pub cold: Duration,
+    /// Tokens that an engine keeps in memory; 0 for a plain service.
+    pub memory: f64,
+}
--- a/crates/route/src/pool/cold.rs
+++ b/crates/route/src/pool/cold.rs
@@ -20,23 +20,21 @@
     /// let mut ramp = route::pool::Ramp::default();
     /// let (now, window) = (Instant::now(), Duration::from_secs(1));
     /// assert!(ramp.admits(now, window, 1));
-    /// ramp.record(now);
+    /// ramp.record(now, window);
     /// assert!(!ramp.admits(now, window, 1));
     /// assert!(ramp.admits(now + window, window, 1));
     /// ```
-    pub fn admits(&mut self, now: Instant, window: Duration, most: usize) -> bool {
-        while self
-            .sent
-            .front()
-            .is_some_and(|&sent| now.saturating_duration_since(sent) >= window)
-        {
-            self.sent.pop_front();
-        }
-        self.sent.len() < most
+    pub fn admits(&self, now: Instant, window: Duration, most: usize) -> bool {
+        let recent = |sent: &&Instant| now.saturating_duration_since(**sent) < window;
+        self.sent.iter().rev().take_while(recent).count() < most
     }
 
-    /// Counts a request.
-    pub fn record(&mut self, now: Instant) {
+    /// Counts a request; those before the window are forgotten.
+    pub fn record(&mut self, now: Instant, window: Duration) {
+        let old = |sent: Instant| now.saturating_duration_since(sent) >= window;
+        while self.sent.front().is_some_and(|&sent| old(sent)) {
+            self.sent.pop_front();
+        }
         self.sent.push_back(now);
     }
 }
--- /dev/null
+++ b/crates/route/src/pool/load.rs
@@ -0,0 +1,34 @@
+//! Work on a backend server.
+
+/// Work on a backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests.
+    pub requests: u32,
+    /// Tokens of these that an engine keeps in memory.
+    pub tokens: f64,
+}
+
+impl Load {
+    /// The sum of two.
+    ///
+    /// ```
+    /// use route::pool::Load;
+    /// let load = Load { requests: 1, tokens: 10.0 };
+    /// assert_eq!(load.plus(load), Load { requests: 2, tokens: 20.0 });
+    /// ```
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests + other.requests,
+            tokens: self.tokens + other.tokens,
+        }
+    }
+
+    /// What is left without a part.
+    pub fn minus(self, part: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(part.requests),
+            tokens: (self.tokens - part.tokens).max(0.0),
+        }
+    }
+}
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -1,16 +1,22 @@
 //! Where a request runs: the backend servers, what is known of their load, and the choice.
 
+mod bearing;
 mod cold;
 mod error;
+mod load;
+mod norm;
 mod pool;
 mod query;
 mod rendezvous;
 mod server;
 mod settings;
 
+pub use bearing::Bearing;
 pub use cold::Ramp;
 pub use error::Refusal;
-pub use pool::Pool;
+pub use load::Load;
+pub use norm::{Norms, Stage};
+pub use pool::{Pool, load_of};
 pub use query::{Query, Work};
 pub use rendezvous::rank;
 pub use server::{Outcome, Server};
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -1,8 +1,8 @@
 //! All backend servers of a site.
 
-use super::{Outcome, Query, Refusal, Server, Settings, rank};
+use super::{Bearing, Load, Norms, Outcome, Query, Refusal, Server, Settings, Stage, rank};
 use crate::server::Listing;
-use crate::{NodeName, ServerId, Zone};
+use crate::{NodeName, ServerId, ServiceName, Zone};
 use contract::{Map, Set};
 use rand::Rng;
 use std::collections::BTreeMap;
@@ -14,8 +14,11 @@
     settings: Settings,
     servers: BTreeMap<ServerId, Server>,
     zones_out: Set<Zone>,
-    /// Requests that this node may send to a cold backend server in one window, by service.
-    ramps: Map<String, usize>,
+    norms: Norms,
+    /// What the backend servers bear, by service.
+    bearings: Map<ServiceName, Bearing>,
+    /// The nodes that share what cold backend servers bear, this one first.
+    nodes: Vec<NodeName>,
 }
 
 impl Pool {
@@ -49,29 +52,50 @@
     }
 
     /// Sets the availability zones that are to get nothing. Backend servers of one that is taken
-    /// back are cold for the time given by service.
-    pub fn set_zones_out(
-        &mut self,
-        now: Instant,
-        zones: Set<Zone>,
-        cold: impl Fn(&str) -> Duration,
-    ) {
+    /// back are cold.
+    pub fn set_zones_out(&mut self, now: Instant, zones: Set<Zone>) {
         for server in self.servers.values_mut() {
             let zone = &server.listing.zone;
             if self.zones_out.contains(zone) && !zones.contains(zone) {
-                server.cold_until = now + cold(&server.listing.service);
+                let bearing = self.bearings.get(&server.listing.service);
+                server.cold_until = now + bearing.map_or(Duration::ZERO, |bearing| bearing.cold);
             }
         }
         self.zones_out = zones;
     }
 
-    /// Sets how many requests this node may send to a cold backend server in one window.
-    pub fn set_ramps(&mut self, ramps: Map<String, usize>) {
-        self.ramps = ramps;
+    /// Sets what backend servers bear, by service.
+    pub fn set_bearings(&mut self, bearings: Map<ServiceName, Bearing>) {
+        self.bearings = bearings;
+    }
+
+    /// Sets the nodes that share what cold backend servers bear, this one first.
+    pub fn set_nodes(&mut self, nodes: Vec<NodeName>) {
+        self.nodes = nodes;
+    }
+
+    /// Requests that this node may send to a cold backend server in one window. Where there are
+    /// more nodes than requests, all nodes agree without a word on those that may send one.
+    fn cold_share(&self, id: &str, bearing: &Bearing) -> usize {
+        let Some(rate) = bearing.cold_rate else {
+            return usize::MAX;
+        };
+        let whole = rate * self.settings.cold_part;
+        let nodes = self.nodes.len().max(1);
+        let each = (whole / nodes as f64) as usize;
+        let Some(own) = self.nodes.first() else {
+            return each;
+        };
+        if each > 0 {
+            return each;
+        }
+        let own = rank(id, own);
+        let before = self.nodes.iter().filter(|node| rank(id, node) > own);
+        usize::from((before.count() as f64) < whole.floor())
     }
 
     /// Takes in the requests that another node has on backend servers.
-    pub fn set_others(&mut self, node: &NodeName, loads: &Map<ServerId, u32>) {
+    pub fn set_others(&mut self, node: &NodeName, loads: &Map<ServerId, Load>) {
         for (id, server) in &mut self.servers {
             match loads.get(id) {
                 Some(&load) => server.others.insert(node.clone(), load),
@@ -82,42 +106,29 @@
 
     /// Chooses a backend server among those that `allows` takes.
     pub fn pick(
-        &mut self,
+        &self,
         now: Instant,
         query: &Query,
         allows: impl Fn(&Listing) -> bool,
     ) -> Result<Listing, Refusal> {
-        let window = self.settings.cold_window;
+        let first = self.first_choice(query, &allows);
+        let bearing = self
+            .bearings
+            .get(query.service)
+            .copied()
+            .unwrap_or_default();
         let mut best: Option<(f64, &ServerId)> = None;
         let mut refusal = Refusal::Absent;
-        let first = self.first_choice(query, &allows);
-        for (id, server) in &mut self.servers {
-            if !Self::fits(&self.zones_out, server, query) || !allows(&server.listing) {
+        for (id, server) in &self.servers {
+            if !self.fits(server, query) || !allows(&server.listing) {
                 continue;
             }
             refusal = Refusal::Full;
-            if !server.breaker.open(now) || server.is_full(now) {
+            if !self.has_room(now, id, server, &bearing) {
                 continue;
             }
-            let most = server.listing.slots + self.settings.queue;
-            if server.load() >= most {
-                continue;
-            }
-            let ramp = self.ramps.get(query.service).copied();
-            let cold = now < server.cold_until;
-            if let (true, Some(most)) = (cold, ramp)
-                && !server.ramp.admits(now, window, most)
-            {
-                continue;
-            }
-            let cost = cost(
-                &self.settings,
-                now,
-                server,
-                query,
-                first.as_ref() == Some(id),
-                cold,
-            );
+            let first = first.as_ref() == Some(id);
+            let cost = cost(&self.settings, now, server, query, &bearing, first);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, id));
             }
@@ -131,17 +142,33 @@
         let subject = query.work.subject()?;
         self.servers
             .iter()
-            .filter(|(_, server)| Self::fits(&self.zones_out, server, query))
+            .filter(|(_, server)| self.fits(server, query))
             .filter(|(_, server)| allows(&server.listing))
             .max_by_key(|(id, _)| rank(subject, id))
             .map(|(id, _)| id.clone())
     }
 
-    fn fits(zones_out: &Set<Zone>, server: &Server, query: &Query) -> bool {
+    /// Whether a backend server bears one more request of this node.
+    fn has_room(&self, now: Instant, id: &str, server: &Server, bearing: &Bearing) -> bool {
+        if !server.breaker.open(now) || server.is_full(now) {
+            return false;
+        }
+        if server.load().requests >= server.listing.slots + self.settings.queue {
+            return false;
+        }
+        let cold = now < server.cold_until;
+        let window = self.settings.cold_window;
+        !cold
+            || server
+                .ramp
+                .admits(now, window, self.cold_share(id, bearing))
+    }
+
+    fn fits(&self, server: &Server, query: &Query) -> bool {
         let listing = &server.listing;
         listing.service == query.service
             && server.takes_work()
-            && !zones_out.contains(&listing.zone)
+            && !self.zones_out.contains(&listing.zone)
             && !query.tried.contains(&listing.id)
     }
 
@@ -152,9 +179,9 @@
         };
         server.breaker.begin(now);
         if now < server.cold_until {
-            server.ramp.record(now);
+            server.ramp.record(now, self.settings.cold_window);
         }
-        server.open += 1;
+        server.open = server.open.plus(load_of(query));
         let missing = server.missing(now, query, &self.settings);
         server.unread += missing;
         server.read(now, query, &self.settings);
@@ -168,53 +195,100 @@
         }
     }
 
+    /// Takes in how long a stage of a request took on a backend server; gives how many times the
+    /// usual time that is. A reference moves what is usual.
+    pub fn timed(
+        &mut self,
+        listing: &Listing,
+        model: &str,
+        stage: Stage,
+        millis: f64,
+        reference: bool,
+    ) -> Option<f64> {
+        let service = &listing.service;
+        let ratio = self.norms.ratio(service, model, stage, millis, reference)?;
+        // The time to a first event says more of the prompt than of the engine.
+        if let (Stage::Pace | Stage::Whole, Some(server)) =
+            (stage, self.servers.get_mut(&listing.id))
+        {
+            server.timed(ratio, &self.settings);
+        }
+        Some(ratio)
+    }
+
     /// Takes in the end of a request.
-    pub fn end(&mut self, now: Instant, id: &str, outcome: Outcome, rng: &mut impl Rng) {
+    pub fn end(
+        &mut self,
+        now: Instant,
+        id: &str,
+        load: Load,
+        outcome: Outcome,
+        rng: &mut impl Rng,
+    ) {
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
-        server.open = server.open.saturating_sub(1);
-        if server.open == 0 {
+        server.open = server.open.minus(load);
+        if server.open.requests == 0 {
             server.unread = 0.0;
         }
         server.learn(now, outcome, &self.settings, rng);
     }
 
-    /// Requests that this node has on backend servers.
-    pub fn loads(&self) -> Map<ServerId, u32> {
-        let busy = self.servers.iter().filter(|(_, server)| server.open > 0);
-        busy.map(|(id, server)| (id.clone(), server.open)).collect()
+    /// Work that this node has on backend servers.
+    pub fn loads(&self) -> impl Iterator<Item = (&ServerId, Load)> {
+        let servers = self.servers.iter();
+        servers
+            .filter(|(_, server)| server.open.requests > 0)
+            .map(|(id, server)| (id, server.open))
     }
 }
 
-/// What a request costs on a backend server, in milliseconds: its own time there and what it adds
-/// to the requests beside it.
+/// What a request adds to a backend server's work.
+pub fn load_of(query: &Query) -> Load {
+    Load {
+        requests: 1,
+        tokens: query.work.prompt + query.work.output,
+    }
+}
+
+/// What a request costs on a backend server, in milliseconds: its own time there, what it adds to
+/// the requests beside it, and what it takes away from others.
 fn cost(
     settings: &Settings,
     now: Instant,
     server: &Server,
     query: &Query,
+    bearing: &Bearing,
     first: bool,
-    cold: bool,
 ) -> f64 {
     let millis = |time: Duration| time.as_secs_f64() * 1e3;
-    let load = f64::from(server.load());
-    let (model, pace) = query.model.unwrap_or(("", 1.0));
-    let crowd = 2.0 * load * query.work.output * pace * millis(settings.step_per_request);
-    let missing = match first && !model.is_empty() {
+    let load = server.load();
+    let mut cost = server.failures * millis(settings.failure_cost);
+    if now < server.cold_until {
+        cost += millis(settings.cold_cost);
+    }
+    if server.listing.zone != query.zone {
+        cost += query.work.kilobytes * millis(settings.zone_cost);
+    }
+    let Some((_, pace)) = query.model else {
+        let ahead = f64::from(load.requests) / f64::from(server.listing.slots.max(1));
+        let work = (1.0 + ahead) * (1.0 + ahead) * server.slowness;
+        return cost + work * millis(settings.queue_cost);
+    };
+    let others = f64::from(load.requests);
+    let decode = query.work.output * pace * server.slowness;
+    cost += decode * millis(settings.step);
+    cost += decode * millis(settings.step_per_request) * others * settings.crowd;
+    let missing = match first {
         // Other nodes have sent the shared parts there.
         true => query.work.parts.last().map_or(0.0, |(_, tokens)| *tokens),
         false => server.missing(now, query, settings),
     };
-    let read = (missing + server.unread) * pace / settings.read_rate;
-    let queue = match query.work.output > 0.0 {
-        true => 0.0,
-        false => load * 10.0,
-    };
-    let zone = match server.listing.zone == query.zone {
-        true => 0.0,
-        false => millis(settings.zone_cost),
-    };
-    let cold = if cold { 1000.0 } else { 0.0 };
-    crowd + read + queue + zone + cold + server.failures * millis(settings.failure_cost)
+    cost += (missing + server.unread) * pace * server.slowness / settings.read_rate;
+    if bearing.memory > 0.0 {
+        let used = (load.tokens + load_of(query).tokens) / bearing.memory;
+        cost += (used - settings.memory_part).max(0.0) * millis(settings.memory_cost);
+    }
+    cost
 }
--- a/crates/route/src/pool/query.rs
+++ b/crates/route/src/pool/query.rs
@@ -11,6 +11,8 @@
     pub prompt: f64,
     /// Tokens that the answer may have.
     pub output: f64,
+    /// Kilobytes of request and answer.
+    pub kilobytes: f64,
 }
 
 impl Work {
--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -1,6 +1,6 @@
 //! What a node knows of one backend server.
 
-use super::{Query, Ramp, Settings};
+use super::{Load, Query, Ramp, Settings};
 use crate::server::{Listing, State};
 use crate::{Model, NodeName};
 use contract::Map;
@@ -30,6 +30,9 @@
 /// Time for which a backend server that had no room is passed over.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 
+/// Largest multiple of the usual time that an answer counts as.
+const MAX_SLOWNESS: f64 = 10.0;
+
 /// What a node knows of one backend server.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -40,13 +43,15 @@
     /// Until when it is cold.
     pub cold_until: Instant,
     /// Requests that this node has sent and that haven't ended.
-    pub open: u32,
+    pub open: Load,
     /// Prompt tokens of these that the engine has yet to read.
     pub unread: f64,
     /// Requests of other nodes, by node.
-    pub others: Map<NodeName, u32>,
+    pub others: Map<NodeName, Load>,
     /// Share of failures among the last answers.
     pub failures: f64,
+    /// How many times the usual time it takes.
+    pub slowness: f64,
     /// Parts of prompts that it was sent, by model, with the time of the last use.
     parts: Map<(Model, String), Instant>,
     full_until: Option<Instant>,
@@ -68,10 +73,11 @@
             cold_until: now + listing.cold,
             listing,
             lapsed: None,
-            open: 0,
+            open: Load::default(),
             unread: 0.0,
             others: Map::default(),
             failures: 0.0,
+            slowness: 1.0,
             parts: Map::default(),
             full_until: None,
             breaker: Breaker::new(settings),
@@ -92,8 +98,9 @@
     }
 
     /// Requests on it, as far as is known.
-    pub fn load(&self) -> u32 {
-        self.open + self.others.values().sum::<u32>()
+    pub fn load(&self) -> Load {
+        let others = self.others.values();
+        others.fold(self.open, |sum, load| sum.plus(*load))
     }
 
     /// Whether it has just said that it has no room.
@@ -128,6 +135,12 @@
             .retain(|_, &mut at| now.saturating_duration_since(at) < settings.part_age);
     }
 
+    /// Takes in how many times the usual time an answer took.
+    pub fn timed(&mut self, ratio: f64, settings: &Settings) {
+        let ratio = ratio.clamp(1.0 / MAX_SLOWNESS, MAX_SLOWNESS);
+        self.slowness += settings.slowness_weight * (ratio - self.slowness);
+    }
+
     /// Takes in how a send ended.
     pub fn learn(
         &mut self,
--- a/crates/route/src/pool/settings.rs
+++ b/crates/route/src/pool/settings.rs
@@ -17,14 +17,29 @@
     pub max_parts: usize,
     /// Weight of a new observation in the share of failures.
     pub failure_weight: f64,
+    /// Weight of a new observation in the slowness of a backend server.
+    pub slowness_weight: f64,
     /// What a certain failure counts as, in time.
     pub failure_cost: Duration,
-    /// What a step to another availability zone counts as, in time.
+    /// What a kilobyte to or from another availability zone counts as, in time.
     pub zone_cost: Duration,
+    /// Weight of the requests beside one, on an engine: how much of what it adds to them counts.
+    pub crowd: f64,
+    /// Part of an engine's memory up to which it isn't short of it.
+    pub memory_part: f64,
+    /// What being short of all of an engine's memory counts as, in time.
+    pub memory_cost: Duration,
+    /// What a request that is ahead on a plain backend server counts as, in time.
+    pub queue_cost: Duration,
+    /// What a cold backend server counts as, in time.
+    pub cold_cost: Duration,
     /// Requests beyond its slots that a plain backend server is given.
     pub queue: u32,
     /// Length of the window in which requests to a cold backend server are counted.
     pub cold_window: Duration,
+    /// Part of what a cold backend server bears that nodes share out: the rest is for nodes that
+    /// others don't know of yet.
+    pub cold_part: f64,
 }
 
 impl Default for Settings {
@@ -36,10 +51,17 @@
             part_age: Duration::from_secs(30),
             max_parts: 256,
             failure_weight: 0.2,
+            slowness_weight: 0.2,
             failure_cost: Duration::from_secs(4),
-            zone_cost: Duration::from_millis(3),
+            zone_cost: Duration::from_micros(1300),
+            crowd: 0.5,
+            memory_part: 0.8,
+            memory_cost: Duration::from_secs(10),
+            queue_cost: Duration::from_millis(10),
+            cold_cost: Duration::from_secs(1),
             queue: 2,
             cold_window: Duration::from_millis(1100),
+            cold_part: 0.6,
         }
     }
 }
--- a/crates/route/src/size/size.rs
+++ b/crates/route/src/size/size.rs
@@ -4,8 +4,10 @@
 
 /// Opinion of a model of its answer, 0 to 100, below which a larger one is asked.
 const DOUBT: f64 = 50.0;
-/// How many times the time of a model one twice as far up the list takes.
-const PACE_STEP: f64 = 3.0;
+/// Time of the smallest model, in those of a model of middle size.
+const SMALLEST_PACE: f64 = 0.3;
+/// How many times the time of a model the next larger one takes.
+const PACE_STEP: f64 = 3.2;
 
 /// The model that is asked first.
 ///
@@ -30,13 +32,13 @@
     (confidence < DOUBT && largest != model).then_some(largest.as_str())
 }
 
-/// How many times the smallest model's time a model is taken to need.
+/// How many times the time of a model of middle size a model is taken to need.
 ///
 /// ```
 /// let sizes = ["small".to_owned(), "large".to_owned()];
-/// assert_eq!(route::size::pace(&sizes, "small"), 1.0);
+/// assert_eq!(route::size::pace(&sizes, "small"), 0.3);
 /// ```
 pub fn pace(sizes: &[Model], model: &str) -> f64 {
     let index = sizes.iter().position(|size| size == model).unwrap_or(0);
-    PACE_STEP.powi(index as i32)
+    SMALLEST_PACE * PACE_STEP.powi(index as i32)
 }
