Add stand-ins of the operators' platform and tests of the whole path

Cause: the path had no test that runs without the kit; a node that starts while the store refuses it found no other node (seen to fail in a_change_reaches_a_node_that_the_store_refuses). Ruled out: lost frames: the fetch between linked nodes works; the node was in nobody's list. Change: standin::site (store, backend servers, nodes as processes) with 26 cases; links listen at the control address and begin with the seeds of the settings.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -76,7 +76,7 @@
             node: self.site.node.clone(),
             zone: self.site.zone.clone(),
             requests: self.site.requests,
-            link: std::net::SocketAddrV4::new(self.site.ip, self.site.link_ports.0),
+            link: self.site.link,
         }
     }
 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -26,7 +26,7 @@
 pub struct Place {
     app: Arc<App>,
     /// The backend server.
-    pub server: Listing,
+    pub server: Box<Listing>,
     begun: Instant,
     outcome: Outcome,
     unread: f64,
@@ -145,7 +145,7 @@
     }
     Ok(Place {
         app: Arc::clone(app),
-        server,
+        server: Box::new(server),
         begun: now,
         outcome: Outcome::Unknown,
         unread,
--- a/crates/edge/src/link/dial.rs
+++ b/crates/edge/src/link/dial.rs
@@ -8,7 +8,6 @@
 use crate::upstream::watch;
 use contract::Set;
 use futures::{SinkExt, StreamExt};
-use route::member::Member;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,24 +30,26 @@
 pub async fn dial(app: Arc<App>) {
     let mut dialed: Set<SocketAddrV4> = Set::default();
     loop {
-        let members: Vec<Member> = app.state().members.all().cloned().collect();
-        for member in members {
-            if member.node != app.site.node && dialed.insert(member.link) {
-                tokio::spawn(keep(Arc::clone(&app), member));
+        let mut links = app.site.seeds.clone();
+        links.extend(app.state().members.all().map(|member| member.link));
+        for link in links {
+            if link != app.site.link && dialed.insert(link) {
+                tokio::spawn(keep(Arc::clone(&app), link));
             }
         }
         sleep(LOOK).await;
     }
 }
 
-async fn keep(app: Arc<App>, member: Member) {
+async fn keep(app: Arc<App>, peer: SocketAddrV4) {
+    let name = peer.to_string();
     let mut backoff = Backoff::new(PAUSE, LONGEST_PAUSE);
     loop {
         let opened = tokio::time::Instant::now();
-        match tell(&app, member.link).await {
-            Ok(()) => log::info!(event = 1710, peer = member.node.as_str(); "link closed"),
+        match tell(&app, peer).await {
+            Ok(()) => log::info!(event = 1710, peer = name.as_str(); "link closed"),
             Err(error) => {
-                log::debug!(event = 1710, peer = member.node.as_str(); "link down: {error}")
+                log::debug!(event = 1710, peer = name.as_str(); "link down: {error}")
             }
         }
         if opened.elapsed() > LONGEST_PAUSE {
--- a/crates/node/src/dispatch/place.rs
+++ b/crates/node/src/dispatch/place.rs
@@ -58,10 +58,10 @@
         loop {
             let now = Instant::now();
             let alone = self.suspect && now < started + ALONE_WAIT;
-            if let Some(free) = choose(0, alone) {
-                if let Ok(hold) = self.app.slots.acquire(&free) {
-                    return Ok(hold);
-                }
+            if let Some(free) = choose(0, alone)
+                && let Ok(hold) = self.app.slots.acquire(&free)
+            {
+                return Ok(hold);
             }
             let wait = SLOT_STEP.min(end.saturating_duration_since(now));
             match choose(1, alone) {
--- a/crates/node/src/link/relay.rs
+++ b/crates/node/src/link/relay.rs
@@ -31,10 +31,10 @@
             return false;
         }
         seen.order.push_back(id);
-        if seen.order.len() > MAX_SEEN {
-            if let Some(oldest) = seen.order.pop_front() {
-                seen.ids.remove(&oldest);
-            }
+        if seen.order.len() > MAX_SEEN
+            && let Some(oldest) = seen.order.pop_front()
+        {
+            seen.ids.remove(&oldest);
         }
         true
     }
--- a/crates/node/src/sync/catch_up.rs
+++ b/crates/node/src/sync/catch_up.rs
@@ -27,7 +27,7 @@
             match self.catch_up().await {
                 Ok(_) => failures = 0,
                 Err(error) => {
-                    if failures % WARN_EVERY == 0 {
+                    if failures.is_multiple_of(WARN_EVERY) {
                         log::warn!(event = 1202; "head can't be read: {error}");
                     }
                     failures += 1;
--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -114,7 +114,8 @@
         let mut kept = 0.0;
         for (part, tokens) in &query.work.parts {
             let used = self.parts.get(&(model.to_owned(), part.clone()));
-            if !used.is_some_and(|&at| now.saturating_duration_since(at) < settings.part_age) {
+            let lapsed = |at: Instant| now.saturating_duration_since(at) >= settings.part_age;
+            if used.is_none_or(|&at| lapsed(at)) {
                 break;
             }
             kept += tokens;
--- a/crates/route/src/site/site.rs
+++ b/crates/route/src/site/site.rs
@@ -20,8 +20,10 @@
     pub ready: SocketAddrV4,
     /// Where callers ask which address to use.
     pub directory: SocketAddrV4,
-    /// First and last port for links between nodes.
-    pub link_ports: (u16, u16),
+    /// Where other nodes link to this one.
+    pub link: SocketAddrV4,
+    /// Links of a few nodes to begin with; they may be out of date.
+    pub seeds: Vec<SocketAddrV4>,
     /// Share of a core that the VM gives.
     pub cpu_share: f64,
     /// Memory of the VM in bytes.
--- a/crates/standin/examples/measure/control.rs
+++ b/crates/standin/examples/measure/control.rs
@@ -213,13 +213,13 @@
     let node = number % fleet.nodes.len();
     let zone = Zone {
         name: "measured".to_owned(),
-        out: number % 2 == 0,
+        out: number.is_multiple_of(2),
     };
     let start = Instant::now();
     let edit = Edit::Put(Object::Zone(zone));
     let intent = Intent::Zone {
         zone: "measured".to_owned(),
-        out: number % 2 == 0,
+        out: number.is_multiple_of(2),
     };
     let change = fleet.change(node, edit, intent).await;
     let accepted = start.elapsed();
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -17,13 +17,13 @@
 
 pub use binary::{node_binary, program};
 pub use caller::{Ask, Call, Caller, Entry, Session};
-pub use clients::Platform;
 pub use config::sample;
 pub use engines::Backend;
 pub use load::{Load, Mix};
 pub use log::Log;
 pub use node::Node;
 pub use operator::{Edit, Operator};
+pub use platform::Platform;
 pub use process::Process;
 pub use running::Fleet;
 pub use settings::Settings;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod reservation;
 pub mod scenario;
 pub mod serve;
+pub mod site;
 pub mod table;
 pub mod vms;
 
--- /dev/null
+++ b/crates/standin/src/site/fault.rs
@@ -0,0 +1,41 @@
+//! What goes wrong at a stand-in.
+
+use std::time::Duration;
+
+/// What the store does wrong.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It refuses all calls with this status.
+    Refuse(u16),
+    /// It accepts connections and never answers.
+    Silent,
+    /// It carries out writes and doesn't answer them.
+    LoseAnswers,
+}
+
+/// What a backend server does wrong, from its next request on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum WorkerFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It refuses with the word that the request hasn't run.
+    Full,
+    /// It runs the request and resets the connection in place of an answer.
+    Reset,
+    /// It answers with this failure after it has run the request.
+    Fail(u16),
+    /// It runs the request and never answers.
+    Mute,
+    /// It breaks its answer off: a whole one halfway, a stream in the middle of this event.
+    Break(u64),
+    /// It sends this many events of a stream and falls silent.
+    Stall(u64),
+    /// It answers with the id of another request.
+    Crossed,
+    /// It takes this long for an answer or for each event.
+    Slow(Duration),
+}
--- /dev/null
+++ b/crates/standin/src/site/mod.rs
@@ -0,0 +1,16 @@
+//! Stand-ins of the operators' platform: its store, its backend servers, and nodes as processes.
+
+mod fault;
+mod node;
+mod plain;
+mod site;
+mod store;
+mod wire;
+mod worker;
+
+pub use fault::{StoreFault, WorkerFault};
+pub use node::Node;
+pub use site::{Settings, Site, config};
+pub use store::Store;
+pub use wire::Request;
+pub use worker::{Run, Worker};
--- /dev/null
+++ b/crates/standin/src/site/node.rs
@@ -0,0 +1,132 @@
+//! An entry node as a process.
+
+use crate::Error;
+use crate::fleet::node_binary;
+use serde_json::{Value, json};
+use std::fs::{self, File};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use tokio::process::{Child, Command};
+use tokio::time::sleep;
+
+/// Time for a node to do what is waited for.
+const TIME: Duration = Duration::from_secs(20);
+/// Pause between two looks.
+const LOOK: Duration = Duration::from_millis(30);
+
+/// An entry node as a process; it is killed when dropped.
+#[derive(Debug)]
+pub struct Node {
+    /// Its name.
+    pub name: String,
+    /// Its part of the ports, the same on all nodes.
+    ports: u16,
+    ip: Ipv4Addr,
+    child: Child,
+    folder: PathBuf,
+}
+
+impl Node {
+    /// Starts a node at a loopback address of its own.
+    pub fn start(
+        folder: PathBuf,
+        index: u8,
+        ports: u16,
+        store: SocketAddr,
+        bounds: &Value,
+    ) -> Result<Self, Error> {
+        let ip = Ipv4Addr::new(127, 0, 1, index + 1);
+        let name = format!("edge-{index}");
+        let at = |port: u16| format!("{ip}:{}", ports + port);
+        let settings = json!({
+            "nodeName": name, "ip": ip, "zone": format!("z-{}", index % 2), "region": "r",
+            "bind": {"frontend": at(0), "ready": at(1), "directory": at(2), "controlPlane": at(3)},
+            "internalPorts": [ports + 4, ports + 9],
+            "seedNodes": [format!("127.0.1.1:{}", ports + 3), format!("127.0.1.9:{}", ports + 3)],
+            "limits": {"cpuShare": 1.0, "memoryMb": 256},
+            "heartbeatMs": 500, "bounds": bounds, "platform": {"address": store},
+            "fields that came later": true,
+        });
+        let path = folder.join(format!("{name}.json"));
+        fs::write(&path, settings.to_string())?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(folder.join(format!("{name}.log")))?;
+        let child = Command::new(node_binary()?)
+            .arg("edge")
+            .env("SARDINEBANK_SETTINGS", path)
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        Ok(Self {
+            name,
+            ports,
+            ip,
+            child,
+            folder,
+        })
+    }
+
+    /// Where it takes requests.
+    pub fn requests(&self) -> String {
+        format!("{}:{}", self.ip, self.ports)
+    }
+
+    /// Whether it says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let url = format!("http://{}:{}/sardinebank/ready", self.ip, self.ports + 1);
+        let answer = reqwest::get(url).await;
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Waits until it says that it is ready, or not.
+    pub async fn until_ready(&self, ready: bool) -> Result<(), Error> {
+        let begun = Instant::now();
+        while self.is_ready().await != ready {
+            if begun.elapsed() > TIME {
+                return Err(Error::Timeout("readiness of a node"));
+            }
+            sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    /// The addresses that it names to callers.
+    pub async fn addresses(&self) -> Result<Vec<String>, Error> {
+        let query = "name=shop.example&region=r&zone=z-0";
+        let port = self.ports + 2;
+        let url = format!("http://{}:{port}/sardinebank/resolve?{query}", self.ip);
+        let body: Value = reqwest::get(url).await?.json().await?;
+        let list = body["addresses"].as_array().cloned().unwrap_or_default();
+        let texts = list.iter().filter_map(Value::as_str);
+        Ok(texts.map(str::to_owned).collect())
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) -> Result<(), Error> {
+        let id = self.child.id().ok_or(Error::Timeout("id of a node"))?;
+        let pid = nix::unistd::Pid::from_raw(id as i32);
+        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGTERM)
+            .map_err(|error| Error::System(error.into()))
+    }
+
+    /// Sends SIGKILL and waits for the end.
+    pub async fn kill(&mut self) -> Result<(), Error> {
+        Ok(self.child.kill().await?)
+    }
+
+    /// Waits until the process has ended; true when it ended well.
+    pub async fn ended(&mut self) -> Result<bool, Error> {
+        Ok(self.child.wait().await?.success())
+    }
+
+    /// What it has logged.
+    pub fn log(&self) -> Result<String, Error> {
+        Ok(fs::read_to_string(
+            self.folder.join(format!("{}.log", self.name)),
+        )?)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/site/plain.rs
@@ -0,0 +1,158 @@
+//! How a backend server runs a request, well or badly.
+
+use super::fault::WorkerFault;
+use super::wire::{Request, answer, head, reset};
+use super::worker::{Run, Shared};
+use std::io;
+use std::time::Instant;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// Notes that a run was cut unless it came to its end.
+struct Watch<'a> {
+    shared: &'a Shared,
+    index: usize,
+    ended: bool,
+}
+
+impl Drop for Watch<'_> {
+    fn drop(&mut self) {
+        self.shared.state().runs[self.index].cut = !self.ended;
+    }
+}
+
+/// Runs a request; false when the connection is to end.
+pub async fn run(stream: &mut TcpStream, shared: &Shared, request: Request) -> io::Result<bool> {
+    let fault = shared.state().fault;
+    let instance = [("instance-id", shared.id.as_str()), ("not-executed", "1")];
+    if request.header("target-instance") != shared.id {
+        answer(stream, 421, &instance[..1], b"").await?;
+        return Ok(true);
+    }
+    if fault == WorkerFault::Full {
+        answer(stream, 503, &instance, b"").await?;
+        return Ok(true);
+    }
+    let index = {
+        let mut state = shared.state();
+        state.runs.push(Run {
+            request: request.clone(),
+            at: Instant::now(),
+            cut: false,
+        });
+        state.runs.len() - 1
+    };
+    let mut watch = Watch {
+        shared,
+        index,
+        ended: false,
+    };
+    let kept = match request.header("accept") {
+        "text/event-stream" => events(stream, shared, &request, fault).await?,
+        _ => whole(stream, shared, &request, fault).await?,
+    };
+    watch.ended = true;
+    Ok(kept)
+}
+
+async fn whole(
+    stream: &mut TcpStream,
+    shared: &Shared,
+    request: &Request,
+    fault: WorkerFault,
+) -> io::Result<bool> {
+    let seal = format!("seal.{}", shared.id);
+    let id = request.header("request-id");
+    let body = format!("answer of {} to {id}", shared.id);
+    let headers = [("request-id", id), ("response-seal", &seal)];
+    match fault {
+        WorkerFault::Reset => reset(stream)?,
+        WorkerFault::Mute => silent(stream).await?,
+        WorkerFault::Break(_) => {
+            let mut bytes = head(200, &headers);
+            bytes.extend_from_slice(b"content-length: 1000\r\n\r\n");
+            bytes.extend_from_slice(body.as_bytes());
+            stream.write_all(&bytes).await?;
+        }
+        WorkerFault::Crossed => {
+            let headers = [("request-id", "another"), ("response-seal", &seal)];
+            answer(stream, 200, &headers, body.as_bytes()).await?;
+        }
+        WorkerFault::Fail(status) => {
+            answer(stream, status, &headers, b"failed").await?;
+            return Ok(true);
+        }
+        WorkerFault::Slow(time) => {
+            sleep(time).await;
+            answer(stream, 200, &headers, body.as_bytes()).await?;
+            return Ok(true);
+        }
+        _ => {
+            answer(stream, 200, &headers, body.as_bytes()).await?;
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
+
+async fn events(
+    stream: &mut TcpStream,
+    shared: &Shared,
+    request: &Request,
+    fault: WorkerFault,
+) -> io::Result<bool> {
+    let (count, pause, confidence) = {
+        let state = shared.state();
+        (state.events, state.pause, state.confidence.to_string())
+    };
+    match fault {
+        WorkerFault::Reset => {
+            reset(stream)?;
+            return Ok(false);
+        }
+        WorkerFault::Mute => silent(stream).await?,
+        WorkerFault::Fail(status) => {
+            answer(stream, status, &[], b"failed").await?;
+            return Ok(true);
+        }
+        _ => (),
+    }
+    let seal = format!("seal.{}", shared.id);
+    let headers = [
+        ("request-id", request.header("request-id")),
+        ("response-seal", &seal),
+        ("confidence", &confidence),
+        ("content-type", "text/event-stream"),
+        ("transfer-encoding", "chunked"),
+    ];
+    let mut bytes = head(200, &headers);
+    bytes.extend_from_slice(b"\r\n");
+    stream.write_all(&bytes).await?;
+    let done: u64 = request.header("last-event-id").parse().unwrap_or(0);
+    for number in done + 1..=count {
+        match fault {
+            WorkerFault::Break(last) if number == last => {
+                chunk(stream, &format!("id: {number}\nda")).await?;
+                return Ok(false);
+            }
+            WorkerFault::Stall(last) if number > last => silent(stream).await?,
+            WorkerFault::Slow(time) => sleep(time).await,
+            _ => sleep(pause).await,
+        }
+        chunk(stream, &format!("id: {number}\ndata: part {number}\n\n")).await?;
+    }
+    stream.write_all(b"0\r\n\r\n").await?;
+    Ok(true)
+}
+
+async fn chunk(stream: &mut TcpStream, text: &str) -> io::Result<()> {
+    let bytes = format!("{:x}\r\n{text}\r\n", text.len());
+    stream.write_all(bytes.as_bytes()).await
+}
+
+/// Says nothing until the other side closes.
+async fn silent(stream: &mut TcpStream) -> io::Result<()> {
+    stream.readable().await?;
+    Err(io::ErrorKind::ConnectionAborted.into())
+}
--- /dev/null
+++ b/crates/standin/src/site/site.rs
@@ -0,0 +1,179 @@
+//! A whole site: a store, backend servers, an operator and nodes.
+
+use super::{Node, Store, Worker};
+use crate::Error;
+use rand::Rng;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// First ports of a site; the nodes of a site have addresses of their own.
+const PORTS: std::ops::Range<u16> = 10_000..31_900;
+
+/// Size and configuration of a site.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Nodes.
+    pub nodes: u8,
+    /// Backend servers of the plain service `desk`.
+    pub desks: usize,
+    /// Backend servers of the model service `models`.
+    pub models: usize,
+    /// Bounds of the settings file that differ from the usual ones.
+    pub bounds: Value,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            nodes: 1,
+            desks: 2,
+            models: 0,
+            bounds: json!({}),
+        }
+    }
+}
+
+/// A whole site; it ends when dropped.
+#[derive(Debug)]
+pub struct Site {
+    /// The store.
+    pub store: Store,
+    /// The store's addresses, one a node.
+    pub doors: Vec<SocketAddr>,
+    /// Backend servers of the plain service.
+    pub desks: Vec<Worker>,
+    /// Backend servers of the model service.
+    pub models: Vec<Worker>,
+    /// The nodes.
+    pub nodes: Vec<Node>,
+    settings: Settings,
+    folder: PathBuf,
+    ports: u16,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        // What stays behind is in the system's folder for temporary files.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Site {
+    /// Starts a site and waits until its nodes are ready.
+    pub async fn start(settings: Settings) -> Result<Self, Error> {
+        let mut site = Self::prepare(settings).await?;
+        site.configure(1);
+        for index in 0..site.settings.nodes {
+            site.start_node(index).await?;
+        }
+        for node in &site.nodes {
+            node.until_ready(true).await?;
+        }
+        Ok(site)
+    }
+
+    /// A site without a configuration and without nodes.
+    pub async fn prepare(settings: Settings) -> Result<Self, Error> {
+        let tag: u64 = rand::rng().random();
+        let folder = std::env::temp_dir().join(format!("sardinebank-site-{tag:016x}"));
+        std::fs::create_dir_all(&folder)?;
+        let mut site = Self {
+            store: Store::new(),
+            doors: Vec::new(),
+            desks: Vec::new(),
+            models: Vec::new(),
+            nodes: Vec::new(),
+            folder,
+            ports: rand::rng().random_range(PORTS),
+            settings,
+        };
+        for index in 0..site.settings.desks {
+            let worker = Worker::start(&format!("i-desk-{index}")).await?;
+            site.list(&worker, "desk", "v1", "ready");
+            site.desks.push(worker);
+        }
+        for index in 0..site.settings.models {
+            let worker = Worker::start(&format!("i-model-{index}")).await?;
+            site.list(&worker, "models", "v1", "ready");
+            site.models.push(worker);
+        }
+        Ok(site)
+    }
+
+    /// Starts one more node.
+    pub async fn start_node(&mut self, index: u8) -> Result<(), Error> {
+        let door = self.store.open().await?;
+        self.start_node_at(index, door)
+    }
+
+    /// Starts one more node with its address of the store.
+    pub fn start_node_at(&mut self, index: u8, door: SocketAddr) -> Result<(), Error> {
+        let bounds = self.bounds();
+        let node = Node::start(self.folder.clone(), index, self.ports, door, &bounds)?;
+        self.doors.push(door);
+        self.nodes.push(node);
+        Ok(())
+    }
+
+    /// Writes a backend server's entry.
+    pub fn list(&self, worker: &Worker, service: &str, version: &str, state: &str) {
+        let entry = json!({
+            "service": service, "address": worker.address(), "zone": "z-0", "version": version,
+            "slots": 16, "state": state, "coldRemainingMs": 0, "sequence": 1,
+            "born": 1_700_000_000_000_u64,
+        });
+        self.store.put("servers", worker.id(), Some(&entry));
+    }
+
+    /// Writes the configuration as of a version.
+    pub fn configure(&self, version: u64) {
+        self.store.put("op", "config", Some(&config(version)));
+    }
+
+    fn bounds(&self) -> Value {
+        let mut bounds = json!({
+            "drainMs": 2000, "graceS": 8, "configApplyMs": 2000, "retryBudgetRatio": 0.9,
+            "retryWindowS": 10, "retryBudgetExtra": 60, "exposeShare": 0.15, "exposeSlack": 30,
+            "coldOver": 1.5, "coldSlack": 5, "sessionS": 5, "ttl_max_s": 5,
+        });
+        if let (Some(all), Some(own)) = (bounds.as_object_mut(), self.settings.bounds.as_object()) {
+            all.extend(own.clone());
+        }
+        bounds
+    }
+}
+
+/// The usual configuration: plain routes that may and may not be repeated, and a stream.
+pub fn config(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+        json!({
+            "name": name, "host": "shop.example", "prefix": format!("/{name}/"),
+            "routeType": kind, "timeoutMs": 5000, "targetLatencyMs": 400, "priority": 1,
+            "service": service, "attempts": attempts, "anonymous": false,
+        })
+    };
+    let mut stream = route("stream", "streaming", "models", 3);
+    stream["streamResume"] = json!(true);
+    stream["gapAimMs"] = json!(1000);
+    stream["sizes"] = json!(["small", "large"]);
+    stream["targetLatencyMs"] = json!(1000);
+    json!({
+        "version": version,
+        "routes": [
+            route("once", "non_idempotent", "desk", 2),
+            route("again", "idempotent", "desk", 2),
+            stream,
+        ],
+        "services": [
+            {"name": "desk", "maxConnections": 90, "coldStartS": 0, "coldPerS": 0},
+            {"name": "models", "maxConnections": 90, "coldStartS": 3, "coldPerS": 10, "engine": {
+                "slots": 16, "kvCapacityTokens": 100_000, "stride": 7,
+                "models": [{"name": "small", "cost": 0.1}, {"name": "large", "cost": 1.0}],
+            }},
+        ],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000},
+        "tenants": [{"name": "farm", "apiKeys": ["key-1", "key-2"]}],
+    })
+}
--- /dev/null
+++ b/crates/standin/src/site/worker.rs
@@ -0,0 +1,133 @@
+//! A backend server of the operators' platform: plain answers and streams of events.
+
+use super::fault::WorkerFault;
+use super::plain;
+use super::wire::{Request, read};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+/// A request that a backend server began to run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The request.
+    pub request: Request,
+    /// When it began.
+    pub at: Instant,
+    /// Whether the connection ended before the answer did.
+    pub cut: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) id: String,
+    pub(super) state: Mutex<State>,
+}
+
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) fault: WorkerFault,
+    pub(super) events: u64,
+    pub(super) pause: Duration,
+    /// What the answer says of itself, in percent.
+    pub(super) confidence: u32,
+    pub(super) runs: Vec<Run>,
+}
+
+impl Shared {
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A running backend server; it stops when dropped.
+#[derive(Debug)]
+pub struct Worker {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Worker {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Worker {
+    /// Starts a backend server with an id.
+    pub async fn start(id: &str) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            state: Mutex::new(State {
+                fault: WorkerFault::None,
+                events: 5,
+                pause: Duration::from_millis(10),
+                confidence: 100,
+                runs: Vec::new(),
+            }),
+        });
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(serve(listener, Arc::clone(&shared)));
+        Ok(Self {
+            address,
+            shared,
+            task,
+        })
+    }
+
+    /// Its id.
+    pub fn id(&self) -> &str {
+        &self.shared.id
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what goes wrong from the next request on.
+    pub fn set_fault(&self, fault: WorkerFault) {
+        self.shared.state().fault = fault;
+    }
+
+    /// Sets the events of a stream and the pause between them.
+    pub fn set_events(&self, events: u64, pause: Duration) {
+        let mut state = self.shared.state();
+        state.events = events;
+        state.pause = pause;
+    }
+
+    /// Sets what answers say of themselves, in percent.
+    pub fn set_confidence(&self, confidence: u32) {
+        self.shared.state().confidence = confidence;
+    }
+
+    /// The requests that it began to run.
+    pub fn runs(&self) -> Vec<Run> {
+        self.shared.state().runs.clone()
+    }
+}
+
+async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            if let Err(error) = connection(stream, &shared).await {
+                log::debug!("connection to a backend server ended: {error}");
+            }
+        });
+    }
+}
+
+async fn connection(mut stream: TcpStream, shared: &Shared) -> std::io::Result<()> {
+    while let Some(request) = read(&mut stream).await? {
+        if !plain::run(&mut stream, shared, request).await? {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
--- a/crates/standin/src/table/store.rs
+++ b/crates/standin/src/table/store.rs
@@ -77,10 +77,10 @@
                 "{found} items in a transaction"
             )));
         }
-        if let Some(token) = &transaction.client_request_token {
-            if self.tokens.contains(token) {
-                return Ok(());
-            }
+        if let Some(token) = &transaction.client_request_token
+            && self.tokens.contains(token)
+        {
+            return Ok(());
         }
         let failed = writes
             .iter()
--- /dev/null
+++ b/crates/standin/tests/site.rs
@@ -0,0 +1,632 @@
+//! An entry node on the operators' platform, as a process before stand-ins of store and backend
+//! servers.
+
+use reqwest::header::HeaderValue;
+use reqwest::{Client, Response};
+use serde_json::json;
+use standin::Error;
+use standin::site::{Run, Settings, Site, StoreFault, WorkerFault};
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// Time within which a change is in force, as the site's settings say.
+const APPLY: Duration = Duration::from_millis(2000);
+
+/// Each case is a test by its own name.
+macro_rules! cases {
+    ($($name:ident($settings:expr))*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() -> Result<(), Error> {
+            case::$name(&mut Site::start($settings).await?).await
+        }
+    )*};
+}
+
+cases! {
+    a_request_goes_on_as_it_came(plain())
+    a_stream_goes_on_event_by_event(models())
+    what_is_not_allowed_is_refused(plain())
+    what_may_not_be_repeated_runs_once(plain())
+    what_has_not_run_goes_elsewhere(plain())
+    what_may_be_repeated_is_repeated(plain())
+    a_mixed_answer_is_never_passed_on(plain())
+    a_broken_stream_goes_on_elsewhere(models())
+    a_silent_stream_goes_on_elsewhere(models())
+    a_silent_stream_is_kept_where_there_is_no_other(one_model())
+    a_doubted_answer_is_asked_of_the_larger_model(models())
+    a_caller_that_leaves_ends_the_work(models())
+    a_change_is_in_force_in_time(plain())
+    a_change_reaches_a_node_that_the_store_refuses(three_nodes())
+    a_node_that_starts_without_the_store_asks_the_others(three_nodes())
+    a_forgotten_history_is_read_anew(plain())
+    a_leaving_backend_server_gets_nothing(plain())
+    a_zone_that_is_out_gets_nothing(plain())
+    rows_that_cannot_be_read_change_nothing(plain())
+    entries_that_lapse_in_an_outage_are_kept_a_while(plain())
+    the_directory_names_those_that_live(three_nodes())
+    a_stop_finishes_what_is_inside(models())
+    a_stopping_node_refuses_late_requests_at_once(models())
+    a_bad_version_is_rolled_back(models())
+    a_good_version_is_completed(models())
+    a_lost_answer_of_the_store_is_settled(models())
+}
+
+fn plain() -> Settings {
+    Settings::default()
+}
+
+fn models() -> Settings {
+    Settings {
+        desks: 1,
+        models: 3,
+        ..Settings::default()
+    }
+}
+
+fn one_model() -> Settings {
+    Settings {
+        desks: 0,
+        models: 1,
+        ..Settings::default()
+    }
+}
+
+fn three_nodes() -> Settings {
+    Settings {
+        nodes: 3,
+        ..Settings::default()
+    }
+}
+
+/// A request to a path of a node, as the platform's callers send it.
+fn request(client: &Client, site: &Site, node: usize, path: &str) -> reqwest::RequestBuilder {
+    client
+        .post(format!("http://{}{path}", site.nodes[node].requests()))
+        .header("host", "shop.example")
+        .header("request-id", format!("{:016x}", rand::random::<u64>()))
+        .header("deadline-ms", "5000")
+        .header("key", "key-1")
+        .body("a body")
+}
+
+async fn send(site: &Site, path: &str) -> Result<Response, Error> {
+    Ok(request(&Client::new(), site, 0, path).send().await?)
+}
+
+fn stream(client: &Client, site: &Site, session: &str) -> reqwest::RequestBuilder {
+    request(client, site, 0, "/stream/a")
+        .header("accept", "text/event-stream")
+        .header("model", "*")
+        .header("token-count", "100,50")
+        .header("prompt-prefix", "aa:50,bb:30,cc:20")
+        .header("session", session)
+}
+
+fn runs(workers: &[standin::site::Worker]) -> Vec<Run> {
+    workers.iter().flat_map(|worker| worker.runs()).collect()
+}
+
+/// The numbers of the events in a stream.
+fn numbers(body: &str) -> Vec<u64> {
+    let ids = body.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
+
+/// Waits until something holds; false when it doesn't in time.
+async fn within<F>(time: Duration, mut holds: impl FnMut() -> F) -> bool
+where
+    F: Future<Output = bool>,
+{
+    let begun = Instant::now();
+    while begun.elapsed() < time {
+        if holds().await {
+            return true;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
+
+mod case {
+    use super::*;
+
+    pub async fn a_request_goes_on_as_it_came(site: &mut Site) -> Result<(), Error> {
+        let answer = request(&Client::new(), site, 0, "/once/a/b?c=d%20e")
+            .header("tenant", "another")
+            .header("pin-ms", "1000")
+            .header("x-own", "kept")
+            .send()
+            .await?;
+        assert_eq!(answer.status(), 200);
+        let run = &runs(&site.desks)[0].request;
+        let seal = format!("seal.{}", run.header("target-instance"));
+        assert_eq!(answer.headers()["response-seal"], seal);
+        assert_eq!(answer.headers()["request-id"], run.header("request-id"));
+        assert_eq!(
+            (run.method.as_str(), run.path.as_str()),
+            ("POST", "/once/a/b?c=d%20e")
+        );
+        assert_eq!(run.body, b"a body");
+        assert_eq!(run.header("tenant"), "farm");
+        assert_eq!(run.header("x-own"), "kept");
+        assert!(!run.headers.contains_key("key"), "the key stays here");
+        assert!(
+            !run.headers.contains_key("pin-ms"),
+            "callers may not set it"
+        );
+        let left: u64 = run.header("deadline-ms").parse().unwrap_or(0);
+        assert!((4000..5000).contains(&left), "{left} ms left");
+        Ok(())
+    }
+
+    pub async fn a_stream_goes_on_event_by_event(site: &mut Site) -> Result<(), Error> {
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_events(4, Duration::from_millis(150)));
+        let begun = Instant::now();
+        let mut answer = stream(&Client::new(), site, "s").send().await?;
+        assert_eq!(answer.status(), 200);
+        let mut times = Vec::new();
+        while let Some(bytes) = answer.chunk().await? {
+            times.push((
+                begun.elapsed(),
+                String::from_utf8_lossy(&bytes).into_owned(),
+            ));
+        }
+        assert_eq!(times.len(), 4, "{times:?}");
+        let last = times[3].0 - times[0].0;
+        assert!(
+            last > Duration::from_millis(350),
+            "events are held back: {times:?}"
+        );
+        assert_eq!(runs(&site.models)[0].request.header("model"), "small");
+        Ok(())
+    }
+
+    pub async fn what_is_not_allowed_is_refused(site: &mut Site) -> Result<(), Error> {
+        let client = Client::new();
+        let status = async |request: reqwest::RequestBuilder| -> Result<u16, Error> {
+            Ok(request.send().await?.status().as_u16())
+        };
+        assert_eq!(status(request(&client, site, 0, "/nowhere/")).await?, 404);
+        let mut wrong = request(&client, site, 0, "/once/a").build()?;
+        wrong
+            .headers_mut()
+            .insert("key", HeaderValue::from_static("x"));
+        assert_eq!(client.execute(wrong).await?.status(), 401);
+        let long = request(&client, site, 0, "/once/a").body(vec![b'x'; 100_001]);
+        assert_eq!(status(long).await?, 413);
+        let flood = request(&client, site, 0, "/once/a").header("x-long", "x".repeat(40_000));
+        assert_eq!(status(flood).await?, 431);
+        assert!(runs(&site.desks).is_empty());
+        Ok(())
+    }
+
+    pub async fn what_may_not_be_repeated_runs_once(site: &mut Site) -> Result<(), Error> {
+        for fault in [
+            WorkerFault::Reset,
+            WorkerFault::Break(0),
+            WorkerFault::Crossed,
+        ] {
+            let before = runs(&site.desks).len();
+            site.desks.iter().for_each(|worker| worker.set_fault(fault));
+            assert_eq!(send(site, "/once/a").await?.status(), 502, "{fault:?}");
+            assert_eq!(runs(&site.desks).len(), before + 1, "{fault:?}");
+        }
+        site.desks
+            .iter()
+            .for_each(|worker| worker.set_fault(WorkerFault::Fail(503)));
+        let answer = send(site, "/once/a").await?;
+        assert_eq!(answer.status(), 502, "a 503 says that it hasn't run");
+        Ok(())
+    }
+
+    pub async fn what_has_not_run_goes_elsewhere(site: &mut Site) -> Result<(), Error> {
+        site.desks[0].set_fault(WorkerFault::Full);
+        for _ in 0..6 {
+            assert_eq!(send(site, "/once/a").await?.status(), 200);
+        }
+        assert!(site.desks[0].runs().is_empty());
+        site.desks[1].set_fault(WorkerFault::Full);
+        let begun = Instant::now();
+        let answer = send(site, "/once/a").await?;
+        assert_eq!(answer.status(), 503);
+        assert!(answer.headers().contains_key("retry-after"));
+        assert!(
+            begun.elapsed() < Duration::from_millis(400),
+            "refused at once"
+        );
+        Ok(())
+    }
+
+    pub async fn what_may_be_repeated_is_repeated(site: &mut Site) -> Result<(), Error> {
+        for fault in [
+            WorkerFault::Reset,
+            WorkerFault::Fail(500),
+            WorkerFault::Break(0),
+            WorkerFault::Mute,
+        ] {
+            site.desks[0].set_fault(fault);
+            for _ in 0..3 {
+                let answer = send(site, "/again/a").await?;
+                assert_eq!(answer.status(), 200, "{fault:?}");
+                assert_eq!(answer.headers()["response-seal"], "seal.i-desk-1");
+            }
+        }
+        Ok(())
+    }
+
+    pub async fn a_mixed_answer_is_never_passed_on(site: &mut Site) -> Result<(), Error> {
+        site.desks[0].set_fault(WorkerFault::Crossed);
+        for _ in 0..4 {
+            let answer = send(site, "/again/a").await?;
+            assert_eq!(answer.headers()["response-seal"], "seal.i-desk-1");
+        }
+        Ok(())
+    }
+
+    pub async fn a_broken_stream_goes_on_elsewhere(site: &mut Site) -> Result<(), Error> {
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_fault(WorkerFault::Break(3)));
+        let client = Client::new();
+        let answer = stream(&client, site, "s").send().await?;
+        let first = answer.headers()["response-seal"].clone();
+        let broken: Vec<_> = runs(&site.models);
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_fault(WorkerFault::None));
+        let body = answer.text().await?;
+        assert_eq!(numbers(&body), [1, 2, 3, 4, 5], "{body}");
+        assert!(
+            !body.contains("\nda\n"),
+            "half an event was passed on: {body}"
+        );
+        let server = broken[0].request.header("target-instance");
+        assert_eq!(first, format!("seal.{server}"));
+        let last = runs(&site.models).into_iter().max_by_key(|run| run.at);
+        let resumed = last.map(|run| run.request.header("last-event-id").to_owned());
+        assert_eq!(resumed.as_deref(), Some("2"));
+        Ok(())
+    }
+
+    pub async fn a_silent_stream_goes_on_elsewhere(site: &mut Site) -> Result<(), Error> {
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_fault(WorkerFault::Stall(2)));
+        let client = Client::new();
+        let answer = stream(&client, site, "s").send().await?;
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_fault(WorkerFault::None));
+        let begun = Instant::now();
+        assert_eq!(numbers(&answer.text().await?), [1, 2, 3, 4, 5]);
+        assert!(
+            begun.elapsed() < Duration::from_secs(1),
+            "{:?}",
+            begun.elapsed()
+        );
+        assert!(runs(&site.models)[0].cut, "the silent one is cancelled");
+        Ok(())
+    }
+
+    pub async fn a_silent_stream_is_kept_where_there_is_no_other(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        site.models[0].set_events(3, Duration::from_millis(1300));
+        let answer = stream(&Client::new(), site, "s").send().await?;
+        assert_eq!(numbers(&answer.text().await?), [1, 2, 3]);
+        assert_eq!(runs(&site.models).len(), 1);
+        Ok(())
+    }
+
+    pub async fn a_doubted_answer_is_asked_of_the_larger_model(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_confidence(10));
+        let answer = stream(&Client::new(), site, "s").send().await?;
+        assert_eq!(numbers(&answer.text().await?), [1, 2, 3, 4, 5]);
+        let mut runs = runs(&site.models);
+        runs.sort_by_key(|run| run.at);
+        let models: Vec<_> = runs.iter().map(|run| run.request.header("model")).collect();
+        assert_eq!(models, ["small", "large"]);
+        assert!(runs[0].cut, "the first answer is dropped");
+        Ok(())
+    }
+
+    pub async fn a_caller_that_leaves_ends_the_work(site: &mut Site) -> Result<(), Error> {
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_events(100, Duration::from_millis(50)));
+        let mut answer = stream(&Client::new(), site, "s").send().await?;
+        answer.chunk().await?;
+        drop(answer);
+        let cut = async || runs(&site.models)[0].cut;
+        assert!(within(Duration::from_millis(500), cut).await);
+        Ok(())
+    }
+
+    pub async fn a_change_is_in_force_in_time(site: &mut Site) -> Result<(), Error> {
+        let mut config = standin::site::config(5);
+        config["routes"][0]["prefix"] = json!("/moved/");
+        config["tenants"][0]["apiKeys"] = json!(["key-2"]);
+        site.store.put("op", "config", Some(&config));
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(send(site, "/once/a").await?.status(), 404);
+        assert_eq!(send(site, "/moved/a").await?.status(), 401);
+        // An older one doesn't come back.
+        site.configure(4);
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(send(site, "/once/a").await?.status(), 404);
+        Ok(())
+    }
+
+    pub async fn a_change_reaches_a_node_that_the_store_refuses(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let struck = [site.doors[2]];
+        site.store.set_fault(StoreFault::Refuse(503), &struck);
+        sleep(Duration::from_millis(500)).await;
+        let mut config = standin::site::config(5);
+        config["routes"][0]["prefix"] = json!("/moved/");
+        site.store.put("op", "config", Some(&config));
+        site.list(&site.desks[0], "desk", "v1", "draining");
+        let client = Client::new();
+        let moved = async || {
+            let answer = request(&client, site, 2, "/moved/a").send().await;
+            answer.is_ok_and(|answer| answer.status() == 200)
+        };
+        assert!(within(APPLY, moved).await);
+        let before = site.desks[0].runs().len();
+        for _ in 0..4 {
+            request(&client, site, 2, "/moved/a").send().await?;
+        }
+        assert_eq!(
+            site.desks[0].runs().len(),
+            before,
+            "a leaving one gets nothing"
+        );
+        Ok(())
+    }
+
+    pub async fn a_node_that_starts_without_the_store_asks_the_others(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let door = site.store.open().await?;
+        site.store.set_fault(StoreFault::Refuse(503), &[door]);
+        site.start_node_at(4, door)?;
+        let node = site.nodes.len() - 1;
+        let serves = async || {
+            let answer = request(&Client::new(), site, node, "/once/a").send().await;
+            answer.is_ok_and(|answer| answer.status() == 200)
+        };
+        assert!(within(Duration::from_secs(5), serves).await);
+        let named = async || {
+            let list = site.nodes[0].addresses().await.unwrap_or_default();
+            list.contains(&site.nodes[node].requests())
+        };
+        assert!(within(Duration::from_secs(3), named).await);
+        Ok(())
+    }
+
+    pub async fn a_forgotten_history_is_read_anew(site: &mut Site) -> Result<(), Error> {
+        site.store.set_fault(StoreFault::Refuse(503), &[]);
+        sleep(Duration::from_millis(200)).await;
+        site.store.put("servers", "i-desk-0", None);
+        site.store.forget();
+        site.store.set_fault(StoreFault::None, &[]);
+        // An entry that is missing after an outage is kept for as long as it may come back.
+        sleep(Duration::from_millis(3500)).await;
+        for _ in 0..4 {
+            let answer = send(site, "/once/a").await?;
+            assert_eq!(answer.headers()["response-seal"], "seal.i-desk-1");
+        }
+        Ok(())
+    }
+
+    pub async fn a_leaving_backend_server_gets_nothing(site: &mut Site) -> Result<(), Error> {
+        site.list(&site.desks[0], "desk", "v1", "draining");
+        sleep(Duration::from_millis(300)).await;
+        let before = site.desks[0].runs().len();
+        for _ in 0..4 {
+            assert_eq!(send(site, "/once/a").await?.status(), 200);
+        }
+        site.store.put("servers", "i-desk-1", None);
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(send(site, "/once/a").await?.status(), 503);
+        assert_eq!(site.desks[0].runs().len(), before);
+        Ok(())
+    }
+
+    pub async fn a_zone_that_is_out_gets_nothing(site: &mut Site) -> Result<(), Error> {
+        site.store.put("op", "evacuate/z-0", Some(&json!({})));
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(send(site, "/once/a").await?.status(), 503);
+        site.store.put("op", "evacuate/z-0", None);
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(send(site, "/once/a").await?.status(), 200);
+        Ok(())
+    }
+
+    pub async fn rows_that_cannot_be_read_change_nothing(site: &mut Site) -> Result<(), Error> {
+        site.store
+            .put_bytes("servers", "i-other", Some(b"\xff\x00"));
+        site.store
+            .put("servers", "i-odd", Some(&json!({"service": 7})));
+        site.store.put(
+            "op",
+            "config",
+            Some(&json!({"version": 9, "routes": "none"})),
+        );
+        site.store
+            .put("op", "rollout/desk", Some(&json!({"to": ["v2"]})));
+        site.store.put("op", "unheard-of", Some(&json!({})));
+        sleep(Duration::from_millis(300)).await;
+        for _ in 0..4 {
+            assert_eq!(send(site, "/once/a").await?.status(), 200);
+        }
+        let log = site.nodes[0].log()?;
+        assert!(
+            log.contains("\"event\":1720"),
+            "the rows are named in the log"
+        );
+        assert!(!log.contains("key-1"), "a key is in the log");
+        Ok(())
+    }
+
+    pub async fn entries_that_lapse_in_an_outage_are_kept_a_while(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        site.store.set_fault(StoreFault::Refuse(503), &[]);
+        sleep(Duration::from_millis(300)).await;
+        site.store.put("servers", "i-desk-0", None);
+        site.store.put("servers", "i-desk-1", None);
+        site.store.set_fault(StoreFault::None, &[]);
+        sleep(Duration::from_millis(1200)).await;
+        assert_eq!(send(site, "/once/a").await?.status(), 200);
+        site.list(&site.desks[1], "desk", "v1", "ready");
+        sleep(Duration::from_millis(2500)).await;
+        let before = site.desks[0].runs().len();
+        for _ in 0..4 {
+            assert_eq!(send(site, "/once/a").await?.status(), 200);
+        }
+        assert_eq!(site.desks[0].runs().len(), before, "still missing, so gone");
+        Ok(())
+    }
+
+    pub async fn the_directory_names_those_that_live(site: &mut Site) -> Result<(), Error> {
+        let all: Vec<_> = site.nodes.iter().map(|node| node.requests()).collect();
+        let names = async |node: usize, count: usize| {
+            let list = site.nodes[node].addresses().await;
+            list.is_ok_and(|list| list.len() == count)
+        };
+        for node in 0..3 {
+            assert!(within(Duration::from_secs(3), async || names(node, 3).await).await);
+        }
+        site.nodes[2].kill().await?;
+        let gone = async || {
+            let list = site.nodes[0].addresses().await.unwrap_or_default();
+            list.len() == 2 && !list.contains(&all[2])
+        };
+        assert!(within(Duration::from_secs(3), gone).await);
+        Ok(())
+    }
+
+    pub async fn a_stop_finishes_what_is_inside(site: &mut Site) -> Result<(), Error> {
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_events(20, Duration::from_millis(200)));
+        let answer = stream(&Client::new(), site, "s").send().await?;
+        site.nodes[0].terminate()?;
+        site.nodes[0].until_ready(false).await?;
+        let body = answer.text().await?;
+        assert_eq!(numbers(&body).len(), 20);
+        assert!(site.nodes[0].ended().await?);
+        Ok(())
+    }
+
+    pub async fn a_stopping_node_refuses_late_requests_at_once(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_events(28, Duration::from_millis(150)));
+        let client = Client::new();
+        let answer = stream(&client, site, "s").send().await?;
+        site.nodes[0].terminate()?;
+        sleep(Duration::from_millis(1000)).await;
+        let early = request(&Client::new(), site, 0, "/once/a").send().await?;
+        assert_eq!(early.status(), 200, "callers still know the address");
+        sleep(Duration::from_millis(2500)).await;
+        let begun = Instant::now();
+        let late = request(&Client::new(), site, 0, "/once/a").send().await;
+        assert!(late.is_err(), "the port is closed");
+        assert!(begun.elapsed() < Duration::from_millis(300));
+        assert_eq!(numbers(&answer.text().await?).len(), 28);
+        Ok(())
+    }
+
+    /// Lets two backend servers run a new version and sends streams of many sessions until the
+    /// outcome is written down.
+    async fn roll_out(site: &mut Site, seconds: f64, bad: bool) -> Result<Option<String>, Error> {
+        for index in [1, 2] {
+            site.list(&site.models[index], "models", "v2", "ready");
+        }
+        if bad {
+            let faulty = |worker: &standin::site::Worker| worker.set_fault(WorkerFault::Fail(500));
+            site.models[1..].iter().for_each(faulty);
+        }
+        let order = json!({"service": "models", "to": "v2", "rolloutS": seconds});
+        site.store.put("op", "rollout/models", Some(&order));
+        let client = Client::new();
+        let begun = Instant::now();
+        let mut session = 0;
+        while begun.elapsed().as_secs_f64() < seconds {
+            session += 1;
+            let name = format!("s-{session}");
+            let answers = (0..4).map(|_| stream(&client, site, &name).send());
+            let answers = futures::future::join_all(answers).await;
+            for answer in answers {
+                answer?.bytes().await?;
+            }
+            let status = site.store.get("status", "rollout/models");
+            let state = status.and_then(|status| Some(status["state"].as_str()?.to_owned()));
+            if state.as_deref().is_some_and(|state| state != "in_progress") {
+                return Ok(state);
+            }
+        }
+        Ok(None)
+    }
+
+    pub async fn a_bad_version_is_rolled_back(site: &mut Site) -> Result<(), Error> {
+        let outcome = roll_out(site, 20.0, true).await?;
+        assert_eq!(outcome.as_deref(), Some("rolled_back"));
+        let before = site.models[1].runs().len() + site.models[2].runs().len();
+        for session in 0..30 {
+            let name = format!("t-{session}");
+            stream(&Client::new(), site, &name)
+                .send()
+                .await?
+                .bytes()
+                .await?;
+        }
+        let after = site.models[1].runs().len() + site.models[2].runs().len();
+        assert_eq!(after, before, "a bad version gets nothing more");
+        Ok(())
+    }
+
+    pub async fn a_good_version_is_completed(site: &mut Site) -> Result<(), Error> {
+        let outcome = roll_out(site, 8.0, false).await?;
+        assert_eq!(outcome.as_deref(), Some("completed"));
+        // All requests of a session ran on one version.
+        let versions = |session: &str| -> Vec<bool> {
+            let on = |new: bool, worker: &standin::site::Worker| {
+                let runs = worker.runs();
+                let own = runs
+                    .iter()
+                    .filter(|run| run.request.header("session") == session);
+                own.map(|_| new).collect::<Vec<_>>()
+            };
+            let old = on(false, &site.models[0]);
+            [old, on(true, &site.models[1]), on(true, &site.models[2])].concat()
+        };
+        for session in 1..20 {
+            let versions = versions(&format!("s-{session}"));
+            let mixed = versions.contains(&true) && versions.contains(&false);
+            assert!(
+                !mixed,
+                "session {session} changed its version: {versions:?}"
+            );
+        }
+        Ok(())
+    }
+
+    pub async fn a_lost_answer_of_the_store_is_settled(site: &mut Site) -> Result<(), Error> {
+        site.store.set_fault(StoreFault::LoseAnswers, &[]);
+        let outcome = roll_out(site, 20.0, true).await?;
+        assert_eq!(outcome.as_deref(), Some("rolled_back"));
+        Ok(())
+    }
+}
