--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -7,6 +7,7 @@
 mod key;
 mod rotate;
 mod status;
+mod story;
 
 use crate::change;
 use crate::client::Client;
@@ -20,6 +21,7 @@
     let command = match command {
         Command::Key { new } => return key::run(new, output),
         Command::Check { files } => return apply::check(connection, &files, output).await,
+        Command::Story { request, files } => return story::run(&request, &files, output),
         other => other,
     };
     let client = Client::new(connection)?;
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -169,6 +169,16 @@
     /// Show members, zones and versions, and whether the configuration is in force
     #[bpaf(command)]
     Status,
+    /// Tell the story of one request from the logs of nodes; no node is asked
+    #[bpaf(command)]
+    Story {
+        /// Id of the request
+        #[bpaf(positional("REQUEST"))]
+        request: String,
+        /// Files with the JSON log lines of nodes; standard input without them
+        #[bpaf(positional("FILE"), many)]
+        files: Vec<PathBuf>,
+    },
     /// Withdraw a version: it receives no new work
     #[bpaf(command)]
     Withdraw {
--- /dev/null
+++ b/crates/ctl/tests/story.rs
@@ -0,0 +1,99 @@
+//! From a request's id to its cause: the stories of failed requests, from the logs of real nodes.
+
+use standin::Error;
+use standin::site::{Settings, Site, WorkerFault};
+use std::process::Command;
+
+/// Each case: how a request fails, and what its story has to tell in this order.
+macro_rules! stories {
+    ($($name:ident: $failure:ident => [$($told:literal),*];)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() -> Result<(), Error> {
+            let site = Site::start(settings()).await?;
+            let request = concat!("story-", stringify!($name));
+            failure::$failure(&site, request).await?;
+            let story = tell(&site, request).await?;
+            let mut rest = story.as_str();
+            $(
+                let at = rest.find($told);
+                assert!(at.is_some(), "{:?} is missing after:\n{story}", $told);
+                rest = &rest[at.unwrap_or(0)..];
+            )*
+            assert!(!rest.is_empty() && !story.contains("key-1"));
+            Ok(())
+        }
+    )*};
+}
+
+stories! {
+    refused_though_servers_are_listed: refused =>
+        ["received", "placed", "not run, status 503", "all attempts of the route are used", "refused: nothing can serve it now"];
+    unknown_outcome_of_what_may_not_be_repeated: unknown =>
+        ["received", "placed", "no answer came", "refused: no backend server gave a whole answer"];
+    late_stream: late =>
+        ["received", "placed", "answered", "placed", "silent for too long", "stream ended"];
+}
+
+fn settings() -> Settings {
+    Settings {
+        models: 2,
+        ..Settings::default()
+    }
+}
+
+/// The story of a request as `sardinectl` tells it, once the node has written its last line.
+async fn tell(site: &Site, request: &str) -> Result<String, Error> {
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    let path = site.nodes[0].log_path();
+    let output = Command::new(env!("CARGO_BIN_EXE_sardinectl"))
+        .args(["story", request])
+        .arg(path)
+        .output()?;
+    assert!(output.status.success(), "{output:?}");
+    Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+}
+
+mod failure {
+    use super::*;
+
+    fn send(site: &Site, request: &str, path: &str) -> reqwest::RequestBuilder {
+        reqwest::Client::new()
+            .post(format!("http://{}{path}", site.nodes[0].requests()))
+            .header("host", "shop.example")
+            .header("request-id", request)
+            .header("deadline-ms", "5000")
+            .header("key", "key-1")
+    }
+
+    pub async fn refused(site: &Site, request: &str) -> Result<(), Error> {
+        site.desks
+            .iter()
+            .for_each(|worker| worker.set_fault(WorkerFault::Full));
+        send(site, request, "/once/a").send().await?;
+        Ok(())
+    }
+
+    pub async fn unknown(site: &Site, request: &str) -> Result<(), Error> {
+        site.desks
+            .iter()
+            .for_each(|worker| worker.set_fault(WorkerFault::Reset));
+        send(site, request, "/once/a").send().await?;
+        Ok(())
+    }
+
+    pub async fn late(site: &Site, request: &str) -> Result<(), Error> {
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_fault(WorkerFault::Stall(2)));
+        let stream = send(site, request, "/stream/a")
+            .header("accept", "text/event-stream")
+            .header("model", "*")
+            .header("token-count", "100,50");
+        let answer = stream.send().await?;
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_fault(WorkerFault::None));
+        answer.bytes().await?;
+        Ok(())
+    }
+}
--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -1,12 +1,14 @@
 //! The shared parts.
 
 use super::State;
+use crate::metrics::Metrics;
 use crate::stop::Inside;
 use limits::suspect::Fingerprint;
 use platform::store;
 use route::member::Member;
 use route::site::Site;
 use route::{ServerId, Version};
+use settings::log::Counts;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, broadcast};
 
@@ -42,18 +44,24 @@
     pub told: broadcast::Sender<Told>,
     /// Requests that the node is working on.
     pub inside: Arc<Inside>,
+    /// Counters and latencies.
+    pub metrics: Metrics,
+    /// Counts of the log lines that were not written.
+    pub lines: Counts,
     state: Mutex<State>,
 }
 
 impl App {
     /// The parts of a node that knows nothing yet.
-    pub fn new(site: Site) -> Result<Self, platform::Error> {
+    pub fn new(site: Site, lines: Counts) -> Result<Self, platform::Error> {
         Ok(Self {
             store: store::Client::new(site.store)?,
             room: Notify::new(),
             news: Notify::new(),
             told: broadcast::Sender::new(MAX_TOLD),
             inside: Arc::default(),
+            metrics: Metrics::default(),
+            lines,
             state: Mutex::new(State::new(&site)),
             site,
         })
--- a/crates/edge/src/app/mod.rs
+++ b/crates/edge/src/app/mod.rs
@@ -6,4 +6,4 @@
 
 pub use app::{App, Crash, Stay, Told};
 pub use mirror::Mirror;
-pub use state::{State, Table};
+pub use state::{State, Table, unreadable};
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -13,8 +13,9 @@
 use route::rollout::{self, Order, Outcome, Side, Trial};
 use route::server::Listing;
 use route::session::Sessions;
-use route::site::Site;
+use route::site::{Bounds, Site};
 use route::{NodeName, ServerId, ServiceName, table};
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -69,6 +70,11 @@
 /// Lost requests that are remembered for it.
 const MAX_LOST: usize = 512;
 
+/// Notes that a row can't be read; what was known before stays.
+pub fn unreadable(row: &str, why: &impl std::fmt::Display) {
+    log::warn!(event = 1720, row = row; "row can't be used: {why}");
+}
+
 /// A request that lost its backend server.
 #[derive(Debug)]
 struct Loss {
@@ -100,21 +106,23 @@
     crashes: Vec<Crash>,
     zones_out: Set<String>,
     mirrors: [Mirror; 4],
+    /// When each table was last heard of.
+    heard: [Option<Instant>; 4],
     /// Whether the list of backend servers was read.
     listed: bool,
     store_lost: Option<Instant>,
     lapsed: Vec<(ServerId, Instant)>,
     budgets: Map<ServiceName, Budget>,
-    retry: retry::Settings,
-    cold: (f64, f64),
+    /// Bounds of the site.
+    pub bounds: Bounds,
+    /// Links of a few nodes to begin with.
+    pub seeds: Vec<SocketAddrV4>,
     node: NodeName,
-    rollout: rollout::Settings,
 }
 
 impl State {
     /// Knows nothing yet.
     pub fn new(site: &Site) -> Self {
-        let bounds = &site.bounds;
         Self {
             routes: Arc::default(),
             pool: Pool::new(pool::Settings::default()),
@@ -132,25 +140,25 @@
             crashes: Vec::new(),
             zones_out: Set::default(),
             mirrors: Default::default(),
+            heard: Default::default(),
             listed: false,
             store_lost: None,
             lapsed: Vec::new(),
             budgets: Map::default(),
-            retry: retry::Settings {
-                ratio: bounds.retry_ratio * RETRY_PART,
-                burst: bounds.retry_extra,
-                floor: 0.0,
-            },
+            bounds: site.bounds.clone(),
+            seeds: site.seeds.clone(),
             node: site.node.clone(),
-            cold: (bounds.cold_factor, bounds.cold_extra),
-            rollout: rollout::Settings {
-                expose_share: bounds.expose_share,
-                expose_extra: bounds.expose_extra,
-                ..rollout::Settings::default()
-            },
         }
     }
 
+    /// Takes over what may change in the settings file while the node runs.
+    pub fn reload(&mut self, now: Instant, site: Site) {
+        self.bounds = site.bounds;
+        self.seeds = site.seeds;
+        self.budgets.clear();
+        self.share(now);
+    }
+
     /// Whether the node can serve requests.
     pub fn ready(&self) -> bool {
         self.configured() && self.listed && !self.stopping
@@ -188,6 +196,7 @@
     }
 
     fn apply(&mut self, now: Instant, table: Table, news: Vec<Row>) {
+        self.heard[table as usize] = Some(now);
         for row in &news {
             match table {
                 Table::Intents => self.apply_intent(now, row),
@@ -212,7 +221,7 @@
             (Intent::Config, Some(value)) => self.apply_config(now, value),
             (Intent::Rollout(_), Some(value)) if !row.removed => match platform::rollout(value) {
                 Ok(order) => self.apply_order(now, order),
-                Err(error) => log::warn!(event = 1720, row = row.key.as_str(); "{error}"),
+                Err(error) => unreadable(&row.key, &error),
             },
             (Intent::Rollout(service), _) => {
                 self.trials.remove(service);
@@ -226,7 +235,7 @@
                 };
             }
             (Intent::Config | Intent::Other, _) => {
-                log::warn!(event = 1720, row = row.key.as_str(); "row of no known meaning");
+                unreadable(&row.key, &"row of no known meaning");
             }
         }
     }
@@ -237,7 +246,12 @@
             return;
         }
         log::info!(event = 1721, service = order.service.as_str(), to = order.to.as_str(); "roll-out ordered");
-        let trial = Trial::new(order, self.rollout.clone(), now);
+        let settings = rollout::Settings {
+            expose_share: self.bounds.expose_share,
+            expose_extra: self.bounds.expose_extra,
+            ..rollout::Settings::default()
+        };
+        let trial = Trial::new(order, settings, now);
         self.trials.insert(trial.order.service.clone(), trial);
         self.apply_outcomes();
     }
@@ -249,7 +263,7 @@
             let value = row.and_then(|row| row.value.as_deref());
             match value.map(platform::read_status) {
                 Some(Ok((to, outcome))) if to == trial.order.to => trial.end(outcome),
-                Some(Err(error)) => log::warn!(event = 1720; "{error}"),
+                Some(Err(error)) => unreadable(service, &error),
                 Some(Ok(_)) | None => (),
             }
         }
@@ -258,7 +272,7 @@
     fn apply_config(&mut self, now: Instant, value: &[u8]) {
         let config = match platform::config(value) {
             Ok(config) => config,
-            Err(error) => return log::error!(event = 1720, row = "config"; "{error}"),
+            Err(error) => return unreadable("config", &error),
         };
         if config.revision <= self.routes.config().revision {
             return;
@@ -275,7 +289,7 @@
         let decoded = platform::listing(&row.key, row.value.as_deref().unwrap_or_default());
         match decoded {
             Ok(listing) => self.apply_listing(now, listing),
-            Err(error) => log::warn!(event = 1720, row = row.key.as_str(); "{error}"),
+            Err(error) => unreadable(&row.key, &error),
         }
     }
 
@@ -299,6 +313,10 @@
             self.lapsed.push((id.to_owned(), now + LAPSE_TIME));
             return;
         }
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: &str) {
         log::info!(event = 1725, server = id; "backend server gone");
         self.pool.remove(id);
     }
@@ -309,6 +327,11 @@
         }
     }
 
+    /// Time since the list of backend servers was last heard of.
+    pub fn list_age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.heard[Table::Servers as usize].unwrap_or(now))
+    }
+
     /// Takes in whether the store answers.
     pub fn store_answers(&mut self, now: Instant, answers: bool) {
         if !answers {
@@ -323,8 +346,7 @@
             .extract_if(.., |(_, until)| now >= *until)
             .collect();
         for (id, _) in over {
-            log::info!(event = 1725, server = id.as_str(); "backend server gone");
-            self.pool.remove(&id);
+            self.forget(&id);
         }
     }
 
@@ -339,7 +361,7 @@
         let config: &Config = self.routes.config();
         let mut bearings = Map::default();
         for (name, service) in &config.services {
-            let rate = service.cold_rate * self.cold.0 + self.cold.1;
+            let rate = service.cold_rate * self.bounds.cold_factor + self.bounds.cold_extra;
             let bearing = Bearing {
                 cold_rate: (service.cold_rate > 0.0).then_some(rate),
                 cold: service.cold,
@@ -349,10 +371,10 @@
                     .map_or(0.0, |engine| engine.memory_tokens as f64),
             };
             bearings.insert(name.clone(), bearing);
-            let burst = (self.retry.burst / nodes).max(1.0);
             let settings = retry::Settings {
-                burst,
-                ..self.retry.clone()
+                ratio: self.bounds.retry_ratio * RETRY_PART,
+                burst: (self.bounds.retry_extra / nodes).max(1.0),
+                floor: 0.0,
             };
             self.budgets
                 .entry(name.clone())
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -32,12 +32,12 @@
     if state.ready() {
         addresses.push(app.site.requests);
     }
+    let keep = KEEP.min(state.bounds.list_age);
     drop(state);
     if addresses.is_empty() {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     }
     addresses.truncate(MAX_ADDRESSES);
-    let keep = KEEP.min(app.site.bounds.list_age);
     let mut response = Response::new(Body::whole(directory::answer(&addresses, keep)));
     let json = hyper::header::HeaderValue::from_static("application/json");
     response
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -2,6 +2,7 @@
 
 use crate::app::{App, Table, Told};
 use crate::backoff::Backoff;
+use crate::metrics::Call;
 use platform::Error;
 use platform::store::Page;
 use std::sync::Arc;
@@ -18,6 +19,9 @@
 /// Pause between two looks at entries that lapsed.
 const SWEEP_PAUSE: Duration = Duration::from_millis(100);
 
+/// Pause between two counts of the log lines that were not written.
+const COUNT_PAUSE: Duration = Duration::from_secs(1);
+
 /// Follows a table for as long as the node runs.
 pub async fn follow(app: Arc<App>, table: Table) {
     let mut backoff = Backoff::new(PAUSE, LONGEST_PAUSE);
@@ -36,6 +40,12 @@
             }
             answer => answer.map(|page| (whole, page)),
         };
+        let outcome = if answer.is_ok() { "answered" } else { "failed" };
+        let call = Call {
+            table: table.name(),
+            outcome,
+        };
+        app.metrics.calls.get_or_create(&call).inc();
         match answer {
             Ok((whole, page)) => {
                 if !std::mem::replace(&mut answering, true) {
@@ -72,6 +82,19 @@
     }
 }
 
+/// Says once a second how many log lines were not written, if there were some.
+pub async fn count_lines(app: Arc<App>) {
+    let mut known = 0;
+    loop {
+        sleep(COUNT_PAUSE).await;
+        let dropped = app.lines.dropped();
+        if dropped != known {
+            log::warn!(event = 1790, lines = dropped - known, all = dropped; "log lines were not written");
+            known = dropped;
+        }
+    }
+}
+
 /// Forgets backend servers whose entries lapsed, for as long as the node runs.
 pub async fn sweep(app: Arc<App>) {
     loop {
--- a/crates/edge/src/follow/mod.rs
+++ b/crates/edge/src/follow/mod.rs
@@ -2,4 +2,4 @@
 
 mod follow;
 
-pub use follow::{follow, sweep};
+pub use follow::{count_lines, follow, sweep};
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -3,6 +3,7 @@
 use super::head::text;
 use super::job::Job;
 use crate::app::{App, Told};
+use crate::metrics;
 use crate::upstream::{self, Answer};
 use hyper::StatusCode;
 use hyper::header::CONTENT_ENCODING;
@@ -21,6 +22,32 @@
 /// Pause between two looks for a place elsewhere.
 const LOOK: Duration = Duration::from_millis(250);
 
+/// Why a send didn't end well.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// Nothing left: it hasn't run.
+    #[error("nothing left: {0}")]
+    NotSent(#[source] std::io::Error),
+    /// It left, and no answer came.
+    #[error("sent, and no answer came: {0}")]
+    Lost(#[source] hyper::Error),
+    /// It left, and nothing came for too long.
+    #[error("silent for too long")]
+    Silent,
+    /// The backend server says that it hasn't run it.
+    #[error("not run, status {0}")]
+    NotRun(u16),
+    /// The answer belongs to another request, is unsigned or is encoded.
+    #[error("not an answer to it, status {0}")]
+    Odd(u16),
+    /// The answer broke off.
+    #[error("the answer broke off")]
+    Broken,
+    /// The backend server failed.
+    #[error("failed with status {0}")]
+    Status(u16),
+}
+
 /// A request's place on a backend server, for as long as the value lives.
 #[derive(Debug)]
 pub struct Place {
@@ -44,6 +71,28 @@
         self.outcome = outcome;
     }
 
+    /// Notes why the send didn't end well.
+    pub fn fail(&mut self, job: &Job, failure: &Failure) {
+        self.outcome = match failure {
+            Failure::NotRun(_) => Outcome::Full,
+            _ => Outcome::Failed,
+        };
+        let mut state = self.app.state();
+        let now = Instant::now();
+        match failure {
+            Failure::NotSent(_) => state.ended(now, &self.server.id),
+            Failure::Lost(_) | Failure::Broken => {
+                state.lost(now, &job.fingerprint, &self.server.id);
+            }
+            _ => (),
+        }
+        drop(state);
+        log::warn!(event = 1731, request = job.name(), server = self.server.id.as_str(),
+            version = self.server.version.as_str(), sends = job.sends,
+            waited_ms = self.age().as_millis() as u64, last_event = job.last_event.unwrap_or(0),
+            left_ms = job.left().as_millis() as u64; "send failed: {failure}");
+    }
+
     /// Id of the backend server.
     pub fn id(&self) -> &ServerId {
         &self.server.id
@@ -90,6 +139,16 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
+        let label = metrics::Send {
+            service: self.server.service.clone(),
+            outcome: match self.outcome {
+                Outcome::Sound => "sound",
+                Outcome::Failed => "failed",
+                Outcome::Full => "full",
+                Outcome::Unknown => "unknown",
+            },
+        };
+        self.app.metrics.sends.get_or_create(&label).inc();
         let mut state = self.app.state();
         let mut rng = SmallRng::from_os_rng();
         state.pool.prompt_read(&self.server.id, self.unread);
@@ -139,7 +198,18 @@
     let server = state.pick(now, &query, job.name(), job.session.as_deref())?;
     let unread = state.pool.begin(now, &server.id, &query);
     let news = state.sent(now, &server, job.session.as_deref());
+    let load = state
+        .pool
+        .servers()
+        .get(&server.id)
+        .map(|server| server.load());
+    let age = state.list_age(now);
     drop(state);
+    log::info!(event = 1732, request = job.name(), server = server.id.as_str(),
+        version = server.version.as_str(), zone = server.zone.as_str(),
+        model = query.model.map_or("-", |(model, _)| model),
+        load = load.unwrap_or_default().requests, list_age_ms = age.as_millis() as u64,
+        unread = unread as u64, sends = job.sends, left_ms = job.left().as_millis() as u64; "placed");
     if let (true, Some(session)) = (news, &job.session) {
         app.tell(Told::Stay((session.clone(), server.version.clone())));
     }
@@ -227,33 +297,26 @@
         Waited::Done(Ok(answer)) => answer,
         Waited::Done(Err(upstream::Error::NotSent(error))) => {
             job.sends -= 1;
-            place.note(Outcome::Failed);
-            app.state().ended(Instant::now(), place.id());
-            log::info!(event = 1731, request = job.name(), server = place.id().as_str(); "not sent: {error}");
+            place.fail(job, &Failure::NotSent(error));
             return Sent::NotRun;
         }
-        Waited::Done(Err(error)) => {
-            place.note(Outcome::Failed);
-            app.state()
-                .lost(Instant::now(), &job.fingerprint, place.id());
-            log::info!(event = 1732, request = job.name(), server = place.id().as_str(); "{error}");
+        Waited::Done(Err(upstream::Error::Lost(error))) => {
+            place.fail(job, &Failure::Lost(error));
             return Sent::Unknown;
         }
-        waited => {
-            place.note(Outcome::Failed);
-            log::info!(event = 1733, request = job.name(), server = place.id().as_str(),
-                waited_ms = place.age().as_millis() as u64; "no answer in time");
-            return match waited {
-                Waited::Elsewhere(next) => Sent::Elsewhere(next),
-                _ => Sent::Unknown,
-            };
+        Waited::Elsewhere(next) => {
+            place.fail(job, &Failure::Silent);
+            return Sent::Elsewhere(next);
+        }
+        Waited::Over => {
+            place.fail(job, &Failure::Silent);
+            return Sent::Unknown;
         }
     };
     let status = answer.head.status;
     let headers = &answer.head.headers;
     if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_RUN) {
-        place.note(Outcome::Full);
-        log::info!(event = 1734, request = job.name(), server = place.id().as_str(), status = status.as_u16(); "not run");
+        place.fail(job, &Failure::NotRun(status.as_u16()));
         return Sent::NotRun;
     }
     let own = job.id.as_ref().is_none_or(|id| {
@@ -262,8 +325,7 @@
     });
     let signed = !status.is_success() || text(headers, header::SIGNATURE).is_some();
     if !own || !signed || headers.contains_key(CONTENT_ENCODING) {
-        place.note(Outcome::Failed);
-        log::warn!(event = 1735, request = job.name(), server = place.id().as_str(), status = status.as_u16(), own = own; "answer of another kind");
+        place.fail(job, &Failure::Odd(status.as_u16()));
         return Sent::Unknown;
     }
     Sent::Answer(Box::new(answer), place)
--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -7,6 +7,7 @@
 use super::{plain, stream};
 use crate::app::App;
 use crate::body::Body;
+use crate::metrics;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -39,16 +40,45 @@
     let received = Instant::now();
     let entered = app.inside.enter();
     let id = request.headers().get(header::ATTEMPT).cloned();
-    let name = id.clone();
-    let name = name.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
-    match serve(&app, received, request, entered).await {
+    let name = id
+        .as_ref()
+        .and_then(|id| id.to_str().ok())
+        .unwrap_or("-")
+        .to_owned();
+    let mut kind = "none";
+    let answer = serve(&app, received, request, entered, &mut kind).await;
+    let took = received.elapsed().as_millis() as u64;
+    let (revision, members, stopping) = {
+        let state = app.state();
+        let revision = state.routes.config().revision;
+        (
+            revision,
+            state.members.alive(Instant::now()).count(),
+            state.stopping,
+        )
+    };
+    app.metrics
+        .answers
+        .observe(received.elapsed().as_secs_f64());
+    let count = |status, refusal| {
+        let label = metrics::Request {
+            kind,
+            status,
+            refusal,
+        };
+        app.metrics.requests.get_or_create(&label).inc();
+    };
+    match answer {
         Ok(response) => {
-            log::info!(event = 1730, request = name, status = response.status().as_u16(),
-                took_ms = received.elapsed().as_millis() as u64; "answered");
+            count(response.status().as_u16(), "");
+            log::info!(event = 1730, request = name.as_str(), status = response.status().as_u16(),
+                took_ms = took, revision = revision; "answered");
             response
         }
         Err(refusal) => {
-            log::info!(event = 1739, request = name, took_ms = received.elapsed().as_millis() as u64; "refused: {refusal}");
+            count(refusal.status().as_u16(), refusal.name());
+            log::warn!(event = 1739, request = name.as_str(), took_ms = took, revision = revision,
+                members = members, stopping = stopping; "refused: {refusal}");
             refusal.answer(id.as_ref())
         }
     }
@@ -59,6 +89,7 @@
     received: Instant,
     request: Request<Incoming>,
     entered: crate::stop::Entered,
+    kind: &mut &'static str,
 ) -> Result<Response<Body>, Refusal> {
     let routes = {
         let state = app.state();
@@ -71,6 +102,7 @@
     let host = text(&parts.headers, HOST.as_str());
     let host = host.or(parts.uri.host()).unwrap_or_default();
     let route = routes.route(host, parts.uri.path()).map_err(refuse)?;
+    *kind = route.kind.name();
     let key = text(&parts.headers, header::KEY);
     let customer = routes.customer(route, key).map_err(refuse)?;
     let customer = customer.map(|customer| customer.name.as_str());
@@ -83,6 +115,9 @@
         log::warn!(event = 1745, request = job.name(); "request that ends backend servers");
         return Err(Refusal::NotNow);
     }
+    log::info!(event = 1733, request = job.name(), route = job.route.name.as_str(),
+        customer = customer.unwrap_or("-"), session = job.session.as_deref().unwrap_or("-"),
+        revision = routes.config().revision, left_ms = job.left().as_millis() as u64; "received");
     let draw = rand::rng().random();
     let service = job.route.service(draw).ok_or(Refusal::NotNow)?;
     job.service = service.to_owned();
@@ -143,19 +178,20 @@
     if over {
         return Next::Refused(gave_up);
     }
-    let again = !job.tried.is_empty();
-    if again && (!job.may_send() || !app.state().take_retry(Instant::now(), &job.service)) {
-        return Next::Refused(gave_up);
+    if let Some(end) = end_of_sends(app, job) {
+        return give_up(job, &end, gave_up);
     }
     let patience = job.route.target.mul_f64(PATIENCE);
-    let until = (Instant::now() + patience).min(job.limit);
+    let begun = Instant::now();
+    let until = (begun + patience).min(job.limit);
     loop {
         match place(app, job) {
-            Ok(place) => return Next::Place(place),
+            Ok(place) => {
+                app.metrics.waits.observe(begun.elapsed().as_secs_f64());
+                return Next::Place(place);
+            }
             Err(refusal) if failed || Instant::now() >= until => {
-                log::info!(event = 1738, request = job.name(), service = job.service.as_str(),
-                    sends = job.sends; "{refusal}");
-                return Next::Refused(gave_up);
+                return give_up(job, &refusal, gave_up);
             }
             Err(_) => {
                 // A wake-up may be meant for a request that another backend server suits.
@@ -164,3 +200,35 @@
         }
     }
 }
+
+/// Why a request isn't sent again.
+#[derive(Debug, thiserror::Error)]
+enum End {
+    #[error("it may have run, and may not run again")]
+    Ran,
+    #[error("all attempts of the route are used")]
+    Attempts,
+    #[error("the budget of further sends is used")]
+    Budget,
+}
+
+/// Whether a request that was sent before may not be sent again; else the send is counted.
+fn end_of_sends(app: &App, job: &Job) -> Option<End> {
+    if job.tried.is_empty() {
+        return None;
+    }
+    if job.ran && !job.route.kind.repeatable() {
+        return Some(End::Ran);
+    }
+    if job.sends >= job.route.attempts.max(1) {
+        return Some(End::Attempts);
+    }
+    let budget = app.state().take_retry(Instant::now(), &job.service);
+    (!budget).then_some(End::Budget)
+}
+
+fn give_up(job: &Job, why: &impl std::fmt::Display, refusal: Refusal) -> Next {
+    log::info!(event = 1738, request = job.name(), service = job.service.as_str(),
+        sends = job.sends; "no further place: {why}");
+    Next::Refused(refusal)
+}
--- a/crates/edge/src/forward/job.rs
+++ b/crates/edge/src/forward/job.rs
@@ -113,16 +113,16 @@
         id.and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
 
+    /// Time until nobody waits for an answer any more.
+    pub fn left(&self) -> Duration {
+        self.limit.saturating_duration_since(Instant::now())
+    }
+
     /// Whether the caller leaves the choice of the model open.
     pub fn any_model(&self) -> bool {
         text(&self.headers, header::MODEL) == Some(header::ANY_MODEL)
     }
 
-    /// Whether one more backend server may get it.
-    pub fn may_send(&self) -> bool {
-        self.sends < self.route.attempts.max(1) && (!self.ran || self.route.kind.repeatable())
-    }
-
     /// The request for a backend server.
     pub fn request(
         &self,
--- a/crates/edge/src/forward/plain.rs
+++ b/crates/edge/src/forward/plain.rs
@@ -1,6 +1,6 @@
 //! Requests with a whole answer.
 
-use super::attempt::{Sent, Waited, send, wait};
+use super::attempt::{Failure, Sent, Waited, send, wait};
 use super::forward::{Next, find};
 use super::head::strip;
 use super::job::Job;
@@ -49,8 +49,7 @@
                         if let Waited::Elsewhere(place) = waited {
                             next = Some(place);
                         }
-                        place.note(Outcome::Failed);
-                        log::info!(event = 1736, request = job.name(), server = place.id().as_str(); "answer broke off");
+                        place.fail(job, &Failure::Broken);
                         continue;
                     }
                 };
@@ -59,9 +58,7 @@
                     place.note(Outcome::Sound);
                     return Ok(whole);
                 }
-                place.note(Outcome::Failed);
-                log::info!(event = 1737, request = job.name(), server = place.id().as_str(),
-                    status = whole.status().as_u16(); "backend server failed");
+                place.fail(job, &Failure::Status(whole.status().as_u16()));
                 // 503 says that a request hasn't run: a backend server's own doesn't.
                 if !matches!(whole.status().as_u16(), 408 | 421 | 429 | 503) {
                     failure = Some(whole);
@@ -88,7 +85,7 @@
     let body: Bytes = match whole {
         Ok(whole) => whole.to_bytes(),
         Err(error) => {
-            log::debug!(event = 1736; "{error}");
+            log::debug!(event = 1736; "answer of a backend server: {error}");
             return None;
         }
     };
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -43,7 +43,22 @@
 const MOST_WAIT: Duration = Duration::from_millis(1200);
 
 impl Refusal {
-    fn status(self) -> StatusCode {
+    /// Its name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Improper => "improper",
+            Self::Long => "long",
+            Self::Slow => "slow",
+            Self::Route => "route",
+            Self::Key => "key",
+            Self::NotNow => "not_now",
+            Self::Failed => "failed",
+            Self::Late => "late",
+        }
+    }
+
+    /// Its status.
+    pub fn status(self) -> StatusCode {
         match self {
             Self::Improper => StatusCode::BAD_REQUEST,
             Self::Long => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -1,6 +1,6 @@
 //! Requests whose answer is a stream of events.
 
-use super::attempt::{Place, Sent, Waited, place, send, wait};
+use super::attempt::{Failure, Place, Sent, Waited, place, send, wait};
 use super::event::{Event, Events};
 use super::forward::{Next, find};
 use super::head::{number, strip};
@@ -73,7 +73,7 @@
             None if !events.is_partial() => return Item::End,
             None => return Item::Broken(None),
             Some(Err(error)) => {
-                log::debug!(event = 1741; "stream broke off: {error}");
+                log::debug!(event = 1741; "stream of a backend server: {error}");
                 return Item::Broken(None);
             }
         }
@@ -155,9 +155,7 @@
         let status = answer.head.status;
         let mut source = Source::new(answer, place);
         if !status.is_success() {
-            source.place.note(Outcome::Failed);
-            log::info!(event = 1737, request = job.name(), server = source.place.id().as_str(),
-                status = status.as_u16(); "backend server failed");
+            source.place.fail(job, &Failure::Status(status.as_u16()));
             if !matches!(status.as_u16(), 408 | 421 | 429 | 503) {
                 failure = failed(source).await.or(failure);
             }
@@ -178,14 +176,8 @@
                 return Ok(First::Whole(whole(head, Bytes::new())));
             }
             Item::Broken(place) => {
-                if place.is_none() {
-                    app.state()
-                        .lost(Instant::now(), &job.fingerprint, source.place.id());
-                }
+                source.place.fail(job, &broken(&place));
                 next = place;
-                source.place.note(Outcome::Failed);
-                log::info!(event = 1740, request = job.name(), server = source.place.id().as_str(),
-                    waited_ms = source.place.age().as_millis() as u64; "no first event");
             }
         }
     }
@@ -214,6 +206,14 @@
     place.ok()
 }
 
+/// Why a stream goes on elsewhere: a place is there already when it was silent.
+fn broken(place: &Option<Place>) -> Failure {
+    match place {
+        Some(_) => Failure::Silent,
+        None => Failure::Broken,
+    }
+}
+
 /// The whole answer of a backend server that failed.
 async fn failed(source: Source) -> Option<Response<Body>> {
     let body = source.answer.body.collect().await.ok()?;
@@ -259,13 +259,7 @@
                 return;
             }
             Item::Broken(place) => {
-                if place.is_none() {
-                    app.state()
-                        .lost(Instant::now(), &job.fingerprint, source.place.id());
-                }
-                source.place.note(Outcome::Failed);
-                log::info!(event = 1741, request = job.name(), server = source.place.id().as_str(),
-                    last_event = job.last_event.unwrap_or(0); "stream broke off");
+                source.place.fail(&job, &broken(&place));
                 drop(source);
                 let again = tokio::select! {
                     again = resume(app, &mut job, place) => again,
@@ -324,6 +318,6 @@
         if answer.head.status.is_success() {
             return Some(Source::new(answer, place));
         }
-        place.note(Outcome::Failed);
+        place.fail(job, &Failure::Status(answer.head.status.as_u16()));
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod link;
 mod listen;
 mod membership;
+mod metrics;
 mod run;
 mod stop;
 mod upstream;
--- a/crates/edge/src/link/dial.rs
+++ b/crates/edge/src/link/dial.rs
@@ -30,8 +30,11 @@
 pub async fn dial(app: Arc<App>) {
     let mut dialed: Set<SocketAddrV4> = Set::default();
     loop {
-        let mut links = app.site.seeds.clone();
-        links.extend(app.state().members.all().map(|member| member.link));
+        let links: Vec<_> = {
+            let state = app.state();
+            let members = state.members.all().map(|member| member.link);
+            state.seeds.iter().copied().chain(members).collect()
+        };
         for link in links {
             if link != app.site.link && dialed.insert(link) {
                 tokio::spawn(keep(Arc::clone(&app), link));
@@ -49,7 +52,7 @@
         match tell(&app, peer).await {
             Ok(()) => log::info!(event = 1710, peer = name.as_str(); "link closed"),
             Err(error) => {
-                log::debug!(event = 1710, peer = name.as_str(); "link down: {error}")
+                log::debug!(event = 1715, peer = name.as_str(); "link down: {error}")
             }
         }
         if opened.elapsed() > LONGEST_PAUSE {
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -143,7 +143,7 @@
         match ciborium::from_reader(bytes.as_ref()) {
             Ok(frame) => Some(frame),
             Err(error) => {
-                log::warn!(event = 1712; "frame can't be decoded: {error}");
+                log::warn!(event = 1717; "frame can't be decoded: {error}");
                 None
             }
         }
--- a/crates/edge/src/link/listen.rs
+++ b/crates/edge/src/link/listen.rs
@@ -46,7 +46,7 @@
 
 async fn accept(app: Arc<App>, stream: TcpStream) {
     if let Err(error) = receive(app, stream).await {
-        log::debug!(event = 1711; "link ended: {error}");
+        log::debug!(event = 1716; "link ended: {error}");
     }
 }
 
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -62,14 +62,18 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     if let Err(error) = stream.set_nodelay(true) {
-        return log::debug!(event = 1708; "connection ended: {error}");
+        return log::debug!(event = 1714; "connection can't be set up: {error}");
     }
     let limits = app.state().routes.config().limits.clone();
     let service = service_fn(|request| {
         let answer = serve(Arc::clone(&app), request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
+    // A connection that is opened while the node leaves serves one request; ending it at once
+    // would lose that.
+    let leaving = stop.has_come(Phase::Leaving);
     let served = http1::Builder::new()
+        .keep_alive(!leaving)
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
@@ -77,7 +81,7 @@
     tokio::pin!(served);
     let ended = tokio::select! {
         ended = served.as_mut() => ended,
-        () = stop.wait(Phase::Leaving) => {
+        () = stop.wait(Phase::Leaving), if !leaving => {
             served.as_mut().graceful_shutdown();
             served.await
         }
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -1,6 +1,6 @@
 //! This node's row among the nodes.
 
-use crate::app::{App, Table};
+use crate::app::{App, Table, unreadable};
 use crate::backoff::Backoff;
 use platform::store::{Row, Write};
 use route::member::Member;
@@ -35,7 +35,7 @@
             link: stored.link,
         }),
         Err(error) => {
-            log::warn!(event = 1720, row = row.key.as_str(); "{error}");
+            unreadable(&row.key, &error);
             None
         }
     }
--- /dev/null
+++ b/crates/edge/src/metrics/metrics.rs
@@ -0,0 +1,123 @@
+//! Counters and latencies of a node.
+
+use super::{Call, Request, Send};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use std::fmt;
+
+/// Buckets of latencies: from 2 ms to 65 s, each twice the one before.
+const BUCKETS: (f64, f64, u16) = (0.002, 2.0, 16);
+
+/// Counters and latencies of a node.
+pub struct Metrics {
+    pub(super) registry: Registry,
+    /// Requests by kind and end.
+    pub requests: Family<Request, Counter>,
+    /// Sends to backend servers by service and end.
+    pub sends: Family<Send, Counter>,
+    /// Calls to the store by table and end.
+    pub calls: Family<Call, Counter>,
+    /// Time to the head of the answer, in seconds.
+    pub answers: Histogram,
+    /// Time that requests waited for a place on a backend server, in seconds.
+    pub waits: Histogram,
+    pub(super) revision: Gauge,
+    pub(super) members: Gauge,
+    pub(super) servers: Gauge,
+    pub(super) inside: Gauge,
+    pub(super) list_age_ms: Gauge,
+    pub(super) dropped_lines: Gauge,
+    pub(super) resident_bytes: Gauge,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Metrics")
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let histogram = || {
+            let (start, factor, length) = BUCKETS;
+            Histogram::new(exponential_buckets(start, factor, length))
+        };
+        let mut metrics = Self {
+            registry: Registry::with_prefix("sardinebank"),
+            requests: Family::default(),
+            sends: Family::default(),
+            calls: Family::default(),
+            answers: histogram(),
+            waits: histogram(),
+            revision: Gauge::default(),
+            members: Gauge::default(),
+            servers: Gauge::default(),
+            inside: Gauge::default(),
+            list_age_ms: Gauge::default(),
+            dropped_lines: Gauge::default(),
+            resident_bytes: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests by kind, status and refusal",
+            self.requests.clone(),
+        );
+        registry.register(
+            "sends",
+            "Sends to backend servers by end",
+            self.sends.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store by table and end",
+            self.calls.clone(),
+        );
+        let seconds = "Seconds to the head of an answer";
+        registry.register("answer_seconds", seconds, self.answers.clone());
+        let seconds = "Seconds that requests waited for a place";
+        registry.register("place_wait_seconds", seconds, self.waits.clone());
+        let gauges = [
+            ("config_revision", "Revision in force", &self.revision),
+            (
+                "members_alive",
+                "Other nodes heard of of late",
+                &self.members,
+            ),
+            (
+                "backend_servers",
+                "Backend servers that take work",
+                &self.servers,
+            ),
+            ("requests_inside", "Requests under way", &self.inside),
+            (
+                "list_age_ms",
+                "Age of the list of backend servers",
+                &self.list_age_ms,
+            ),
+            (
+                "log_lines_dropped",
+                "Log lines not written",
+                &self.dropped_lines,
+            ),
+            (
+                "resident_bytes",
+                "Memory of the process",
+                &self.resident_bytes,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+}
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -2,19 +2,28 @@
 
 use crate::app::{App, Table};
 use crate::stop::{self, Stop};
-use crate::{Error, directory, duty, follow, forward, link, listen, membership};
+use crate::{Error, directory, duty, follow, forward, link, listen, membership, metrics};
 use bpaf::{OptionParser, Parser, long};
-use settings::log::Format;
+use settings::log::{Format, Limits};
+use std::net::SocketAddrV4;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::sleep;
 
 /// What the command line of an entry node holds.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// Filter of the log.
     pub log: String,
+    /// Port of the metrics, at the VM's address.
+    pub metrics_port: u16,
 }
 
+/// Port of the metrics unless another is given: the usual one for node metrics.
+const METRICS_PORT: u16 = 9464;
+
 /// Flags of an entry node.
 pub fn options() -> OptionParser<Options> {
     let log = long("log")
@@ -22,24 +31,32 @@
         .help("Filter of the log: a level, or target=level, by commas")
         .argument::<String>("FILTER")
         .fallback("info".to_owned());
-    bpaf::construct!(Options { log })
+    let metrics_port = long("metrics-port")
+        .env("SARDINEBANK_METRICS_PORT")
+        .help("Port at which GET /metrics answers, at the address of the VM")
+        .argument::<u16>("PORT")
+        .fallback(METRICS_PORT)
+        .display_fallback();
+    bpaf::construct!(Options { log, metrics_port })
         .to_options()
         .descr("An entry node on the operators' platform; its site comes from the settings file")
 }
 
+/// Pause between two looks at the settings file.
+const SETTINGS_PAUSE: Duration = Duration::from_secs(2);
+
 /// Runs a node until it is told to stop.
 pub fn run(options: &Options) -> Result<(), Error> {
-    settings::log::init(&options.log, Format::Json)?;
+    let lines = settings::log::init_bounded(&options.log, Format::Json, Limits::default())?;
     let path = platform::site_path()?;
-    let text = std::fs::read_to_string(&path).map_err(platform::Error::File)?;
-    let site = platform::site(&text)?;
+    let site = platform::site(&read(&path)?)?;
     tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?
-        .block_on(serve(App::new(site)?))
+        .block_on(serve(App::new(site, lines)?, path, options.metrics_port))
 }
 
-async fn serve(app: App) -> Result<(), Error> {
+async fn serve(app: App, path: PathBuf, metrics_port: u16) -> Result<(), Error> {
     let app = Arc::new(app);
     log::info!(event = 1701, node = app.site.node.as_str(), zone = app.site.zone.as_str(); "node started");
     let mut terminate = signal(SignalKind::terminate())?;
@@ -51,20 +68,55 @@
     listen::listen(Arc::clone(&app), stop.clone(), site.ready, ready).await?;
     let resolve = |app: Arc<App>, request| async move { directory::resolve(&app, &request) };
     listen::listen(Arc::clone(&app), stop.clone(), site.directory, resolve).await?;
+    let scrape = |app: Arc<App>, request| async move { metrics::serve(&app, &request) };
+    let address = SocketAddrV4::new(site.ip, metrics_port);
+    let opened = listen::listen(Arc::clone(&app), stop.clone(), address, scrape).await;
+    if let Err(error) = opened {
+        log::warn!(event = 1727; "no metrics are served: {error}");
+    }
     listen::listen(Arc::clone(&app), stop, site.requests, forward::forward).await?;
     for table in Table::ALL {
         tokio::spawn(follow::follow(Arc::clone(&app), table));
     }
     tokio::spawn(follow::sweep(Arc::clone(&app)));
+    tokio::spawn(follow::count_lines(Arc::clone(&app)));
     tokio::spawn(membership::join(Arc::clone(&app)));
     tokio::spawn(link::dial(Arc::clone(&app)));
     tokio::spawn(duty::run(Arc::clone(&app)));
+    let mut known = read(&path)?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = reload.recv() => log::info!(event = 1713; "settings file has changed"),
+            _ = reload.recv() => (),
+            () = sleep(SETTINGS_PAUSE) => (),
         }
+        known = follow_settings(&app, &path, known);
     }
     stop::drain(app, switch).await;
     Ok(())
 }
+
+fn read(path: &Path) -> Result<String, platform::Error> {
+    std::fs::read_to_string(path).map_err(platform::Error::File)
+}
+
+/// Takes over a changed settings file; one that can't be used changes nothing. Gives its text.
+fn follow_settings(app: &App, path: &Path, known: String) -> String {
+    let text = match read(path) {
+        Ok(text) if text == known => return known,
+        Ok(text) => text,
+        Err(error) => {
+            log::warn!(event = 1718; "{error}");
+            return known;
+        }
+    };
+    match platform::site(&text) {
+        Ok(site) => {
+            let moved = site.requests != app.site.requests;
+            app.state().reload(Instant::now(), site);
+            log::info!(event = 1713, moved = moved; "settings file has changed");
+        }
+        Err(error) => log::warn!(event = 1726; "changed settings can't be used: {error}"),
+    }
+    text
+}
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -37,6 +37,11 @@
         (sender, Self(receiver))
     }
 
+    /// Whether a phase has come.
+    pub fn has_come(&self, phase: Phase) -> bool {
+        *self.0.borrow() >= phase
+    }
+
     /// Waits for a phase.
     pub async fn wait(&mut self, phase: Phase) {
         if self.0.wait_for(|present| *present >= phase).await.is_err() {
@@ -79,7 +84,7 @@
     app.news.notify_waiters();
     stop.send_replace(Phase::Leaving);
     log::info!(event = 1702, inside = app.inside.count(); "stopping");
-    let grace = app.site.bounds.grace.mul_f64(GRACE_PART);
+    let grace = app.state().bounds.grace.mul_f64(GRACE_PART);
     loop {
         sleep(LOOK).await;
         let past = begun.elapsed();
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -27,10 +27,7 @@
     }
     match start(*settings) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!(event = 1003; "node failed: {error}");
-            ExitCode::FAILURE
-        }
+        Err(error) => failed(&error),
     }
 }
 
@@ -55,9 +52,14 @@
     match edge::run(&options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log::error!(event = 1003; "node failed: {error}");
+            // The logger may be what failed.
             eprintln!("sardinebank: {error}");
-            ExitCode::FAILURE
+            failed(&error)
         }
     }
 }
+
+fn failed(error: &dyn std::error::Error) -> ExitCode {
+    log::error!(event = 1003; "node failed: {error}");
+    ExitCode::FAILURE
+}
--- a/crates/route/src/config/kind.rs
+++ b/crates/route/src/config/kind.rs
@@ -27,6 +27,19 @@
         matches!(self, Self::Idempotent | Self::Stream { resumable: true })
     }
 
+    /// Its name in logs and metrics.
+    ///
+    /// ```
+    /// assert_eq!(route::config::Kind::Idempotent.name(), "idempotent");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Idempotent => "idempotent",
+            Self::Unrepeatable => "unrepeatable",
+            Self::Stream { .. } => "stream",
+        }
+    }
+
     /// Whether the answer is a stream of events.
     ///
     /// ```
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -14,6 +14,9 @@
     /// A logger stands already.
     #[error("logger: {0}")]
     Logger(#[from] log::SetLoggerError),
+    /// The thread that writes log lines can't be started.
+    #[error("thread of the log: {0}")]
+    Thread(#[from] std::io::Error),
 }
 
 /// One wrong setting.
--- a/crates/settings/src/log.rs
+++ b/crates/settings/src/log/log.rs
@@ -1,5 +1,6 @@
 //! Logger with numbered events, as text or as JSON lines.
 
+use super::{Bounded, Counts, Limits, Queue};
 use crate::Error;
 use env_logger::fmt::Formatter;
 use log::Record;
@@ -25,6 +26,25 @@
 /// # Ok::<(), settings::Error>(())
 /// ```
 pub fn init(filter: &str, format: Format) -> Result<(), Error> {
+    builder(filter, format).try_init()?;
+    Ok(())
+}
+
+/// Starts the logger on standard output with a bounded number of lines, written apart from those
+/// who log. What it keeps waiting, it drops and counts.
+pub fn init_bounded(filter: &str, format: Format, limits: Limits) -> Result<Counts, Error> {
+    let queue = Queue::start(limits.waiting)?;
+    let counts = queue.counts();
+    let mut builder = builder(filter, format);
+    builder.target(env_logger::Target::Pipe(Box::new(queue)));
+    let logger = builder.build();
+    log::set_max_level(logger.filter());
+    let bounded = Bounded::new(logger, limits, counts.clone());
+    log::set_boxed_logger(Box::new(bounded))?;
+    Ok(counts)
+}
+
+fn builder(filter: &str, format: Format) -> env_logger::Builder {
     let mut builder = env_logger::Builder::new();
     // The HTTP library's own lines are no events of the catalogue.
     builder.filter_module("rocket", log::LevelFilter::Error);
@@ -33,8 +53,7 @@
         Format::Json => builder.format(write_json),
         Format::Text => builder.format(write_text),
     };
-    builder.try_init()?;
-    Ok(())
+    builder
 }
 
 /// Collects the key-value pairs of a record.
--- a/crates/standin/src/site/node.rs
+++ b/crates/standin/src/site/node.rs
@@ -1,17 +1,21 @@
 //! An entry node as a process.
 
+use super::Settings;
 use crate::Error;
 use crate::fleet::node_binary;
 use serde_json::{Value, json};
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::process::Stdio;
 use std::time::{Duration, Instant};
 use tokio::process::{Child, Command};
 use tokio::time::sleep;
 
 /// Time for a node to do what is waited for.
 const TIME: Duration = Duration::from_secs(20);
+/// Port of the metrics among those of a node.
+const METRICS: u16 = 9;
 /// Pause between two looks.
 const LOOK: Duration = Duration::from_millis(30);
 
@@ -34,31 +38,35 @@
         index: u8,
         ports: u16,
         store: SocketAddr,
-        bounds: &Value,
+        settings: &Settings,
     ) -> Result<Self, Error> {
         let ip = Ipv4Addr::new(127, 0, 1, index + 1);
         let name = format!("edge-{index}");
         let at = |port: u16| format!("{ip}:{}", ports + port);
-        let settings = json!({
+        let file = json!({
             "nodeName": name, "ip": ip, "zone": format!("z-{}", index % 2), "region": "r",
             "bind": {"frontend": at(0), "ready": at(1), "directory": at(2), "controlPlane": at(3)},
-            "internalPorts": [ports + 4, ports + 9],
+            "internalPorts": [ports + 4, ports + 8],
             "seedNodes": [format!("127.0.1.1:{}", ports + 3), format!("127.0.1.9:{}", ports + 3)],
             "limits": {"cpuShare": 1.0, "memoryMb": 256},
-            "heartbeatMs": 500, "bounds": bounds, "platform": {"address": store},
+            "heartbeatMs": 500, "bounds": settings.bounds(), "platform": {"address": store},
             "fields that came later": true,
         });
         let path = folder.join(format!("{name}.json"));
-        fs::write(&path, settings.to_string())?;
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(folder.join(format!("{name}.log")))?;
+        fs::write(&path, file.to_string())?;
+        let output = match settings.unread_logs {
+            true => Stdio::piped(),
+            false => {
+                let log = folder.join(format!("{name}.log"));
+                Stdio::from(File::options().create(true).append(true).open(log)?)
+            }
+        };
         let child = Command::new(node_binary()?)
             .arg("edge")
             .env("SARDINEBANK_SETTINGS", path)
-            .stdout(log.try_clone()?)
-            .stderr(log)
+            .env("SARDINEBANK_METRICS_PORT", (ports + METRICS).to_string())
+            .stdout(output)
+            .stderr(Stdio::null())
             .kill_on_drop(true)
             .spawn()?;
         Ok(Self {
@@ -105,6 +113,12 @@
         Ok(texts.map(str::to_owned).collect())
     }
 
+    /// Its metrics as text.
+    pub async fn metrics(&self) -> Result<String, Error> {
+        let url = format!("http://{}:{}/metrics", self.ip, self.ports + METRICS);
+        Ok(reqwest::get(url).await?.text().await?)
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) -> Result<(), Error> {
         let id = self.child.id().ok_or(Error::Timeout("id of a node"))?;
@@ -123,10 +137,21 @@
         Ok(self.child.wait().await?.success())
     }
 
+    /// Rewrites its settings file with another bound, as the platform does while it runs.
+    pub fn set_bound(&self, name: &str, value: &Value) -> Result<(), Error> {
+        let path = self.folder.join(format!("{}.json", self.name));
+        let mut settings: Value = serde_json::from_str(&fs::read_to_string(&path)?)?;
+        settings["bounds"][name] = value.clone();
+        Ok(fs::write(path, settings.to_string())?)
+    }
+
+    /// Where it logs to.
+    pub fn log_path(&self) -> PathBuf {
+        self.folder.join(format!("{}.log", self.name))
+    }
+
     /// What it has logged.
     pub fn log(&self) -> Result<String, Error> {
-        Ok(fs::read_to_string(
-            self.folder.join(format!("{}.log", self.name)),
-        )?)
+        Ok(fs::read_to_string(self.log_path())?)
     }
 }
--- a/crates/standin/src/site/site.rs
+++ b/crates/standin/src/site/site.rs
@@ -21,6 +21,8 @@
     pub models: usize,
     /// Bounds of the settings file that differ from the usual ones.
     pub bounds: Value,
+    /// Whether nobody reads what the nodes log.
+    pub unread_logs: bool,
 }
 
 impl Default for Settings {
@@ -30,10 +32,26 @@
             desks: 2,
             models: 0,
             bounds: json!({}),
+            unread_logs: false,
         }
     }
 }
 
+impl Settings {
+    /// The bounds of the settings file.
+    pub(super) fn bounds(&self) -> Value {
+        let mut bounds = json!({
+            "drainMs": 2000, "graceS": 8, "configApplyMs": 2000, "retryBudgetRatio": 0.9,
+            "retryWindowS": 10, "retryBudgetExtra": 60, "exposeShare": 0.15, "exposeSlack": 30,
+            "coldOver": 1.5, "coldSlack": 5, "sessionS": 5, "ttl_max_s": 5,
+        });
+        if let (Some(all), Some(own)) = (bounds.as_object_mut(), self.bounds.as_object()) {
+            all.extend(own.clone());
+        }
+        bounds
+    }
+}
+
 /// A whole site; it ends when dropped.
 #[derive(Debug)]
 pub struct Site {
@@ -109,8 +127,8 @@
 
     /// Starts one more node with its address of the store.
     pub fn start_node_at(&mut self, index: u8, door: SocketAddr) -> Result<(), Error> {
-        let bounds = self.bounds();
-        let node = Node::start(self.folder.clone(), index, self.ports, door, &bounds)?;
+        let folder = self.folder.clone();
+        let node = Node::start(folder, index, self.ports, door, &self.settings)?;
         self.doors.push(door);
         self.nodes.push(node);
         Ok(())
@@ -130,18 +148,6 @@
     pub fn configure(&self, version: u64) {
         self.store.put("op", "config", Some(&config(version)));
     }
-
-    fn bounds(&self) -> Value {
-        let mut bounds = json!({
-            "drainMs": 2000, "graceS": 8, "configApplyMs": 2000, "retryBudgetRatio": 0.9,
-            "retryWindowS": 10, "retryBudgetExtra": 60, "exposeShare": 0.15, "exposeSlack": 30,
-            "coldOver": 1.5, "coldSlack": 5, "sessionS": 5, "ttl_max_s": 5,
-        });
-        if let (Some(all), Some(own)) = (bounds.as_object_mut(), self.settings.bounds.as_object()) {
-            all.extend(own.clone());
-        }
-        bounds
-    }
 }
 
 /// The usual configuration: plain routes that may and may not be repeated, and a stream.
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -49,6 +49,9 @@
     a_bad_version_is_rolled_back(models())
     a_good_version_is_completed(models())
     a_lost_answer_of_the_store_is_settled(models())
+    changed_settings_are_followed(models())
+    metrics_count_what_happens(plain())
+    a_node_whose_log_nobody_reads_serves_on(Settings { unread_logs: true, ..plain() })
 }
 
 fn plain() -> Settings {
@@ -558,6 +561,8 @@
             let faulty = |worker: &standin::site::Worker| worker.set_fault(WorkerFault::Fail(500));
             site.models[1..].iter().for_each(faulty);
         }
+        // The node is to know of the new version before the sessions begin.
+        sleep(Duration::from_millis(300)).await;
         let order = json!({"service": "models", "to": "v2", "rolloutS": seconds});
         site.store.put("op", "rollout/models", Some(&order));
         let client = Client::new();
@@ -623,6 +628,56 @@
         Ok(())
     }
 
+    pub async fn metrics_count_what_happens(site: &mut Site) -> Result<(), Error> {
+        send(site, "/again/a").await?;
+        site.desks
+            .iter()
+            .for_each(|worker| worker.set_fault(WorkerFault::Reset));
+        send(site, "/once/a").await?;
+        let text = site.nodes[0].metrics().await?;
+        for line in [
+            "sardinebank_requests_total{kind=\"idempotent\",status=\"200\",refusal=\"\"} 1",
+            "sardinebank_requests_total{kind=\"unrepeatable\",status=\"502\",refusal=\"failed\"} 1",
+            "sardinebank_sends_total{service=\"desk\",outcome=\"failed\"} 1",
+            "sardinebank_config_revision 1",
+            "sardinebank_backend_servers 2",
+            "sardinebank_log_lines_dropped 0",
+        ] {
+            assert!(text.contains(line), "{line} is missing in\n{text}");
+        }
+        Ok(())
+    }
+
+    pub async fn changed_settings_are_followed(site: &mut Site) -> Result<(), Error> {
+        site.nodes[0].set_bound("graceS", &json!(2))?;
+        let seen = async || {
+            site.nodes[0]
+                .log()
+                .is_ok_and(|log| log.contains("\"event\":1713"))
+        };
+        assert!(within(Duration::from_secs(5), seen).await);
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_events(100, Duration::from_millis(100)));
+        let _answer = stream(&Client::new(), site, "s").send().await?;
+        let begun = Instant::now();
+        site.nodes[0].terminate()?;
+        site.nodes[0].ended().await?;
+        assert!(
+            begun.elapsed() < Duration::from_secs(3),
+            "the new grace holds"
+        );
+        Ok(())
+    }
+
+    pub async fn a_node_whose_log_nobody_reads_serves_on(site: &mut Site) -> Result<(), Error> {
+        // Some hundred requests fill the pipe that holds what isn't read.
+        for _ in 0..1200 {
+            assert_eq!(send(site, "/again/a").await?.status(), 200);
+        }
+        Ok(())
+    }
+
     pub async fn a_lost_answer_of_the_store_is_settled(site: &mut Site) -> Result<(), Error> {
         site.store.set_fault(StoreFault::LoseAnswers, &[]);
         let outcome = roll_out(site, 20.0, true).await?;
