Let a few nodes follow the store for a large fleet; compact beats; a retry budget that runs ahead

Ruled out: room on the backend servers: answers came in time, from the small model. Change: eight nodes follow the store and the others take changes from them, the whole table where history is missing; beats name backend servers by tag and the sender once a link; the budget's burst grows with the requests of its window, within the ratio. Work of silent nodes is forgotten.

--- a/crates/edge/src/app/mirror.rs
+++ b/crates/edge/src/app/mirror.rs
@@ -14,6 +14,17 @@
     position: Option<Position>,
     /// Position of the newest change.
     newest: Position,
+    /// Removals since here are known.
+    whole_from: Position,
+}
+
+/// What a node tells another one of a table.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    /// Whether it is the whole table: rows that aren't there were removed.
+    pub whole: bool,
+    /// The rows, and the position up to which they are complete.
+    pub page: Page,
 }
 
 impl Mirror {
@@ -27,16 +38,11 @@
         self.newest
     }
 
-    /// Takes in changes that follow what is known; gives those that are news.
+    /// Takes in the changes that follow what is known; gives those that are news.
     pub fn update(&mut self, page: Page) -> Vec<Row> {
         self.position = self.position.max(Some(page.position));
-        self.learn(page.rows)
-    }
-
-    /// Takes in some changes; gives those that are news.
-    pub fn learn(&mut self, rows: Vec<Row>) -> Vec<Row> {
         let mut news = Vec::new();
-        for row in rows {
+        for row in page.rows {
             self.newest = self.newest.max(row.position);
             let known = self.rows.get(&row.key).map_or(0, |known| known.position);
             if row.position > known {
@@ -63,17 +69,27 @@
             })
             .collect();
         page.rows.extend(gone);
+        if self.position.is_none() {
+            self.whole_from = page.position;
+        }
         self.update(page)
     }
 
-    /// Changes after a position.
-    pub fn since(&self, position: Position) -> Page {
-        let rows = self.rows.values().filter(|row| row.position > position);
-        Page {
+    /// What another node lacks that is complete up to a position; none while this copy itself isn't
+    /// complete.
+    pub fn since(&self, after: Position) -> Option<Copy> {
+        let position = self.position?;
+        let whole = after < self.whole_from;
+        let rows = self.rows.values().filter(|row| match whole {
+            true => !row.removed,
+            false => row.position > after,
+        });
+        let page = Page {
             rows: rows.cloned().collect(),
-            position: self.position.unwrap_or(0),
+            position,
             ..Page::default()
-        }
+        };
+        Some(Copy { whole, page })
     }
 
     /// A row that is there.
--- a/crates/edge/src/app/mod.rs
+++ b/crates/edge/src/app/mod.rs
@@ -2,8 +2,10 @@
 
 mod app;
 mod mirror;
+mod retries;
 mod state;
 
 pub use app::{App, Crash, Stay, Told};
-pub use mirror::Mirror;
+pub use mirror::{Copy, Mirror};
+pub use retries::Retries;
 pub use state::{State, Table, unreadable};
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -1,20 +1,20 @@
 //! What a node believes.
 
-use super::{Crash, Mirror};
+use super::{Copy, Crash, Mirror, Retries};
 use crate::membership;
 use contract::{Map, Set, stable_hash};
-use limits::retry::{self, Budget};
+use limits::retry;
 use limits::suspect::{self, Fingerprint, Suspects};
 use platform::Intent;
 use platform::store::{Page, Row};
 use route::config::Config;
 use route::member::Members;
-use route::pool::{self, Bearing, Pool, Query, Refusal, Stage};
+use route::pool::{self, Bearing, Pool, Query, Refusal, Stage, rank};
 use route::rollout::{self, Order, Outcome, Side, Trial};
 use route::server::Listing;
 use route::session::Sessions;
 use route::site::{Bounds, Site};
-use route::{NodeName, ServerId, ServiceName, table};
+use route::{NodeName, Position, ServerId, ServiceName, table};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -24,7 +24,10 @@
 /// Time after an outage of the store in which entries that lapsed meanwhile come back.
 const LAPSE_TIME: Duration = Duration::from_millis(2000);
 /// Part of the retry ratio that nodes spend: windows of nodes and of the site don't coincide.
-const RETRY_PART: f64 = 0.8;
+const RETRY_PART: f64 = 0.75;
+/// Part of the retry ratio by which a node may run ahead, in requests of the window: what it didn't
+/// spend in one part of a window, it may spend in another.
+const RETRY_SLACK: f64 = 0.2;
 
 /// Multiple of the usual time above which an answer counts as bad in a roll-out.
 const SLOW: f64 = 3.0;
@@ -36,6 +39,14 @@
 /// alike, so that two aren't enough.
 const SUSPECT_CRASHES: usize = 3;
 
+/// Time after which another node is asked in place of one that doesn't answer.
+const FETCH_TIME: Duration = Duration::from_millis(400);
+/// Nodes that follow the store; the others learn from them. A fleet of no more follows as a whole.
+/// A third of the nodes may lose the store at once, and then some of these still have it.
+const FOLLOWERS: usize = 8;
+/// Key by which nodes are ranked as followers.
+const FOLLOWERS_KEY: &str = "followers";
+
 /// A table of the store that nodes copy.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Table {
@@ -110,9 +121,11 @@
     heard: [Option<Instant>; 4],
     /// Whether the list of backend servers was read.
     listed: bool,
+    /// When another node was asked for changes of each table.
+    fetching: [Option<Instant>; 4],
     store_lost: Option<Instant>,
     lapsed: Vec<(ServerId, Instant)>,
-    budgets: Map<ServiceName, Budget>,
+    budgets: Map<ServiceName, Retries>,
     /// Bounds of the site.
     pub bounds: Bounds,
     /// Links of a few nodes to begin with.
@@ -142,6 +155,7 @@
             mirrors: Default::default(),
             heard: Default::default(),
             listed: false,
+            fetching: Default::default(),
             store_lost: None,
             lapsed: Vec::new(),
             budgets: Map::default(),
@@ -180,12 +194,45 @@
         self.apply(now, table, news);
     }
 
-    /// Takes in changes that another node knows of. The own position stays, so that the store is
-    /// still asked for all that came since.
-    pub fn learn(&mut self, now: Instant, table: Table, rows: Vec<Row>) {
-        let news = self.mirrors[table as usize].learn(rows);
-        self.listed |= table == Table::Servers;
-        self.apply(now, table, news);
+    /// Takes in what another node tells of a table.
+    pub fn learn(&mut self, now: Instant, table: Table, copy: Copy) {
+        self.fetching[table as usize] = None;
+        match copy.whole {
+            true => self.replace(now, table, copy.page),
+            false => self.update(now, table, copy.page),
+        }
+    }
+
+    /// Whether another node that knows of this change is to be asked for it; the position up to
+    /// which this one is complete. Only one node is asked at a time.
+    pub fn lacks(&mut self, now: Instant, table: Table, newest: Position) -> Option<Position> {
+        let position = self.mirror(table).position().unwrap_or(0);
+        let asked = self.fetching[table as usize];
+        let waiting = asked.is_some_and(|at| now.saturating_duration_since(at) < FETCH_TIME);
+        if newest <= position || waiting {
+            return None;
+        }
+        self.fetching[table as usize] = Some(now);
+        Some(position)
+    }
+
+    /// Whether this node asks the store for changes of a table, and not other nodes: it hasn't read
+    /// the table, is one of the few that follow, or hears of none that does.
+    pub fn follows(&self, now: Instant, table: Table) -> bool {
+        if self.mirror(table).position().is_none() || !self.members.hears_follower(now) {
+            return true;
+        }
+        let own = rank(FOLLOWERS_KEY, &self.node);
+        let nodes = self.members.alive(now).map(|member| member.node.as_str());
+        nodes.filter(|node| rank(FOLLOWERS_KEY, node) > own).count() < FOLLOWERS
+    }
+
+    /// Whether the store has answered this node of late.
+    pub fn hears_store(&self, now: Instant) -> bool {
+        let lost = self
+            .store_lost
+            .is_some_and(|lost| now.saturating_duration_since(lost) < LAPSE_TIME);
+        !lost && self.mirror(Table::Intents).position().is_some()
     }
 
     /// Takes in a whole table.
@@ -339,8 +386,12 @@
         }
     }
 
-    /// Forgets backend servers whose entries lapsed and didn't come back.
+    /// Forgets backend servers whose entries lapsed and didn't come back, and the work of nodes that
+    /// are gone.
     pub fn sweep(&mut self, now: Instant) {
+        for node in self.members.take_silent(now) {
+            self.pool.set_others(&node, Map::default());
+        }
         let over: Vec<_> = self
             .lapsed
             .extract_if(.., |(_, until)| now >= *until)
@@ -373,12 +424,12 @@
             bearings.insert(name.clone(), bearing);
             let settings = retry::Settings {
                 ratio: self.bounds.retry_ratio * RETRY_PART,
-                burst: (self.bounds.retry_extra / nodes).max(1.0),
+                burst: self.bounds.retry_extra / nodes,
                 floor: 0.0,
             };
             self.budgets
                 .entry(name.clone())
-                .or_insert_with(|| Budget::new(settings, now));
+                .or_insert_with(|| Retries::new(settings, now));
         }
         self.pool.set_bearings(bearings);
     }
@@ -473,15 +524,19 @@
     }
 
     /// Counts the first send of a request.
-    pub fn count_request(&mut self, service: &str) {
-        if let Some(budget) = self.budgets.get_mut(service) {
-            budget.fill();
+    pub fn count_request(&mut self, now: Instant, service: &str) {
+        let nodes = (1 + self.members.all().count()) as f64 * FLEET_MARGIN;
+        let burst = self.bounds.retry_extra / nodes;
+        let window = self.bounds.retry_window;
+        let slack = self.bounds.retry_ratio * RETRY_SLACK;
+        if let Some(retries) = self.budgets.get_mut(service) {
+            retries.count(now, window, burst, slack);
         }
     }
 
     /// Takes a further send of a request out of the budget.
     pub fn take_retry(&mut self, now: Instant, service: &str) -> bool {
-        let budget = self.budgets.get_mut(service);
-        budget.is_some_and(|budget| budget.take(now))
+        let retries = self.budgets.get_mut(service);
+        retries.is_some_and(|retries| retries.take(now))
     }
 }
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -16,6 +16,11 @@
 const PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause: a store that is back is found within it, well inside the time for a change.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Pause between two looks whether this node is to follow: a part of the time for a change.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after a change in which further ones gather, so that one call brings them: backend servers
+/// come and go in groups.
+const GATHER: Duration = Duration::from_millis(100);
 /// Pause between two looks at entries that lapsed.
 const SWEEP_PAUSE: Duration = Duration::from_millis(100);
 
@@ -27,7 +32,15 @@
     let mut backoff = Backoff::new(PAUSE, LONGEST_PAUSE);
     let mut answering = true;
     loop {
-        let position = app.state().mirror(table).position();
+        let (position, follows) = {
+            let state = app.state();
+            let follows = state.follows(Instant::now(), table);
+            (state.mirror(table).position(), follows)
+        };
+        if !follows {
+            sleep(FOLLOW_PAUSE).await;
+            continue;
+        }
         let whole = position.is_none();
         let answer = match position {
             None => app.store.rows(table.name()).await,
@@ -52,7 +65,11 @@
                     log::info!(event = 1705, table = table.name(); "the store answers again");
                 }
                 backoff.reset();
+                let changes = !page.rows.is_empty();
                 take(&app, table, whole, page);
+                if changes && table != Table::Intents {
+                    sleep(GATHER).await;
+                }
             }
             Err(error) => {
                 app.state().store_answers(Instant::now(), false);
--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -121,7 +121,7 @@
     let draw = rand::rng().random();
     let service = job.route.service(draw).ok_or(Refusal::NotNow)?;
     job.service = service.to_owned();
-    app.state().count_request(&job.service);
+    app.state().count_request(received, &job.service);
     if job.any_model() {
         job.model = choose_model(&job.route);
     }
--- a/crates/edge/src/link/dial.rs
+++ b/crates/edge/src/link/dial.rs
@@ -72,6 +72,9 @@
     };
     let opened = timeout(OPEN_TIME, open).await;
     let (mut link, _) = opened.map_err(std::io::Error::from)??;
+    if let Some(hello) = Frame::Hello(app.member().into()).encode() {
+        link.send(hello).await?;
+    }
     let mut told = app.told.subscribe();
     let mut words = Words::all(app);
     loop {
@@ -89,7 +92,7 @@
                 let Some(frame) = Frame::decode(&message) else {
                     continue;
                 };
-                for answer in serve(app, frame).iter().filter_map(Frame::encode) {
+                for answer in serve(app, &mut None, frame).iter().filter_map(Frame::encode) {
                     link.send(answer).await?;
                 }
             }
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -1,10 +1,11 @@
 //! What nodes tell each other.
 
-use crate::app::{Crash, Stay};
+use crate::app::{Copy, Crash, Stay};
 use bytes::Bytes;
-use platform::store::{Page, Row};
+use platform::store::Row;
 use route::member::Member;
-use route::{NodeName, Position, ServerId, ServiceName, Version, Zone};
+use route::pool::Tag;
+use route::{NodeName, Position, ServiceName, Version, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -13,6 +14,8 @@
 /// What nodes tell each other.
 #[derive(Debug, Deserialize, Serialize)]
 pub enum Frame {
+    /// Who opens a link.
+    Hello(Hello),
     /// The sender lives.
     Beat(Beat),
     /// Asks for the changes of a table after a position.
@@ -26,15 +29,19 @@
     Rows {
         /// Index of the table.
         table: u8,
+        /// Whether it is the whole table.
+        whole: bool,
+        /// Position up to which they are complete.
+        position: Position,
         /// The changes.
         rows: Vec<Change>,
     },
 }
 
-/// The state of a node.
+/// A node.
 #[derive(Debug, Deserialize, Serialize)]
-pub struct Beat {
-    /// The sender.
+pub struct Hello {
+    /// Its name.
     pub node: NodeName,
     /// Its availability zone.
     pub zone: Zone,
@@ -42,28 +49,54 @@
     pub requests: SocketAddrV4,
     /// Where it takes links.
     pub link: SocketAddrV4,
+}
+
+/// The state of a node. Names are short on the wire: each node sends some beats a second to each
+/// other one.
+#[derive(Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Beat {
     /// Whether it takes requests.
+    #[serde(rename = "r")]
     pub ready: bool,
+    /// Whether it follows the store, and the store answers it.
+    #[serde(rename = "f")]
+    pub follows: bool,
     /// Newest change that it knows of each table.
+    #[serde(rename = "n")]
     pub newest: [Position; 4],
-    /// Requests that it has on backend servers, with their tokens.
-    pub loads: BTreeMap<ServerId, (u32, u64)>,
+    /// Requests that it has on backend servers, with thousands of their tokens.
+    #[serde(rename = "l", skip_serializing_if = "BTreeMap::is_empty")]
+    pub loads: BTreeMap<Tag, (u32, u32)>,
     /// Roll-outs under way as it sees them.
+    #[serde(rename = "t", skip_serializing_if = "Vec::is_empty")]
     pub trials: Vec<Trial>,
     /// Sessions with the versions that they are on, as far as the receiver hasn't been told.
+    #[serde(rename = "s", skip_serializing_if = "Vec::is_empty")]
     pub stays: Vec<Stay>,
     /// Requests and backend servers that ended under them, likewise.
+    #[serde(rename = "c", skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<Crash>,
 }
 
-impl Beat {
-    /// The sender as a member.
-    pub fn member(&self) -> Member {
-        Member {
-            node: self.node.clone(),
-            zone: self.zone.clone(),
-            requests: self.requests,
-            link: self.link,
+impl From<Member> for Hello {
+    fn from(member: Member) -> Self {
+        Self {
+            node: member.node,
+            zone: member.zone,
+            requests: member.requests,
+            link: member.link,
+        }
+    }
+}
+
+impl From<Hello> for Member {
+    fn from(hello: Hello) -> Self {
+        Self {
+            node: hello.node,
+            zone: hello.zone,
+            requests: hello.requests,
+            link: hello.link,
         }
     }
 }
@@ -115,11 +148,13 @@
 }
 
 impl Frame {
-    /// The changes of a page.
-    pub fn rows(table: u8, page: Page) -> Self {
+    /// What is told of a table.
+    pub fn rows(table: u8, copy: Copy) -> Self {
         Self::Rows {
             table,
-            rows: page.rows.into_iter().map(Change::from).collect(),
+            whole: copy.whole,
+            position: copy.page.position,
+            rows: copy.page.rows.into_iter().map(Change::from).collect(),
         }
     }
 
--- a/crates/edge/src/link/listen.rs
+++ b/crates/edge/src/link/listen.rs
@@ -54,11 +54,15 @@
     watch(&stream)?;
     stream.set_nodelay(true)?;
     let mut link = accept_async_with_config(stream, Some(config())).await?;
+    let mut peer = None;
     while let Ok(Some(message)) = timeout(SILENCE, link.next()).await {
         let Some(frame) = Frame::decode(&message?) else {
             continue;
         };
-        for answer in serve(&app, frame).iter().filter_map(Frame::encode) {
+        for answer in serve(&app, &mut peer, frame)
+            .iter()
+            .filter_map(Frame::encode)
+        {
             link.send(answer).await?;
         }
     }
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -1,28 +1,52 @@
 //! What a node does with a frame.
 
 use super::frame::{self, Beat, Frame};
-use crate::app::{App, Crash, State, Stay, Table, Told};
-use platform::store::Row;
-use route::pool::Load;
+use crate::app::{App, Copy, Crash, State, Stay, Table, Told};
+use platform::store::{Page, Row};
+use route::NodeName;
+use route::member::Member;
+use route::pool::{Load, Tag};
 use route::rollout::{Count, Tally, Trial};
-use route::{NodeName, ServerId};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 use tokio::sync::broadcast::Receiver;
 use tokio::sync::broadcast::error::TryRecvError;
 
-/// Takes in a frame; gives the answers to it.
-pub fn serve(app: &App, frame: Frame) -> Vec<Frame> {
+/// Takes in a frame of a node, whose name its first frame tells; gives the answers to it.
+pub fn serve(app: &App, peer: &mut Option<NodeName>, frame: Frame) -> Vec<Frame> {
     match frame {
-        Frame::Beat(beat) => hear(app, beat),
-        Frame::Fetch { table, after } => match table_of(table) {
-            Some(known) => vec![Frame::rows(table, app.state().mirror(known).since(after))],
+        Frame::Hello(hello) => {
+            let member = Member::from(hello);
+            *peer = Some(member.node.clone());
+            if app.state().members.add(member) {
+                app.news.notify_waiters();
+            }
+            Vec::new()
+        }
+        Frame::Beat(beat) => match peer {
+            Some(node) => hear(app, node, beat),
             None => Vec::new(),
         },
-        Frame::Rows { table, rows } => {
+        Frame::Fetch { table, after } => {
+            let copy = table_of(table).and_then(|known| app.state().mirror(known).since(after));
+            copy.map(|copy| Frame::rows(table, copy))
+                .into_iter()
+                .collect()
+        }
+        Frame::Rows {
+            table,
+            whole,
+            position,
+            rows,
+        } => {
             if let Some(table) = table_of(table) {
-                let rows = rows.into_iter().map(Row::from).collect();
-                app.state().learn(Instant::now(), table, rows);
+                let page = Page {
+                    rows: rows.into_iter().map(Row::from).collect(),
+                    position,
+                    ..Page::default()
+                };
+                app.state()
+                    .learn(Instant::now(), table, Copy { whole, page });
                 app.room.notify_waiters();
             }
             Vec::new()
@@ -35,19 +59,17 @@
 }
 
 /// Takes in a beat; asks for what the sender knows and this node doesn't.
-fn hear(app: &App, beat: Beat) -> Vec<Frame> {
+fn hear(app: &App, node: &NodeName, beat: Beat) -> Vec<Frame> {
     let now = Instant::now();
     let mut state = app.state();
-    let known = state.members.add(beat.member());
-    state.members.hear(now, &beat.node, beat.ready);
-    let loads = beat.loads.into_iter().map(|(id, (requests, tokens))| {
-        let tokens = tokens as f64;
-        (id, Load { requests, tokens })
+    state.members.hear(now, node, beat.ready, beat.follows);
+    let loads = beat.loads.into_iter().map(|(tag, (requests, thousands))| {
+        let tokens = f64::from(thousands) * 1e3;
+        (tag, Load { requests, tokens })
     });
-    let loads = loads.collect();
-    state.pool.set_others(&beat.node, &loads);
+    state.pool.set_others(node, loads.collect());
     for trial in &beat.trials {
-        hear_trial(&mut state, now, &beat.node, trial);
+        hear_trial(&mut state, now, node, trial);
     }
     for (session, version) in &beat.stays {
         state.sessions.note(now, session, version);
@@ -57,19 +79,14 @@
             .suspects
             .crash(now, fingerprint, server, Duration::ZERO);
     }
-    if known {
-        app.news.notify_waiters();
+    let mut fetches = Vec::new();
+    for table in Table::ALL {
+        if let Some(after) = state.lacks(now, table, beat.newest[table as usize]) {
+            let table = table as u8;
+            fetches.push(Frame::Fetch { table, after });
+        }
     }
-    let behind = Table::ALL.into_iter().filter(|&table| {
-        let mirror = state.mirror(table);
-        beat.newest[table as usize] > mirror.newest().max(mirror.position().unwrap_or(0))
-    });
-    behind
-        .map(|table| Frame::Fetch {
-            table: table as u8,
-            after: state.mirror(table).position().unwrap_or(0),
-        })
-        .collect()
+    fetches
 }
 
 fn hear_trial(state: &mut State, now: Instant, node: &NodeName, told: &frame::Trial) {
@@ -88,10 +105,10 @@
     trial.known_for(now, Duration::from_millis(told.age_ms));
 }
 
-fn tell_loads(state: &State) -> BTreeMap<ServerId, (u32, u64)> {
+fn tell_loads(state: &State) -> BTreeMap<Tag, (u32, u32)> {
     let loads = state.pool.loads();
     loads
-        .map(|(id, load)| (id.clone(), (load.requests, load.tokens as u64)))
+        .map(|(tag, load)| (tag, (load.requests, (load.tokens / 1e3).round() as u32)))
         .collect()
 }
 
@@ -145,14 +162,10 @@
 /// What this node tells of itself.
 pub fn beat(app: &App, words: Words) -> Frame {
     let state = app.state();
-    let member = app.member();
     let now = Instant::now();
     Frame::Beat(Beat {
-        node: member.node,
-        zone: member.zone,
-        requests: member.requests,
-        link: member.link,
         ready: state.ready(),
+        follows: state.hears_store(now) && state.follows(now, Table::Servers),
         newest: Table::ALL.map(|table| state.mirror(table).newest()),
         loads: tell_loads(&state),
         trials: state
--- a/crates/limits/src/retry/budget.rs
+++ b/crates/limits/src/retry/budget.rs
@@ -30,6 +30,20 @@
         }
     }
 
+    /// Sets the most tokens that the budget holds.
+    ///
+    /// ```
+    /// # use limits::retry::{Budget, Settings};
+    /// let now = std::time::Instant::now();
+    /// let mut budget = Budget::new(Settings::default(), now);
+    /// budget.set_burst(0.0);
+    /// assert!(!budget.take(now));
+    /// ```
+    pub fn set_burst(&mut self, burst: f64) {
+        self.settings.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
     /// Counts a first request.
     ///
     /// ```
--- a/crates/route/src/member/members.rs
+++ b/crates/route/src/member/members.rs
@@ -26,6 +26,10 @@
     member: Member,
     heard: Option<Instant>,
     ready: bool,
+    /// Whether it follows the store and the store answers it.
+    follows: bool,
+    /// Whether its silence has been told.
+    silent: bool,
 }
 
 /// The other nodes of the fleet.
@@ -57,6 +61,8 @@
                     member: member.clone(),
                     heard: None,
                     ready: false,
+                    follows: false,
+                    silent: true,
                 };
                 self.entries.insert(member.node, entry);
                 true
@@ -65,13 +71,35 @@
     }
 
     /// Takes in a word from a member.
-    pub fn hear(&mut self, now: Instant, node: &str, ready: bool) {
+    pub fn hear(&mut self, now: Instant, node: &str, ready: bool, follows: bool) {
         if let Some(entry) = self.entries.get_mut(node) {
             entry.heard = Some(now);
             entry.ready = ready;
+            entry.follows = follows;
+            entry.silent = false;
         }
     }
 
+    /// Whether a member was heard of of late that follows the store.
+    pub fn hears_follower(&self, now: Instant) -> bool {
+        let silence = self.settings.silence;
+        let mut entries = self.entries.values();
+        entries.any(|entry| entry.follows && entry.lives(now, silence))
+    }
+
+    /// Members that fell silent since the last call.
+    pub fn take_silent(&mut self, now: Instant) -> Vec<NodeName> {
+        let silence = self.settings.silence;
+        let entries = self.entries.values_mut();
+        entries
+            .filter(|entry| !entry.silent && !entry.lives(now, silence))
+            .map(|entry| {
+                entry.silent = true;
+                entry.member.node.clone()
+            })
+            .collect()
+    }
+
     /// All known members, alive or not.
     pub fn all(&self) -> impl Iterator<Item = &Member> {
         self.entries.values().map(|entry| &entry.member)
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -16,7 +16,7 @@
 pub use error::Refusal;
 pub use load::Load;
 pub use norm::{Norms, Stage};
-pub use pool::{Pool, load_of};
+pub use pool::{Pool, Tag, load_of, tag};
 pub use query::{Query, Work};
 pub use rendezvous::rank;
 pub use server::{Outcome, Server};
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -8,11 +8,26 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+/// A short name of a backend server, for what nodes tell each other often.
+pub type Tag = u32;
+
+/// The short name of a backend server.
+///
+/// ```
+/// assert_eq!(route::pool::tag("i-1"), route::pool::tag("i-1"));
+/// ```
+pub fn tag(id: &str) -> Tag {
+    contract::stable_hash([id]) as Tag
+}
+
 /// All backend servers of a site, and the choice among them.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     settings: Settings,
     servers: BTreeMap<ServerId, Server>,
+    tags: Map<Tag, ServerId>,
+    /// Work of the other nodes.
+    others: Map<NodeName, Map<Tag, Load>>,
     zones_out: Set<Zone>,
     norms: Norms,
     /// What the backend servers bear, by service.
@@ -40,7 +55,11 @@
         match self.servers.get_mut(&listing.id) {
             Some(server) if server.listing.born == listing.born => server.update(listing, now),
             _ => {
-                let server = Server::new(listing.clone(), now);
+                let mut server = Server::new(listing.clone(), now);
+                let tag = tag(&listing.id);
+                let others = self.others.values().filter_map(|loads| loads.get(&tag));
+                server.others = others.fold(Load::default(), |sum, load| sum.plus(*load));
+                self.tags.insert(tag, listing.id.clone());
                 self.servers.insert(listing.id, server);
             }
         }
@@ -49,6 +68,7 @@
     /// Forgets a backend server. Work that is on it goes on; the node learns its end from there.
     pub fn remove(&mut self, id: &str) {
         self.servers.remove(id);
+        self.tags.remove(&tag(id));
     }
 
     /// Sets the availability zones that are to get nothing. Backend servers of one that is taken
@@ -94,13 +114,21 @@
         usize::from((before.count() as f64) < whole.floor())
     }
 
-    /// Takes in the requests that another node has on backend servers.
-    pub fn set_others(&mut self, node: &NodeName, loads: &Map<ServerId, Load>) {
-        for (id, server) in &mut self.servers {
-            match loads.get(id) {
-                Some(&load) => server.others.insert(node.clone(), load),
-                None => server.others.remove(node),
-            };
+    /// Takes in the requests that another node has on backend servers, by tag.
+    pub fn set_others(&mut self, node: &NodeName, loads: Map<Tag, Load>) {
+        let before = match loads.is_empty() {
+            true => self.others.remove(node),
+            false => self.others.insert(node.clone(), loads.clone()),
+        };
+        for (tag, load) in before.unwrap_or_default() {
+            if let Some(server) = self.tags.get(&tag).and_then(|id| self.servers.get_mut(id)) {
+                server.others = server.others.minus(load);
+            }
+        }
+        for (tag, load) in loads {
+            if let Some(server) = self.tags.get(&tag).and_then(|id| self.servers.get_mut(id)) {
+                server.others = server.others.plus(load);
+            }
         }
     }
 
@@ -235,12 +263,12 @@
         server.learn(now, outcome, &self.settings, rng);
     }
 
-    /// Work that this node has on backend servers.
-    pub fn loads(&self) -> impl Iterator<Item = (&ServerId, Load)> {
+    /// Work that this node has on backend servers, by tag.
+    pub fn loads(&self) -> impl Iterator<Item = (Tag, Load)> {
         let servers = self.servers.iter();
         servers
             .filter(|(_, server)| server.open.requests > 0)
-            .map(|(id, server)| (id, server.open))
+            .map(|(id, server)| (tag(id), server.open))
     }
 }
 
--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -1,8 +1,8 @@
 //! What a node knows of one backend server.
 
 use super::{Load, Query, Ramp, Settings};
+use crate::Model;
 use crate::server::{Listing, State};
-use crate::{Model, NodeName};
 use contract::Map;
 use limits::quarantine::{self, Breaker};
 use rand::Rng;
@@ -46,8 +46,8 @@
     pub open: Load,
     /// Prompt tokens of these that the engine has yet to read.
     pub unread: f64,
-    /// Requests of other nodes, by node.
-    pub others: Map<NodeName, Load>,
+    /// Requests of other nodes.
+    pub others: Load,
     /// Share of failures among the last answers.
     pub failures: f64,
     /// How many times the usual time it takes.
@@ -75,7 +75,7 @@
             lapsed: None,
             open: Load::default(),
             unread: 0.0,
-            others: Map::default(),
+            others: Load::default(),
             failures: 0.0,
             slowness: 1.0,
             parts: Map::default(),
@@ -99,8 +99,7 @@
 
     /// Requests on it, as far as is known.
     pub fn load(&self) -> Load {
-        let others = self.others.values();
-        others.fold(self.open, |sum, load| sum.plus(*load))
+        self.open.plus(self.others)
     }
 
     /// Whether it has just said that it has no room.
