--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,6 +1,6 @@
 //! An entry node on the operators' platform: callers on one side, backend servers on the other.
 
-mod app;
+pub mod app;
 mod backoff;
 mod body;
 mod directory;
--- /dev/null
+++ b/crates/edge/tests/mirror.rs
@@ -0,0 +1,89 @@
+//! A node's copy of a table: changes in any order, removals, histories that are gone.
+
+use edge::app::Mirror;
+use platform::store::{Page, Row};
+
+fn row(key: &str, position: u64, value: Option<&str>) -> Row {
+    Row {
+        key: key.to_owned(),
+        value: value.map(|value| value.as_bytes().to_vec()),
+        position,
+        removed: value.is_none(),
+    }
+}
+
+fn page(position: u64, rows: Vec<Row>) -> Page {
+    Page {
+        rows,
+        position,
+        ..Page::default()
+    }
+}
+
+#[test]
+fn an_older_change_changes_nothing() {
+    let mut mirror = Mirror::default();
+    mirror.replace(page(5, vec![row("a", 5, Some("new"))]));
+    assert!(
+        mirror
+            .update(page(4, vec![row("a", 3, Some("old"))]))
+            .is_empty()
+    );
+    assert_eq!(
+        mirror.get("a").unwrap().value.as_deref(),
+        Some(b"new".as_slice())
+    );
+    assert_eq!(mirror.position(), Some(5));
+}
+
+#[test]
+fn a_removed_row_does_not_come_back() {
+    let mut mirror = Mirror::default();
+    mirror.replace(page(1, vec![row("a", 1, Some("x"))]));
+    assert_eq!(mirror.update(page(2, vec![row("a", 2, None)])).len(), 1);
+    assert!(
+        mirror
+            .update(page(2, vec![row("a", 1, Some("x"))]))
+            .is_empty()
+    );
+    assert!(mirror.get("a").is_none());
+}
+
+#[test]
+fn rows_that_a_whole_table_lacks_were_removed() {
+    let mut mirror = Mirror::default();
+    mirror.replace(page(
+        2,
+        vec![row("a", 1, Some("x")), row("b", 2, Some("x"))],
+    ));
+    let news = mirror.replace(page(9, vec![row("b", 2, Some("x"))]));
+    assert_eq!(news, [row("a", 9, None)]);
+    // A row that was written after the table was read stays.
+    mirror.update(page(12, vec![row("c", 12, Some("x"))]));
+    assert!(
+        mirror
+            .replace(page(11, vec![row("b", 2, Some("x"))]))
+            .is_empty()
+    );
+    assert!(mirror.get("c").is_some());
+}
+
+#[test]
+fn another_node_gets_the_whole_table_where_removals_are_unknown() {
+    let mut mirror = Mirror::default();
+    assert!(mirror.since(0).is_none(), "nothing was read");
+    mirror.replace(page(10, vec![row("a", 3, Some("x"))]));
+    mirror.update(page(12, vec![row("a", 12, None)]));
+    let whole = mirror.since(9).unwrap();
+    assert!(whole.whole && whole.page.rows.is_empty());
+    let changes = mirror.since(10).unwrap();
+    assert!(!changes.whole);
+    assert_eq!(changes.page.rows, [row("a", 12, None)]);
+    let mut other = Mirror::default();
+    other.replace(page(
+        9,
+        vec![row("a", 3, Some("x")), row("z", 4, Some("x"))],
+    ));
+    other.replace(whole.page);
+    assert!(other.get("a").is_none() && other.get("z").is_none());
+}
--- /dev/null
+++ b/crates/route/tests/pool.rs
@@ -0,0 +1,234 @@
+//! Placement: where a request goes, and what nodes do alike without a word.
+
+use contract::Map;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use route::pool::{Bearing, Load, Outcome, Pool, Query, Refusal, Settings, Work, load_of, tag};
+use route::server::{Listing, State};
+use std::time::{Duration, Instant};
+
+fn listing(id: &str, zone: &str) -> Listing {
+    Listing {
+        id: id.to_owned(),
+        service: "models".to_owned(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        zone: zone.to_owned(),
+        version: "v1".to_owned(),
+        slots: 8,
+        state: State::Ready,
+        cold: Duration::ZERO,
+        born: 1,
+    }
+}
+
+fn work(subject: &str) -> Work {
+    Work {
+        parts: vec![
+            ("system".to_owned(), 500.0),
+            (subject.to_owned(), 4000.0),
+            ("own".to_owned(), 500.0),
+        ],
+        prompt: 5000.0,
+        output: 300.0,
+        kilobytes: 10.0,
+    }
+}
+
+fn query(work: &Work) -> Query<'_> {
+    Query {
+        service: "models",
+        model: Some(("small", 0.3)),
+        work,
+        zone: "a",
+        tried: &[],
+    }
+}
+
+fn pool(servers: usize) -> Pool {
+    let mut pool = Pool::new(Settings::default());
+    for index in 0..servers {
+        pool.list(Instant::now(), listing(&format!("i-{index}"), "a"));
+    }
+    pool
+}
+
+#[test]
+fn nodes_send_a_subject_to_one_engine() {
+    let now = Instant::now();
+    for subject in ["s-1", "s-2", "s-3", "s-4"] {
+        let work = work(subject);
+        let chosen: Vec<_> = (0..3)
+            .map(|_| pool(6).pick(now, &query(&work), |_| true).unwrap().id)
+            .collect();
+        assert!(
+            chosen.windows(2).all(|pair| pair[0] == pair[1]),
+            "{chosen:?}"
+        );
+    }
+}
+
+#[test]
+fn a_crowded_first_choice_is_left() {
+    let now = Instant::now();
+    let mut pool = pool(6);
+    let work = work("s-1");
+    let first = pool.pick(now, &query(&work), |_| true).unwrap().id;
+    let load = Load {
+        requests: 8,
+        tokens: 40_000.0,
+    };
+    pool.set_others(&"n2".to_owned(), Map::from_iter([(tag(&first), load)]));
+    let next = pool.pick(now, &query(&work), |_| true).unwrap().id;
+    assert_ne!(next, first);
+    // The work of a node that is gone counts no more.
+    pool.set_others(&"n2".to_owned(), Map::default());
+    assert_eq!(pool.pick(now, &query(&work), |_| true).unwrap().id, first);
+}
+
+#[test]
+fn memory_that_is_short_turns_requests_away() {
+    let now = Instant::now();
+    let mut pool = pool(2);
+    let bearing = Bearing {
+        memory: 10_000.0,
+        ..Bearing::default()
+    };
+    pool.set_bearings(Map::from_iter([("models".to_owned(), bearing)]));
+    let work = work("s-1");
+    let first = pool.pick(now, &query(&work), |_| true).unwrap().id;
+    pool.begin(now, &first, &query(&work));
+    let next = pool.pick(now, &query(&work), |_| true).unwrap().id;
+    assert_ne!(next, first, "both requests don't fit into one engine");
+}
+
+#[test]
+fn a_failing_or_slow_engine_is_left() {
+    let now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let work = work("s-1");
+    let mut failing = pool(3);
+    let first = failing.pick(now, &query(&work), |_| true).unwrap().id;
+    for _ in 0..2 {
+        failing.begin(now, &first, &query(&work));
+        let load = load_of(&query(&work));
+        failing.end(now, &first, load, Outcome::Failed, &mut rng);
+    }
+    assert_ne!(
+        failing.pick(now, &query(&work), |_| true).unwrap().id,
+        first
+    );
+    let mut slow = pool(3);
+    let stage = route::pool::Stage::Pace;
+    let usual = listing("i-none", "a");
+    for _ in 0..12 {
+        slow.timed(&usual, "small", stage, 20.0, true);
+    }
+    for _ in 0..12 {
+        slow.timed(&listing(&first, "a"), "small", stage, 160.0, false);
+    }
+    assert_ne!(slow.pick(now, &query(&work), |_| true).unwrap().id, first);
+}
+
+#[test]
+fn what_has_no_place_says_why() {
+    let now = Instant::now();
+    let work = work("s-1");
+    assert_eq!(
+        pool(0).pick(now, &query(&work), |_| true),
+        Err(Refusal::Absent)
+    );
+    let mut full = pool(1);
+    let load = Load {
+        requests: 10,
+        tokens: 0.0,
+    };
+    full.set_others(&"n2".to_owned(), Map::from_iter([(tag("i-0"), load)]));
+    assert_eq!(full.pick(now, &query(&work), |_| true), Err(Refusal::Full));
+    let mut leaving = pool(1);
+    let entry = Listing {
+        state: State::Leaving,
+        ..listing("i-0", "a")
+    };
+    leaving.list(now, entry);
+    assert_eq!(
+        leaving.pick(now, &query(&work), |_| true),
+        Err(Refusal::Absent)
+    );
+}
+
+/// Requests that all nodes of a fleet send to a cold engine in one second when each sends what it
+/// may.
+fn sent_while_cold(nodes: usize) -> usize {
+    let now = Instant::now();
+    let names: Vec<_> = (0..nodes).map(|index| format!("n-{index}")).collect();
+    let bearing = Bearing {
+        cold_rate: Some(20.0),
+        ..Bearing::default()
+    };
+    let work = work("s-1");
+    let mut sent = 0;
+    for own in 0..nodes {
+        let mut names = names.clone();
+        names.swap(0, own);
+        let mut pool = Pool::new(Settings::default());
+        pool.set_nodes(names);
+        pool.set_bearings(Map::from_iter([("models".to_owned(), bearing)]));
+        let cold = Duration::from_secs(3);
+        pool.list(
+            now,
+            Listing {
+                cold,
+                ..listing("i-0", "a")
+            },
+        );
+        for tenth in 0..10 {
+            let now = now + Duration::from_millis(100 * tenth);
+            while let Ok(chosen) = pool.pick(now, &query(&work), |_| true) {
+                pool.begin(now, &chosen.id, &query(&work));
+                sent += 1;
+            }
+        }
+    }
+    sent
+}
+
+macro_rules! cold {
+    ($($name:ident($nodes:expr))*) => {$(
+        #[test]
+        fn $name() {
+            let sent = sent_while_cold($nodes);
+            assert!((1..=20).contains(&sent), "{sent} requests to a cold engine in a second");
+        }
+    )*};
+}
+
+cold! {
+    one_node_spares_a_cold_engine(1)
+    six_nodes_spare_a_cold_engine(6)
+    ten_nodes_spare_a_cold_engine(10)
+    seventy_nodes_spare_a_cold_engine(70)
+    a_thousand_nodes_spare_a_cold_engine(1000)
+}
+
+#[test]
+fn a_zone_that_comes_back_is_cold() {
+    let now = Instant::now();
+    let mut pool = pool(1);
+    let bearing = Bearing {
+        cold_rate: Some(20.0),
+        cold: Duration::from_secs(3),
+        ..Bearing::default()
+    };
+    pool.set_bearings(Map::from_iter([("models".to_owned(), bearing)]));
+    let work = work("s-1");
+    pool.set_zones_out(now, ["a".to_owned()].into_iter().collect());
+    assert_eq!(
+        pool.pick(now, &query(&work), |_| true),
+        Err(Refusal::Absent)
+    );
+    pool.set_zones_out(now, Default::default());
+    assert_eq!(
+        pool.servers()["i-0"].cold_until,
+        now + Duration::from_secs(3)
+    );
+}
--- /dev/null
+++ b/crates/route/tests/rollout.rs
@@ -0,0 +1,106 @@
+//! Roll-outs: exposure, sessions, bad versions and good ones.
+
+use proptest::prelude::*;
+use route::rollout::{Count, Order, Outcome, Settings, Side, Tally, Trial};
+use std::time::{Duration, Instant};
+
+const TIME: Duration = Duration::from_secs(24);
+
+fn trial(now: Instant) -> Trial {
+    let order = Order {
+        service: "models".to_owned(),
+        to: "v2".to_owned(),
+        time: TIME,
+    };
+    let settings = Settings {
+        expose_share: 0.15,
+        expose_extra: 30.0,
+        ..Settings::default()
+    };
+    Trial::new(order, settings, now)
+}
+
+#[test]
+fn a_session_on_the_old_version_stays_in_the_first_half() {
+    let now = Instant::now();
+    let trial = trial(now);
+    for tenth in 0..=5 {
+        let at = now + TIME.mul_f64(f64::from(tenth) / 10.0);
+        assert_eq!(trial.side(at, 0.0, Some(Side::Old)), Side::Old);
+    }
+}
+
+#[test]
+fn a_session_on_the_new_version_stays_there() {
+    let now = Instant::now();
+    let trial = trial(now);
+    for tenth in 0..10 {
+        let at = now + TIME.mul_f64(f64::from(tenth) / 10.0);
+        assert_eq!(trial.side(at, 0.99, Some(Side::New)), Side::New);
+    }
+}
+
+#[test]
+fn failures_of_other_nodes_roll_back() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    for _ in 0..6 {
+        trial.answered(Side::New, true);
+    }
+    assert_eq!(trial.judge(now), Outcome::Running, "too little is known");
+    let seen = Tally {
+        old: Count::default(),
+        new: Count {
+            sent: 6,
+            known: 6,
+            bad: 3,
+        },
+    };
+    trial.hear(&"n2".to_owned(), seen);
+    assert_eq!(trial.judge(now), Outcome::RolledBack);
+    assert_eq!(trial.side(now + TIME, 0.0, Some(Side::New)), Side::Old);
+}
+
+#[test]
+fn failures_of_both_versions_say_nothing() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    for index in 0..100 {
+        trial.answered(Side::Old, index % 3 == 0);
+        trial.answered(Side::New, index % 3 == 0);
+    }
+    assert_eq!(trial.judge(now), Outcome::Running);
+    assert_eq!(trial.judge(now + TIME), Outcome::Completed);
+}
+
+#[test]
+fn the_age_of_an_order_is_the_greatest_that_is_known() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    trial.known_for(now, Duration::from_secs(22));
+    assert_eq!(trial.judge(now), Outcome::Completed);
+}
+
+proptest! {
+    /// The new version gets no more than it may while it is on trial, whatever sessions come.
+    #[test]
+    fn exposure_holds_on_trial(
+        draws in proptest::collection::vec(0.0..1.0_f64, 0..2000),
+        millis in 1..20_u64,
+    ) {
+        let start = Instant::now();
+        let mut trial = trial(start);
+        let (mut all, mut new) = (0.0, 0.0);
+        for (index, draw) in draws.into_iter().enumerate() {
+            let now = start + Duration::from_millis(millis * index as u64);
+            if now >= start + TIME / 2 {
+                break;
+            }
+            let side = trial.side(now, draw, None);
+            trial.sent(side);
+            all += 1.0;
+            new += f64::from(u8::from(side == Side::New));
+            prop_assert!(new <= 0.15 * all + 30.0);
+        }
+    }
+}
