--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod scenario;
 pub mod serve;
 pub mod site;
+pub mod soak;
 pub mod table;
 pub mod vms;
 
--- a/crates/standin/src/site/node.rs
+++ b/crates/standin/src/site/node.rs
@@ -3,6 +3,7 @@
 use super::Settings;
 use crate::Error;
 use crate::fleet::node_binary;
+use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -121,10 +122,16 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) -> Result<(), Error> {
-        let id = self.child.id().ok_or(Error::Timeout("id of a node"))?;
+        self.signal(Signal::SIGTERM)
+    }
+
+    /// Sends a signal; a process that has ended gets none.
+    pub fn signal(&self, signal: Signal) -> Result<(), Error> {
+        let Some(id) = self.child.id() else {
+            return Ok(());
+        };
         let pid = nix::unistd::Pid::from_raw(id as i32);
-        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGTERM)
-            .map_err(|error| Error::System(error.into()))
+        nix::sys::signal::kill(pid, signal).map_err(|error| Error::System(error.into()))
     }
 
     /// Sends SIGKILL and waits for the end.
--- a/crates/standin/src/site/site.rs
+++ b/crates/standin/src/site/site.rs
@@ -134,12 +134,36 @@
         Ok(())
     }
 
+    /// Starts a node again that was started before, with its address of the store.
+    pub async fn restart_node(&mut self, index: usize, door: SocketAddr) -> Result<(), Error> {
+        let old = &mut self.nodes[index];
+        old.kill().await?;
+        let folder = self.folder.clone();
+        let index = index as u8;
+        let node = Node::start(folder, index, self.ports, door, &self.settings)?;
+        self.nodes[usize::from(index)] = node;
+        Ok(())
+    }
+
     /// Writes a backend server's entry.
     pub fn list(&self, worker: &Worker, service: &str, version: &str, state: &str) {
+        self.list_at(worker, worker.address(), service, version, state, 1);
+    }
+
+    /// Writes the entry of a backend server's start, at an address on the way to it.
+    pub fn list_at(
+        &self,
+        worker: &Worker,
+        address: SocketAddr,
+        service: &str,
+        version: &str,
+        state: &str,
+        born: u64,
+    ) {
         let entry = json!({
-            "service": service, "address": worker.address(), "zone": "z-0", "version": version,
+            "service": service, "address": address, "zone": "z-0", "version": version,
             "slots": 16, "state": state, "coldRemainingMs": 0, "sequence": 1,
-            "born": 1_700_000_000_000_u64,
+            "born": born,
         });
         self.store.put("servers", worker.id(), Some(&entry));
     }
