--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -27,14 +27,6 @@
 /// Longest time between two looks for a backend server: quarantines end unannounced.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// What to do with a request next.
-pub enum Next {
-    /// Send it to the backend server where it has a place.
-    Place(Place),
-    /// Give it up.
-    Refused(Refusal),
-}
-
 /// Answers a request.
 pub async fn forward(app: Arc<App>, request: Request<Incoming>) -> Response<Body> {
     let received = Instant::now();
@@ -105,7 +97,6 @@
     *kind = route.kind.name();
     let key = text(&parts.headers, header::KEY);
     let customer = routes.customer(route, key).map_err(refuse)?;
-    let customer = customer.map(|customer| customer.name.as_str());
     let limits = &routes.config().limits;
     let time = time_for_body(&parts.headers, route);
     let body = read(body, limits.body_bytes, time).await?;
@@ -116,7 +107,7 @@
         return Err(Refusal::NotNow);
     }
     log::info!(event = 1733, request = job.name(), route = job.route.name.as_str(),
-        customer = customer.unwrap_or("-"), session = job.session.as_deref().unwrap_or("-"),
+        customer = customer.map_or("-", |customer| customer.name.as_str()), session = job.session.as_deref().unwrap_or("-"),
         revision = routes.config().revision, left_ms = job.left().as_millis() as u64; "received");
     let draw = rand::rng().random();
     let service = job.route.service(draw).ok_or(Refusal::NotNow)?;
@@ -166,9 +157,17 @@
     }
 }
 
-/// Finds a place for the next send of a request, waiting a little where none has room. A request
-/// that may not be sent again is given up.
-pub async fn find(app: &Arc<App>, job: &mut Job, failed: bool) -> Next {
+/// A place for the next send of a request: the one that it has, or one that is found, waiting a
+/// little where none has room. A request that may not be sent again is given up.
+pub async fn find(
+    app: &Arc<App>,
+    job: &mut Job,
+    has: &mut Option<Place>,
+    failed: bool,
+) -> Result<Place, Refusal> {
+    if let Some(place) = has.take() {
+        return Ok(place);
+    }
     let over = Instant::now() >= job.limit;
     let gave_up = match job.ran {
         true if over => Refusal::Late,
@@ -176,10 +175,10 @@
         false => Refusal::NotNow,
     };
     if over {
-        return Next::Refused(gave_up);
+        return Err(gave_up);
     }
     if let Some(end) = end_of_sends(app, job) {
-        return give_up(job, &end, gave_up);
+        return Err(give_up(job, &end, gave_up));
     }
     let patience = job.route.target.mul_f64(PATIENCE);
     let begun = Instant::now();
@@ -188,10 +187,10 @@
         match place(app, job) {
             Ok(place) => {
                 app.metrics.waits.observe(begun.elapsed().as_secs_f64());
-                return Next::Place(place);
+                return Ok(place);
             }
             Err(refusal) if failed || Instant::now() >= until => {
-                return give_up(job, &refusal, gave_up);
+                return Err(give_up(job, &refusal, gave_up));
             }
             Err(_) => {
                 // A wake-up may be meant for a request that another backend server suits.
@@ -227,8 +226,8 @@
     (!budget).then_some(End::Budget)
 }
 
-fn give_up(job: &Job, why: &impl std::fmt::Display, refusal: Refusal) -> Next {
+fn give_up(job: &Job, why: &impl std::fmt::Display, refusal: Refusal) -> Refusal {
     log::info!(event = 1738, request = job.name(), service = job.service.as_str(),
         sends = job.sends; "no further place: {why}");
-    Next::Refused(refusal)
+    refusal
 }
--- a/crates/edge/src/forward/job.rs
+++ b/crates/edge/src/forward/job.rs
@@ -7,7 +7,7 @@
 use limits::suspect::Fingerprint;
 use platform::header;
 use route::ServerId;
-use route::config::Route;
+use route::config::{Customer, Route};
 use route::pool::Work;
 use rustc_hash::FxBuildHasher;
 use std::hash::BuildHasher;
@@ -17,6 +17,8 @@
 /// Part of the time left that is kept for the way back to the caller.
 const WAY_BACK: Duration = Duration::from_millis(20);
 
+/// The least urgent that engines know.
+const LEAST_URGENT: u8 = 9;
 /// Bytes of the heads of a request and its answer, roughly.
 const HEAD_BYTES: f64 = 1200.0;
 /// Bytes of a token of an answer on the wire, roughly.
@@ -68,7 +70,7 @@
         parts: hyper::http::request::Parts,
         body: Bytes,
         route: Arc<Route>,
-        customer: Option<&str>,
+        customer: Option<&Customer>,
     ) -> Self {
         let mut headers = parts.headers;
         let left = number(&headers, header::TIME_LEFT_MS)
@@ -78,14 +80,27 @@
         let session = text(&headers, header::SESSION).map(str::to_owned);
         let id = headers.get(header::ATTEMPT).cloned();
         let last_event = number(&headers, header::LAST_EVENT).map(|number| number as u64);
-        let fingerprint = fingerprint(&parts.uri, &body, customer);
+        let fingerprint = fingerprint(
+            &parts.uri,
+            &body,
+            customer.map(|customer| customer.name.as_str()),
+        );
         strip(&mut headers);
         for name in header::RESERVED {
             headers.remove(*name);
         }
-        if let Some(Ok(name)) = customer.map(HeaderValue::from_str) {
+        let name = customer.map(|customer| HeaderValue::from_str(&customer.name));
+        if let Some(Ok(name)) = name {
             headers.insert(HeaderName::from_static(header::CUSTOMER), name);
         }
+        if route.kind.is_stream() {
+            let urgency = customer.and_then(|customer| customer.priority);
+            let urgency = urgency.unwrap_or(route.priority).min(LEAST_URGENT);
+            headers.insert(
+                HeaderName::from_static(header::URGENCY),
+                u16::from(urgency).into(),
+            );
+        }
         Self {
             id,
             method: parts.method,
--- a/crates/edge/src/forward/plain.rs
+++ b/crates/edge/src/forward/plain.rs
@@ -1,7 +1,7 @@
 //! Requests with a whole answer.
 
 use super::attempt::{Failure, Sent, Waited, send, wait};
-use super::forward::{Next, find};
+use super::forward::find;
 use super::head::strip;
 use super::job::Job;
 use super::refusal::Refusal;
@@ -24,13 +24,10 @@
     let mut failure = None;
     let mut next = None;
     loop {
-        let place = match next.take() {
-            Some(place) => place,
-            None => match find(app, job, failure.is_some()).await {
-                Next::Place(place) => place,
-                // An answer that a backend server gave goes before words of the node's own.
-                Next::Refused(refusal) => return failure.ok_or(refusal),
-            },
+        let place = match find(app, job, &mut next, failure.is_some()).await {
+            Ok(place) => place,
+            // An answer that a backend server gave goes before words of the node's own.
+            Err(refusal) => return failure.ok_or(refusal),
         };
         let until = until(job);
         match send(app, job, place, until).await {
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::{Failure, Place, Sent, Waited, place, send, wait};
 use super::event::{Event, Events};
-use super::forward::{Next, find};
+use super::forward::find;
 use super::head::{number, strip};
 use super::job::Job;
 use super::refusal::Refusal;
@@ -130,12 +130,9 @@
     let mut failure: Option<Response<Body>> = None;
     let mut next = None;
     loop {
-        let place = match next.take() {
-            Some(place) => place,
-            None => match find(app, job, failure.is_some()).await {
-                Next::Place(place) => place,
-                Next::Refused(refusal) => return failure.map(First::Whole).ok_or(refusal),
-            },
+        let place = match find(app, job, &mut next, failure.is_some()).await {
+            Ok(place) => place,
+            Err(refusal) => return failure.map(First::Whole).ok_or(refusal),
         };
         let until = first_until(job);
         let (answer, place) = match send(app, job, place, until).await {
@@ -299,13 +296,7 @@
         if Instant::now() >= job.limit || !job.route.kind.repeatable() {
             return None;
         }
-        let place = match next.take() {
-            Some(place) => place,
-            None => match find(app, job, false).await {
-                Next::Place(place) => place,
-                Next::Refused(_) => return None,
-            },
-        };
+        let place = find(app, job, &mut next, false).await.ok()?;
         let until = first_until(job);
         let (answer, mut place) = match send(app, job, place, until).await {
             Sent::Answer(answer, place) => (answer, place),
--- a/crates/edge/src/link/dial.rs
+++ b/crates/edge/src/link/dial.rs
@@ -17,6 +17,10 @@
 
 /// Time between two beats: several fit into the silence after which a node counts as gone.
 const BEAT: Duration = Duration::from_millis(300);
+/// What each other node adds to that, since each beat goes to all of them.
+const BEAT_PER_NODE: Duration = Duration::from_micros(2200);
+/// Longest time between two beats.
+const LONGEST_BEAT: Duration = Duration::from_millis(500);
 /// Time to open a link.
 const OPEN_TIME: Duration = Duration::from_millis(600);
 /// First pause before a link is opened again; it doubles up to the longest.
@@ -83,7 +87,7 @@
         }
         let urgent = app.news.notified();
         tokio::select! {
-            () = sleep(BEAT) => (),
+            () = sleep(beat_pause(app)) => (),
             () = urgent => (),
             message = link.next() => {
                 let Some(message) = message.transpose()? else {
@@ -100,3 +104,9 @@
         words = Words::news(app, &mut told);
     }
 }
+
+/// Time to the next beat.
+fn beat_pause(app: &App) -> Duration {
+    let nodes = app.state().members.all().count() as u32;
+    (BEAT + BEAT_PER_NODE * nodes).min(LONGEST_BEAT)
+}
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -308,11 +308,12 @@
     let decode = query.work.output * pace * server.slowness;
     cost += decode * millis(settings.step);
     cost += decode * millis(settings.step_per_request) * others * settings.crowd;
-    let missing = match first {
+    let mut missing = server.missing(now, query, settings);
+    if first {
         // Other nodes have sent the shared parts there.
-        true => query.work.parts.last().map_or(0.0, |(_, tokens)| *tokens),
-        false => server.missing(now, query, settings),
-    };
+        let own = query.work.parts.last().map_or(0.0, |(_, tokens)| *tokens);
+        missing = missing.min(own);
+    }
     cost += (missing + server.unread) * pace * server.slowness / settings.read_rate;
     if bearing.memory > 0.0 {
         let used = (load.tokens + load_of(query).tokens) / bearing.memory;
--- a/crates/standin/examples/soak/main.rs
+++ b/crates/standin/examples/soak/main.rs
@@ -43,7 +43,10 @@
             callers: options.callers,
         };
         let report = run(settings).await?;
-        println!("seed {seed}: {} of {} served", report.served, report.attempts);
+        println!(
+            "seed {seed}: {} of {} served",
+            report.served, report.attempts
+        );
         for broken in &report.broken {
             println!("seed {seed}: {broken}");
         }
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -182,7 +182,9 @@
             last > Duration::from_millis(350),
             "events are held back: {times:?}"
         );
-        assert_eq!(runs(&site.models)[0].request.header("model"), "small");
+        let run = &runs(&site.models)[0].request;
+        assert_eq!(run.header("model"), "small");
+        assert_eq!(run.header("request-priority"), "1", "the route's urgency");
         Ok(())
     }
 
