Place requests without hashing or copying names

Ruled out: logging: 9,000 lines of nine nodes in 22 s. Change: parts, engines and nodes are hashed once; a cold engine's share is worked out when nodes or engines change.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -9,7 +9,7 @@
 use platform::store::{Page, Row};
 use route::config::Config;
 use route::member::Members;
-use route::pool::{self, Bearing, Pool, Query, Refusal, Stage, rank};
+use route::pool::{self, Bearing, Pool, Query, Refusal, Stage};
 use route::rollout::{self, Order, Outcome, Side, Trial};
 use route::server::Listing;
 use route::session::Sessions;
@@ -222,9 +222,10 @@
         if self.mirror(table).position().is_none() || !self.members.hears_follower(now) {
             return true;
         }
-        let own = rank(FOLLOWERS_KEY, &self.node);
-        let nodes = self.members.alive(now).map(|member| member.node.as_str());
-        nodes.filter(|node| rank(FOLLOWERS_KEY, node) > own).count() < FOLLOWERS
+        let weight = |node: &str| stable_hash([FOLLOWERS_KEY, node]);
+        let own = weight(&self.node);
+        let nodes = self.members.alive(now);
+        nodes.filter(|member| weight(&member.node) > own).count() < FOLLOWERS
     }
 
     /// Whether the store has answered this node of late.
@@ -408,7 +409,6 @@
         let others = others.filter(|node| *node != self.node);
         let names: Vec<_> = own.chain(others).collect();
         let nodes = names.len() as f64 * FLEET_MARGIN;
-        self.pool.set_nodes(names);
         let config: &Config = self.routes.config();
         let mut bearings = Map::default();
         for (name, service) in &config.services {
@@ -431,7 +431,7 @@
                 .entry(name.clone())
                 .or_insert_with(|| Retries::new(settings, now));
         }
-        self.pool.set_bearings(bearings);
+        self.pool.share(bearings, &names);
     }
 
     /// Chooses a backend server for a request.
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -191,6 +191,10 @@
             .model
             .as_ref()
             .map(|(model, pace)| (model.as_str(), *pace)),
+        model_id: job
+            .model
+            .as_ref()
+            .map_or(0, |(model, _)| pool::part_id(model)),
         work: &job.work,
         zone: &app.site.zone,
         tried: &job.tried,
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -17,7 +17,7 @@
 pub use load::Load;
 pub use norm::{Norms, Stage};
 pub use pool::{Pool, Tag, load_of, tag};
-pub use query::{Query, Work};
+pub use query::{PartId, Query, Work, part_id};
 pub use rendezvous::rank;
 pub use server::{Outcome, Server};
 pub use settings::Settings;
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -1,6 +1,8 @@
 //! All backend servers of a site.
 
-use super::{Bearing, Load, Norms, Outcome, Query, Refusal, Server, Settings, Stage, rank};
+use super::{
+    Bearing, Load, Norms, Outcome, Query, Refusal, Server, Settings, Stage, part_id, rank,
+};
 use crate::server::Listing;
 use crate::{NodeName, ServerId, ServiceName, Zone};
 use contract::{Map, Set};
@@ -32,8 +34,8 @@
     norms: Norms,
     /// What the backend servers bear, by service.
     bearings: Map<ServiceName, Bearing>,
-    /// The nodes that share what cold backend servers bear, this one first.
-    nodes: Vec<NodeName>,
+    /// Hashes of the nodes that share what cold backend servers bear, this one first.
+    nodes: Vec<u64>,
 }
 
 impl Pool {
@@ -59,6 +61,7 @@
                 let tag = tag(&listing.id);
                 let others = self.others.values().filter_map(|loads| loads.get(&tag));
                 server.others = others.fold(Load::default(), |sum, load| sum.plus(*load));
+                server.cold_share = self.cold_share(&server);
                 self.tags.insert(tag, listing.id.clone());
                 self.servers.insert(listing.id, server);
             }
@@ -84,20 +87,25 @@
         self.zones_out = zones;
     }
 
-    /// Sets what backend servers bear, by service.
-    pub fn set_bearings(&mut self, bearings: Map<ServiceName, Bearing>) {
+    /// Sets what backend servers bear, by service, and the nodes that share it, this one first.
+    pub fn share(&mut self, bearings: Map<ServiceName, Bearing>, nodes: &[NodeName]) {
         self.bearings = bearings;
-    }
-
-    /// Sets the nodes that share what cold backend servers bear, this one first.
-    pub fn set_nodes(&mut self, nodes: Vec<NodeName>) {
-        self.nodes = nodes;
+        self.nodes = nodes.iter().map(|node| part_id(node)).collect();
+        let shares: Vec<_> = self
+            .servers
+            .values()
+            .map(|server| self.cold_share(server))
+            .collect();
+        for (server, share) in self.servers.values_mut().zip(shares) {
+            server.cold_share = share;
+        }
     }
 
     /// Requests that this node may send to a cold backend server in one window. Where there are
     /// more nodes than requests, all nodes agree without a word on those that may send one.
-    fn cold_share(&self, id: &str, bearing: &Bearing) -> usize {
-        let Some(rate) = bearing.cold_rate else {
+    fn cold_share(&self, server: &Server) -> usize {
+        let bearing = self.bearings.get(&server.listing.service);
+        let Some(rate) = bearing.and_then(|bearing| bearing.cold_rate) else {
             return usize::MAX;
         };
         let whole = rate * self.settings.cold_part;
@@ -109,8 +117,11 @@
         if each > 0 {
             return each;
         }
-        let own = rank(id, own);
-        let before = self.nodes.iter().filter(|node| rank(id, node) > own);
+        let own = rank(server.hash, *own);
+        let before = self
+            .nodes
+            .iter()
+            .filter(|node| rank(server.hash, **node) > own);
         usize::from((before.count() as f64) < whole.floor())
     }
 
@@ -152,10 +163,10 @@
                 continue;
             }
             refusal = Refusal::Full;
-            if !self.has_room(now, id, server, &bearing) {
+            if !self.has_room(now, server) {
                 continue;
             }
-            let first = first.as_ref() == Some(id);
+            let first = first == Some(id);
             let cost = cost(&self.settings, now, server, query, &bearing, first);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, id));
@@ -166,18 +177,17 @@
     }
 
     /// The backend server that all nodes send a prompt's shared parts to while it has room.
-    fn first_choice(&self, query: &Query, allows: impl Fn(&Listing) -> bool) -> Option<ServerId> {
+    fn first_choice(&self, query: &Query, allows: impl Fn(&Listing) -> bool) -> Option<&ServerId> {
         let subject = query.work.subject()?;
-        self.servers
-            .iter()
-            .filter(|(_, server)| self.fits(server, query))
-            .filter(|(_, server)| allows(&server.listing))
-            .max_by_key(|(id, _)| rank(subject, id))
-            .map(|(id, _)| id.clone())
+        let servers = self.servers.iter();
+        servers
+            .filter(|(_, server)| self.fits(server, query) && allows(&server.listing))
+            .max_by_key(|(_, server)| rank(subject, server.hash))
+            .map(|(id, _)| id)
     }
 
     /// Whether a backend server bears one more request of this node.
-    fn has_room(&self, now: Instant, id: &str, server: &Server, bearing: &Bearing) -> bool {
+    fn has_room(&self, now: Instant, server: &Server) -> bool {
         if !server.breaker.open(now) || server.is_full(now) {
             return false;
         }
@@ -186,10 +196,7 @@
         }
         let cold = now < server.cold_until;
         let window = self.settings.cold_window;
-        !cold
-            || server
-                .ramp
-                .admits(now, window, self.cold_share(id, bearing))
+        !cold || server.ramp.admits(now, window, server.cold_share)
     }
 
     fn fits(&self, server: &Server, query: &Query) -> bool {
--- a/crates/route/src/pool/query.rs
+++ b/crates/route/src/pool/query.rs
@@ -2,11 +2,25 @@
 
 use crate::ServerId;
 
+/// A part of a prompt, by the hash of its name.
+pub type PartId = u64;
+
+/// The id of a part, the same on all nodes.
+///
+/// ```
+/// use route::pool::part_id;
+/// assert_ne!(part_id("a"), part_id("b"));
+/// ```
+pub fn part_id(name: &str) -> PartId {
+    contract::stable_hash([name])
+}
+
 /// Parts of a prompt with their tokens, and the tokens of the answer.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Work {
-    /// Parts in order, shared ones first; the last belongs to the request or its session.
-    pub parts: Vec<(String, f64)>,
+    /// Parts in order with their tokens, shared ones first; the last belongs to the request or its
+    /// session.
+    pub parts: Vec<(PartId, f64)>,
     /// Tokens of the whole prompt.
     pub prompt: f64,
     /// Tokens that the answer may have.
@@ -19,13 +33,14 @@
     /// The last part that other requests share, if there is one.
     ///
     /// ```
-    /// use route::pool::Work;
-    /// let parts = vec![("system".to_owned(), 9.0), ("own".to_owned(), 9.0)];
-    /// assert_eq!(Work { parts, ..Work::default() }.subject(), Some("system"));
+    /// use route::pool::{Work, part_id};
+    /// let parts = vec![(part_id("system"), 9.0), (part_id("own"), 9.0)];
+    /// assert_eq!(Work { parts, ..Work::default() }.subject(), Some(part_id("system")));
+
     /// ```
-    pub fn subject(&self) -> Option<&str> {
+    pub fn subject(&self) -> Option<PartId> {
         let index = self.parts.len().checked_sub(2)?;
-        Some(&self.parts[index].0)
+        Some(self.parts[index].0)
     }
 }
 
@@ -36,6 +51,8 @@
     pub service: &'a str,
     /// The model to be used, with how many times the smallest one's time it takes.
     pub model: Option<(&'a str, f64)>,
+    /// Hash of the model's name.
+    pub model_id: PartId,
     /// What the request makes an engine read and write.
     pub work: &'a Work,
     /// Availability zone of this node.
--- a/crates/route/src/pool/rendezvous.rs
+++ b/crates/route/src/pool/rendezvous.rs
@@ -1,12 +1,19 @@
 //! Rendezvous hashing: all nodes rank backend servers alike without exchanging a word.
 
-/// Weight of a backend server for a key; the greatest is the key's first choice.
+/// Weight of a candidate for a key, from the hashes of both; the greatest is the key's first choice.
 ///
 /// ```
 /// use route::pool::rank;
-/// assert_eq!(rank("part", "a"), rank("part", "a"));
-/// assert_ne!(rank("part", "a"), rank("part", "b"));
+/// assert_eq!(rank(7, 1), rank(7, 1));
+/// assert_ne!(rank(7, 1), rank(7, 2));
 /// ```
-pub fn rank(key: &str, server: &str) -> u64 {
-    contract::stable_hash([key, server])
+pub fn rank(key: u64, candidate: u64) -> u64 {
+    // Finalizer of splitmix64 over the pair.
+    let mut hash = key
+        ^ candidate
+            .rotate_left(32)
+            .wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
 }
--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -1,7 +1,6 @@
 //! What a node knows of one backend server.
 
-use super::{Load, Query, Ramp, Settings};
-use crate::Model;
+use super::{Load, PartId, Query, Ramp, Settings, part_id};
 use crate::server::{Listing, State};
 use contract::Map;
 use limits::quarantine::{self, Breaker};
@@ -53,7 +52,11 @@
     /// How many times the usual time it takes.
     pub slowness: f64,
     /// Parts of prompts that it was sent, by model, with the time of the last use.
-    parts: Map<(Model, String), Instant>,
+    parts: Map<(PartId, PartId), Instant>,
+    /// Hash of its id.
+    pub(super) hash: u64,
+    /// Requests that this node may send to it in one window while it is cold.
+    pub(super) cold_share: usize,
     full_until: Option<Instant>,
     pub(super) breaker: Breaker,
     pub(super) ramp: Ramp,
@@ -71,7 +74,6 @@
         };
         Self {
             cold_until: now + listing.cold,
-            listing,
             lapsed: None,
             open: Load::default(),
             unread: 0.0,
@@ -79,9 +81,12 @@
             failures: 0.0,
             slowness: 1.0,
             parts: Map::default(),
+            hash: part_id(&listing.id),
+            cold_share: 0,
             full_until: None,
             breaker: Breaker::new(settings),
             ramp: Ramp::default(),
+            listing,
         }
     }
 
@@ -109,10 +114,10 @@
 
     /// Tokens of the prompt that it has yet to read.
     pub fn missing(&self, now: Instant, query: &Query, settings: &Settings) -> f64 {
-        let model = query.model.map_or("", |(name, _)| name);
+        let model = query.model_id;
         let mut kept = 0.0;
         for (part, tokens) in &query.work.parts {
-            let used = self.parts.get(&(model.to_owned(), part.clone()));
+            let used = self.parts.get(&(model, *part));
             let lapsed = |at: Instant| now.saturating_duration_since(at) >= settings.part_age;
             if used.is_none_or(|&at| lapsed(at)) {
                 break;
@@ -124,9 +129,9 @@
 
     /// Remembers the parts of a prompt that it is sent.
     pub fn read(&mut self, now: Instant, query: &Query, settings: &Settings) {
-        let model = query.model.map_or("", |(name, _)| name);
+        let model = query.model_id;
         for (part, _) in &query.work.parts {
-            self.parts.insert((model.to_owned(), part.clone()), now);
+            self.parts.insert((model, *part), now);
         }
         if self.parts.len() <= settings.max_parts {
             return;
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -3,7 +3,9 @@
 use contract::Map;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use route::pool::{Bearing, Load, Outcome, Pool, Query, Refusal, Settings, Work, load_of, tag};
+use route::pool::{
+    Bearing, Load, Outcome, Pool, Query, Refusal, Settings, Work, load_of, part_id, tag,
+};
 use route::server::{Listing, State};
 use std::time::{Duration, Instant};
 
@@ -24,9 +26,9 @@
 fn work(subject: &str) -> Work {
     Work {
         parts: vec![
-            ("system".to_owned(), 500.0),
-            (subject.to_owned(), 4000.0),
-            ("own".to_owned(), 500.0),
+            (part_id("system"), 500.0),
+            (part_id(subject), 4000.0),
+            (part_id("own"), 500.0),
         ],
         prompt: 5000.0,
         output: 300.0,
@@ -38,6 +40,7 @@
     Query {
         service: "models",
         model: Some(("small", 0.3)),
+        model_id: part_id("small"),
         work,
         zone: "a",
         tried: &[],
@@ -93,7 +96,10 @@
         memory: 10_000.0,
         ..Bearing::default()
     };
-    pool.set_bearings(Map::from_iter([("models".to_owned(), bearing)]));
+    pool.share(
+        Map::from_iter([("models".to_owned(), bearing)]),
+        &["n".to_owned()],
+    );
     let work = work("s-1");
     let first = pool.pick(now, &query(&work), |_| true).unwrap().id;
     pool.begin(now, &first, &query(&work));
@@ -171,8 +177,7 @@
         let mut names = names.clone();
         names.swap(0, own);
         let mut pool = Pool::new(Settings::default());
-        pool.set_nodes(names);
-        pool.set_bearings(Map::from_iter([("models".to_owned(), bearing)]));
+        pool.share(Map::from_iter([("models".to_owned(), bearing)]), &names);
         let cold = Duration::from_secs(3);
         pool.list(
             now,
@@ -219,7 +224,10 @@
         cold: Duration::from_secs(3),
         ..Bearing::default()
     };
-    pool.set_bearings(Map::from_iter([("models".to_owned(), bearing)]));
+    pool.share(
+        Map::from_iter([("models".to_owned(), bearing)]),
+        &["n".to_owned()],
+    );
     let work = work("s-1");
     pool.set_zones_out(now, ["a".to_owned()].into_iter().collect());
     assert_eq!(
