Build one beat for all links

Cause: each of a node's 67 links built and encoded the node's whole state for each beat and each piece of news. Ruled out: the fetch itself. Change: one task builds the beat, links pass its bytes on; news are kept by notify_one. Two cases are made as strict as the stated bounds: a leaving backend server is counted after drainMs, and runs are taken in the order of their times.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -11,7 +11,10 @@
 use settings::log::Counts;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, broadcast};
+use tokio_tungstenite::tungstenite::Message;
 
+/// Beats that wait for a link; one that is further behind gets a whole one.
+const MAX_BEATS: usize = 8;
 /// Words that wait for a link; one that is further behind is told all that is known.
 const MAX_TOLD: usize = 1024;
 
@@ -40,6 +43,8 @@
     pub room: Notify,
     /// Wakes the links: something has to be told at once.
     pub news: Notify,
+    /// Beats for the links.
+    pub beats: broadcast::Sender<Message>,
     /// What the links are to tell.
     pub told: broadcast::Sender<Told>,
     /// Requests that the node is working on.
@@ -58,6 +63,7 @@
             store: store::Client::new(site.store)?,
             room: Notify::new(),
             news: Notify::new(),
+            beats: broadcast::Sender::new(MAX_BEATS),
             told: broadcast::Sender::new(MAX_TOLD),
             inside: Arc::default(),
             metrics: Metrics::default(),
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -95,7 +95,7 @@
     drop(state);
     if changed {
         app.room.notify_waiters();
-        app.news.notify_waiters();
+        app.news.notify_one();
     }
 }
 
--- a/crates/edge/src/link/dial.rs
+++ b/crates/edge/src/link/dial.rs
@@ -12,15 +12,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::broadcast::error::RecvError;
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::{client_async_with_config, tungstenite};
 
-/// Time between two beats: several fit into the silence after which a node counts as gone.
-const BEAT: Duration = Duration::from_millis(300);
-/// What each other node adds to that, since each beat goes to all of them.
-const BEAT_PER_NODE: Duration = Duration::from_micros(2200);
-/// Longest time between two beats.
-const LONGEST_BEAT: Duration = Duration::from_millis(500);
 /// Time to open a link.
 const OPEN_TIME: Duration = Duration::from_millis(600);
 /// First pause before a link is opened again; it doubles up to the longest.
@@ -76,19 +71,25 @@
     };
     let opened = timeout(OPEN_TIME, open).await;
     let (mut link, _) = opened.map_err(std::io::Error::from)??;
-    if let Some(hello) = Frame::Hello(app.member().into()).encode() {
-        link.send(hello).await?;
+    let mut beats = app.beats.subscribe();
+    let first = [
+        Frame::Hello(app.member().into()),
+        beat(app, Words::all(app)),
+    ];
+    for message in first.iter().filter_map(Frame::encode) {
+        link.send(message).await?;
     }
-    let mut told = app.told.subscribe();
-    let mut words = Words::all(app);
     loop {
-        if let Some(message) = beat(app, std::mem::take(&mut words)).encode() {
-            link.send(message).await?;
-        }
-        let urgent = app.news.notified();
         tokio::select! {
-            () = sleep(beat_pause(app)) => (),
-            () = urgent => (),
+            message = beats.recv() => match message {
+                Ok(message) => link.send(message).await?,
+                Err(RecvError::Lagged(_)) => {
+                    if let Some(message) = beat(app, Words::all(app)).encode() {
+                        link.send(message).await?;
+                    }
+                }
+                Err(RecvError::Closed) => return Ok(()),
+            },
             message = link.next() => {
                 let Some(message) = message.transpose()? else {
                     return Ok(());
@@ -101,12 +102,5 @@
                 }
             }
         }
-        words = Words::news(app, &mut told);
     }
 }
-
-/// Time to the next beat.
-fn beat_pause(app: &App) -> Duration {
-    let nodes = app.state().members.all().count() as u32;
-    (BEAT + BEAT_PER_NODE * nodes).min(LONGEST_BEAT)
-}
--- a/crates/edge/src/link/mod.rs
+++ b/crates/edge/src/link/mod.rs
@@ -4,6 +4,8 @@
 mod frame;
 mod listen;
 mod serve;
+mod tick;
 
 pub use dial::dial;
 pub use listen::listen;
+pub use tick::tick;
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -19,7 +19,7 @@
             let member = Member::from(hello);
             *peer = Some(member.node.clone());
             if app.state().members.add(member) {
-                app.news.notify_waiters();
+                app.news.notify_one();
             }
             Vec::new()
         }
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -12,6 +12,9 @@
 /// Time within which a change is in force, as the site's settings say.
 const APPLY: Duration = Duration::from_millis(2000);
 
+/// Time within which a leaving backend server gets nothing more, as the settings say.
+const DRAIN: Duration = Duration::from_millis(2000);
+
 /// Each case is a test by its own name.
 macro_rules! cases {
     ($($name:ident($settings:expr))*) => {$(
@@ -105,8 +108,11 @@
         .header("session", session)
 }
 
+/// All runs in the order of their times.
 fn runs(workers: &[standin::site::Worker]) -> Vec<Run> {
-    workers.iter().flat_map(|worker| worker.runs()).collect()
+    let mut runs: Vec<_> = workers.iter().flat_map(|worker| worker.runs()).collect();
+    runs.sort_by_key(|run| run.at);
+    runs
 }
 
 /// The numbers of the events in a stream.
@@ -333,8 +339,7 @@
             .for_each(|worker| worker.set_confidence(10));
         let answer = stream(&Client::new(), site, "s").send().await?;
         assert_eq!(numbers(&answer.text().await?), [1, 2, 3, 4, 5]);
-        let mut runs = runs(&site.models);
-        runs.sort_by_key(|run| run.at);
+        let runs = runs(&site.models);
         let models: Vec<_> = runs.iter().map(|run| run.request.header("model")).collect();
         assert_eq!(models, ["small", "large"]);
         assert!(runs[0].cut, "the first answer is dropped");
@@ -384,6 +389,7 @@
             answer.is_ok_and(|answer| answer.status() == 200)
         };
         assert!(within(APPLY, moved).await);
+        sleep(DRAIN).await;
         let before = site.desks[0].runs().len();
         for _ in 0..4 {
             request(&client, site, 2, "/moved/a").send().await?;
