--- a/crates/route/src/pool/query.rs
+++ b/crates/route/src/pool/query.rs
@@ -36,7 +36,6 @@
     /// use route::pool::{Work, part_id};
     /// let parts = vec![(part_id("system"), 9.0), (part_id("own"), 9.0)];
     /// assert_eq!(Work { parts, ..Work::default() }.subject(), Some(part_id("system")));
-
     /// ```
     pub fn subject(&self) -> Option<PartId> {
         let index = self.parts.len().checked_sub(2)?;
--- a/crates/standin/src/soak/soak.rs
+++ b/crates/standin/src/soak/soak.rs
@@ -194,8 +194,8 @@
     async fn begin(&mut self, fault: &Fault) -> Result<(), Error> {
         match fault {
             Fault::Worker(index, fault) => self.worker(*index).set_fault(*fault),
-            Fault::WorkerPath(index, faults) => self.worker_paths[*index].set(faults.clone()),
-            Fault::StorePath(index, faults) => self.store_paths[*index].set(faults.clone()),
+            Fault::WorkerPath(index, faults) => self.worker_paths[*index].set(*faults),
+            Fault::StorePath(index, faults) => self.store_paths[*index].set(*faults),
             Fault::Silence(index) => self.worker_paths[*index].silence_open(),
             Fault::SilenceStore(index) => self.store_paths[*index].silence_open(),
             Fault::StoreDown => self.site.store.set_fault(StoreFault::Refuse(503), &[]),
