Find slow versions by the deviation of their answers, and cap exposure until they are cleared

Ruled out: late words of other nodes. Answers that were dropped for a larger model counted as good, and the pace of streams with fewer than four events was never judged: the share of bad answers stayed below the threshold, and the share of sessions grew with the time. Change: a version is bad by three standard deviations and a tenth; more than on trial only after 40 known answers that don't speak against it; a doubtful one is rolled back at the end; dropped answers say nothing; pace is judged from the third event.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -32,7 +32,7 @@
 /// Multiple of the usual time above which an answer counts as bad in a roll-out.
 const SLOW: f64 = 3.0;
 /// The same for a first event, which depends on what an engine keeps of the prompt.
-const SLOW_FIRST: f64 = 6.0;
+const SLOW_FIRST: f64 = 3.5;
 /// Time for which a request that ended backend servers is remembered.
 const SUSPECT_TIME: Duration = Duration::from_secs(60);
 /// Backend servers that one request may end before no node sends it on. A lost network path looks
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout_at;
 
 /// Events after which the pace of a stream is known.
-const PACE_EVENTS: u32 = 4;
+const PACE_EVENTS: u32 = 3;
 /// Pause between two looks for a place elsewhere.
 const LOOK: Duration = Duration::from_millis(250);
 
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -162,7 +162,8 @@
             Item::Event(event) => match escalate(app, job, &source) {
                 None => return Ok(First::Stream(source, event)),
                 Some(better) => {
-                    source.place.note(Outcome::Sound);
+                    // A dropped answer says nothing of the version.
+                    source.place.note(Outcome::Unknown);
                     job.tried.pop();
                     next = Some(better);
                 }
--- a/crates/route/src/rollout/settings.rs
+++ b/crates/route/src/rollout/settings.rs
@@ -13,8 +13,14 @@
     pub complete_from: f64,
     /// Answers of the new version without which it isn't judged bad.
     pub least_known: u32,
+    /// Answers of the new version with which it may get more than on trial.
+    pub enough_known: u32,
     /// Difference of the shares of bad answers above which it is judged bad.
     pub worse: f64,
+    /// Standard deviations that this difference must be away from none.
+    pub deviation: f64,
+    /// Difference with which it isn't taken over: too little is known to call it bad.
+    pub doubtful: f64,
     /// Part of the allowed exposure that is used on trial: answers under way aren't counted yet.
     pub exposure_part: f64,
     /// Share of all requests of the service that a version on trial may get.
@@ -31,7 +37,10 @@
             steps: [(0.52, 0.25), (0.60, 0.5), (0.67, 1.0)],
             complete_from: 0.88,
             least_known: 8,
-            worse: 0.2,
+            enough_known: 40,
+            worse: 0.1,
+            deviation: 3.0,
+            doubtful: 0.08,
             exposure_part: 0.75,
             expose_share: 0.1,
             expose_extra: 10.0,
--- a/crates/route/src/rollout/tally.rs
+++ b/crates/route/src/rollout/tally.rs
@@ -28,6 +28,11 @@
     }
 }
 
+/// Answers of an old version that are taken for known before any is.
+const USUAL_KNOWN: f64 = 20.0;
+/// Bad ones among them.
+const USUAL_BAD: f64 = 1.0;
+
 /// Answers of both versions.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Tally {
@@ -46,6 +51,23 @@
         }
     }
 
+    /// Standard deviations between the shares of bad answers of both versions.
+    ///
+    /// ```
+    /// use route::rollout::{Count, Tally};
+    /// let old = Count { sent: 100, known: 100, bad: 0 };
+    /// let new = Count { sent: 10, known: 10, bad: 5 };
+    /// assert!(Tally { old, new }.deviation() > 3.0);
+    /// ```
+    pub fn deviation(&self) -> f64 {
+        let old = f64::from(self.old.known) + USUAL_KNOWN;
+        let old_bad = f64::from(self.old.bad) + USUAL_BAD;
+        let (new, new_bad) = (f64::from(self.new.known), f64::from(self.new.bad));
+        let share = (old_bad + new_bad) / (old + new);
+        let variance = share * (1.0 - share) * (1.0 / old + 1.0 / new.max(1.0));
+        (self.new.bad_share() - old_bad / old) / variance.sqrt()
+    }
+
     /// The sum of two.
     pub fn plus(self, other: Self) -> Self {
         let sum = |one: Count, two: Count| Count {
