Send nothing to a version that wasn't taken over when the next roll-out is ordered

A node forgot that a version was rolled back as soon as the next one was ordered, and took it for the old one. Ruled out: late words of other nodes on sessions. Change: versions that weren't completed stay rejected; more sessions than on trial only once the version is cleared, so that sessions don't flip at the edge of the exposure.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -14,7 +14,7 @@
 use route::server::Listing;
 use route::session::Sessions;
 use route::site::{Bounds, Site};
-use route::{NodeName, Position, ServerId, ServiceName, table};
+use route::{NodeName, Position, ServerId, ServiceName, Version, table};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -109,6 +109,8 @@
     pub finishing: bool,
     /// Roll-outs that the operator asks for, by service.
     pub trials: Map<ServiceName, Trial>,
+    /// Versions that weren't taken over, by service: they get nothing more.
+    rejected: Map<ServiceName, Set<Version>>,
     /// Versions that sessions are on.
     pub sessions: Sessions,
     /// Requests that end the backend servers which run them.
@@ -143,6 +145,7 @@
             stopping: false,
             finishing: false,
             trials: Map::default(),
+            rejected: Map::default(),
             sessions: Sessions::default(),
             suspects: Suspects::new(suspect::Settings {
                 memory: SUSPECT_TIME,
@@ -299,6 +302,13 @@
             expose_extra: self.bounds.expose_extra,
             ..rollout::Settings::default()
         };
+        let rejected = self.rejected.entry(order.service.clone()).or_default();
+        if let Some(before) = self.trials.remove(&order.service)
+            && before.outcome() != Outcome::Completed
+        {
+            rejected.insert(before.order.to);
+        }
+        rejected.remove(&order.to);
         let trial = Trial::new(order, settings, now);
         self.trials.insert(trial.order.service.clone(), trial);
         self.apply_outcomes();
@@ -442,19 +452,23 @@
         key: &str,
         session: Option<&str>,
     ) -> Result<Listing, Refusal> {
+        let rejected = self.rejected.get(query.service);
+        let takes = |listing: &Listing| {
+            !rejected.is_some_and(|versions| versions.contains(&listing.version))
+        };
         let Some(trial) = self.trials.get(query.service) else {
-            return self.pool.pick(now, query, |_| true);
+            return self.pool.pick(now, query, takes);
         };
         let known = session.and_then(|session| self.sessions.version(now, session));
         let known = known.map(|version| trial.side_of(version));
         let draw = stable_hash([trial.order.to.as_str(), session.unwrap_or(key)]);
         let side = trial.side(now, draw as f64 / u64::MAX as f64, known);
-        let on_side = |listing: &Listing| trial.side_of(&listing.version) == side;
+        let on_side = |listing: &Listing| trial.side_of(&listing.version) == side && takes(listing);
         match self.pool.pick(now, query, on_side) {
             // A version without a backend server leaves its requests to the other one, except that
             // one that was found bad gets none.
             Err(Refusal::Absent) if trial.outcome() != Outcome::RolledBack => {
-                self.pool.pick(now, query, |_| true)
+                self.pool.pick(now, query, takes)
             }
             picked => picked,
         }
--- a/crates/route/src/rollout/trial.rs
+++ b/crates/route/src/rollout/trial.rs
@@ -140,8 +140,8 @@
             .iter()
             .rev()
             .find(|(from, _)| part >= *from);
-        if let Some((_, share)) = moved {
-            return match draw < *share && (self.is_cleared() || !self.is_exposed()) {
+        if let (Some((_, share)), true) = (moved, self.is_cleared()) {
+            return match draw < *share {
                 true => Side::New,
                 false => Side::Old,
             };
