Judge roll-outs by route too

Ruled out: - Change: evidence by route, told over the links; a route whose answers speak against the version by three deviations rolls it back.

--- a/crates/route/src/rollout/trial.rs
+++ b/crates/route/src/rollout/trial.rs
@@ -3,8 +3,12 @@
 use super::{Order, Outcome, Settings, Side, Tally};
 use crate::NodeName;
 use contract::Map;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+/// Answers of both versions by route.
+pub type Tallies = BTreeMap<String, Tally>;
+
 /// One roll-out under way. All nodes judge alike from what they and the others have seen; a node
 /// stops sending to a bad version by itself, whoever writes down the outcome.
 #[derive(Clone, Debug)]
@@ -14,8 +18,8 @@
     settings: Settings,
     since: Instant,
     outcome: Outcome,
-    own: Tally,
-    others: Map<NodeName, Tally>,
+    own: Tallies,
+    others: Map<NodeName, Tallies>,
 }
 
 impl Trial {
@@ -33,7 +37,7 @@
             settings,
             since: now,
             outcome: Outcome::Running,
-            own: Tally::default(),
+            own: Tallies::new(),
             others: Map::default(),
         }
     }
@@ -67,33 +71,47 @@
         }
     }
 
-    /// Counts a request sent to one of the versions.
-    pub fn sent(&mut self, side: Side) {
-        self.own.side(side).sent += 1;
+    /// Counts a request of a route sent to one of the versions.
+    pub fn sent(&mut self, route: &str, side: Side) {
+        self.own_of(route).side(side).sent += 1;
     }
 
-    /// Counts an answer of one of the versions.
-    pub fn answered(&mut self, side: Side, bad: bool) {
-        let count = self.own.side(side);
+    /// Counts an answer of one of the versions to a request of a route.
+    pub fn answered(&mut self, route: &str, side: Side, bad: bool) {
+        let count = self.own_of(route).side(side);
         count.known += 1;
         count.bad += u32::from(bad);
     }
 
+    fn own_of(&mut self, route: &str) -> &mut Tally {
+        self.own.entry(route.to_owned()).or_default()
+    }
+
     /// What this node has seen.
-    pub fn own(&self) -> Tally {
-        self.own
+    pub fn own(&self) -> &Tallies {
+        &self.own
     }
 
     /// Takes in what another node has seen.
-    pub fn hear(&mut self, node: &NodeName, tally: Tally) {
-        self.others.insert(node.clone(), tally);
+    pub fn hear(&mut self, node: &NodeName, tallies: Tallies) {
+        self.others.insert(node.clone(), tallies);
     }
 
-    /// What all nodes have seen.
+    /// What all nodes have seen on all routes.
     pub fn seen(&self) -> Tally {
-        self.others
-            .values()
-            .fold(self.own, |sum, tally| sum.plus(*tally))
+        let nodes = self.others.values().chain([&self.own]);
+        let tallies = nodes.flat_map(BTreeMap::values);
+        tallies.fold(Tally::default(), |sum, tally| sum.plus(*tally))
+    }
+
+    /// What all nodes have seen, by route.
+    fn seen_by_route(&self) -> BTreeMap<&str, Tally> {
+        let mut seen: BTreeMap<&str, Tally> = BTreeMap::new();
+        for (route, tally) in self.others.values().chain([&self.own]).flatten() {
+            let sum = seen.entry(route).or_default();
+            *sum = sum.plus(*tally);
+        }
+        seen
     }
 
     /// Judges by what was seen; the outcome is kept.
@@ -103,7 +121,7 @@
     /// let order = Order { service: "s".into(), to: "v2".into(), time: std::time::Duration::from_secs(12) };
     /// let now = std::time::Instant::now();
     /// let mut trial = Trial::new(order, Settings::default(), now);
-    /// (0..8).for_each(|_| trial.answered(Side::New, true));
+    /// (0..8).for_each(|_| trial.answered("r", Side::New, true));
     /// assert_eq!(trial.judge(now), Outcome::RolledBack);
     /// ```
     pub fn judge(&mut self, now: Instant) -> Outcome {
@@ -111,12 +129,16 @@
             return self.outcome;
         }
         let seen = self.seen();
-        let worse = seen.new.bad_share() - seen.old.bad_share();
-        let known = seen.new.known >= self.settings.least_known;
-        if known && worse > self.settings.worse && seen.deviation() > self.settings.deviation {
+        let routes = self.seen_by_route();
+        if self.is_bad(&seen) || routes.values().any(|seen| self.is_bad(seen)) {
             self.outcome = Outcome::RolledBack;
         } else if self.part(now) >= self.settings.complete_from {
-            self.outcome = match worse > self.settings.doubtful {
+            let doubtful = seen.worse() > self.settings.doubtful
+                || routes.values().any(|seen| {
+                    seen.new.known >= self.settings.least_known
+                        && seen.worse() > self.settings.doubtful_route
+                });
+            self.outcome = match doubtful {
                 true => Outcome::RolledBack,
                 false => Outcome::Completed,
             };
@@ -124,6 +146,14 @@
         self.outcome
     }
 
+    /// Whether answers speak against the new version for certain. A version may fail for one kind
+    /// of request only, so that routes are judged by themselves too.
+    fn is_bad(&self, seen: &Tally) -> bool {
+        seen.new.known >= self.settings.least_known
+            && seen.worse() > self.settings.worse
+            && seen.deviation() > self.settings.deviation
+    }
+
     /// The version for a request: `draw` is a number between 0 and 1 that is the same for all
     /// requests of a session, `known` the version that the session is on.
     pub fn side(&self, now: Instant, draw: f64, known: Option<Side>) -> Side {
@@ -156,8 +186,7 @@
     /// Whether enough answers speak for the new version to let it have more than it may on trial.
     fn is_cleared(&self) -> bool {
         let seen = self.seen();
-        let worse = seen.new.bad_share() - seen.old.bad_share();
-        seen.new.known >= self.settings.enough_known && worse < self.settings.doubtful
+        seen.new.known >= self.settings.enough_known && seen.worse() < self.settings.doubtful
     }
 
     /// Whether the new version has had what it may get on trial.
