--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -475,15 +475,9 @@
     }
 
     /// Counts a request of a session as sent to a version; true when the other nodes are to know.
-    pub fn sent(
-        &mut self,
-        now: Instant,
-        listing: &Listing,
-        route: &str,
-        session: Option<&str>,
-    ) -> bool {
+    pub fn sent(&mut self, now: Instant, listing: &Listing, session: Option<&str>) -> bool {
         if let Some(trial) = self.trials.get_mut(&listing.service) {
-            trial.sent(route, trial.side_of(&listing.version));
+            trial.sent(trial.side_of(&listing.version));
         }
         session.is_some_and(|session| self.sessions.note(now, session, &listing.version))
     }
@@ -537,9 +531,9 @@
     }
 
     /// Takes in an answer of a version.
-    pub fn answered(&mut self, listing: &Listing, route: &str, bad: bool) {
+    pub fn answered(&mut self, listing: &Listing, bad: bool) {
         if let Some(trial) = self.trials.get_mut(&listing.service) {
-            trial.answered(route, trial.side_of(&listing.version), bad);
+            trial.answered(trial.side_of(&listing.version), bad);
         }
     }
 
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -11,7 +11,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use route::ServerId;
-use route::config::Route;
 use route::pool::{self, Load, Outcome, Query, Refusal, Stage};
 use route::server::Listing;
 use std::sync::Arc;
@@ -60,7 +59,6 @@
     unread: f64,
     load: Load,
     model: String,
-    route: Arc<Route>,
     /// Whether the roll-out has been told of the answer.
     judged: bool,
     first_event: Option<Instant>,
@@ -134,7 +132,7 @@
         let mut state = self.app.state();
         let slow = state.timed(&self.server, &self.model, stage, millis);
         if slow && !std::mem::replace(&mut self.judged, true) {
-            state.answered(&self.server, &self.route.name, true);
+            state.answered(&self.server, true);
         }
     }
 }
@@ -163,7 +161,7 @@
         );
         if !self.judged && matches!(self.outcome, Outcome::Sound | Outcome::Failed) {
             let bad = self.outcome == Outcome::Failed;
-            state.answered(&self.server, &self.route.name, bad);
+            state.answered(&self.server, bad);
         }
         drop(state);
         self.app.room.notify_one();
@@ -203,7 +201,7 @@
     };
     let server = state.pick(now, &query, job.name(), job.session.as_deref())?;
     let unread = state.pool.begin(now, &server.id, &query);
-    let news = state.sent(now, &server, &job.route.name, job.session.as_deref());
+    let news = state.sent(now, &server, job.session.as_deref());
     let load = state
         .pool
         .servers()
@@ -230,7 +228,6 @@
             .model
             .as_ref()
             .map_or(String::new(), |(model, _)| model.clone()),
-        route: Arc::clone(&job.route),
         judged: false,
         first_event: None,
         events: 0,
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -110,8 +110,10 @@
     pub to: Version,
     /// Milliseconds since the order.
     pub age_ms: u64,
-    /// By route: requests sent, answers known and bad answers of the old and of the new version.
-    pub routes: BTreeMap<String, ([u32; 3], [u32; 3])>,
+    /// Requests sent, answers known and bad answers of the old version.
+    pub old: [u32; 3],
+    /// The same of the new version.
+    pub new: [u32; 3],
 }
 
 /// A change of a row.
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -97,11 +97,11 @@
         return;
     }
     let count = |[sent, known, bad]: [u32; 3]| Count { sent, known, bad };
-    let tallies = told.routes.iter().map(|(route, (old, new))| {
-        let (old, new) = (count(*old), count(*new));
-        (route.clone(), Tally { old, new })
-    });
-    trial.hear(node, tallies.collect());
+    let tally = Tally {
+        old: count(told.old),
+        new: count(told.new),
+    };
+    trial.hear(node, tally);
     trial.known_for(now, Duration::from_millis(told.age_ms));
 }
 
@@ -114,15 +114,13 @@
 
 fn tell_trial(trial: &Trial, now: Instant) -> frame::Trial {
     let counts = |count: Count| [count.sent, count.known, count.bad];
+    let own = trial.own();
     frame::Trial {
         service: trial.order.service.clone(),
         to: trial.order.to.clone(),
         age_ms: trial.age(now).as_millis() as u64,
-        routes: trial
-            .own()
-            .iter()
-            .map(|(route, tally)| (route.clone(), (counts(tally.old), counts(tally.new))))
-            .collect(),
+        old: counts(own.old),
+        new: counts(own.new),
     }
 }
 
--- a/crates/route/src/rollout/mod.rs
+++ b/crates/route/src/rollout/mod.rs
@@ -12,4 +12,4 @@
 pub use settings::Settings;
 pub use side::Side;
 pub use tally::{Count, Tally};
-pub use trial::{Tallies, Trial};
+pub use trial::Trial;
--- a/crates/route/src/rollout/settings.rs
+++ b/crates/route/src/rollout/settings.rs
@@ -21,8 +21,6 @@
     pub deviation: f64,
     /// Difference with which it isn't taken over: too little is known to call it bad.
     pub doubtful: f64,
-    /// The same for a single route, where fewer answers are known.
-    pub doubtful_route: f64,
     /// Part of the allowed exposure that is used on trial: answers under way aren't counted yet.
     pub exposure_part: f64,
     /// Share of all requests of the service that a version on trial may get.
@@ -43,7 +41,6 @@
             worse: 0.1,
             deviation: 3.0,
             doubtful: 0.08,
-            doubtful_route: 0.15,
             exposure_part: 0.75,
             expose_share: 0.1,
             expose_extra: 10.0,
--- a/crates/route/src/rollout/tally.rs
+++ b/crates/route/src/rollout/tally.rs
@@ -51,11 +51,6 @@
         }
     }
 
-    /// How much greater the new version's share of bad answers is.
-    pub fn worse(&self) -> f64 {
-        self.new.bad_share() - self.old.bad_share()
-    }
-
     /// Standard deviations between the shares of bad answers of both versions.
     ///
     /// ```
