Judge new versions by their pace too

A version of which half the answers are slow was completed: an answer counted as bad beyond 3 times the mean, and the mean was high, since slow and full backend servers of the old version raise it. The new version's events came 94 to 118 ms apart in every stream, those of the old version 38 ms on an idle engine and 400 ms on a full one. Ruled out: slow answers known later than good ones (the pace is known at the third event); too few answers (27 paces known when it was completed). Change: usual times keep a median beside the mean, without what the other requests on an engine add. A roll-out counts the answers slower than 1.5 times the median of the old version, and judges their share as it judges failures. Times of cold backend servers say nothing. The line 1750 names what was seen of both versions. Without the new judging two of the three new tests fail.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -33,6 +33,9 @@
 const SLOW: f64 = 3.0;
 /// The same for a first event, which depends on what an engine keeps of the prompt.
 const SLOW_FIRST: f64 = 3.5;
+/// Multiple of the median time above which an answer counts as slow in a roll-out. Under load a
+/// third of the old version's answers are beyond it, nearly all of a version of half the speed.
+const SLOWER: f64 = 1.5;
 /// Time for which a request that ended backend servers is remembered.
 const SUSPECT_TIME: Duration = Duration::from_secs(60);
 /// Backend servers that one request may end before no node sends it on. A lost network path looks
@@ -517,17 +520,33 @@
     }
 
     /// Takes in how long a stage of a request took; true when that is far beyond the usual.
-    pub fn timed(&mut self, listing: &Listing, model: &str, stage: Stage, millis: f64) -> bool {
-        let trial = self.trials.get(&listing.service);
-        let on_trial = trial.is_some_and(|trial| {
+    pub fn timed(
+        &mut self,
+        now: Instant,
+        listing: &Listing,
+        model: &str,
+        stage: Stage,
+        millis: f64,
+    ) -> bool {
+        let trial = self.trials.get_mut(&listing.service);
+        let on_trial = trial.as_ref().is_some_and(|trial| {
             trial.outcome() != Outcome::Completed && trial.side_of(&listing.version) == Side::New
         });
-        let ratio = self.pool.timed(listing, model, stage, millis, !on_trial);
+        let ratio = self
+            .pool
+            .timed(now, listing, model, stage, millis, !on_trial);
+        let Some(ratio) = ratio else {
+            return false;
+        };
+        // The time to a first event depends on what an engine keeps, and a new one keeps nothing.
+        if let (Stage::Pace | Stage::Whole, Some(trial)) = (stage, trial) {
+            trial.timed(trial.side_of(&listing.version), ratio.to_median > SLOWER);
+        }
         let most = match stage {
             Stage::First => SLOW_FIRST,
             Stage::Pace | Stage::Whole => SLOW,
         };
-        ratio.is_some_and(|ratio| ratio > most)
+        ratio.to_mean > most
     }
 
     /// Takes in an answer of a version.
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -6,7 +6,7 @@
 use crate::app::{App, Table};
 use platform::store::{STATUS, Write};
 use route::Position;
-use route::rollout::Outcome;
+use route::rollout::{Outcome, Tally};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -22,6 +22,8 @@
     to: String,
     outcome: Outcome,
     position: Position,
+    /// What was seen of both versions.
+    seen: Tally,
 }
 
 /// Writes what is due, for as long as the node runs.
@@ -55,10 +57,10 @@
     let judged: Vec<_> = state
         .trials
         .values_mut()
-        .map(|trial| (trial.order.clone(), trial.judge(now)))
+        .map(|trial| (trial.order.clone(), trial.judge(now), trial.seen()))
         .collect();
     let mut due = Vec::new();
-    for (order, outcome) in judged {
+    for (order, outcome, seen) in judged {
         let row = state
             .mirror(Table::Status)
             .get(&platform::status_key(&order.service));
@@ -69,6 +71,7 @@
                 to: order.to,
                 outcome,
                 position: row.map_or(0, |row| row.position),
+                seen,
             });
         }
     }
@@ -87,7 +90,8 @@
     let outcome = format!("{:?}", due.outcome);
     match app.store.write(&write).await {
         Ok(_) => log::info!(event = 1750, service = due.service.as_str(), to = due.to.as_str(),
-            outcome = outcome.as_str(); "roll-out written down"),
+            outcome = outcome.as_str(), old = format!("{:?}", due.seen.old).as_str(),
+            new = format!("{:?}", due.seen.new).as_str(); "roll-out written down"),
         Err(error) => {
             log::warn!(event = 1751, service = due.service.as_str(), to = due.to.as_str(),
             outcome = outcome.as_str(); "roll-out isn't written down: {error}")
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -130,7 +130,7 @@
     fn time(&mut self, stage: Stage, took: Duration) {
         let millis = took.as_secs_f64() * 1e3;
         let mut state = self.app.state();
-        let slow = state.timed(&self.server, &self.model, stage, millis);
+        let slow = state.timed(Instant::now(), &self.server, &self.model, stage, millis);
         if slow && !std::mem::replace(&mut self.judged, true) {
             state.answered(&self.server, true);
         }
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -110,10 +110,10 @@
     pub to: Version,
     /// Milliseconds since the order.
     pub age_ms: u64,
-    /// Requests sent, answers known and bad answers of the old version.
-    pub old: [u32; 3],
+    /// Of the old version: requests sent, answers known, bad ones, timed ones and slow ones.
+    pub old: [u32; 5],
     /// The same of the new version.
-    pub new: [u32; 3],
+    pub new: [u32; 5],
 }
 
 /// A change of a row.
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -96,7 +96,13 @@
     if trial.order.to != told.to {
         return;
     }
-    let count = |[sent, known, bad]: [u32; 3]| Count { sent, known, bad };
+    let count = |[sent, known, bad, timed, slow]: [u32; 5]| Count {
+        sent,
+        known,
+        bad,
+        timed,
+        slow,
+    };
     let tally = Tally {
         old: count(told.old),
         new: count(told.new),
@@ -113,7 +119,7 @@
 }
 
 fn tell_trial(trial: &Trial, now: Instant) -> frame::Trial {
-    let counts = |count: Count| [count.sent, count.known, count.bad];
+    let counts = |count: Count| [count.sent, count.known, count.bad, count.timed, count.slow];
     let own = trial.own();
     frame::Trial {
         service: trial.order.service.clone(),
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -15,7 +15,7 @@
 pub use cold::Ramp;
 pub use error::Refusal;
 pub use load::Load;
-pub use norm::{Norms, Stage};
+pub use norm::{Norms, Ratio, Stage};
 pub use pool::{Pool, Tag, load_of, tag};
 pub use query::{PartId, Query, Work, part_id};
 pub use rendezvous::rank;
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -1,7 +1,7 @@
 //! All backend servers of a site.
 
 use super::{
-    Bearing, Load, Norms, Outcome, Query, Refusal, Server, Settings, Stage, part_id, rank,
+    Bearing, Load, Norms, Outcome, Query, Ratio, Refusal, Server, Settings, Stage, part_id, rank,
 };
 use crate::server::Listing;
 use crate::{NodeName, ServerId, ServiceName, Zone};
@@ -231,22 +231,31 @@
     }
 
     /// Takes in how long a stage of a request took on a backend server; gives how many times the
-    /// usual time that is. A reference moves what is usual.
+    /// usual time that is. A reference moves what is usual. The times of a cold backend server say
+    /// nothing.
     pub fn timed(
         &mut self,
+        now: Instant,
         listing: &Listing,
         model: &str,
         stage: Stage,
         millis: f64,
         reference: bool,
-    ) -> Option<f64> {
+    ) -> Option<Ratio> {
+        let server = self.servers.get_mut(&listing.id);
+        if server
+            .as_ref()
+            .is_some_and(|server| now < server.cold_until)
+        {
+            return None;
+        }
+        let others = server.as_ref().map_or(0, |server| server.load().requests);
+        let alone = millis / self.settings.crowding(stage, others);
         let service = &listing.service;
-        let ratio = self.norms.ratio(service, model, stage, millis, reference)?;
+        let ratio = self.norms.ratio(service, model, stage, alone, reference)?;
         // The time to a first event says more of the prompt than of the engine.
-        if let (Stage::Pace | Stage::Whole, Some(server)) =
-            (stage, self.servers.get_mut(&listing.id))
-        {
-            server.timed(ratio, &self.settings);
+        if let (Stage::Pace | Stage::Whole, Some(server)) = (stage, server) {
+            server.timed(ratio.to_mean, &self.settings);
         }
         Some(ratio)
     }
--- a/crates/route/src/pool/settings.rs
+++ b/crates/route/src/pool/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of placement.
 
+use super::Stage;
 use std::time::Duration;
 
 /// What is assumed of backend servers where nothing is known of them.
@@ -65,3 +66,23 @@
         }
     }
 }
+
+impl Settings {
+    /// How many times as long a stage takes beside other requests as alone.
+    ///
+    /// ```
+    /// use route::pool::{Settings, Stage};
+    /// let settings = Settings::default();
+    /// assert_eq!(settings.crowding(Stage::Whole, 29), 1.0);
+    /// assert_eq!(settings.crowding(Stage::Pace, 29), 2.0);
+    /// ```
+    pub fn crowding(&self, stage: Stage, others: u32) -> f64 {
+        match stage {
+            Stage::Pace => {
+                1.0 + self.step_per_request.as_secs_f64() * f64::from(others)
+                    / self.step.as_secs_f64()
+            }
+            Stage::First | Stage::Whole => 1.0,
+        }
+    }
+}
--- a/crates/route/src/rollout/settings.rs
+++ b/crates/route/src/rollout/settings.rs
@@ -21,6 +21,10 @@
     pub deviation: f64,
     /// Difference with which it isn't taken over: too little is known to call it bad.
     pub doubtful: f64,
+    /// The same as `worse` for the shares of slow answers, which vary more.
+    pub slower: f64,
+    /// The same as `doubtful` for the shares of slow answers.
+    pub doubtful_slower: f64,
     /// Part of the allowed exposure that is used on trial: answers under way aren't counted yet.
     pub exposure_part: f64,
     /// Share of all requests of the service that a version on trial may get.
@@ -41,6 +45,8 @@
             worse: 0.1,
             deviation: 3.0,
             doubtful: 0.08,
+            slower: 0.25,
+            doubtful_slower: 0.2,
             exposure_part: 0.75,
             expose_share: 0.1,
             expose_extra: 10.0,
--- a/crates/route/src/rollout/tally.rs
+++ b/crates/route/src/rollout/tally.rs
@@ -11,6 +11,10 @@
     pub known: u32,
     /// Answers that were bad.
     pub bad: u32,
+    /// Answers whose time is known.
+    pub timed: u32,
+    /// Timed answers that took longer than most of the old version's.
+    pub slow: u32,
 }
 
 impl Count {
@@ -18,7 +22,7 @@
     ///
     /// ```
     /// use route::rollout::Count;
-    /// assert_eq!(Count { sent: 9, known: 4, bad: 1 }.bad_share(), 0.25);
+    /// assert_eq!(Count { known: 4, bad: 1, ..Default::default() }.bad_share(), 0.25);
     /// ```
     pub fn bad_share(&self) -> f64 {
         match self.known {
@@ -26,6 +30,16 @@
             known => f64::from(self.bad) / f64::from(known),
         }
     }
+
+    /// The timed answers as known ones, and the slow ones as bad ones: times are judged like
+    /// failures.
+    fn times(self) -> Self {
+        Self {
+            known: self.timed,
+            bad: self.slow,
+            ..self
+        }
+    }
 }
 
 /// Answers of an old version that are taken for known before any is.
@@ -55,8 +69,8 @@
     ///
     /// ```
     /// use route::rollout::{Count, Tally};
-    /// let old = Count { sent: 100, known: 100, bad: 0 };
-    /// let new = Count { sent: 10, known: 10, bad: 5 };
+    /// let old = Count { known: 100, ..Default::default() };
+    /// let new = Count { known: 10, bad: 5, ..Default::default() };
     /// assert!(Tally { old, new }.deviation() > 3.0);
     /// ```
     pub fn deviation(&self) -> f64 {
@@ -68,12 +82,33 @@
         (self.new.bad_share() - old_bad / old) / variance.sqrt()
     }
 
+    /// By how much the new version's share of bad answers is greater.
+    ///
+    /// ```
+    /// use route::rollout::{Count, Tally};
+    /// let new = Count { known: 10, bad: 5, ..Default::default() };
+    /// assert_eq!(Tally { new, ..Default::default() }.worse(), 0.5);
+    /// ```
+    pub fn worse(&self) -> f64 {
+        self.new.bad_share() - self.old.bad_share()
+    }
+
+    /// The times of both versions, the slow answers as bad ones.
+    pub fn times(&self) -> Self {
+        Self {
+            old: self.old.times(),
+            new: self.new.times(),
+        }
+    }
+
     /// The sum of two.
     pub fn plus(self, other: Self) -> Self {
         let sum = |one: Count, two: Count| Count {
             sent: one.sent + two.sent,
             known: one.known + two.known,
             bad: one.bad + two.bad,
+            timed: one.timed + two.timed,
+            slow: one.slow + two.slow,
         };
         Self {
             old: sum(self.old, other.old),
--- a/crates/route/src/rollout/trial.rs
+++ b/crates/route/src/rollout/trial.rs
@@ -79,6 +79,14 @@
         count.bad += u32::from(bad);
     }
 
+    /// Counts an answer whose time is known, and whether it took longer than most of the old
+    /// version's.
+    pub fn timed(&mut self, side: Side, slow: bool) {
+        let count = self.own.side(side);
+        count.timed += 1;
+        count.slow += u32::from(slow);
+    }
+
     /// What this node has seen.
     pub fn own(&self) -> Tally {
         self.own
@@ -111,12 +119,11 @@
             return self.outcome;
         }
         let seen = self.seen();
-        let worse = seen.new.bad_share() - seen.old.bad_share();
-        let known = seen.new.known >= self.settings.least_known;
-        if known && worse > self.settings.worse && seen.deviation() > self.settings.deviation {
+        let settings = &self.settings;
+        if self.is_worse(&seen, settings.worse) || self.is_worse(&seen.times(), settings.slower) {
             self.outcome = Outcome::RolledBack;
-        } else if self.part(now) >= self.settings.complete_from {
-            self.outcome = match worse > self.settings.doubtful {
+        } else if self.part(now) >= settings.complete_from {
+            self.outcome = match self.is_doubtful(&seen) {
                 true => Outcome::RolledBack,
                 false => Outcome::Completed,
             };
@@ -124,6 +131,19 @@
         self.outcome
     }
 
+    /// Whether the new version is worse by more than `least`, beyond chance.
+    fn is_worse(&self, seen: &Tally, least: f64) -> bool {
+        seen.new.known >= self.settings.least_known
+            && seen.worse() > least
+            && seen.deviation() > self.settings.deviation
+    }
+
+    /// Whether too much speaks against the new version to let it take over.
+    fn is_doubtful(&self, seen: &Tally) -> bool {
+        seen.worse() > self.settings.doubtful
+            || seen.times().worse() > self.settings.doubtful_slower
+    }
+
     /// The version for a request: `draw` is a number between 0 and 1 that is the same for all
     /// requests of a session, `known` the version that the session is on.
     pub fn side(&self, now: Instant, draw: f64, known: Option<Side>) -> Side {
@@ -156,8 +176,7 @@
     /// Whether enough answers speak for the new version to let it have more than it may on trial.
     fn is_cleared(&self) -> bool {
         let seen = self.seen();
-        let worse = seen.new.bad_share() - seen.old.bad_share();
-        seen.new.known >= self.settings.enough_known && worse < self.settings.doubtful
+        seen.new.known >= self.settings.enough_known && !self.is_doubtful(&seen)
     }
 
     /// Whether the new version has had what it may get on trial.
--- a/crates/route/tests/rollout.rs
+++ b/crates/route/tests/rollout.rs
@@ -54,6 +54,7 @@
             sent: 6,
             known: 6,
             bad: 3,
+            ..Count::default()
         },
     };
     trial.hear(&"n2".to_owned(), seen);
@@ -108,6 +109,42 @@
     assert_eq!(trial.judge(now), Outcome::Completed);
 }
 
+/// Counts answers of both versions, each so many and so many of them slow.
+fn time(trial: &mut Trial, old: (u32, u32), new: (u32, u32)) {
+    for (side, (timed, slow)) in [(Side::Old, old), (Side::New, new)] {
+        (0..timed).for_each(|index| {
+            trial.timed(side, index < slow);
+            trial.answered(side, false);
+        });
+    }
+}
+
+#[test]
+fn a_slower_version_is_rolled_back_though_each_answer_is_near_the_mean() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    time(&mut trial, (360, 120), (14, 12));
+    assert_eq!(trial.judge(now), Outcome::RolledBack);
+}
+
+#[test]
+fn a_somewhat_slower_version_does_not_take_over() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    time(&mut trial, (360, 120), (60, 33));
+    assert_eq!(trial.side(now + TIME.mul_f64(0.7), 0.5, None), Side::Old);
+}
+
+#[test]
+fn a_version_faster_than_the_loaded_old_one_takes_over() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    time(&mut trial, (360, 140), (60, 15));
+    assert_eq!(trial.judge(now), Outcome::Running);
+    assert_eq!(trial.side(now + TIME.mul_f64(0.7), 0.5, None), Side::New);
+    assert_eq!(trial.judge(now + TIME), Outcome::Completed);
+}
+
 proptest! {
     /// The new version gets no more than it may while nothing speaks for it, whatever sessions come.
     #[test]
