Judge failures and slow answers of versions apart

Slow and silent answers counted as failures. Under load they were a quarter to a third of the old version's (166 bad of 489 known), beside which 8 in 100 failures of the new one don't show. Change: an answer is bad only if it failed; silence counts as a slow answer. With that, few answers of an old version are bad, and a difference of 5 in 100 beyond chance ends a roll-out; 4 in 100 beyond two deviations keep it from being completed. The new test in edge fails with the thresholds before.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -29,10 +29,6 @@
 /// spend in one part of a window, it may spend in another.
 const RETRY_SLACK: f64 = 0.2;
 
-/// Multiple of the usual time above which an answer counts as bad in a roll-out.
-const SLOW: f64 = 3.0;
-/// The same for a first event, which depends on what an engine keeps of the prompt.
-const SLOW_FIRST: f64 = 3.5;
 /// Multiple of the median time above which an answer counts as slow in a roll-out. Under load a
 /// third of the old version's answers are beyond it, nearly all of a version of half the speed.
 const SLOWER: f64 = 1.5;
@@ -519,7 +515,7 @@
         std::mem::take(&mut self.crashes)
     }
 
-    /// Takes in how long a stage of a request took; true when that is far beyond the usual.
+    /// Takes in how long a stage of a request took.
     pub fn timed(
         &mut self,
         now: Instant,
@@ -527,7 +523,7 @@
         model: &str,
         stage: Stage,
         millis: f64,
-    ) -> bool {
+    ) {
         let trial = self.trials.get_mut(&listing.service);
         let on_trial = trial.as_ref().is_some_and(|trial| {
             trial.outcome() != Outcome::Completed && trial.side_of(&listing.version) == Side::New
@@ -535,18 +531,18 @@
         let ratio = self
             .pool
             .timed(now, listing, model, stage, millis, !on_trial);
-        let Some(ratio) = ratio else {
-            return false;
-        };
         // The time to a first event depends on what an engine keeps, and a new one keeps nothing.
-        if let (Stage::Pace | Stage::Whole, Some(trial)) = (stage, trial) {
+        if let (Stage::Pace | Stage::Whole, Some(trial), Some(ratio)) = (stage, trial, ratio) {
             trial.timed(trial.side_of(&listing.version), ratio.to_median > SLOWER);
         }
-        let most = match stage {
-            Stage::First => SLOW_FIRST,
-            Stage::Pace | Stage::Whole => SLOW,
-        };
-        ratio.to_mean > most
+    }
+
+    /// Takes in that a backend server kept silent for too long: that tells of its version what a
+    /// slow answer does. Under load any version does so.
+    pub fn silent(&mut self, listing: &Listing) {
+        if let Some(trial) = self.trials.get_mut(&listing.service) {
+            trial.timed(trial.side_of(&listing.version), true);
+        }
     }
 
     /// Takes in an answer of a version.
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -59,8 +59,8 @@
     unread: f64,
     load: Load,
     model: String,
-    /// Whether the roll-out has been told of the answer.
-    judged: bool,
+    /// Whether it was silent for too long, so that its end says nothing of failures.
+    silent: bool,
     first_event: Option<Instant>,
     events: u32,
 }
@@ -81,6 +81,10 @@
         let now = Instant::now();
         match failure {
             Failure::NotSent(_) => state.ended(now, &self.server.id),
+            Failure::Silent => {
+                self.silent = true;
+                state.silent(&self.server);
+            }
             Failure::Lost(_) | Failure::Broken => {
                 state.lost(now, &job.fingerprint, &self.server.id);
             }
@@ -125,15 +129,11 @@
         self.time(Stage::Whole, self.age());
     }
 
-    /// Notes how long a stage took. One far beyond the usual time speaks against the version at
-    /// once: a slow answer would tell it too late.
+    /// Notes how long a stage took.
     fn time(&mut self, stage: Stage, took: Duration) {
         let millis = took.as_secs_f64() * 1e3;
         let mut state = self.app.state();
-        let slow = state.timed(Instant::now(), &self.server, &self.model, stage, millis);
-        if slow && !std::mem::replace(&mut self.judged, true) {
-            state.answered(&self.server, true);
-        }
+        state.timed(Instant::now(), &self.server, &self.model, stage, millis);
     }
 }
 
@@ -159,7 +159,7 @@
             self.outcome,
             &mut rng,
         );
-        if !self.judged && matches!(self.outcome, Outcome::Sound | Outcome::Failed) {
+        if !self.silent && matches!(self.outcome, Outcome::Sound | Outcome::Failed) {
             let bad = self.outcome == Outcome::Failed;
             state.answered(&self.server, bad);
         }
@@ -228,7 +228,7 @@
             .model
             .as_ref()
             .map_or(String::new(), |(model, _)| model.clone()),
-        judged: false,
+        silent: false,
         first_event: None,
         events: 0,
     })
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -2,7 +2,8 @@
 
 use edge::app::{State, Table};
 use platform::store::{Page, Row};
-use route::pool::{Query, Work};
+use route::pool::{Query, Stage, Work};
+use route::rollout::Outcome;
 use route::site::{Bounds, Site};
 use std::time::{Duration, Instant};
 
@@ -40,27 +41,61 @@
     state.update(Instant::now(), table, page);
 }
 
-#[test]
-fn a_version_that_was_rolled_back_gets_nothing_in_the_next_roll_out() {
-    let mut state = State::new(&site());
-    for (index, version) in ["v1", "v2", "v3"].iter().enumerate() {
+/// A service with a backend server of each version.
+fn list(state: &mut State, versions: &[&str]) {
+    for (index, version) in versions.iter().enumerate() {
         let entry = format!(
             r#"{{"service":"s","address":"127.0.0.1:{index}","zone":"a","version":"{version}",
             "slots":64,"state":"ready","coldRemainingMs":0,"born":1}}"#
         );
-        put(
-            &mut state,
-            Table::Servers,
-            &format!("i-{version}"),
-            1,
-            &entry,
-        );
+        put(state, Table::Servers, &format!("i-{version}"), 1, &entry);
     }
-    let order = |to| format!(r#"{{"service":"s","to":"{to}","rolloutS":16}}"#);
-    put(&mut state, Table::Intents, "rollout/s", 2, &order("v2"));
+}
+
+/// The operator's order of a roll-out.
+fn order(state: &mut State, position: u64, to: &str) {
+    let order = format!(r#"{{"service":"s","to":"{to}","rolloutS":16}}"#);
+    put(state, Table::Intents, "rollout/s", position, &order);
+}
+
+/// The outcome of the roll-out after some answers of both versions, of which some are bad. A third
+/// of the old version's are silent for too long.
+fn judge(old: (u32, u32), new: (u32, u32)) -> Outcome {
+    let mut state = State::new(&site());
+    list(&mut state, &["v1", "v2"]);
+    order(&mut state, 2, "v2");
+    for (server, (answers, bad)) in [("i-v1", old), ("i-v2", new)] {
+        let listing = state.pool.servers()[server].listing.clone();
+        for index in 0..answers {
+            state.answered(&listing, index < bad);
+            state.timed(Instant::now(), &listing, "m", Stage::Pace, 40.0);
+        }
+        for _ in 0..answers / 2 * u32::from(server == "i-v1") {
+            state.silent(&listing);
+        }
+    }
+    let trial = state.trials.get_mut("s").unwrap();
+    trial.judge(Instant::now() + Duration::from_secs(16))
+}
+
+#[test]
+fn failures_of_one_kind_of_request_show_beside_an_old_version_under_load() {
+    assert_eq!(judge((323, 3), (75, 6)), Outcome::RolledBack);
+}
+
+#[test]
+fn a_version_that_fails_as_rarely_as_the_old_one_takes_over() {
+    assert_eq!(judge((323, 3), (75, 1)), Outcome::Completed);
+}
+
+#[test]
+fn a_version_that_was_rolled_back_gets_nothing_in_the_next_roll_out() {
+    let mut state = State::new(&site());
+    list(&mut state, &["v1", "v2", "v3"]);
+    order(&mut state, 2, "v2");
     let status = r#"{"state":"rolled_back","to":"v2"}"#;
     put(&mut state, Table::Status, "rollout/s", 3, status);
-    put(&mut state, Table::Intents, "rollout/s", 4, &order("v3"));
+    order(&mut state, 4, "v3");
     let work = Work::default();
     let query = Query {
         service: "s",
--- a/crates/route/src/rollout/settings.rs
+++ b/crates/route/src/rollout/settings.rs
@@ -21,6 +21,8 @@
     pub deviation: f64,
     /// Difference with which it isn't taken over: too little is known to call it bad.
     pub doubtful: f64,
+    /// Standard deviations that this difference must be away from none.
+    pub doubtful_deviation: f64,
     /// The same as `worse` for the shares of slow answers, which vary more.
     pub slower: f64,
     /// The same as `doubtful` for the shares of slow answers.
@@ -42,9 +44,10 @@
             complete_from: 0.88,
             least_known: 8,
             enough_known: 40,
-            worse: 0.1,
+            worse: 0.05,
             deviation: 3.0,
-            doubtful: 0.08,
+            doubtful: 0.04,
+            doubtful_deviation: 2.0,
             slower: 0.25,
             doubtful_slower: 0.2,
             exposure_part: 0.75,
--- a/crates/route/src/rollout/tally.rs
+++ b/crates/route/src/rollout/tally.rs
@@ -93,6 +93,12 @@
         self.new.bad_share() - self.old.bad_share()
     }
 
+    /// Whether the new version's share is greater by more than `least`, and by more standard
+    /// deviations than the given ones.
+    pub fn is_worse(&self, least: f64, deviation: f64) -> bool {
+        self.worse() > least && self.deviation() > deviation
+    }
+
     /// The times of both versions, the slow answers as bad ones.
     pub fn times(&self) -> Self {
         Self {
--- a/crates/route/src/rollout/trial.rs
+++ b/crates/route/src/rollout/trial.rs
@@ -120,7 +120,12 @@
         }
         let seen = self.seen();
         let settings = &self.settings;
-        if self.is_worse(&seen, settings.worse) || self.is_worse(&seen.times(), settings.slower) {
+        let known = seen.new.known >= settings.least_known;
+        let timed = seen.new.timed >= settings.least_known;
+        let deviation = settings.deviation;
+        if known && seen.is_worse(settings.worse, deviation)
+            || timed && seen.times().is_worse(settings.slower, deviation)
+        {
             self.outcome = Outcome::RolledBack;
         } else if self.part(now) >= settings.complete_from {
             self.outcome = match self.is_doubtful(&seen) {
@@ -131,17 +136,12 @@
         self.outcome
     }
 
-    /// Whether the new version is worse by more than `least`, beyond chance.
-    fn is_worse(&self, seen: &Tally, least: f64) -> bool {
-        seen.new.known >= self.settings.least_known
-            && seen.worse() > least
-            && seen.deviation() > self.settings.deviation
-    }
-
     /// Whether too much speaks against the new version to let it take over.
     fn is_doubtful(&self, seen: &Tally) -> bool {
-        seen.worse() > self.settings.doubtful
-            || seen.times().worse() > self.settings.doubtful_slower
+        let settings = &self.settings;
+        let deviation = settings.doubtful_deviation;
+        seen.is_worse(settings.doubtful, deviation)
+            || seen.times().is_worse(settings.doubtful_slower, deviation)
     }
 
     /// The version for a request: `draw` is a number between 0 and 1 that is the same for all
