Time the slow engine of the pool's test after it is listed

The test's clock was read before the pool was filled, so that its engines counted as cold for the first microseconds, and times of cold engines say nothing. Change: the test reads the clock after the engines are listed; its checks are as they were.

--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -124,6 +124,8 @@
         first
     );
     let mut slow = pool(3);
+    // Later than the listing: the time of a cold backend server would say nothing.
+    let now = Instant::now();
     let stage = route::pool::Stage::Pace;
     let usual = listing("i-none", "a");
     for _ in 0..12 {
