Forget sessions and prompt parts in constant time

A profile of 12 nodes showed 98% of it in HashMap::retain under Sessions::note: beyond 4096 sessions, none out of its time, each request and each word of another node walked through all of them, and the map grew on. Ruled out: beats (decoding and taking them in was a small part), looks of waiting requests, links to cut nodes; system time (3 s of 94 s). Change: sessions and prompt parts are kept in the order of their last use (crate lru); the oldest goes.

--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -2,9 +2,10 @@
 
 use super::{Load, PartId, Query, Ramp, Settings, part_id};
 use crate::server::{Listing, State};
-use contract::Map;
 use limits::quarantine::{self, Breaker};
+use lru::LruCache;
 use rand::Rng;
+use rustc_hash::FxBuildHasher;
 use std::time::{Duration, Instant};
 
 /// How a send ended, as far as it tells something of the backend server.
@@ -52,7 +53,7 @@
     /// How many times the usual time it takes.
     pub slowness: f64,
     /// Parts of prompts that it was sent, by model, with the time of the last use.
-    parts: Map<(PartId, PartId), Instant>,
+    parts: LruCache<(PartId, PartId), Instant, FxBuildHasher>,
     /// Hash of its id.
     pub(super) hash: u64,
     /// Requests that this node may send to it in one window while it is cold.
@@ -80,7 +81,7 @@
             others: Load::default(),
             failures: 0.0,
             slowness: 1.0,
-            parts: Map::default(),
+            parts: LruCache::unbounded_with_hasher(FxBuildHasher),
             hash: part_id(&listing.id),
             cold_share: 0,
             full_until: None,
@@ -117,7 +118,7 @@
         let model = query.model_id;
         let mut kept = 0.0;
         for (part, tokens) in &query.work.parts {
-            let used = self.parts.get(&(model, *part));
+            let used = self.parts.peek(&(model, *part));
             let lapsed = |at: Instant| now.saturating_duration_since(at) >= settings.part_age;
             if used.is_none_or(|&at| lapsed(at)) {
                 break;
@@ -131,13 +132,11 @@
     pub fn read(&mut self, now: Instant, query: &Query, settings: &Settings) {
         let model = query.model_id;
         for (part, _) in &query.work.parts {
-            self.parts.insert((model, *part), now);
+            self.parts.put((model, *part), now);
         }
-        if self.parts.len() <= settings.max_parts {
-            return;
+        while self.parts.len() > settings.max_parts {
+            self.parts.pop_lru();
         }
-        self.parts
-            .retain(|_, &mut at| now.saturating_duration_since(at) < settings.part_age);
     }
 
     /// Takes in how many times the usual time an answer took.
--- a/crates/route/src/session/sessions.rs
+++ b/crates/route/src/session/sessions.rs
@@ -1,19 +1,29 @@
 //! Sessions and the versions that they are on.
 
 use crate::Version;
-use contract::Map;
+use lru::LruCache;
+use rustc_hash::FxBuildHasher;
 use std::time::{Duration, Instant};
 
 /// Time for which a session is remembered after its last request began: its longest request and
 /// the pause after it.
 const MEMORY: Duration = Duration::from_secs(30);
-/// Sessions that are remembered; when there are more, those out of their time go.
-const MAX_SESSIONS: usize = 4096;
+/// Sessions that are remembered; beyond that, the one that was used least recently goes. A site of
+/// 400 new sessions a second fills it within their memory.
+const MAX_SESSIONS: usize = 12_288;
 
 /// The versions that sessions are on, as far as this node has seen or been told.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Sessions {
-    known: Map<String, (Version, Instant)>,
+    known: LruCache<String, (Version, Instant), FxBuildHasher>,
+}
+
+impl Default for Sessions {
+    fn default() -> Self {
+        Self {
+            known: LruCache::unbounded_with_hasher(FxBuildHasher),
+        }
+    }
 }
 
 impl Sessions {
@@ -26,19 +36,21 @@
     /// assert_eq!(sessions.version(now, "s"), Some("v1"));
     /// ```
     pub fn version(&self, now: Instant, session: &str) -> Option<&str> {
-        let (version, last) = self.known.get(session)?;
+        let (version, last) = self.known.peek(session)?;
         (now.saturating_duration_since(*last) < MEMORY).then_some(version.as_str())
     }
 
     /// Notes that a request of a session went to a version; true when that is news.
     pub fn note(&mut self, now: Instant, session: &str, version: &str) -> bool {
         let changed = self.version(now, session) != Some(version);
-        if self.known.len() >= MAX_SESSIONS {
-            let old = |at: Instant| now.saturating_duration_since(at) >= MEMORY;
-            self.known.retain(|_, (_, at)| !old(*at));
-        }
         self.known
-            .insert(session.to_owned(), (version.to_owned(), now));
+            .put(session.to_owned(), (version.to_owned(), now));
+        let over = |at: Instant| now.saturating_duration_since(at) >= MEMORY;
+        while let Some((_, (_, at))) = self.known.peek_lru()
+            && (self.known.len() > MAX_SESSIONS || over(*at))
+        {
+            self.known.pop_lru();
+        }
         changed
     }
 
--- /dev/null
+++ b/crates/route/tests/sessions.rs
@@ -0,0 +1,40 @@
+//! What is remembered of sessions, and how much of it.
+
+use route::session::Sessions;
+use std::time::{Duration, Instant};
+
+#[test]
+fn a_flood_of_sessions_stays_bounded_and_keeps_those_in_use() {
+    let now = Instant::now();
+    let mut sessions = Sessions::default();
+    for index in 0..50_000 {
+        sessions.note(now, "busy", "v1");
+        sessions.note(now, &format!("s-{index}"), "v1");
+    }
+    assert!(sessions.all(now).len() < 20_000);
+    assert_eq!(sessions.version(now, "busy"), Some("v1"));
+    assert_eq!(sessions.version(now, "s-49999"), Some("v1"));
+    assert_eq!(sessions.version(now, "s-0"), None);
+}
+
+#[test]
+fn a_session_out_of_its_time_is_forgotten() {
+    let now = Instant::now();
+    let mut sessions = Sessions::default();
+    sessions.note(now, "s", "v1");
+    let later = now + Duration::from_secs(31);
+    assert_eq!(sessions.version(later, "s"), None);
+    assert!(
+        sessions.note(later, "s", "v1"),
+        "it is news to the other nodes"
+    );
+}
+
+#[test]
+fn a_session_on_its_version_is_no_news() {
+    let now = Instant::now();
+    let mut sessions = Sessions::default();
+    assert!(sessions.note(now, "s", "v1"));
+    assert!(!sessions.note(now, "s", "v1"));
+    assert!(sessions.note(now, "s", "v2"));
+}
