Pack long frames between nodes, and keep the last one

A few nodes that have the store tell 60 others 400 KB each over links of 10 Mbit/s, again after 0.4 s without an answer. Ruled out: the store (the change was acknowledged and read by the followers at once). Change: frames from 4 KB on go compressed (crate flate2) with a bound on what is unpacked; the last answer to a fetch is kept, so that a small VM packs a change once.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -18,6 +18,7 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio_tungstenite::tungstenite::Message;
 
 /// Largest fleet that the shares of nodes are cut for, in times of the nodes known at start.
 const FLEET_MARGIN: f64 = 1.7;
@@ -122,6 +123,9 @@
     heard: [Option<Instant>; 4],
     /// Whether the list of backend servers was read.
     listed: bool,
+    /// The last rows told to another node: the table, the position after which it asked, the one up
+    /// to which they are complete, and the frame.
+    pub last_rows: Option<((Table, Position, Position), Message)>,
     /// When another node was asked for changes of each table.
     fetching: [Option<Instant>; 4],
     store_lost: Option<Instant>,
@@ -157,6 +161,7 @@
             mirrors: Default::default(),
             heard: Default::default(),
             listed: false,
+            last_rows: None,
             fetching: Default::default(),
             store_lost: None,
             lapsed: Vec::new(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,7 +8,7 @@
 mod error;
 mod follow;
 mod forward;
-mod link;
+pub mod link;
 mod listen;
 mod membership;
 mod metrics;
--- a/crates/edge/src/link/dial.rs
+++ b/crates/edge/src/link/dial.rs
@@ -97,7 +97,7 @@
                 let Some(frame) = Frame::decode(&message) else {
                     continue;
                 };
-                for answer in serve(app, &mut None, frame).iter().filter_map(Frame::encode) {
+                for answer in serve(app, &mut None, frame) {
                     link.send(answer).await?;
                 }
             }
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -2,12 +2,16 @@
 
 use crate::app::{Copy, Crash, Stay};
 use bytes::Bytes;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use platform::store::Row;
 use route::member::Member;
 use route::pool::Tag;
 use route::{NodeName, Position, ServiceName, Version, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
 use std::net::SocketAddrV4;
 use tokio_tungstenite::tungstenite::Message;
 
@@ -36,8 +40,17 @@
         /// The changes.
         rows: Vec<Change>,
     },
+    /// A long frame, compressed: links of small VMs carry 10 Mbit/s, and a table goes to many
+    /// nodes at once.
+    Packed(Bytes),
 }
 
+/// Bytes from which a frame is compressed: shorter ones fit into a few packets as they are.
+const PACK_FROM: usize = 4 << 10;
+/// Most bytes of a frame that was compressed: ten times the largest configuration of the sites,
+/// and small beside the memory of a node.
+const MAX_FRAME: u64 = 8 << 20;
+
 /// A node.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct Hello {
@@ -160,14 +173,28 @@
 
     /// The frame as a message of a link.
     pub fn encode(&self) -> Option<Message> {
-        let mut bytes = Vec::new();
-        match ciborium::into_writer(self, &mut bytes) {
-            Ok(()) => Some(Message::Binary(bytes.into())),
+        let bytes = match self.pack() {
+            Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(event = 1712; "frame can't be encoded: {error}");
-                None
+                return None;
             }
+        };
+        Some(Message::Binary(bytes.into()))
+    }
+
+    fn pack(&self) -> Result<Vec<u8>, Error> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(self, &mut bytes).map_err(Error::Write)?;
+        if bytes.len() < PACK_FROM {
+            return Ok(bytes);
         }
+        let mut packer = DeflateEncoder::new(Vec::new(), Compression::fast());
+        packer.write_all(&bytes)?;
+        let packed = Self::Packed(packer.finish()?.into());
+        bytes.clear();
+        ciborium::into_writer(&packed, &mut bytes).map_err(Error::Write)?;
+        Ok(bytes)
     }
 
     /// Reads a message of a link; none when it is no frame.
@@ -175,7 +202,7 @@
         let Message::Binary(bytes) = message else {
             return None;
         };
-        match ciborium::from_reader(bytes.as_ref()) {
+        match Self::unpack(bytes) {
             Ok(frame) => Some(frame),
             Err(error) => {
                 log::warn!(event = 1717; "frame can't be decoded: {error}");
@@ -183,4 +210,29 @@
             }
         }
     }
+
+    fn unpack(bytes: &[u8]) -> Result<Self, Error> {
+        let packed = match ciborium::from_reader(bytes).map_err(Error::Read)? {
+            Self::Packed(packed) => packed,
+            frame => return Ok(frame),
+        };
+        let reader = DeflateDecoder::new(packed.as_ref()).take(MAX_FRAME);
+        match ciborium::from_reader(reader).map_err(Error::Read)? {
+            Self::Packed(_) => Err(Error::Nested),
+            frame => Ok(frame),
+        }
+    }
+}
+
+/// Why a frame can't be encoded or decoded.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error(transparent)]
+    Write(ciborium::ser::Error<io::Error>),
+    #[error(transparent)]
+    Read(ciborium::de::Error<io::Error>),
+    #[error("compression: {0}")]
+    Pack(#[from] io::Error),
+    #[error("a compressed frame holds another one")]
+    Nested,
 }
--- a/crates/edge/src/link/listen.rs
+++ b/crates/edge/src/link/listen.rs
@@ -59,10 +59,7 @@
         let Some(frame) = Frame::decode(&message?) else {
             continue;
         };
-        for answer in serve(&app, &mut peer, frame)
-            .iter()
-            .filter_map(Frame::encode)
-        {
+        for answer in serve(&app, &mut peer, frame) {
             link.send(answer).await?;
         }
     }
--- a/crates/edge/src/link/mod.rs
+++ b/crates/edge/src/link/mod.rs
@@ -7,5 +7,6 @@
 mod tick;
 
 pub use dial::dial;
+pub use frame::{Change, Frame};
 pub use listen::listen;
 pub use tick::tick;
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -3,18 +3,19 @@
 use super::frame::{self, Beat, Frame};
 use crate::app::{App, Copy, Crash, State, Stay, Table, Told};
 use platform::store::{Page, Row};
-use route::NodeName;
 use route::member::Member;
 use route::pool::{Load, Tag};
 use route::rollout::{Count, Tally, Trial};
+use route::{NodeName, Position};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 use tokio::sync::broadcast::Receiver;
 use tokio::sync::broadcast::error::TryRecvError;
+use tokio_tungstenite::tungstenite::Message;
 
 /// Takes in a frame of a node, whose name its first frame tells; gives the answers to it.
-pub fn serve(app: &App, peer: &mut Option<NodeName>, frame: Frame) -> Vec<Frame> {
-    match frame {
+pub fn serve(app: &App, peer: &mut Option<NodeName>, frame: Frame) -> Vec<Message> {
+    let answers = match frame {
         Frame::Hello(hello) => {
             let member = Member::from(hello);
             *peer = Some(member.node.clone());
@@ -28,10 +29,10 @@
             None => Vec::new(),
         },
         Frame::Fetch { table, after } => {
-            let copy = table_of(table).and_then(|known| app.state().mirror(known).since(after));
-            copy.map(|copy| Frame::rows(table, copy))
+            return table_of(table)
+                .and_then(|table| tell_rows(app, table, after))
                 .into_iter()
-                .collect()
+                .collect();
         }
         Frame::Rows {
             table,
@@ -51,7 +52,27 @@
             }
             Vec::new()
         }
+        // Decoding unpacks it.
+        Frame::Packed(_) => Vec::new(),
+    };
+    answers.iter().filter_map(Frame::encode).collect()
+}
+
+/// What another node lacks of a table. Many ask for the same change at once: the last answer is
+/// kept, since packing a large one takes a small VM long.
+fn tell_rows(app: &App, table: Table, after: Position) -> Option<Message> {
+    let mut state = app.state();
+    let position = state.mirror(table).position()?;
+    let asked = (table, after, position);
+    if let Some((known, message)) = &state.last_rows
+        && *known == asked
+    {
+        return Some(message.clone());
     }
+    let copy = state.mirror(table).since(after)?;
+    let message = Frame::rows(table as u8, copy).encode()?;
+    state.last_rows = Some((asked, message.clone()));
+    Some(message)
 }
 
 fn table_of(index: u8) -> Option<Table> {
