Follow the store with fewer nodes, and ask a lost store less often

While the store was away, 71 nodes asked for 4 tables each at least every 0.8 s. Change: 4 nodes follow the tables that change often, 8 what the operator asks for. A node that only asks because it hears of no follower with the store pauses up to 2.4 s; the followers stay at 0.8 s and tell the others.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -41,9 +41,12 @@
 
 /// Time after which another node is asked in place of one that doesn't answer.
 const FETCH_TIME: Duration = Duration::from_millis(400);
-/// Nodes that follow the store; the others learn from them. A fleet of no more follows as a whole.
-/// A third of the nodes may lose the store at once, and then some of these still have it.
-const FOLLOWERS: usize = 8;
+/// Nodes that follow what the operator asks for; the others learn from them. A third of the nodes
+/// may lose the store at once, and then some of these still have it.
+const INTENT_FOLLOWERS: usize = 8;
+/// Nodes that follow the other tables, which change more often: each change answers all of them.
+/// They are among those that follow what the operator asks for.
+const FOLLOWERS: usize = 4;
 /// Key by which nodes are ranked as followers.
 const FOLLOWERS_KEY: &str = "followers";
 
@@ -73,6 +76,14 @@
             Self::Status => platform::store::STATUS,
         }
     }
+
+    /// Nodes that follow it, of all that live.
+    fn followers(self) -> usize {
+        match self {
+            Self::Intents => INTENT_FOLLOWERS,
+            Self::Servers | Self::Members | Self::Status => FOLLOWERS,
+        }
+    }
 }
 
 /// Time in which the end of a backend server explains a lost request: three missed heartbeats of
@@ -226,13 +237,17 @@
     /// Whether this node asks the store for changes of a table, and not other nodes: it hasn't read
     /// the table, is one of the few that follow, or hears of none that does.
     pub fn follows(&self, now: Instant, table: Table) -> bool {
-        if self.mirror(table).position().is_none() || !self.members.hears_follower(now) {
-            return true;
-        }
+        self.mirror(table).position().is_none()
+            || !self.members.hears_follower(now)
+            || self.is_follower(now, table)
+    }
+
+    /// Whether this node is one of the few that follow a table.
+    pub fn is_follower(&self, now: Instant, table: Table) -> bool {
         let weight = |node: &str| stable_hash([FOLLOWERS_KEY, node]);
         let own = weight(&self.node);
         let nodes = self.members.alive(now);
-        nodes.filter(|member| weight(&member.node) > own).count() < FOLLOWERS
+        nodes.filter(|member| weight(&member.node) > own).count() < table.followers()
     }
 
     /// Whether the store has answered this node of late.
--- a/crates/edge/src/backoff.rs
+++ b/crates/edge/src/backoff.rs
@@ -27,6 +27,12 @@
         self.next = self.first;
     }
 
+    /// Sets the longest pause.
+    pub fn set_longest(&mut self, longest: Duration) {
+        self.longest = longest;
+        self.next = self.next.min(longest);
+    }
+
     /// Waits for the next pause.
     pub async fn wait(&mut self) {
         let pause = self.next.mul_f64(rand::rng().random_range(0.5..1.0));
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -16,6 +16,10 @@
 const PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause: a store that is back is found within it, well inside the time for a change.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// The same for a node that only asks because it hears of none that has the store. It learns from
+/// the followers that the store is back; a fleet that asks as one would cost a call a node and table
+/// for each of their pauses.
+const LONGEST_PAUSE_OF_OTHERS: Duration = Duration::from_millis(2400);
 /// Pause between two looks whether this node is to follow: a part of the time for a change.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a change in which further ones gather, so that one call brings them: backend servers
@@ -76,6 +80,11 @@
                 if std::mem::replace(&mut answering, false) {
                     log::warn!(event = 1706, table = table.name(); "the store doesn't answer: {error}");
                 }
+                let follower = app.state().is_follower(Instant::now(), table);
+                backoff.set_longest(match follower || whole {
+                    true => LONGEST_PAUSE,
+                    false => LONGEST_PAUSE_OF_OTHERS,
+                });
                 backoff.wait().await;
             }
         }
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -2,6 +2,7 @@
 
 use edge::app::{State, Table};
 use platform::store::{Page, Row};
+use route::member::Member;
 use route::pool::{Query, Stage, Work};
 use route::rollout::Outcome;
 use route::site::{Bounds, Site};
@@ -115,3 +116,49 @@
         state.pool.begin(Instant::now(), &load, &query);
     }
 }
+
+/// Nodes of a fleet.
+const FLEET: usize = 21;
+
+/// Tables that one node of the fleet follows; whether one of the others follows the store.
+fn follows(index: usize, followed: bool) -> [bool; 4] {
+    let now = Instant::now();
+    let name = |index| format!("n-{index}");
+    let mut site = site();
+    site.node = name(index);
+    let mut state = State::new(&site);
+    for table in Table::ALL {
+        state.replace(now, table, Page::default());
+    }
+    for node in (0..FLEET).filter(|other| *other != index).map(name) {
+        let address = "127.0.0.1:1".parse().unwrap();
+        state.members.add(Member {
+            node: node.clone(),
+            zone: "a".to_owned(),
+            requests: address,
+            link: address,
+        });
+        state.members.hear(now, &node, true, followed);
+    }
+    Table::ALL.map(|table| state.follows(now, table))
+}
+
+#[test]
+fn few_nodes_follow_the_store_for_the_others() {
+    let all: Vec<_> = (0..FLEET).map(|index| follows(index, true)).collect();
+    let following = |table: Table| all.iter().filter(|tables| tables[table as usize]).count();
+    assert_eq!(Table::ALL.map(following), [8, 4, 4, 4]);
+    let nested =
+        |tables: &[bool; 4]| tables[Table::Intents as usize] || !tables[Table::Servers as usize];
+    assert!(
+        all.iter().all(nested),
+        "one word on following speaks for all tables"
+    );
+}
+
+#[test]
+fn a_node_follows_when_it_hears_of_none_that_does() {
+    for index in 0..FLEET {
+        assert_eq!(follows(index, false), [true; 4]);
+    }
+}
