Build the node once for all tests, and say why one isn't ready

What kept that one node from being ready left no trace: its standard error went nowhere. Ruled out: processor and disk: pressure of both was under 3 s in all while the first play took 32 s in the build. Before / after: not measured yet in a fresh clone. Conclusion: the cause of the one failure is not shown; the next one will tell.

--- a/crates/standin/src/fleet/binary.rs
+++ b/crates/standin/src/fleet/binary.rs
@@ -3,24 +3,26 @@
 use crate::Error;
 use std::path::PathBuf;
 use std::process::Command;
-use std::sync::OnceLock;
+use std::sync::{Mutex, PoisonError};
 
 const NAME: &str = "sardinebank";
 
 /// Builds the node in the profile of this program, once, and gives its path.
 pub fn node_binary() -> Result<PathBuf, Error> {
-    static PATH: OnceLock<PathBuf> = OnceLock::new();
-    if let Some(path) = PATH.get() {
+    static PATH: Mutex<Option<PathBuf>> = Mutex::new(None);
+    // Held while building: tests of one process that start together build once.
+    let mut path = PATH.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(path) = &*path {
         return Ok(path.clone());
     }
-    let path = build()?;
-    Ok(PATH.get_or_init(|| path).clone())
+    Ok(path.insert(build()?).clone())
 }
 
 fn build() -> Result<PathBuf, Error> {
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
-    command.args(["build", "--quiet", "--package", "node", "--bin", NAME]);
+    // The words that CI builds with: other ones select other features, and all is built anew.
+    command.args(["build", "--quiet", "--workspace", "--bins", "--examples"]);
     command.current_dir(env!("CARGO_MANIFEST_DIR"));
     if !cfg!(debug_assertions) {
         command.arg("--release");
--- a/crates/standin/src/site/node.rs
+++ b/crates/standin/src/site/node.rs
@@ -17,6 +17,8 @@
 const TIME: Duration = Duration::from_secs(20);
 /// Port of the metrics among those of a node.
 const METRICS: u16 = 9;
+/// Lines of a node that are printed when it doesn't do what is waited for.
+const LAST_LINES: usize = 20;
 /// Pause between two looks.
 const LOOK: Duration = Duration::from_millis(30);
 
@@ -67,7 +69,7 @@
             .env("SARDINEBANK_SETTINGS", path)
             .env("SARDINEBANK_METRICS_PORT", (ports + METRICS).to_string())
             .stdout(output)
-            .stderr(Stdio::null())
+            .stderr(File::create(folder.join(format!("{name}.err")))?)
             .kill_on_drop(true)
             .spawn()?;
         Ok(Self {
@@ -96,6 +98,7 @@
         let begun = Instant::now();
         while self.is_ready().await != ready {
             if begun.elapsed() > TIME {
+                self.print_end();
                 return Err(Error::Timeout("readiness of a node"));
             }
             sleep(LOOK).await;
@@ -103,6 +106,17 @@
         Ok(())
     }
 
+    /// Prints what the node said last, for the output of a test that fails.
+    fn print_end(&self) {
+        for kind in ["err", "log"] {
+            let path = self.folder.join(format!("{}.{kind}", self.name));
+            let text = fs::read_to_string(&path).unwrap_or_else(|error| error.to_string());
+            let lines: Vec<_> = text.lines().collect();
+            let end = lines[lines.len().saturating_sub(LAST_LINES)..].join("\n");
+            eprintln!("{}, ports from {}, its {kind}:\n{end}", self.name, self.ports);
+        }
+    }
+
     /// The addresses that it names to callers.
     pub async fn addresses(&self) -> Result<Vec<String>, Error> {
         let query = "name=shop.example&region=r&zone=z-0";
--- a/crates/standin/src/site/site.rs
+++ b/crates/standin/src/site/site.rs
@@ -6,9 +6,25 @@
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
 
-/// First ports of a site; the nodes of a site have addresses of their own.
+/// Ports of all sites, below those that the system gives to connections.
 const PORTS: std::ops::Range<u16> = 10_000..31_900;
+/// Ports of one site; its nodes have addresses of their own.
+const PORTS_EACH: u16 = 10;
+
+/// First port of a site that no other site of this process has.
+fn first_port() -> u16 {
+    static SITES: AtomicU32 = AtomicU32::new(0);
+    let parts = u32::from((PORTS.end - PORTS.start) / PORTS_EACH);
+    // Processes that run beside each other begin apart.
+    let first = std::process::id().wrapping_mul(PORTS_STEP);
+    let part = first.wrapping_add(SITES.fetch_add(1, Ordering::Relaxed)) % parts;
+    PORTS.start + part as u16 * PORTS_EACH
+}
+
+/// Sites by which the ports of one process lie apart from those of the next one.
+const PORTS_STEP: u32 = 61;
 
 /// Size and configuration of a site.
 #[derive(Clone, Debug)]
@@ -103,7 +119,7 @@
             models: Vec::new(),
             nodes: Vec::new(),
             folder,
-            ports: rand::rng().random_range(PORTS),
+            ports: first_port(),
             settings,
         };
         for index in 0..site.settings.desks {
