Keep a slow stream with an engine that gives events to others

Change: each event tells when an engine was last heard of; a stream of one that gives events to others waits for 1.6 times the longest pause before it looks elsewhere, one of a silent engine for half of it as before. Lines of ended streams tell their events. A test with a slow stream beside a lively one and an idle engine failed before.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -107,9 +107,21 @@
         self.begun.elapsed()
     }
 
+    /// Events that came from it.
+    pub fn events(&self) -> u32 {
+        self.events
+    }
+
+    /// Time since the first event that came from it.
+    pub fn events_time(&self) -> Duration {
+        let first = self.first_event.map(|first| first.elapsed());
+        first.unwrap_or_default()
+    }
+
     /// Notes an event of a stream; the first says that the prompt was read.
     pub fn event(&mut self) {
         self.events += 1;
+        self.app.state().pool.hear(Instant::now(), &self.server.id);
         match self.first_event {
             None => {
                 self.first_event = Some(Instant::now());
@@ -245,16 +257,37 @@
     Over,
 }
 
-/// Waits for something of a backend server. When it takes longer than until the time given, a place
+/// How long a backend server is waited for before a place elsewhere is looked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Until when one that gives nothing at all is waited for.
+    pub silent: Instant,
+    /// Until when one is waited for that has just given something to another request: it is busy,
+    /// and another one would have to read the prompt again.
+    pub busy: Instant,
+}
+
+impl Patience {
+    /// The same whether the backend server is silent or busy.
+    pub fn until(until: Instant) -> Self {
+        Self {
+            silent: until,
+            busy: until,
+        }
+    }
+}
+
+/// Waits for something of a backend server. When it takes longer than patience allows, a place
 /// elsewhere is looked for; without one the wait goes on, since a late answer is better than none.
 pub async fn wait<T>(
     app: &Arc<App>,
     job: &Job,
     present: &Place,
-    mut until: Instant,
+    patience: Patience,
     work: impl Future<Output = T>,
 ) -> Waited<T> {
     tokio::pin!(work);
+    let mut until = patience.silent;
     loop {
         let due = until.min(job.limit);
         if let Ok(done) = timeout_at(due.into(), work.as_mut()).await {
@@ -264,10 +297,13 @@
         if now >= job.limit {
             return Waited::Over;
         }
+        until = now + LOOK;
+        if now < patience.busy && app.state().pool.is_heard(now, present.id()) {
+            continue;
+        }
         if let Some(place) = elsewhere(app, job, present) {
             return Waited::Elsewhere(place);
         }
-        until = now + LOOK;
     }
 }
 
@@ -292,12 +328,13 @@
 /// Sends a request to the backend server where it has its place, and waits for the head of the
 /// answer, elsewhere after the time given.
 pub async fn send(app: &Arc<App>, job: &mut Job, mut place: Place, until: Instant) -> Sent {
+    let patience = Patience::until(until);
     let request = job.request(Instant::now(), place.id());
     let address = place.server.address;
     job.tried.push(place.id().clone());
     job.sends += 1;
     let sending = upstream::send(address, request);
-    let answer = match wait(app, job, &place, until, sending).await {
+    let answer = match wait(app, job, &place, patience, sending).await {
         Waited::Done(Ok(answer)) => answer,
         Waited::Done(Err(upstream::Error::NotSent(error))) => {
             job.sends -= 1;
--- a/crates/edge/src/forward/plain.rs
+++ b/crates/edge/src/forward/plain.rs
@@ -1,6 +1,6 @@
 //! Requests with a whole answer.
 
-use super::attempt::{Failure, Sent, Waited, send, wait};
+use super::attempt::{Failure, Patience, Sent, Waited, send, wait};
 use super::forward::find;
 use super::head::strip;
 use super::job::Job;
@@ -40,7 +40,7 @@
             Sent::Answer(answer, mut place) => {
                 job.ran = true;
                 let failed = answer.head.status.is_server_error();
-                let whole = match wait(app, job, &place, until, collect(*answer)).await {
+                let whole = match wait(app, job, &place, Patience::until(until), collect(*answer)).await {
                     Waited::Done(Some(whole)) => whole,
                     waited => {
                         if let Waited::Elsewhere(place) = waited {
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -1,6 +1,6 @@
 //! Requests whose answer is a stream of events.
 
-use super::attempt::{Failure, Place, Sent, Waited, place, send, wait};
+use super::attempt::{Failure, Patience, Place, Sent, Waited, place, send, wait};
 use super::event::{Event, Events};
 use super::forward::find;
 use super::head::{number, strip};
@@ -26,6 +26,9 @@
 /// Part of the longest pause after which a silent backend server is given up for another: the rest
 /// is for the other to read the prompt.
 const SILENCE: f64 = 0.5;
+/// The same for a backend server that gives events to other requests: one that has preempted the
+/// request goes on with it sooner than another reads the whole prompt.
+const BUSY: f64 = 1.6;
 /// Part of the target after which a backend server without a first event is given up.
 const FIRST_EVENT: f64 = 0.6;
 
@@ -80,15 +83,15 @@
     }
 }
 
-/// What a stream gives next. One that is silent until the time given is left for another place,
+/// What a stream gives next. One that takes longer than patience allows is left for another place,
 /// where there is one.
-async fn next_item(app: &Arc<App>, job: &Job, source: &mut Source, until: Instant) -> Item {
+async fn next_item(app: &Arc<App>, job: &Job, source: &mut Source, patience: Patience) -> Item {
     let Source {
         answer,
         place,
         events,
     } = source;
-    match wait(app, job, place, until, next(answer, events)).await {
+    match wait(app, job, place, patience, next(answer, events)).await {
         Waited::Done(item) => item,
         Waited::Elsewhere(place) => Item::Broken(Some(place)),
         Waited::Over => Item::Broken(None),
@@ -158,7 +161,7 @@
             }
             continue;
         }
-        match next_item(app, job, &mut source, until).await {
+        match next_item(app, job, &mut source, Patience::until(until)).await {
             Item::Event(event) => match escalate(app, job, &source) {
                 None => return Ok(First::Stream(source, event)),
                 Some(better) => {
@@ -253,6 +256,7 @@
             Item::End => {
                 source.place.note(Outcome::Sound);
                 log::info!(event = 1742, request = job.name(), server = source.place.id().as_str(),
+                    events = source.place.events(), events_ms = source.place.events_time().as_millis() as u64,
                     took_ms = job.received.elapsed().as_millis() as u64; "stream ended");
                 return;
             }
@@ -272,9 +276,9 @@
                 source = again;
             }
         }
-        let until = next_until(&job);
+        let patience = patience(&job);
         next = tokio::select! {
-            item = next_item(app, &job, &mut source, until) => item,
+            item = next_item(app, &job, &mut source, patience) => item,
             () = events.closed() => return left(&job),
         };
     }
@@ -284,11 +288,17 @@
     log::info!(event = 1744, request = job.name(), last_event = job.last_event.unwrap_or(0); "caller left");
 }
 
-fn next_until(job: &Job) -> Instant {
-    if job.route.pause.is_zero() {
-        return job.limit;
+/// How long the next event of a stream is waited for.
+fn patience(job: &Job) -> Patience {
+    let pause = job.route.pause;
+    if pause.is_zero() {
+        return Patience::until(job.limit);
+    }
+    let now = Instant::now();
+    Patience {
+        silent: (now + pause.mul_f64(SILENCE)).min(job.limit),
+        busy: (now + pause.mul_f64(BUSY)).min(job.limit),
     }
-    (Instant::now() + job.route.pause.mul_f64(SILENCE)).min(job.limit)
 }
 
 /// Goes on with a stream at another backend server, after the last event that the caller has.
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -230,6 +230,19 @@
         }
     }
 
+    /// Takes in that a backend server has given something.
+    pub fn hear(&mut self, now: Instant, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.heard = Some(now);
+        }
+    }
+
+    /// Whether a backend server has given something to a request of this node just now.
+    pub fn is_heard(&self, now: Instant, id: &str) -> bool {
+        let heard = self.servers.get(id).and_then(|server| server.heard);
+        heard.is_some_and(|at| now.saturating_duration_since(at) < self.settings.heard_time)
+    }
+
     /// Takes in how long a stage of a request took on a backend server; gives how many times the
     /// usual time that is. A reference moves what is usual. The times of a cold backend server say
     /// nothing.
--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -59,6 +59,8 @@
     /// Requests that this node may send to it in one window while it is cold.
     pub(super) cold_share: usize,
     full_until: Option<Instant>,
+    /// When it last gave something to a request of this node.
+    pub(super) heard: Option<Instant>,
     pub(super) breaker: Breaker,
     pub(super) ramp: Ramp,
 }
@@ -85,6 +87,7 @@
             hash: part_id(&listing.id),
             cold_share: 0,
             full_until: None,
+            heard: None,
             breaker: Breaker::new(settings),
             ramp: Ramp::default(),
             listing,
--- a/crates/route/src/pool/settings.rs
+++ b/crates/route/src/pool/settings.rs
@@ -36,6 +36,9 @@
     pub cold_cost: Duration,
     /// Requests beyond its slots that a plain backend server is given.
     pub queue: u32,
+    /// Time after something came from a backend server in which it isn't silent: some steps of a
+    /// crowded engine with a long prompt between them.
+    pub heard_time: Duration,
     /// Length of the window in which requests to a cold backend server are counted.
     pub cold_window: Duration,
     /// Part of what a cold backend server bears that nodes share out: the rest is for nodes that
@@ -61,6 +64,7 @@
             queue_cost: Duration::from_millis(10),
             cold_cost: Duration::from_secs(1),
             queue: 2,
+            heard_time: Duration::from_millis(600),
             cold_window: Duration::from_millis(1100),
             cold_part: 0.6,
         }
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -5,7 +5,7 @@
 use reqwest::{Client, Response};
 use serde_json::json;
 use standin::Error;
-use standin::site::{Run, Settings, Site, StoreFault, WorkerFault};
+use standin::site::{Run, Settings, Site, StoreFault, Worker, WorkerFault};
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
@@ -36,6 +36,7 @@
     a_broken_stream_goes_on_elsewhere(models())
     a_silent_stream_goes_on_elsewhere(models())
     a_silent_stream_is_kept_where_there_is_no_other(one_model())
+    a_slow_stream_of_a_busy_engine_stays(one_model())
     a_doubted_answer_is_asked_of_the_larger_model(models())
     a_caller_that_leaves_ends_the_work(models())
     a_change_is_in_force_in_time(plain())
@@ -331,6 +332,23 @@
         Ok(())
     }
 
+    pub async fn a_slow_stream_of_a_busy_engine_stays(site: &mut Site) -> Result<(), Error> {
+        let client = Client::new();
+        let engine = &site.models[0];
+        // Longer between its events than a silent engine is waited for.
+        engine.set_events(3, Duration::from_millis(900));
+        let slow = stream(&client, site, "s-1").send().await?;
+        engine.set_events(200, Duration::from_millis(20));
+        let lively = stream(&client, site, "s-2").send().await?;
+        let idle = Worker::start("i-model-idle").await?;
+        site.list(&idle, "models", "v1", "ready");
+        assert_eq!(numbers(&slow.text().await?), [1, 2, 3]);
+        drop(lively);
+        assert_eq!(runs(&site.models).len(), 2);
+        assert!(idle.runs().is_empty(), "the prompt was read again elsewhere");
+        Ok(())
+    }
+
     pub async fn a_doubted_answer_is_asked_of_the_larger_model(
         site: &mut Site,
     ) -> Result<(), Error> {
