Weigh the load of engines by what each model adds to a step

Placement counted both alike, and took the time to read a prompt once, though all requests beside it wait for it. Ruled out: the own model's share: both models' streams go at the same pace in one batch. Change: loads carry the sum of the paces, between nodes too; costs take the step with it, and reading with what it delays. The first choice of a subject is still seldom the one taken for short prompts, where a miss costs little.

--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -7,7 +7,7 @@
 use flate2::write::DeflateEncoder;
 use platform::store::Row;
 use route::member::Member;
-use route::pool::Tag;
+use route::pool::{self, Tag};
 use route::{NodeName, Position, ServiceName, Version, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -78,9 +78,9 @@
     /// Newest change that it knows of each table.
     #[serde(rename = "n")]
     pub newest: [Position; 4],
-    /// Requests that it has on backend servers, with thousands of their tokens.
+    /// Requests that it has on backend servers.
     #[serde(rename = "l", skip_serializing_if = "BTreeMap::is_empty")]
-    pub loads: BTreeMap<Tag, (u32, u32)>,
+    pub loads: BTreeMap<Tag, Load>,
     /// Roll-outs under way as it sees them.
     #[serde(rename = "t", skip_serializing_if = "Vec::is_empty")]
     pub trials: Vec<Trial>,
@@ -92,6 +92,27 @@
     pub crashes: Vec<Crash>,
 }
 
+/// Requests on a backend server: how many, thousands of their tokens, and tenths of their weight.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Load(u32, u32, u32);
+
+impl From<pool::Load> for Load {
+    fn from(load: pool::Load) -> Self {
+        let thousands = (load.tokens / 1e3).round() as u32;
+        Self(load.requests, thousands, (load.weight * 1e1).round() as u32)
+    }
+}
+
+impl From<Load> for pool::Load {
+    fn from(Load(requests, thousands, tenths): Load) -> Self {
+        Self {
+            requests,
+            tokens: f64::from(thousands) * 1e3,
+            weight: f64::from(tenths) / 1e1,
+        }
+    }
+}
+
 impl From<Member> for Hello {
     fn from(member: Member) -> Self {
         Self {
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -4,7 +4,7 @@
 use crate::app::{App, Copy, Crash, State, Stay, Table, Told};
 use platform::store::{Page, Row};
 use route::member::Member;
-use route::pool::{Load, Tag};
+use route::pool::Tag;
 use route::rollout::{Count, Tally, Trial};
 use route::{NodeName, Position};
 use std::collections::BTreeMap;
@@ -84,10 +84,7 @@
     let now = Instant::now();
     let mut state = app.state();
     state.members.hear(now, node, beat.ready, beat.follows);
-    let loads = beat.loads.into_iter().map(|(tag, (requests, thousands))| {
-        let tokens = f64::from(thousands) * 1e3;
-        (tag, Load { requests, tokens })
-    });
+    let loads = beat.loads.into_iter().map(|(tag, load)| (tag, load.into()));
     state.pool.set_others(node, loads.collect());
     for trial in &beat.trials {
         hear_trial(&mut state, now, node, trial);
@@ -132,11 +129,9 @@
     trial.known_for(now, Duration::from_millis(told.age_ms));
 }
 
-fn tell_loads(state: &State) -> BTreeMap<Tag, (u32, u32)> {
+fn tell_loads(state: &State) -> BTreeMap<Tag, frame::Load> {
     let loads = state.pool.loads();
-    loads
-        .map(|(tag, load)| (tag, (load.requests, (load.tokens / 1e3).round() as u32)))
-        .collect()
+    loads.map(|(tag, load)| (tag, load.into())).collect()
 }
 
 fn tell_trial(trial: &Trial, now: Instant) -> frame::Trial {
--- a/crates/route/src/pool/load.rs
+++ b/crates/route/src/pool/load.rs
@@ -7,6 +7,8 @@
     pub requests: u32,
     /// Tokens of these that an engine keeps in memory.
     pub tokens: f64,
+    /// What they add to each step of an engine, in times of a model of middle size.
+    pub weight: f64,
 }
 
 impl Load {
@@ -14,13 +16,14 @@
     ///
     /// ```
     /// use route::pool::Load;
-    /// let load = Load { requests: 1, tokens: 10.0 };
-    /// assert_eq!(load.plus(load), Load { requests: 2, tokens: 20.0 });
+    /// let load = Load { requests: 1, tokens: 10.0, weight: 0.3 };
+    /// assert_eq!(load.plus(load), Load { requests: 2, tokens: 20.0, weight: 0.6 });
     /// ```
     pub fn plus(self, other: Self) -> Self {
         Self {
             requests: self.requests + other.requests,
             tokens: self.tokens + other.tokens,
+            weight: self.weight + other.weight,
         }
     }
 
@@ -29,6 +32,7 @@
         Self {
             requests: self.requests.saturating_sub(part.requests),
             tokens: (self.tokens - part.tokens).max(0.0),
+            weight: (self.weight - part.weight).max(0.0),
         }
     }
 }
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -207,7 +207,8 @@
             && !query.tried.contains(&listing.id)
     }
 
-    /// Counts a request as sent; gives the tokens of its prompt that the engine has yet to read.
+    /// Counts a request as sent; gives the tokens of its prompt that the engine has yet to read, as
+    /// many as a model of middle size would read in the time.
     pub fn begin(&mut self, now: Instant, id: &str, query: &Query) -> f64 {
         let Some(server) = self.servers.get_mut(id) else {
             return 0.0;
@@ -217,7 +218,8 @@
             server.ramp.record(now, self.settings.cold_window);
         }
         server.open = server.open.plus(load_of(query));
-        let missing = server.missing(now, query, &self.settings);
+        let pace = query.model.map_or(0.0, |(_, pace)| pace);
+        let missing = server.missing(now, query, &self.settings) * pace;
         server.unread += missing;
         server.read(now, query, &self.settings);
         missing
@@ -262,8 +264,8 @@
         {
             return None;
         }
-        let others = server.as_ref().map_or(0, |server| server.load().requests);
-        let alone = millis / self.settings.crowding(stage, others);
+        let weight = server.as_ref().map_or(0.0, |server| server.load().weight);
+        let alone = millis / self.settings.crowding(stage, weight);
         let service = &listing.service;
         let ratio = self.norms.ratio(service, model, stage, alone, reference)?;
         // The time to a first event says more of the prompt than of the engine.
@@ -292,6 +294,19 @@
         server.learn(now, outcome, &self.settings, rng);
     }
 
+    /// How many times as long a step of a service's engines takes as alone, on average over those
+    /// that take new work.
+    pub fn crowding(&self, service: &str) -> f64 {
+        let servers = self.servers.values();
+        let open =
+            servers.filter(|server| server.listing.service == service && server.takes_work());
+        let (count, weight) = open.fold((0.0, 0.0), |(count, weight), server| {
+            (count + 1.0, weight + server.load().weight)
+        });
+        let mean = if count > 0.0 { weight / count } else { 0.0 };
+        self.settings.crowding(Stage::Pace, mean)
+    }
+
     /// Work that this node has on backend servers, by tag.
     pub fn loads(&self) -> impl Iterator<Item = (Tag, Load)> {
         let servers = self.servers.iter();
@@ -306,6 +321,7 @@
     Load {
         requests: 1,
         tokens: query.work.prompt + query.work.output,
+        weight: query.model.map_or(0.0, |(_, pace)| pace),
     }
 }
 
@@ -334,16 +350,20 @@
         return cost + work * millis(settings.queue_cost);
     };
     let others = f64::from(load.requests);
-    let decode = query.work.output * pace * server.slowness;
-    cost += decode * millis(settings.step);
-    cost += decode * millis(settings.step_per_request) * others * settings.crowd;
+    let per_weight = millis(settings.step_per_weight);
+    let step = millis(settings.step) + per_weight * (load.weight + pace);
+    cost += query.work.output * step * server.slowness;
+    // Each of its steps takes longer for all others too.
+    cost += query.work.output * per_weight * pace * server.slowness * others * settings.crowd;
     let mut missing = server.missing(now, query, settings);
     if first {
         // Other nodes have sent the shared parts there.
         let own = query.work.parts.last().map_or(0.0, |(_, tokens)| *tokens);
         missing = missing.min(own);
     }
-    cost += (missing + server.unread) * pace * server.slowness / settings.read_rate;
+    let reading = missing * pace * server.slowness / settings.read_rate;
+    cost += reading * (settings.reading_weight + others * settings.reading_crowd);
+    cost += server.unread * server.slowness / settings.read_rate;
     if bearing.memory > 0.0 {
         let used = (load.tokens + load_of(query).tokens) / bearing.memory;
         cost += (used - settings.memory_part).max(0.0) * millis(settings.memory_cost);
--- a/crates/route/src/pool/settings.rs
+++ b/crates/route/src/pool/settings.rs
@@ -8,8 +8,9 @@
 pub struct Settings {
     /// Time of one decoding step of an engine with a single request.
     pub step: Duration,
-    /// What each further request adds to a step.
-    pub step_per_request: Duration,
+    /// What a request to a model of middle size adds to a step; others add in proportion to their
+    /// pace.
+    pub step_per_weight: Duration,
     /// Prompt tokens that an engine reads in a millisecond.
     pub read_rate: f64,
     /// Time for which a part of a prompt is taken to stay in an engine's memory after its last use.
@@ -26,6 +27,11 @@
     pub zone_cost: Duration,
     /// Weight of the requests beside one, on an engine: how much of what it adds to them counts.
     pub crowd: f64,
+    /// What the time to read a prompt counts as, in times of itself: work that is done again for
+    /// nothing, and that delays the first event.
+    pub reading_weight: f64,
+    /// The same for each request beside one: its events wait while an engine reads.
+    pub reading_crowd: f64,
     /// Part of an engine's memory up to which it isn't short of it.
     pub memory_part: f64,
     /// What being short of all of an engine's memory counts as, in time.
@@ -50,7 +56,7 @@
     fn default() -> Self {
         Self {
             step: Duration::from_micros(2900),
-            step_per_request: Duration::from_micros(100),
+            step_per_weight: Duration::from_micros(220),
             read_rate: 55.0,
             part_age: Duration::from_secs(30),
             max_parts: 256,
@@ -59,6 +65,8 @@
             failure_cost: Duration::from_secs(4),
             zone_cost: Duration::from_micros(1300),
             crowd: 0.5,
+            reading_weight: 8.0,
+            reading_crowd: 0.3,
             memory_part: 0.8,
             memory_cost: Duration::from_secs(10),
             queue_cost: Duration::from_millis(10),
@@ -72,19 +80,18 @@
 }
 
 impl Settings {
-    /// How many times as long a stage takes beside other requests as alone.
+    /// How many times as long a stage takes beside other requests of this weight as alone.
     ///
     /// ```
     /// use route::pool::{Settings, Stage};
     /// let settings = Settings::default();
-    /// assert_eq!(settings.crowding(Stage::Whole, 29), 1.0);
-    /// assert_eq!(settings.crowding(Stage::Pace, 29), 2.0);
+    /// assert_eq!(settings.crowding(Stage::Whole, 29.0), 1.0);
+    /// assert!(settings.crowding(Stage::Pace, 29.0) > 2.0);
     /// ```
-    pub fn crowding(&self, stage: Stage, others: u32) -> f64 {
+    pub fn crowding(&self, stage: Stage, weight: f64) -> f64 {
         match stage {
             Stage::Pace => {
-                1.0 + self.step_per_request.as_secs_f64() * f64::from(others)
-                    / self.step.as_secs_f64()
+                1.0 + self.step_per_weight.as_secs_f64() * weight / self.step.as_secs_f64()
             }
             Stage::First | Stage::Whole => 1.0,
         }
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -79,6 +79,7 @@
     let load = Load {
         requests: 8,
         tokens: 40_000.0,
+        weight: 24.0,
     };
     pool.set_others(&"n2".to_owned(), Map::from_iter([(tag(&first), load)]));
     let next = pool.pick(now, &query(&work), |_| true).unwrap().id;
@@ -148,7 +149,7 @@
     let mut full = pool(1);
     let load = Load {
         requests: 10,
-        tokens: 0.0,
+        ..Load::default()
     };
     full.set_others(&"n2".to_owned(), Map::from_iter([(tag("i-0"), load)]));
     assert_eq!(full.pick(now, &query(&work), |_| true), Err(Refusal::Full));
