--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -189,7 +189,8 @@
 fn escalate(app: &Arc<App>, job: &mut Job, source: &Source) -> Option<Place> {
     let confidence = number(&source.answer.head.headers, header::CONFIDENCE)?;
     let (model, _) = job.model.as_ref()?;
-    let better = size::escalate(&job.route.sizes, model, confidence)?;
+    let crowding = app.state().pool.crowding(&job.service);
+    let better = size::escalate(&job.route.sizes, model, confidence, crowding)?;
     if job.sends >= job.route.attempts || !job.route.kind.repeatable() {
         return None;
     }
--- a/crates/standin/src/site/node.rs
+++ b/crates/standin/src/site/node.rs
@@ -113,7 +113,10 @@
             let text = fs::read_to_string(&path).unwrap_or_else(|error| error.to_string());
             let lines: Vec<_> = text.lines().collect();
             let end = lines[lines.len().saturating_sub(LAST_LINES)..].join("\n");
-            eprintln!("{}, ports from {}, its {kind}:\n{end}", self.name, self.ports);
+            eprintln!(
+                "{}, ports from {}, its {kind}:\n{end}",
+                self.name, self.ports
+            );
         }
     }
 
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -345,7 +345,10 @@
         assert_eq!(numbers(&slow.text().await?), [1, 2, 3]);
         drop(lively);
         assert_eq!(runs(&site.models).len(), 2);
-        assert!(idle.runs().is_empty(), "the prompt was read again elsewhere");
+        assert!(
+            idle.runs().is_empty(),
+            "the prompt was read again elsewhere"
+        );
         Ok(())
     }
 
