Spread placements over engines; judge versions by answers; tell sessions only in roll-outs

Three changes that share files, each with its cause. 1. Change: a node looks at some engines, drawn for each request (and the first choice of the prompt): 50 over all nodes, 3 at least. Change: a send that didn't leave says nothing of a version, and a backend server that breaks off many answers at once speaks once. A test with three absent backend servers of a good version failed before. 3. Change: sessions are told only while a roll-out runs: own ones when it begins, then news; all that are known only by the eight nodes that follow the store. Ruled out: for 1, beats: their time is 0.45 s there and costs processor and bytes. For 3, bytes of rows: 0.3 MB.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -1,6 +1,6 @@
 //! What a node believes.
 
-use super::{Copy, Crash, Mirror, Retries};
+use super::{Copy, Crash, Mirror, Retries, Stay};
 use crate::membership;
 use contract::{Map, Set, stable_hash};
 use limits::retry;
@@ -124,6 +124,8 @@
     rejected: Map<ServiceName, Set<Version>>,
     /// Versions that sessions are on.
     pub sessions: Sessions,
+    /// Whether a roll-out has begun since sessions were last told: only then other nodes need them.
+    recall: bool,
     /// Requests that end the backend servers which run them.
     pub suspects: Suspects,
     lost: Vec<Loss>,
@@ -161,6 +163,7 @@
             trials: Map::default(),
             rejected: Map::default(),
             sessions: Sessions::default(),
+            recall: false,
             suspects: Suspects::new(suspect::Settings {
                 memory: SUSPECT_TIME,
                 crashes: SUSPECT_CRASHES,
@@ -330,9 +333,35 @@
         rejected.remove(&order.to);
         let trial = Trial::new(order, settings, now);
         self.trials.insert(trial.order.service.clone(), trial);
+        self.recall = true;
         self.apply_outcomes();
     }
 
+    /// Whether a roll-out is under way: sessions stay on their versions, whichever node they go to.
+    fn on_trial(&self) -> bool {
+        let mut trials = self.trials.values();
+        trials.any(|trial| trial.outcome() == Outcome::Running)
+    }
+
+    /// Sessions that all nodes are to hear of, since a roll-out has begun.
+    pub fn take_recalled(&mut self, now: Instant) -> Vec<Stay> {
+        match std::mem::take(&mut self.recall) && self.on_trial() {
+            true => self.sessions.own(now),
+            false => Vec::new(),
+        }
+    }
+
+    /// Sessions that a node is to hear of which has just opened a link to this one, or is behind. Of
+    /// those that are known from others, the few nodes tell that follow the store: a node that starts
+    /// is told by all others at once.
+    pub fn sessions_to_tell(&self, now: Instant) -> Vec<Stay> {
+        match (self.on_trial(), self.is_follower(now, Table::Intents)) {
+            (false, _) => Vec::new(),
+            (true, true) => self.sessions.all(now),
+            (true, false) => self.sessions.own(now),
+        }
+    }
+
     /// Takes over how roll-outs ended, as it is written down for the operator.
     fn apply_outcomes(&mut self) {
         for (service, trial) in &mut self.trials {
@@ -498,7 +527,9 @@
         if let Some(trial) = self.trials.get_mut(&listing.service) {
             trial.sent(trial.side_of(&listing.version));
         }
-        session.is_some_and(|session| self.sessions.note(now, session, &listing.version))
+        let news =
+            session.is_some_and(|session| self.sessions.note(now, session, &listing.version));
+        news && self.on_trial()
     }
 
     /// Notes that a request lost its backend server: the server may have ended under it.
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -8,8 +8,8 @@
 use hyper::StatusCode;
 use hyper::header::CONTENT_ENCODING;
 use platform::header;
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use route::ServerId;
 use route::pool::{self, Load, Outcome, Query, Refusal, Stage};
 use route::server::Listing;
@@ -59,8 +59,8 @@
     unread: f64,
     load: Load,
     model: String,
-    /// Whether it was silent for too long, so that its end says nothing of failures.
-    silent: bool,
+    /// Whether its end says nothing of the version: the backend server was silent or away.
+    unjudged: bool,
     first_event: Option<Instant>,
     events: u32,
 }
@@ -80,12 +80,17 @@
         let mut state = self.app.state();
         let now = Instant::now();
         match failure {
-            Failure::NotSent(_) => state.ended(now, &self.server.id),
+            Failure::NotSent(_) => {
+                self.unjudged = true;
+                state.ended(now, &self.server.id);
+            }
             Failure::Silent => {
-                self.silent = true;
+                self.unjudged = true;
                 state.silent(&self.server);
             }
             Failure::Lost(_) | Failure::Broken => {
+                // A crash ends all requests on the backend server, and speaks once.
+                self.unjudged = !state.pool.breaks(now, &self.server.id);
                 state.lost(now, &job.fingerprint, &self.server.id);
             }
             _ => (),
@@ -171,7 +176,7 @@
             self.outcome,
             &mut rng,
         );
-        if !self.silent && matches!(self.outcome, Outcome::Sound | Outcome::Failed) {
+        if !self.unjudged && matches!(self.outcome, Outcome::Sound | Outcome::Failed) {
             let bad = self.outcome == Outcome::Failed;
             state.answered(&self.server, bad);
         }
@@ -210,6 +215,7 @@
         work: &job.work,
         zone: &app.site.zone,
         tried: &job.tried,
+        draw: rand::rng().random(),
     };
     let server = state.pick(now, &query, job.name(), job.session.as_deref())?;
     let unread = state.pool.begin(now, &server.id, &query);
@@ -240,7 +246,7 @@
             .model
             .as_ref()
             .map_or(String::new(), |(model, _)| model.clone()),
-        silent: false,
+        unjudged: false,
         first_event: None,
         events: 0,
     })
--- a/crates/edge/src/link/dial.rs
+++ b/crates/edge/src/link/dial.rs
@@ -74,7 +74,7 @@
     let mut beats = app.beats.subscribe();
     let first = [
         Frame::Hello(app.member().into()),
-        beat(app, Words::all(app)),
+        beat(app, Words::whole(app)),
     ];
     for message in first.iter().filter_map(Frame::encode) {
         link.send(message).await?;
@@ -84,7 +84,7 @@
             message = beats.recv() => match message {
                 Ok(message) => link.send(message).await?,
                 Err(RecvError::Lagged(_)) => {
-                    if let Some(message) = beat(app, Words::all(app)).encode() {
+                    if let Some(message) = beat(app, Words::whole(app)).encode() {
                         link.send(message).await?;
                     }
                 }
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -90,7 +90,7 @@
         hear_trial(&mut state, now, node, trial);
     }
     for (session, version) in &beat.stays {
-        state.sessions.note(now, session, version);
+        state.sessions.learn(now, session, version);
     }
     for (fingerprint, server) in &beat.crashes {
         state
@@ -154,13 +154,13 @@
 }
 
 impl Words {
-    /// All that is known.
-    pub fn all(app: &App) -> Self {
+    /// What a node is to hear that has just opened a link, or is behind.
+    pub fn whole(app: &App) -> Self {
         let now = Instant::now();
         let state = app.state();
         let crashes = state.suspects.known(now);
         Self {
-            stays: state.sessions.all(now),
+            stays: state.sessions_to_tell(now),
             crashes: crashes
                 .map(|(fingerprint, server, _)| (fingerprint.clone(), server.clone()))
                 .collect(),
@@ -169,12 +169,15 @@
 
     /// What came since the last time.
     pub fn news(app: &App, told: &mut Receiver<Told>) -> Self {
-        let mut words = Self::default();
+        let mut words = Self {
+            stays: app.state().take_recalled(Instant::now()),
+            crashes: Vec::new(),
+        };
         loop {
             match told.try_recv() {
                 Ok(Told::Stay(stay)) => words.stays.push(stay),
                 Ok(Told::Crash(crash)) => words.crashes.push(crash),
-                Err(TryRecvError::Lagged(_)) => return Self::all(app),
+                Err(TryRecvError::Lagged(_)) => return Self::whole(app),
                 Err(TryRecvError::Empty | TryRecvError::Closed) => return words,
             }
         }
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -105,6 +105,7 @@
         work: &work,
         zone: "a",
         tried: &[],
+        draw: 0,
     };
     for session in 0..50 {
         let name = format!("s-{session}");
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -144,6 +144,9 @@
     }
 
     /// Chooses a backend server among those that `allows` takes.
+    ///
+    /// Looks at some of them, drawn anew for each request, and at all where none of these will do:
+    /// many nodes that choose the best of all by the same old word of their loads choose the same.
     pub fn pick(
         &self,
         now: Instant,
@@ -151,15 +154,40 @@
         allows: impl Fn(&Listing) -> bool,
     ) -> Result<Listing, Refusal> {
         let first = self.first_choice(query, &allows);
-        let bearing = self
-            .bearings
-            .get(query.service)
-            .copied()
-            .unwrap_or_default();
-        let mut best: Option<(f64, &ServerId)> = None;
+        let sample = self.sample(query.service);
+        let sampled = |id: &ServerId, server: &Server| {
+            first == Some(id) || rank(query.draw, server.hash) <= sample
+        };
+        let some = self.best(now, query, first, |id, server| {
+            sampled(id, server) && allows(&server.listing)
+        });
+        some.or_else(|_| self.best(now, query, first, |_, server| allows(&server.listing)))
+    }
+
+    /// Ranks up to which backend servers of a service are looked at.
+    fn sample(&self, service: &str) -> u64 {
+        let servers = self.servers.values();
+        let open =
+            servers.filter(|server| server.listing.service == service && server.takes_work());
+        let each = self.settings.sample / self.nodes.len().max(1) as f64;
+        let part = each.max(self.settings.least_sample) / open.count().max(1) as f64;
+        // A part above 1 saturates.
+        (part * u64::MAX as f64) as u64
+    }
+
+    fn best(
+        &self,
+        now: Instant,
+        query: &Query,
+        first: Option<&ServerId>,
+        takes: impl Fn(&ServerId, &Server) -> bool,
+    ) -> Result<Listing, Refusal> {
+        let bearing = self.bearings.get(query.service);
+        let bearing = bearing.copied().unwrap_or_default();
+        let mut best: Option<(f64, &Server)> = None;
         let mut refusal = Refusal::Absent;
         for (id, server) in &self.servers {
-            if !self.fits(server, query) || !allows(&server.listing) {
+            if !self.fits(server, query) || !takes(id, server) {
                 continue;
             }
             refusal = Refusal::Full;
@@ -169,11 +197,11 @@
             let first = first == Some(id);
             let cost = cost(&self.settings, now, server, query, &bearing, first);
             if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, id));
+                best = Some((cost, server));
             }
         }
-        let id = best.map(|(_, id)| id.clone()).ok_or(refusal)?;
-        Ok(self.servers[&id].listing.clone())
+        let (_, server) = best.ok_or(refusal)?;
+        Ok(server.listing.clone())
     }
 
     /// The backend server that all nodes send a prompt's shared parts to while it has room.
@@ -232,6 +260,16 @@
         }
     }
 
+    /// Takes in that a backend server broke off an answer; whether that is the first one for a while.
+    /// What follows at once is the same crash.
+    pub fn breaks(&mut self, now: Instant, id: &str) -> bool {
+        let Some(server) = self.servers.get_mut(id) else {
+            return false;
+        };
+        let before = server.broke.replace(now);
+        before.is_none_or(|at| now.saturating_duration_since(at) >= self.settings.crash_time)
+    }
+
     /// Takes in that a backend server has given something.
     pub fn hear(&mut self, now: Instant, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/route/src/pool/query.rs
+++ b/crates/route/src/pool/query.rs
@@ -58,4 +58,6 @@
     pub zone: &'a str,
     /// Backend servers that had the request before.
     pub tried: &'a [ServerId],
+    /// Random number by which some backend servers are looked at, of many.
+    pub draw: u64,
 }
--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -61,6 +61,8 @@
     full_until: Option<Instant>,
     /// When it last gave something to a request of this node.
     pub(super) heard: Option<Instant>,
+    /// When it last broke off an answer.
+    pub(super) broke: Option<Instant>,
     pub(super) breaker: Breaker,
     pub(super) ramp: Ramp,
 }
@@ -88,6 +90,7 @@
             cold_share: 0,
             full_until: None,
             heard: None,
+            broke: None,
             breaker: Breaker::new(settings),
             ramp: Ramp::default(),
             listing,
--- a/crates/route/src/pool/settings.rs
+++ b/crates/route/src/pool/settings.rs
@@ -40,11 +40,20 @@
     pub queue_cost: Duration,
     /// What a cold backend server counts as, in time.
     pub cold_cost: Duration,
+    /// Backend servers of a service that all nodes together look at for one request each: the more
+    /// nodes, the more of them choose by the same old word of loads.
+    pub sample: f64,
+    /// Least number that one node looks at, on average: the better of a few is nearly as good as the
+    /// best, and seldom the one that all others choose.
+    pub least_sample: f64,
     /// Requests beyond its slots that a plain backend server is given.
     pub queue: u32,
     /// Time after something came from a backend server in which it isn't silent: some steps of a
     /// crowded engine with a long prompt between them.
     pub heard_time: Duration,
+    /// Time in which answers that a backend server breaks off are taken for one crash: those on it
+    /// learn of it within the resends of a packet.
+    pub crash_time: Duration,
     /// Length of the window in which requests to a cold backend server are counted.
     pub cold_window: Duration,
     /// Part of what a cold backend server bears that nodes share out: the rest is for nodes that
@@ -71,8 +80,11 @@
             memory_cost: Duration::from_secs(10),
             queue_cost: Duration::from_millis(10),
             cold_cost: Duration::from_secs(1),
+            sample: 50.0,
+            least_sample: 3.0,
             queue: 2,
             heard_time: Duration::from_millis(600),
+            crash_time: Duration::from_secs(1),
             cold_window: Duration::from_millis(1100),
             cold_part: 0.6,
         }
--- a/crates/route/src/session/sessions.rs
+++ b/crates/route/src/session/sessions.rs
@@ -12,10 +12,19 @@
 /// 400 new sessions a second fills it within their memory.
 const MAX_SESSIONS: usize = 12_288;
 
+/// What is known of a session.
+#[derive(Clone, Debug)]
+struct Session {
+    version: Version,
+    last: Instant,
+    /// Whether this node has sent its last request, and not another one.
+    own: bool,
+}
+
 /// The versions that sessions are on, as far as this node has seen or been told.
 #[derive(Clone, Debug)]
 pub struct Sessions {
-    known: LruCache<String, (Version, Instant), FxBuildHasher>,
+    known: LruCache<String, Session, FxBuildHasher>,
 }
 
 impl Default for Sessions {
@@ -36,30 +45,65 @@
     /// assert_eq!(sessions.version(now, "s"), Some("v1"));
     /// ```
     pub fn version(&self, now: Instant, session: &str) -> Option<&str> {
-        let (version, last) = self.known.peek(session)?;
-        (now.saturating_duration_since(*last) < MEMORY).then_some(version.as_str())
+        let known = self.known.peek(session)?;
+        known.is_remembered(now).then_some(known.version.as_str())
     }
 
-    /// Notes that a request of a session went to a version; true when that is news.
+    /// Notes that this node sent a request of a session to a version; true when that is news.
     pub fn note(&mut self, now: Instant, session: &str, version: &str) -> bool {
+        self.put(now, session, version, true)
+    }
+
+    /// Takes in what another node tells of a session.
+    pub fn learn(&mut self, now: Instant, session: &str, version: &str) {
+        self.put(now, session, version, false);
+    }
+
+    fn put(&mut self, now: Instant, session: &str, version: &str, own: bool) -> bool {
         let changed = self.version(now, session) != Some(version);
-        self.known
-            .put(session.to_owned(), (version.to_owned(), now));
-        let over = |at: Instant| now.saturating_duration_since(at) >= MEMORY;
-        while let Some((_, (_, at))) = self.known.peek_lru()
-            && (self.known.len() > MAX_SESSIONS || over(*at))
+        let known = Session {
+            version: version.to_owned(),
+            last: now,
+            own,
+        };
+        self.known.put(session.to_owned(), known);
+        while let Some((_, oldest)) = self.known.peek_lru()
+            && (self.known.len() > MAX_SESSIONS || !oldest.is_remembered(now))
         {
             self.known.pop_lru();
         }
         changed
     }
 
-    /// All sessions that are remembered, with their versions.
+    /// Sessions that are remembered, with their versions.
     pub fn all(&self, now: Instant) -> Vec<(String, Version)> {
+        self.select(now, |_| true)
+    }
+
+    /// Those of them whose last request this node has sent.
+    ///
+    /// ```
+    /// let now = std::time::Instant::now();
+    /// let mut sessions = route::session::Sessions::default();
+    /// sessions.note(now, "s", "v1");
+    /// sessions.learn(now, "t", "v1");
+    /// assert_eq!(sessions.own(now), [("s".to_owned(), "v1".to_owned())]);
+    /// ```
+    pub fn own(&self, now: Instant) -> Vec<(String, Version)> {
+        self.select(now, |session| session.own)
+    }
+
+    fn select(&self, now: Instant, takes: impl Fn(&Session) -> bool) -> Vec<(String, Version)> {
         let known = self.known.iter();
         known
-            .filter(|(_, (_, at))| now.saturating_duration_since(*at) < MEMORY)
-            .map(|(session, (version, _))| (session.clone(), version.clone()))
+            .filter(|(_, session)| session.is_remembered(now) && takes(session))
+            .map(|(name, session)| (name.clone(), session.version.clone()))
             .collect()
     }
 }
+
+impl Session {
+    fn is_remembered(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last) < MEMORY
+    }
+}
--- a/crates/route/tests/overload.rs
+++ b/crates/route/tests/overload.rs
@@ -71,6 +71,7 @@
         work,
         zone: "a",
         tried: &[],
+        draw: 0,
     }
 }
 
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -1,8 +1,8 @@
 //! Placement: where a request goes, and what nodes do alike without a word.
 
 use contract::Map;
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use route::pool::{
     Bearing, Load, Outcome, Pool, Query, Refusal, Settings, Work, load_of, part_id, tag,
 };
@@ -44,6 +44,7 @@
         work,
         zone: "a",
         tried: &[],
+        draw: 0,
     }
 }
 
@@ -138,6 +139,51 @@
     assert_ne!(slow.pick(now, &query(&work), |_| true).unwrap().id, first);
 }
 
+/// Requests that the busiest of 30 engines gets when each of many nodes places one by the same word of
+/// loads, of which one engine has none.
+fn herd(nodes: usize) -> usize {
+    let now = Instant::now();
+    let mut pool = pool(30);
+    let names: Vec<_> = (0..nodes).map(|index| format!("n-{index}")).collect();
+    pool.share(Map::default(), &names);
+    let load = |index: u32| Load {
+        requests: 4 + index % 3,
+        weight: f64::from(4 + index % 3),
+        ..Load::default()
+    };
+    let loads = (1..30).map(|index| (tag(&format!("i-{index}")), load(index)));
+    pool.set_others(&"n".to_owned(), loads.collect());
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut chosen: Map<String, usize> = Map::default();
+    for index in 0..nodes {
+        let work = work(&format!("s-{index}"));
+        let query = Query {
+            draw: rng.random(),
+            ..query(&work)
+        };
+        let id = pool.pick(now, &query, |_| true).unwrap().id;
+        *chosen.entry(id).or_default() += 1;
+    }
+    chosen.into_values().max().unwrap()
+}
+
+#[test]
+fn many_nodes_do_not_choose_the_same_engine() {
+    assert!(herd(60) <= 12, "{}", herd(60));
+    // A node alone knows what it has sent, and takes the best of all.
+    assert_eq!(herd(1), 1);
+}
+
+#[test]
+fn a_crash_speaks_once() {
+    let now = Instant::now();
+    let mut pool = pool(1);
+    assert!(pool.breaks(now, "i-0"));
+    assert!(!pool.breaks(now + Duration::from_millis(300), "i-0"));
+    assert!(pool.breaks(now + Duration::from_secs(2), "i-0"));
+    assert!(!pool.breaks(now, "i-gone"));
+}
+
 #[test]
 fn what_has_no_place_says_why() {
     let now = Instant::now();
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -52,6 +52,7 @@
     a_stopping_node_refuses_late_requests_at_once(models())
     a_bad_version_is_rolled_back(models())
     a_good_version_is_completed(models())
+    a_version_with_a_backend_server_that_is_away_is_completed(models())
     a_lost_answer_of_the_store_is_settled(models())
     changed_settings_are_followed(models())
     metrics_count_what_happens(plain())
@@ -110,7 +111,7 @@
 }
 
 /// All runs in the order of their times.
-fn runs(workers: &[standin::site::Worker]) -> Vec<Run> {
+fn runs(workers: &[Worker]) -> Vec<Run> {
     let mut runs: Vec<_> = workers.iter().flat_map(|worker| worker.runs()).collect();
     runs.sort_by_key(|run| run.at);
     runs
@@ -582,13 +583,14 @@
 
     /// Lets two backend servers run a new version and sends streams of many sessions until the
     /// outcome is written down.
-    async fn roll_out(site: &mut Site, seconds: f64, bad: bool) -> Result<Option<String>, Error> {
-        for index in [1, 2] {
-            site.list(&site.models[index], "models", "v2", "ready");
-        }
-        if bad {
-            let faulty = |worker: &standin::site::Worker| worker.set_fault(WorkerFault::Fail(500));
-            site.models[1..].iter().for_each(faulty);
+    async fn roll_out(
+        site: &mut Site,
+        seconds: f64,
+        faults: [WorkerFault; 2],
+    ) -> Result<Option<String>, Error> {
+        for (worker, fault) in site.models[1..].iter().zip(faults) {
+            site.list(worker, "models", "v2", "ready");
+            worker.set_fault(fault);
         }
         // The node is to know of the new version before the sessions begin.
         sleep(Duration::from_millis(300)).await;
@@ -615,7 +617,7 @@
     }
 
     pub async fn a_bad_version_is_rolled_back(site: &mut Site) -> Result<(), Error> {
-        let outcome = roll_out(site, 20.0, true).await?;
+        let outcome = roll_out(site, 20.0, [WorkerFault::Fail(500); 2]).await?;
         assert_eq!(outcome.as_deref(), Some("rolled_back"));
         let before = site.models[1].runs().len() + site.models[2].runs().len();
         for session in 0..30 {
@@ -632,11 +634,11 @@
     }
 
     pub async fn a_good_version_is_completed(site: &mut Site) -> Result<(), Error> {
-        let outcome = roll_out(site, 8.0, false).await?;
+        let outcome = roll_out(site, 8.0, [WorkerFault::None; 2]).await?;
         assert_eq!(outcome.as_deref(), Some("completed"));
         // All requests of a session ran on one version.
         let versions = |session: &str| -> Vec<bool> {
-            let on = |new: bool, worker: &standin::site::Worker| {
+            let on = |new: bool, worker: &Worker| {
                 let runs = worker.runs();
                 let own = runs
                     .iter()
@@ -657,6 +659,18 @@
         Ok(())
     }
 
+    pub async fn a_version_with_a_backend_server_that_is_away_is_completed(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        for index in 0..3 {
+            let gone = Worker::start(&format!("i-model-gone-{index}")).await?;
+            site.list(&gone, "models", "v2", "ready");
+        }
+        let outcome = roll_out(site, 8.0, [WorkerFault::None; 2]).await?;
+        assert_eq!(outcome.as_deref(), Some("completed"));
+        Ok(())
+    }
+
     pub async fn metrics_count_what_happens(site: &mut Site) -> Result<(), Error> {
         send(site, "/again/a").await?;
         site.desks
@@ -709,7 +723,7 @@
 
     pub async fn a_lost_answer_of_the_store_is_settled(site: &mut Site) -> Result<(), Error> {
         site.store.set_fault(StoreFault::LoseAnswers, &[]);
-        let outcome = roll_out(site, 20.0, true).await?;
+        let outcome = roll_out(site, 20.0, [WorkerFault::Fail(500); 2]).await?;
         assert_eq!(outcome.as_deref(), Some("rolled_back"));
         Ok(())
     }
