Ask a lost store seldom, and read no empty table at the first start

Ruled out: heartbeats (they don't wake calls that wait), sizes of answers (4 MB in all). Change: a node is a follower, a learner or a stand-in for each table. Stand-ins ask only while no follower hears the store, each at its turn by rank, and one that is answered goes on until a better one hears the store. Links open before the first call for changes. At the first start of all, tables are taken as empty. While the store is away one table is asked, the others follow when it answers. Six nodes in place of eight follow what the operator asks for. A test that counts the calls of 68 nodes replaces the one that let all ask at once; the share of followers is tested as before, with the new count.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -41,6 +41,8 @@
     pub store: store::Client,
     /// Wakes requests that wait for a backend server: one has room, or the list changed.
     pub room: Notify,
+    /// Wakes those who wait to ask a store that didn't answer: it answers again.
+    pub store_back: Notify,
     /// Wakes the links: something has to be told at once.
     pub news: Notify,
     /// Beats for the links.
@@ -62,6 +64,7 @@
         Ok(Self {
             store: store::Client::new(site.store)?,
             room: Notify::new(),
+            store_back: Notify::new(),
             news: Notify::new(),
             beats: broadcast::Sender::new(MAX_BEATS),
             told: broadcast::Sender::new(MAX_TOLD),
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -1,6 +1,7 @@
 //! What a node believes.
 
 use super::{Copy, Crash, Mirror, Retries, Stay};
+use crate::follow::Part;
 use crate::membership;
 use contract::{Map, Set, stable_hash};
 use limits::retry;
@@ -43,10 +44,14 @@
 const FETCH_TIME: Duration = Duration::from_millis(400);
 /// Nodes that follow what the operator asks for; the others learn from them. A third of the nodes
 /// may lose the store at once, and then some of these still have it.
-const INTENT_FOLLOWERS: usize = 8;
+const INTENT_FOLLOWERS: usize = 6;
 /// Nodes that follow the other tables, which change more often: each change answers all of them.
 /// They are among those that follow what the operator asks for.
 const FOLLOWERS: usize = 4;
+/// Pause of a node that stands in for followers which don't hear the store, for each place that it
+/// comes after them: a fleet of seventy asks a lost store a dozen times a second, and one that serves
+/// a few nodes only is found within some seconds.
+const STAND_IN_PAUSE: Duration = Duration::from_millis(300);
 /// Key by which nodes are ranked as followers.
 const FOLLOWERS_KEY: &str = "followers";
 
@@ -84,6 +89,14 @@
             Self::Servers | Self::Members | Self::Status => FOLLOWERS,
         }
     }
+
+    /// Pauses between two calls of a node that stands in for them: one table finds the store.
+    fn stand_in_pauses(self) -> u32 {
+        match self {
+            Self::Intents => 1,
+            Self::Servers | Self::Members | Self::Status => 4,
+        }
+    }
 }
 
 /// Time in which the end of a backend server explains a lost request: three missed heartbeats of
@@ -141,7 +154,10 @@
     pub last_rows: Option<((Table, Position, Position), Message)>,
     /// When another node was asked for changes of each table.
     fetching: [Option<Instant>; 4],
+    /// When the store last didn't answer.
     store_lost: Option<Instant>,
+    /// Whether this node follows in the place of those that don't hear the store.
+    standing_in: bool,
     lapsed: Vec<(ServerId, Instant)>,
     budgets: Map<ServiceName, Retries>,
     /// Bounds of the site.
@@ -154,6 +170,17 @@
 impl State {
     /// Knows nothing yet.
     pub fn new(site: &Site) -> Self {
+        let mut state = Self::unread(site);
+        if site.first_start {
+            // All that the operator and the backend servers write comes as changes.
+            for mirror in &mut state.mirrors {
+                mirror.replace(Page::default());
+            }
+        }
+        state
+    }
+
+    fn unread(site: &Site) -> Self {
         Self {
             routes: Arc::default(),
             pool: Pool::new(pool::Settings::default()),
@@ -178,6 +205,7 @@
             last_rows: None,
             fetching: Default::default(),
             store_lost: None,
+            standing_in: false,
             lapsed: Vec::new(),
             budgets: Map::default(),
             bounds: site.bounds.clone(),
@@ -212,6 +240,7 @@
     /// Takes in changes of a table.
     pub fn update(&mut self, now: Instant, table: Table, page: Page) {
         let news = self.mirrors[table as usize].update(page);
+        self.listed |= table == Table::Servers && !news.is_empty();
         self.apply(now, table, news);
     }
 
@@ -237,20 +266,47 @@
         Some(position)
     }
 
-    /// Whether this node asks the store for changes of a table, and not other nodes: it hasn't read
-    /// the table, is one of the few that follow, or hears of none that does.
-    pub fn follows(&self, now: Instant, table: Table) -> bool {
-        self.mirror(table).position().is_none()
-            || !self.members.hears_follower(now)
-            || self.is_follower(now, table)
+    /// How this node takes part in following a table.
+    pub fn part(&self, now: Instant, table: Table) -> Part {
+        let rank = self.rank(now);
+        if self.mirror(table).position().is_none() || rank < table.followers() {
+            return Part::Follower;
+        }
+        let weight = self.weight(&self.node);
+        let mut following = self.members.following(now).peekable();
+        let followed = following.peek().is_some();
+        if following.any(|node| self.weight(node) > weight) {
+            return Part::Learner;
+        }
+        if self.standing_in {
+            return Part::Follower;
+        }
+        match followed {
+            true => Part::Learner,
+            false => {
+                let turn = (rank - table.followers()) as u32 + 1;
+                Part::StandIn(STAND_IN_PAUSE * turn * table.stand_in_pauses())
+            }
+        }
     }
 
-    /// Whether this node is one of the few that follow a table.
-    pub fn is_follower(&self, now: Instant, table: Table) -> bool {
-        let weight = |node: &str| stable_hash([FOLLOWERS_KEY, node]);
-        let own = weight(&self.node);
+    /// Nodes that come before this one when followers are chosen.
+    fn rank(&self, now: Instant) -> usize {
+        let own = self.weight(&self.node);
         let nodes = self.members.alive(now);
-        nodes.filter(|member| weight(&member.node) > own).count() < table.followers()
+        nodes
+            .filter(|member| self.weight(&member.node) > own)
+            .count()
+    }
+
+    /// Weight of a node when followers are chosen: the same on all nodes.
+    fn weight(&self, node: &str) -> u64 {
+        stable_hash([FOLLOWERS_KEY, node])
+    }
+
+    /// Whether this node follows the servers' table, and the store answers it.
+    pub fn follows(&self, now: Instant) -> bool {
+        self.hears_store(now) && self.part(now, Table::Servers) == Part::Follower
     }
 
     /// Whether the store has answered this node of late.
@@ -355,10 +411,10 @@
     /// those that are known from others, the few nodes tell that follow the store: a node that starts
     /// is told by all others at once.
     pub fn sessions_to_tell(&self, now: Instant) -> Vec<Stay> {
-        match (self.on_trial(), self.is_follower(now, Table::Intents)) {
+        match (self.on_trial(), self.part(now, Table::Intents)) {
             (false, _) => Vec::new(),
-            (true, true) => self.sessions.all(now),
-            (true, false) => self.sessions.own(now),
+            (true, Part::Follower) => self.sessions.all(now),
+            (true, Part::StandIn(_) | Part::Learner) => self.sessions.own(now),
         }
     }
 
@@ -438,11 +494,15 @@
         now.saturating_duration_since(self.heard[Table::Servers as usize].unwrap_or(now))
     }
 
-    /// Takes in whether the store answers.
-    pub fn store_answers(&mut self, now: Instant, answers: bool) {
-        if !answers {
-            self.store_lost = Some(now);
-        }
+    /// Takes in that the store answered a node that asked in the place of the followers.
+    pub fn stand_in(&mut self) {
+        self.standing_in = true;
+    }
+
+    /// Takes in that the store doesn't answer.
+    pub fn lose_store(&mut self, now: Instant) {
+        self.store_lost = Some(now);
+        self.standing_in = false;
     }
 
     /// Forgets backend servers whose entries lapsed and didn't come back, and the work of nodes that
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -1,5 +1,6 @@
 //! One loop a table: the whole table once, then its changes.
 
+use super::Part;
 use crate::app::{App, Table, Told};
 use crate::backoff::Backoff;
 use crate::metrics::Call;
@@ -16,10 +17,13 @@
 const PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause: a store that is back is found within it, well inside the time for a change.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// The same for a node that only asks because it hears of none that has the store. It learns from
-/// the followers that the store is back; a fleet that asks as one would cost a call a node and table
-/// for each of their pauses.
-const LONGEST_PAUSE_OF_OTHERS: Duration = Duration::from_millis(2400);
+/// The same for the other tables than the one of what the operator asks for, which finds the store
+/// for all of them.
+const LONGEST_PAUSE_OF_OTHERS: Duration = Duration::from_millis(3200);
+/// Nodes that may ask a lost store for a whole table as often as one alone.
+const READERS: f64 = 16.0;
+/// Time after the first read of a table in which links open, so that nodes know who follows.
+const JOIN_TIME: Duration = Duration::from_millis(900);
 /// Pause between two looks whether this node is to follow: a part of the time for a change.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a change in which further ones gather, so that one call brings them: backend servers
@@ -35,38 +39,41 @@
 pub async fn follow(app: Arc<App>, table: Table) {
     let mut backoff = Backoff::new(PAUSE, LONGEST_PAUSE);
     let mut answering = true;
+    let mut joined = false;
     loop {
-        let (position, follows) = {
-            let state = app.state();
-            let follows = state.follows(Instant::now(), table);
-            (state.mirror(table).position(), follows)
-        };
-        if !follows {
-            sleep(FOLLOW_PAUSE).await;
-            continue;
+        if app.state().mirror(table).position().is_some() && !joined {
+            sleep(JOIN_TIME).await;
+            joined = true;
         }
-        let whole = position.is_none();
-        let answer = match position {
-            None => app.store.rows(table.name()).await,
-            Some(after) => app.store.changes(table.name(), after, WAIT).await,
-        };
-        let answer = match answer {
-            Err(Error::Compacted) => {
-                log::warn!(event = 1704, table = table.name(), position = position.unwrap_or(0); "history is gone, reading the whole table");
-                app.store.rows(table.name()).await.map(|page| (true, page))
+        let wait = match part(&app, table) {
+            Part::Follower => WAIT,
+            Part::StandIn(pause) => {
+                sleep(pause).await;
+                match part(&app, table) {
+                    Part::StandIn(_) => Duration::ZERO,
+                    Part::Follower | Part::Learner => continue,
+                }
+            }
+            Part::Learner => {
+                sleep(FOLLOW_PAUSE).await;
+                continue;
             }
-            answer => answer.map(|page| (whole, page)),
         };
+        let answer = call(&app, table, wait).await;
         let outcome = if answer.is_ok() { "answered" } else { "failed" };
-        let call = Call {
+        let label = Call {
             table: table.name(),
             outcome,
         };
-        app.metrics.calls.get_or_create(&call).inc();
+        app.metrics.calls.get_or_create(&label).inc();
         match answer {
             Ok((whole, page)) => {
                 if !std::mem::replace(&mut answering, true) {
                     log::info!(event = 1705, table = table.name(); "the store answers again");
+                    app.store_back.notify_waiters();
+                }
+                if wait.is_zero() {
+                    app.state().stand_in();
                 }
                 backoff.reset();
                 let changes = !page.rows.is_empty();
@@ -76,21 +83,53 @@
                 }
             }
             Err(error) => {
-                app.state().store_answers(Instant::now(), false);
+                app.state().lose_store(Instant::now());
+                backoff.set_longest(longest_pause(&app, table));
                 if std::mem::replace(&mut answering, false) {
                     log::warn!(event = 1706, table = table.name(); "the store doesn't answer: {error}");
                 }
-                let follower = app.state().is_follower(Instant::now(), table);
-                backoff.set_longest(match follower || whole {
-                    true => LONGEST_PAUSE,
-                    false => LONGEST_PAUSE_OF_OTHERS,
-                });
-                backoff.wait().await;
+                tokio::select! {
+                    () = backoff.wait() => (),
+                    () = app.store_back.notified() => (),
+                }
             }
         }
     }
 }
 
+fn part(app: &App, table: Table) -> Part {
+    app.state().part(Instant::now(), table)
+}
+
+/// Longest pause between two calls that fail. Nodes that have yet to read a table are as many as the
+/// fleet when all start at once; the first that reads it tells the others.
+fn longest_pause(app: &App, table: Table) -> Duration {
+    let state = app.state();
+    let pause = match table {
+        Table::Intents => LONGEST_PAUSE,
+        Table::Servers | Table::Members | Table::Status => LONGEST_PAUSE_OF_OTHERS,
+    };
+    match state.mirror(table).position() {
+        Some(_) => pause,
+        None => pause.mul_f64(1.0 + state.members.alive(Instant::now()).count() as f64 / READERS),
+    }
+}
+
+/// Reads the whole table, or changes of it as soon as there are some; whether it is the whole table.
+async fn call(app: &App, table: Table, wait: Duration) -> Result<(bool, Page), Error> {
+    let position = app.state().mirror(table).position();
+    let Some(after) = position else {
+        return app.store.rows(table.name()).await.map(|page| (true, page));
+    };
+    match app.store.changes(table.name(), after, wait).await {
+        Err(Error::Compacted) => {
+            log::warn!(event = 1704, table = table.name(), position = after; "history is gone, reading the whole table");
+            app.store.rows(table.name()).await.map(|page| (true, page))
+        }
+        answer => answer.map(|page| (false, page)),
+    }
+}
+
 /// Takes in an answer and wakes those who wait for a change.
 fn take(app: &App, table: Table, whole: bool, page: Page) {
     let now = Instant::now();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,7 +6,7 @@
 mod directory;
 mod duty;
 mod error;
-mod follow;
+pub mod follow;
 mod forward;
 pub mod link;
 mod listen;
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -190,7 +190,7 @@
     let now = Instant::now();
     Frame::Beat(Beat {
         ready: state.ready(),
-        follows: state.hears_store(now) && state.follows(now, Table::Servers),
+        follows: state.follows(now),
         newest: Table::ALL.map(|table| state.mirror(table).newest()),
         loads: tell_loads(&state),
         trials: state
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -1,6 +1,7 @@
 //! What a node believes: roll-outs that follow each other.
 
 use edge::app::{State, Table};
+use edge::follow::Part;
 use platform::store::{Page, Row};
 use route::member::Member;
 use route::pool::{Query, Stage, Work};
@@ -19,6 +20,7 @@
         directory: address,
         link: address,
         seeds: Vec::new(),
+        first_start: false,
         cpu_share: 1.0,
         memory: 1 << 27,
         store: address,
@@ -119,10 +121,11 @@
 }
 
 /// Nodes of a fleet.
-const FLEET: usize = 21;
+const FLEET: usize = 68;
 
-/// Tables that one node of the fleet follows; whether one of the others follows the store.
-fn follows(index: usize, followed: bool) -> [bool; 4] {
+/// How one node of the fleet takes part in following each table; whether one of the others hears the
+/// store.
+fn parts(index: usize, followed: bool) -> [Part; 4] {
     let now = Instant::now();
     let name = |index| format!("n-{index}");
     let mut site = site();
@@ -141,25 +144,71 @@
         });
         state.members.hear(now, &node, true, followed);
     }
-    Table::ALL.map(|table| state.follows(now, table))
+    Table::ALL.map(|table| state.part(now, table))
 }
 
 #[test]
 fn few_nodes_follow_the_store_for_the_others() {
-    let all: Vec<_> = (0..FLEET).map(|index| follows(index, true)).collect();
-    let following = |table: Table| all.iter().filter(|tables| tables[table as usize]).count();
-    assert_eq!(Table::ALL.map(following), [8, 4, 4, 4]);
-    let nested =
-        |tables: &[bool; 4]| tables[Table::Intents as usize] || !tables[Table::Servers as usize];
+    let all: Vec<_> = (0..FLEET).map(|index| parts(index, true)).collect();
+    let follows = |parts: &[Part; 4], table: Table| parts[table as usize] == Part::Follower;
+    let following = |table: Table| all.iter().filter(|parts| follows(parts, table)).count();
+    assert_eq!(Table::ALL.map(following), [6, 4, 4, 4]);
+    let nested = |parts| follows(parts, Table::Intents) || !follows(parts, Table::Servers);
     assert!(
         all.iter().all(nested),
         "one word on following speaks for all tables"
     );
 }
 
+/// Calls a second of all nodes that stand in for followers which don't hear the store, at the most.
+const MOST_CALLS: f64 = 30.0;
+
+#[test]
+fn a_lost_store_is_asked_by_all_but_seldom() {
+    let mut calls = 0.0;
+    for index in 0..FLEET {
+        for part in parts(index, false) {
+            match part {
+                Part::Follower => (),
+                Part::StandIn(pause) => calls += 1.0 / pause.as_secs_f64(),
+                Part::Learner => panic!("nobody is left to learn from"),
+            }
+        }
+    }
+    assert!(calls > 0.0 && calls < MOST_CALLS, "{calls}");
+}
+
 #[test]
-fn a_node_follows_when_it_hears_of_none_that_does() {
+fn a_node_that_stands_in_goes_on_until_a_better_one_hears_the_store() {
+    let now = Instant::now();
+    let mut state = State::new(&site());
+    for table in Table::ALL {
+        state.replace(now, table, Page::default());
+    }
     for index in 0..FLEET {
-        assert_eq!(follows(index, false), [true; 4]);
+        let node = format!("n-{index}");
+        let address = "127.0.0.1:1".parse().unwrap();
+        state.members.add(Member {
+            node: node.clone(),
+            zone: "a".to_owned(),
+            requests: address,
+            link: address,
+        });
+        state.members.hear(now, &node, true, false);
     }
+    state.stand_in();
+    assert_eq!(state.part(now, Table::Servers), Part::Follower);
+    state.lose_store(now);
+    assert_ne!(state.part(now, Table::Servers), Part::Follower);
+}
+
+#[test]
+fn a_first_start_reads_no_empty_table() {
+    let mut site = site();
+    site.first_start = true;
+    let mut state = State::new(&site);
+    assert_eq!(state.mirror(Table::Intents).position(), Some(0));
+    assert!(!state.ready());
+    list(&mut state, &["v1"]);
+    assert!(!state.ready(), "there is no configuration yet");
 }
--- a/crates/route/src/member/members.rs
+++ b/crates/route/src/member/members.rs
@@ -80,11 +80,13 @@
         }
     }
 
-    /// Whether a member was heard of of late that follows the store.
-    pub fn hears_follower(&self, now: Instant) -> bool {
+    /// Members heard of of late that follow the store.
+    pub fn following(&self, now: Instant) -> impl Iterator<Item = &str> {
         let silence = self.settings.silence;
-        let mut entries = self.entries.values();
-        entries.any(|entry| entry.follows && entry.lives(now, silence))
+        let entries = self.entries.values();
+        entries
+            .filter(move |entry| entry.follows && entry.lives(now, silence))
+            .map(|entry| entry.member.node.as_str())
     }
 
     /// Members that fell silent since the last call.
--- a/crates/route/src/site/site.rs
+++ b/crates/route/src/site/site.rs
@@ -24,6 +24,8 @@
     pub link: SocketAddrV4,
     /// Links of a few nodes to begin with; they may be out of date.
     pub seeds: Vec<SocketAddrV4>,
+    /// Whether the whole system starts for the first time: nothing stands in the store before.
+    pub first_start: bool,
     /// Share of a core that the VM gives.
     pub cpu_share: f64,
     /// Memory of the VM in bytes.
--- a/crates/route/tests/members.rs
+++ b/crates/route/tests/members.rs
@@ -23,7 +23,7 @@
     assert_eq!(members.addresses(now).len(), 1);
     let later = now + Duration::from_millis(1300);
     assert!(members.addresses(later).is_empty());
-    assert!(!members.hears_follower(later));
+    assert!(members.following(later).next().is_none());
     assert_eq!(members.take_silent(later), ["n"]);
     assert!(members.take_silent(later).is_empty(), "told once");
 }
