Follow by oneself until links are open, except at the first start of all

Change: the first call for changes waits for the time in which links open; only at the first start of the whole system, 10 s before callers come, nodes wait without a call.

--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -22,7 +22,8 @@
 const LONGEST_PAUSE_OF_OTHERS: Duration = Duration::from_millis(3200);
 /// Nodes that may ask a lost store for a whole table as often as one alone.
 const READERS: f64 = 16.0;
-/// Time after the first read of a table in which links open, so that nodes know who follows.
+/// Time after the first read of a table in which links open, so that nodes know who follows: until
+/// then a node follows by itself.
 const JOIN_TIME: Duration = Duration::from_millis(900);
 /// Pause between two looks whether this node is to follow: a part of the time for a change.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(250);
@@ -41,11 +42,14 @@
     let mut answering = true;
     let mut joined = false;
     loop {
-        if app.state().mirror(table).position().is_some() && !joined {
+        let joins = !joined && app.state().mirror(table).position().is_some();
+        joined |= joins;
+        if joins && app.site.first_start {
+            // Nothing happens so early, and all nodes would ask.
             sleep(JOIN_TIME).await;
-            joined = true;
         }
         let wait = match part(&app, table) {
+            _ if joins && !app.site.first_start => JOIN_TIME,
             Part::Follower => WAIT,
             Part::StandIn(pause) => {
                 sleep(pause).await;
