Tell other nodes which prompts engines have yet to read

Ruled out: own prompts' weight alone (weight 1 to 6 of the own ones moved nothing before they were told). Change: loads between nodes carry the tokens that are yet to be read, weighed by model; placement counts the time for them four times, since it delays the first event. A test with an engine that reads for another node failed before.

--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -92,23 +92,30 @@
     pub crashes: Vec<Crash>,
 }
 
-/// Requests on a backend server: how many, thousands of their tokens, and tenths of their weight.
+/// Requests on a backend server: how many, thousands of their tokens, tenths of their weight, and
+/// hundreds of the tokens that are yet to be read.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Load(u32, u32, u32);
+pub struct Load(u32, u32, u32, u32);
 
 impl From<pool::Load> for Load {
     fn from(load: pool::Load) -> Self {
-        let thousands = (load.tokens / 1e3).round() as u32;
-        Self(load.requests, thousands, (load.weight * 1e1).round() as u32)
+        let rounded = |value: f64| value.round() as u32;
+        Self(
+            load.requests,
+            rounded(load.tokens / 1e3),
+            rounded(load.weight * 1e1),
+            rounded(load.unread / 1e2),
+        )
     }
 }
 
 impl From<Load> for pool::Load {
-    fn from(Load(requests, thousands, tenths): Load) -> Self {
+    fn from(Load(requests, thousands, tenths, hundreds): Load) -> Self {
         Self {
             requests,
             tokens: f64::from(thousands) * 1e3,
             weight: f64::from(tenths) / 1e1,
+            unread: f64::from(hundreds) * 1e2,
         }
     }
 }
--- a/crates/route/src/pool/load.rs
+++ b/crates/route/src/pool/load.rs
@@ -9,6 +9,9 @@
     pub tokens: f64,
     /// What they add to each step of an engine, in times of a model of middle size.
     pub weight: f64,
+    /// Tokens of their prompts that an engine has yet to read, as many as a model of middle size would
+    /// read in the time.
+    pub unread: f64,
 }
 
 impl Load {
@@ -16,14 +19,15 @@
     ///
     /// ```
     /// use route::pool::Load;
-    /// let load = Load { requests: 1, tokens: 10.0, weight: 0.3 };
-    /// assert_eq!(load.plus(load), Load { requests: 2, tokens: 20.0, weight: 0.6 });
+    /// let load = Load { requests: 1, tokens: 10.0, weight: 0.3, unread: 3.0 };
+    /// assert_eq!(load.plus(load), Load { requests: 2, tokens: 20.0, weight: 0.6, unread: 6.0 });
     /// ```
     pub fn plus(self, other: Self) -> Self {
         Self {
             requests: self.requests + other.requests,
             tokens: self.tokens + other.tokens,
             weight: self.weight + other.weight,
+            unread: self.unread + other.unread,
         }
     }
 
@@ -33,6 +37,7 @@
             requests: self.requests.saturating_sub(part.requests),
             tokens: (self.tokens - part.tokens).max(0.0),
             weight: (self.weight - part.weight).max(0.0),
+            unread: (self.unread - part.unread).max(0.0),
         }
     }
 }
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -248,7 +248,7 @@
         server.open = server.open.plus(load_of(query));
         let pace = query.model.map_or(0.0, |(_, pace)| pace);
         let missing = server.missing(now, query, &self.settings) * pace;
-        server.unread += missing;
+        server.open.unread += missing;
         server.read(now, query, &self.settings);
         missing
     }
@@ -256,7 +256,7 @@
     /// Takes in that an engine has read the prompt: its first event is there.
     pub fn prompt_read(&mut self, id: &str, tokens: f64) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.unread = (server.unread - tokens).max(0.0);
+            server.open.unread = (server.open.unread - tokens).max(0.0);
         }
     }
 
@@ -327,7 +327,7 @@
         };
         server.open = server.open.minus(load);
         if server.open.requests == 0 {
-            server.unread = 0.0;
+            server.open.unread = 0.0;
         }
         server.learn(now, outcome, &self.settings, rng);
     }
@@ -360,6 +360,8 @@
         requests: 1,
         tokens: query.work.prompt + query.work.output,
         weight: query.model.map_or(0.0, |(_, pace)| pace),
+        // Known once it has a place.
+        unread: 0.0,
     }
 }
 
@@ -401,7 +403,7 @@
     }
     let reading = missing * pace * server.slowness / settings.read_rate;
     cost += reading * (settings.reading_weight + others * settings.reading_crowd);
-    cost += server.unread * server.slowness / settings.read_rate;
+    cost += load.unread * settings.unread_weight * server.slowness / settings.read_rate;
     if bearing.memory > 0.0 {
         let used = (load.tokens + load_of(query).tokens) / bearing.memory;
         cost += (used - settings.memory_part).max(0.0) * millis(settings.memory_cost);
--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -44,8 +44,6 @@
     pub cold_until: Instant,
     /// Requests that this node has sent and that haven't ended.
     pub open: Load,
-    /// Prompt tokens of these that the engine has yet to read.
-    pub unread: f64,
     /// Requests of other nodes.
     pub others: Load,
     /// Share of failures among the last answers.
@@ -81,7 +79,6 @@
             cold_until: now + listing.cold,
             lapsed: None,
             open: Load::default(),
-            unread: 0.0,
             others: Load::default(),
             failures: 0.0,
             slowness: 1.0,
--- a/crates/route/src/pool/settings.rs
+++ b/crates/route/src/pool/settings.rs
@@ -32,6 +32,9 @@
     pub reading_weight: f64,
     /// The same for each request beside one: its events wait while an engine reads.
     pub reading_crowd: f64,
+    /// What the time to read the prompts that are ahead counts as, in times of itself: it delays the
+    /// first event.
+    pub unread_weight: f64,
     /// Part of an engine's memory up to which it isn't short of it.
     pub memory_part: f64,
     /// What being short of all of an engine's memory counts as, in time.
@@ -76,6 +79,7 @@
             crowd: 0.5,
             reading_weight: 8.0,
             reading_crowd: 0.3,
+            unread_weight: 4.0,
             memory_part: 0.8,
             memory_cost: Duration::from_secs(10),
             queue_cost: Duration::from_millis(10),
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -81,6 +81,7 @@
         requests: 8,
         tokens: 40_000.0,
         weight: 24.0,
+        ..Load::default()
     };
     pool.set_others(&"n2".to_owned(), Map::from_iter([(tag(&first), load)]));
     let next = pool.pick(now, &query(&work), |_| true).unwrap().id;
@@ -174,6 +175,22 @@
     assert_eq!(herd(1), 1);
 }
 
+#[test]
+fn an_engine_that_reads_for_other_nodes_is_left() {
+    let now = Instant::now();
+    let mut pool = pool(6);
+    let work = work("s-1");
+    let first = pool.pick(now, &query(&work), |_| true).unwrap().id;
+    let load = Load {
+        requests: 1,
+        unread: 100_000.0,
+        ..Load::default()
+    };
+    pool.set_others(&"n2".to_owned(), Map::from_iter([(tag(&first), load)]));
+    let next = pool.pick(now, &query(&work), |_| true).unwrap().id;
+    assert_ne!(next, first, "it reads other prompts for two seconds");
+}
+
 #[test]
 fn a_crash_speaks_once() {
     let now = Instant::now();
