Charge no budget for sends that didn't leave, and keep some of it for requests without an answer

Answers that are asked again of the larger model draw on the same budget. Ruled out: attempts of the route: sends that didn't leave don't count there. Change: a request that no backend server has had needs no budget, and one that was paid for and didn't leave isn't paid for again. The larger model is asked only while two fifths of the budget are left. A test with six absent backend servers and no budget failed before.

--- a/crates/edge/src/app/retries.rs
+++ b/crates/edge/src/app/retries.rs
@@ -4,6 +4,9 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+/// Part of the budget that is left for requests without an answer.
+const RESERVE: f64 = 0.4;
+
 /// A node's part of the further sends that a service bears.
 #[derive(Debug)]
 pub struct Retries {
@@ -38,4 +41,10 @@
     pub fn take(&mut self, now: Instant) -> bool {
         self.budget.take(now)
     }
+
+    /// Takes a further send for a request that has an answer already: some are left for requests that
+    /// have none.
+    pub fn take_spare(&mut self, now: Instant) -> bool {
+        self.budget.take_above(now, RESERVE)
+    }
 }
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -679,4 +679,10 @@
         let retries = self.budgets.get_mut(service);
         retries.is_some_and(|retries| retries.take(now))
     }
+
+    /// The same for a request that has an answer already.
+    pub fn take_spare_retry(&mut self, now: Instant, service: &str) -> bool {
+        let retries = self.budgets.get_mut(service);
+        retries.is_some_and(|retries| retries.take_spare(now))
+    }
 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -344,6 +344,7 @@
         Waited::Done(Ok(answer)) => answer,
         Waited::Done(Err(upstream::Error::NotSent(error))) => {
             job.sends -= 1;
+            job.paid = job.sends > 0;
             place.fail(job, &Failure::NotSent(error));
             return Sent::NotRun;
         }
--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -212,8 +212,9 @@
 }
 
 /// Whether a request that was sent before may not be sent again; else the send is counted.
-fn end_of_sends(app: &App, job: &Job) -> Option<End> {
-    if job.tried.is_empty() {
+fn end_of_sends(app: &App, job: &mut Job) -> Option<End> {
+    if job.sends == 0 {
+        // No backend server has had it: what wasn't sent costs nobody anything.
         return None;
     }
     if job.ran && !job.route.kind.repeatable() {
@@ -222,6 +223,9 @@
     if job.sends >= job.route.attempts.max(1) {
         return Some(End::Attempts);
     }
+    if std::mem::take(&mut job.paid) {
+        return None;
+    }
     let budget = app.state().take_retry(Instant::now(), &job.service);
     (!budget).then_some(End::Budget)
 }
--- a/crates/edge/src/forward/job.rs
+++ b/crates/edge/src/forward/job.rs
@@ -57,6 +57,8 @@
     pub tried: Vec<ServerId>,
     /// Sends so far that reached a backend server.
     pub sends: u32,
+    /// Whether a further send was taken out of the budget and reached no backend server.
+    pub paid: bool,
     /// Whether a backend server may have run it.
     pub ran: bool,
     /// Number of the last event that the caller has.
@@ -116,6 +118,7 @@
             limit: received + time.saturating_sub(WAY_BACK),
             tried: Vec::new(),
             sends: 0,
+            paid: false,
             ran: false,
             last_event,
             route,
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -194,7 +194,7 @@
     if job.sends >= job.route.attempts || !job.route.kind.repeatable() {
         return None;
     }
-    if !app.state().take_retry(Instant::now(), &job.service) {
+    if !app.state().take_spare_retry(Instant::now(), &job.service) {
         return None;
     }
     let pace = size::pace(&job.route.sizes, better);
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -32,6 +32,10 @@
     what_may_not_be_repeated_runs_once(plain())
     what_has_not_run_goes_elsewhere(plain())
     what_may_be_repeated_is_repeated(plain())
+    what_was_not_sent_costs_no_further_send(Settings {
+        bounds: json!({"retryBudgetRatio": 0, "retryBudgetExtra": 0}),
+        ..plain()
+    })
     a_mixed_answer_is_never_passed_on(plain())
     a_broken_stream_goes_on_elsewhere(models())
     a_silent_stream_goes_on_elsewhere(models())
@@ -252,6 +256,18 @@
         Ok(())
     }
 
+    pub async fn what_was_not_sent_costs_no_further_send(site: &mut Site) -> Result<(), Error> {
+        for index in 0..6 {
+            let gone = Worker::start(&format!("i-a-gone-{index}")).await?;
+            site.list(&gone, "desk", "v1", "ready");
+        }
+        sleep(Duration::from_millis(300)).await;
+        for _ in 0..6 {
+            assert_eq!(send(site, "/once/a").await?.status(), 200);
+        }
+        Ok(())
+    }
+
     pub async fn what_may_be_repeated_is_repeated(site: &mut Site) -> Result<(), Error> {
         for fault in [
             WorkerFault::Reset,
