Give backend servers one more round of work

Ruled out: the budget of further sends (9 refusals); attempts: a route with one attempt is refused after the server's own 503. Change: six requests beyond the slots in place of two.

--- a/crates/route/src/pool/settings.rs
+++ b/crates/route/src/pool/settings.rs
@@ -49,7 +49,8 @@
     /// Least number that one node looks at, on average: the better of a few is nearly as good as the
     /// best, and seldom the one that all others choose.
     pub least_sample: f64,
-    /// Requests beyond its slots that a plain backend server is given.
+    /// Requests beyond its slots that a backend server is given: with the usual six slots, one more
+    /// round of work, which ends within the target.
     pub queue: u32,
     /// Time after something came from a backend server in which it isn't silent: some steps of a
     /// crowded engine with a long prompt between them.
@@ -86,7 +87,7 @@
             cold_cost: Duration::from_secs(1),
             sample: 50.0,
             least_sample: 3.0,
-            queue: 2,
+            queue: 6,
             heard_time: Duration::from_millis(600),
             crash_time: Duration::from_secs(1),
             cold_window: Duration::from_millis(1100),
