--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -49,8 +49,8 @@
 /// They are among those that follow what the operator asks for.
 const FOLLOWERS: usize = 4;
 /// Pause of a node that stands in for followers which don't hear the store, for each place that it
-/// comes after them: a fleet of seventy asks a lost store a dozen times a second, and one that serves
-/// a few nodes only is found within some seconds.
+/// comes after them: the stand-ins of a fleet of seventy ask a lost store less than thirty times a
+/// second, and one that serves a few nodes only is found within some seconds.
 const STAND_IN_PAUSE: Duration = Duration::from_millis(300);
 /// Key by which nodes are ranked as followers.
 const FOLLOWERS_KEY: &str = "followers";
