Simplify what the change added: one pass of placement, a turn of its own, a file for tables

Placement went over all backend servers a second time when none that was drawn would do, and the same way again where all are drawn, on every look of a request that waits. The loop that follows a table nested the question whose turn it is. Two tests built the same fleet. A field and a function that nothing uses stood in files of the change (Server::lapsed, Members::lives). Ruled out: one call for both ways to take a further send out of the budget: two lines each, and the callers read better with names. Change: one pass in which drawn backend servers go first; `follow::turn`; `app::Table` in a file of its own; the count of sends is asked before the crowd on the engines; one function builds the node of a fleet in tests. The test of a node that stands in also has a better one hear the store now, as its name says; its other assertions stay.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -1,6 +1,6 @@
 //! What a node believes.
 
-use super::{Copy, Crash, Mirror, Retries, Stay};
+use super::{Copy, Crash, Mirror, Retries, Stay, Table};
 use crate::follow::Part;
 use crate::membership;
 use contract::{Map, Set, stable_hash};
@@ -42,12 +42,6 @@
 
 /// Time after which another node is asked in place of one that doesn't answer.
 const FETCH_TIME: Duration = Duration::from_millis(400);
-/// Nodes that follow what the operator asks for; the others learn from them. A third of the nodes
-/// may lose the store at once, and then some of these still have it.
-const INTENT_FOLLOWERS: usize = 6;
-/// Nodes that follow the other tables, which change more often: each change answers all of them.
-/// They are among those that follow what the operator asks for.
-const FOLLOWERS: usize = 4;
 /// Pause of a node that stands in for followers which don't hear the store, for each place that it
 /// comes after them: the stand-ins of a fleet of seventy ask a lost store less than thirty times a
 /// second, and one that serves a few nodes only is found within some seconds.
@@ -55,50 +49,6 @@
 /// Key by which nodes are ranked as followers.
 const FOLLOWERS_KEY: &str = "followers";
 
-/// A table of the store that nodes copy.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Table {
-    /// What the operator asks for.
-    Intents,
-    /// The backend servers.
-    Servers,
-    /// The nodes.
-    Members,
-    /// What the operator reads back.
-    Status,
-}
-
-impl Table {
-    /// All of them.
-    pub const ALL: [Self; 4] = [Self::Intents, Self::Servers, Self::Members, Self::Status];
-
-    /// Name of the table in the store.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Intents => platform::store::INTENTS,
-            Self::Servers => platform::store::SERVERS,
-            Self::Members => membership::TABLE,
-            Self::Status => platform::store::STATUS,
-        }
-    }
-
-    /// Nodes that follow it, of all that live.
-    fn followers(self) -> usize {
-        match self {
-            Self::Intents => INTENT_FOLLOWERS,
-            Self::Servers | Self::Members | Self::Status => FOLLOWERS,
-        }
-    }
-
-    /// Pauses between two calls of a node that stands in for them: one table finds the store.
-    fn stand_in_pauses(self) -> u32 {
-        match self {
-            Self::Intents => 1,
-            Self::Servers | Self::Members | Self::Status => 4,
-        }
-    }
-}
-
 /// Time in which the end of a backend server explains a lost request: three missed heartbeats of
 /// the usual length, and a little.
 const LOST_TIME: Duration = Duration::from_secs(6);
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -48,20 +48,12 @@
             // Nothing happens so early, and all nodes would ask.
             sleep(JOIN_TIME).await;
         }
-        let wait = match part(&app, table) {
-            _ if joins && !app.site.first_start => JOIN_TIME,
-            Part::Follower => WAIT,
-            Part::StandIn(pause) => {
-                sleep(pause).await;
-                match part(&app, table) {
-                    Part::StandIn(_) => Duration::ZERO,
-                    Part::Follower | Part::Learner => continue,
-                }
-            }
-            Part::Learner => {
-                sleep(FOLLOW_PAUSE).await;
-                continue;
-            }
+        let wait = match joins && !app.site.first_start {
+            true => Some(JOIN_TIME),
+            false => turn(&app, table).await,
+        };
+        let Some(wait) = wait else {
+            continue;
         };
         let answer = call(&app, table, wait).await;
         let outcome = if answer.is_ok() { "answered" } else { "failed" };
@@ -101,6 +93,22 @@
     }
 }
 
+/// Time for which this node's next call is to wait for changes; none when another node is to ask.
+async fn turn(app: &App, table: Table) -> Option<Duration> {
+    match part(app, table) {
+        Part::Follower => Some(WAIT),
+        Part::StandIn(pause) => {
+            sleep(pause).await;
+            let still = matches!(part(app, table), Part::StandIn(_));
+            still.then_some(Duration::ZERO)
+        }
+        Part::Learner => {
+            sleep(FOLLOW_PAUSE).await;
+            None
+        }
+    }
+}
+
 fn part(app: &App, table: Table) -> Part {
     app.state().part(Instant::now(), table)
 }
--- a/crates/edge/src/forward/plain.rs
+++ b/crates/edge/src/forward/plain.rs
@@ -40,17 +40,17 @@
             Sent::Answer(answer, mut place) => {
                 job.ran = true;
                 let failed = answer.head.status.is_server_error();
-                let whole =
-                    match wait(app, job, &place, Patience::until(until), collect(*answer)).await {
-                        Waited::Done(Some(whole)) => whole,
-                        waited => {
-                            if let Waited::Elsewhere(place) = waited {
-                                next = Some(place);
-                            }
-                            place.fail(job, &Failure::Broken);
-                            continue;
+                let patience = Patience::until(until);
+                let whole = match wait(app, job, &place, patience, collect(*answer)).await {
+                    Waited::Done(Some(whole)) => whole,
+                    waited => {
+                        if let Waited::Elsewhere(place) = waited {
+                            next = Some(place);
                         }
-                    };
+                        place.fail(job, &Failure::Broken);
+                        continue;
+                    }
+                };
                 if !failed {
                     place.whole();
                     place.note(Outcome::Sound);
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -187,13 +187,13 @@
 /// A place for a better model, where the present one thinks too little of its answer and there is
 /// room and budget.
 fn escalate(app: &Arc<App>, job: &mut Job, source: &Source) -> Option<Place> {
+    if job.sends >= job.route.attempts || !job.route.kind.repeatable() {
+        return None;
+    }
     let confidence = number(&source.answer.head.headers, header::CONFIDENCE)?;
     let (model, _) = job.model.as_ref()?;
     let crowding = app.state().pool.crowding(&job.service);
     let better = size::escalate(&job.route.sizes, model, confidence, crowding)?;
-    if job.sends >= job.route.attempts || !job.route.kind.repeatable() {
-        return None;
-    }
     if !app.state().take_spare_retry(Instant::now(), &job.service) {
         return None;
     }
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -123,11 +123,12 @@
 /// Nodes of a fleet.
 const FLEET: usize = 68;
 
-/// How one node of the fleet takes part in following each table; whether one of the others hears the
-/// store.
-fn parts(index: usize, followed: bool) -> [Part; 4] {
-    let now = Instant::now();
-    let name = |index| format!("n-{index}");
+fn name(index: usize) -> String {
+    format!("n-{index}")
+}
+
+/// One node of the fleet, that hears all others; whether they hear the store.
+fn node(now: Instant, index: usize, followed: bool) -> State {
     let mut site = site();
     site.node = name(index);
     let mut state = State::new(&site);
@@ -144,6 +145,13 @@
         });
         state.members.hear(now, &node, true, followed);
     }
+    state
+}
+
+/// How one node of the fleet takes part in following each table; whether the others hear the store.
+fn parts(index: usize, followed: bool) -> [Part; 4] {
+    let now = Instant::now();
+    let state = node(now, index, followed);
     Table::ALL.map(|table| state.part(now, table))
 }
 
@@ -181,23 +189,16 @@
 #[test]
 fn a_node_that_stands_in_goes_on_until_a_better_one_hears_the_store() {
     let now = Instant::now();
-    let mut state = State::new(&site());
-    for table in Table::ALL {
-        state.replace(now, table, Page::default());
-    }
-    for index in 0..FLEET {
-        let node = format!("n-{index}");
-        let address = "127.0.0.1:1".parse().unwrap();
-        state.members.add(Member {
-            node: node.clone(),
-            zone: "a".to_owned(),
-            requests: address,
-            link: address,
-        });
-        state.members.hear(now, &node, true, false);
-    }
+    let follows = |index: &usize| parts(*index, true)[Table::Servers as usize] == Part::Follower;
+    let follower = (0..FLEET).find(follows).unwrap();
+    let learner = (0..FLEET).find(|index| !follows(index)).unwrap();
+    let mut state = node(now, learner, false);
     state.stand_in();
     assert_eq!(state.part(now, Table::Servers), Part::Follower);
+    state.members.hear(now, &name(follower), true, true);
+    assert_eq!(state.part(now, Table::Servers), Part::Learner);
+    state.members.hear(now, &name(follower), true, false);
+    assert_eq!(state.part(now, Table::Servers), Part::Follower);
     state.lose_store(now);
     assert_ne!(state.part(now, Table::Servers), Part::Follower);
 }
--- a/crates/route/src/member/members.rs
+++ b/crates/route/src/member/members.rs
@@ -116,13 +116,6 @@
             .map(|entry| &entry.member)
     }
 
-    /// Whether a member was heard of of late.
-    pub fn lives(&self, now: Instant, node: &str) -> bool {
-        self.entries
-            .get(node)
-            .is_some_and(|entry| entry.lives(now, self.settings.silence))
-    }
-
     /// Addresses of the members that take requests.
     pub fn addresses(&self, now: Instant) -> Vec<SocketAddrV4> {
         self.entries
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -155,55 +155,42 @@
     ) -> Result<Listing, Refusal> {
         let first = self.first_choice(query, &allows);
         let sample = self.sample(query.service);
-        let sampled = |id: &ServerId, server: &Server| {
-            first == Some(id) || rank(query.draw, server.hash) <= sample
-        };
-        let some = self.best(now, query, first, |id, server| {
-            sampled(id, server) && allows(&server.listing)
-        });
-        some.or_else(|_| self.best(now, query, first, |_, server| allows(&server.listing)))
-    }
-
-    /// Ranks up to which backend servers of a service are looked at.
-    fn sample(&self, service: &str) -> u64 {
-        let servers = self.servers.values();
-        let open =
-            servers.filter(|server| server.listing.service == service && server.takes_work());
-        let each = self.settings.sample / self.nodes.len().max(1) as f64;
-        let part = each.max(self.settings.least_sample) / open.count().max(1) as f64;
-        // A part above 1 saturates.
-        (part * u64::MAX as f64) as u64
-    }
-
-    fn best(
-        &self,
-        now: Instant,
-        query: &Query,
-        first: Option<&ServerId>,
-        takes: impl Fn(&ServerId, &Server) -> bool,
-    ) -> Result<Listing, Refusal> {
         let bearing = self.bearings.get(query.service);
         let bearing = bearing.copied().unwrap_or_default();
-        let mut best: Option<(f64, &Server)> = None;
+        // The best one, with its cost and whether it was drawn: those that were go first.
+        let mut best: Option<(bool, f64, &Server)> = None;
         let mut refusal = Refusal::Absent;
         for (id, server) in &self.servers {
-            if !self.fits(server, query) || !takes(id, server) {
+            if !self.fits(server, query) || !allows(&server.listing) {
                 continue;
             }
             refusal = Refusal::Full;
-            if !self.has_room(now, server) {
+            let first = first == Some(id);
+            let drawn = first || rank(query.draw, server.hash) <= sample;
+            let passed_over = !drawn && best.is_some_and(|(drawn, ..)| drawn);
+            if passed_over || !self.has_room(now, server) {
                 continue;
             }
-            let first = first == Some(id);
             let cost = cost(&self.settings, now, server, query, &bearing, first);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, server));
+            if best.is_none_or(|(other, least, _)| drawn && !other || cost < least) {
+                best = Some((drawn, cost, server));
             }
         }
-        let (_, server) = best.ok_or(refusal)?;
+        let (.., server) = best.ok_or(refusal)?;
         Ok(server.listing.clone())
     }
 
+    /// Ranks up to which backend servers of a service are looked at.
+    fn sample(&self, service: &str) -> u64 {
+        let servers = self.servers.values();
+        let open =
+            servers.filter(|server| server.listing.service == service && server.takes_work());
+        let each = self.settings.sample / self.nodes.len().max(1) as f64;
+        let part = each.max(self.settings.least_sample) / open.count().max(1) as f64;
+        // A part above 1 saturates.
+        (part * u64::MAX as f64) as u64
+    }
+
     /// The backend server that all nodes send a prompt's shared parts to while it has room.
     fn first_choice(&self, query: &Query, allows: impl Fn(&Listing) -> bool) -> Option<&ServerId> {
         let subject = query.work.subject()?;
--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -38,8 +38,6 @@
 pub struct Server {
     /// Its entry in the platform's list.
     pub listing: Listing,
-    /// When the entry was first seen to be gone, while that may pass.
-    pub lapsed: Option<Instant>,
     /// Until when it is cold.
     pub cold_until: Instant,
     /// Requests that this node has sent and that haven't ended.
@@ -77,7 +75,6 @@
         };
         Self {
             cold_until: now + listing.cold,
-            lapsed: None,
             open: Load::default(),
             others: Load::default(),
             failures: 0.0,
@@ -98,7 +95,6 @@
     pub fn update(&mut self, listing: Listing, now: Instant) {
         self.cold_until = self.cold_until.max(now + listing.cold);
         self.listing = listing;
-        self.lapsed = None;
     }
 
     /// Whether it takes new work.
--- a/crates/standin/src/fleet/binary.rs
+++ b/crates/standin/src/fleet/binary.rs
@@ -21,7 +21,8 @@
 fn build() -> Result<PathBuf, Error> {
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
-    // The words that CI builds with: other ones select other features, and all is built anew.
+    // The flags that CI builds with: others select other features of the libraries, and all is
+    // built anew.
     command.args(["build", "--quiet", "--workspace", "--bins", "--examples"]);
     command.current_dir(env!("CARGO_MANIFEST_DIR"));
     if !cfg!(debug_assertions) {
--- a/crates/standin/src/site/site.rs
+++ b/crates/standin/src/site/site.rs
@@ -13,6 +13,9 @@
 /// Ports of one site; its nodes have addresses of their own.
 const PORTS_EACH: u16 = 10;
 
+/// Sites by which the ports of one process lie apart from those of the next one.
+const PORTS_STEP: u32 = 61;
+
 /// First port of a site that no other site of this process has.
 fn first_port() -> u16 {
     static SITES: AtomicU32 = AtomicU32::new(0);
@@ -23,9 +26,6 @@
     PORTS.start + part as u16 * PORTS_EACH
 }
 
-/// Sites by which the ports of one process lie apart from those of the next one.
-const PORTS_STEP: u32 = 61;
-
 /// Size and configuration of a site.
 #[derive(Clone, Debug)]
 pub struct Settings {
