--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -106,6 +106,8 @@
     fetching: [Option<Instant>; 4],
     /// When the store last didn't answer.
     store_lost: Option<Instant>,
+    /// When it answered again.
+    store_back: Option<Instant>,
     /// Whether this node follows in the place of those that don't hear the store.
     standing_in: bool,
     lapsed: Vec<(ServerId, Instant)>,
@@ -155,6 +157,7 @@
             last_rows: None,
             fetching: Default::default(),
             store_lost: None,
+            store_back: None,
             standing_in: false,
             lapsed: Vec::new(),
             budgets: Map::default(),
@@ -420,12 +423,16 @@
 
     fn apply_removed(&mut self, now: Instant, id: &str) {
         self.ended(now, id);
-        let lost = self.store_lost;
-        if lost.is_some_and(|lost| now.saturating_duration_since(lost) < LAPSE_TIME) {
-            self.lapsed.push((id.to_owned(), now + LAPSE_TIME));
-            return;
+        match self.lapse_end().filter(|until| now < *until) {
+            Some(until) => self.lapsed.push((id.to_owned(), until)),
+            None => self.forget(id),
         }
-        self.forget(id);
+    }
+
+    /// Until when entries come back that lapsed in the last outage of the store.
+    fn lapse_end(&self) -> Option<Instant> {
+        let lost = self.store_lost?;
+        Some(self.store_back.unwrap_or(lost) + LAPSE_TIME)
     }
 
     fn forget(&mut self, id: &str) {
@@ -452,9 +459,15 @@
     /// Takes in that the store doesn't answer.
     pub fn lose_store(&mut self, now: Instant) {
         self.store_lost = Some(now);
+        self.store_back = None;
         self.standing_in = false;
     }
 
+    /// Takes in that the store has answered.
+    pub fn hear_store(&mut self, now: Instant) {
+        self.store_back.get_or_insert(now);
+    }
+
     /// Forgets backend servers whose entries lapsed and didn't come back, and the work of nodes that
     /// are gone.
     pub fn sweep(&mut self, now: Instant) {
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -146,6 +146,7 @@
 fn take(app: &App, table: Table, whole: bool, page: Page) {
     let now = Instant::now();
     let mut state = app.state();
+    state.hear_store(now);
     let before = state.mirror(table).newest();
     match whole {
         true => state.replace(now, table, page),
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -30,18 +30,22 @@
 }
 
 fn put(state: &mut State, table: Table, key: &str, position: u64, value: &str) {
+    state.update(Instant::now(), table, change(key, position, Some(value)));
+}
+
+/// A change of one row; without a value the row was removed.
+fn change(key: &str, position: u64, value: Option<&str>) -> Page {
     let row = Row {
         key: key.to_owned(),
-        value: Some(value.as_bytes().to_vec()),
+        value: value.map(|value| value.as_bytes().to_vec()),
         position,
-        removed: false,
+        removed: value.is_none(),
     };
-    let page = Page {
+    Page {
         rows: vec![row],
         position,
         ..Page::default()
-    };
-    state.update(Instant::now(), table, page);
+    }
 }
 
 /// A service with a backend server of each version.
@@ -231,3 +235,35 @@
     put(&mut state, Table::Status, "rollout/s", 3, status);
     assert!(state.sessions_to_tell(now).is_empty());
 }
+
+#[test]
+fn an_entry_removed_after_an_outage_is_kept_no_longer_than_from_its_end() {
+    let lost = Instant::now();
+    let millis = Duration::from_millis;
+    let mut state = State::new(&site());
+    list(&mut state, &["v1"]);
+    state.lose_store(lost);
+    let back = lost + millis(100);
+    state.hear_store(back);
+    let removed = back + millis(1200);
+    state.update(removed, Table::Servers, change("i-v1", 2, None));
+    state.sweep(back + millis(1900));
+    assert!(
+        state.pool.servers().contains_key("i-v1"),
+        "it may come back"
+    );
+    state.sweep(back + millis(2000));
+    assert!(!state.pool.servers().contains_key("i-v1"));
+}
+
+#[test]
+fn an_entry_removed_long_after_an_outage_is_gone_at_once() {
+    let lost = Instant::now();
+    let mut state = State::new(&site());
+    list(&mut state, &["v1"]);
+    state.lose_store(lost);
+    state.hear_store(lost);
+    let removed = lost + Duration::from_millis(2000);
+    state.update(removed, Table::Servers, change("i-v1", 2, None));
+    assert!(!state.pool.servers().contains_key("i-v1"));
+}
