--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -10,6 +10,7 @@
 use route::{ServerId, Version};
 use settings::log::Counts;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 use tokio::sync::{Notify, broadcast};
 use tokio_tungstenite::tungstenite::Message;
 
@@ -37,6 +38,8 @@
 pub struct App {
     /// Where the node runs.
     pub site: Site,
+    /// When the process started.
+    pub started: Instant,
     /// The platform's store.
     pub store: store::Client,
     /// Wakes requests that wait for a backend server: one has room, or the list changed.
@@ -72,6 +75,7 @@
             metrics: Metrics::default(),
             lines,
             state: Mutex::new(State::new(&site)),
+            started: Instant::now(),
             site,
         })
     }
@@ -94,6 +98,7 @@
             zone: self.site.zone.clone(),
             requests: self.site.requests,
             link: self.site.link,
+            capacity: self.site.capacity(),
         }
     }
 }
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -2,13 +2,19 @@
 
 use crate::app::App;
 use crate::body::Body;
+use crate::listen::Peer;
+use contract::stable_hash;
 use hyper::{Request, Response, StatusCode};
 use platform::directory::{self, DIRECTORY_PATH, MAX_ADDRESSES, READY_PATH};
+use route::member::Question;
 use std::time::{Duration, Instant};
 
 /// Time for which callers keep an answer: a node that is gone isn't asked much longer than it takes
 /// to notice it.
 const KEEP: Duration = Duration::from_secs(2);
+/// Time for which a caller is told of the same nodes of a large fleet. After it others are drawn, so
+/// that callers behind one address reach all of them.
+const DRAW_TIME: Duration = Duration::from_secs(10);
 
 /// Answers whether the node is ready.
 pub fn ready<B>(app: &App, request: &Request<B>) -> Response<Body> {
@@ -27,17 +33,20 @@
         return empty(StatusCode::NOT_FOUND);
     }
     let now = Instant::now();
+    let question = Question {
+        zone: request.uri().query().and_then(directory::zone),
+        key: draw_key(app, request),
+        most: MAX_ADDRESSES,
+    };
+    let own = app.member();
     let state = app.state();
-    let mut addresses = state.members.addresses(now);
-    if state.ready() {
-        addresses.push(app.site.requests);
-    }
+    let own = state.ready().then_some(&own);
+    let addresses = question.answer(state.members.ready(now).chain(own));
     let keep = KEEP.min(state.bounds.list_age);
     drop(state);
     if addresses.is_empty() {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     }
-    addresses.truncate(MAX_ADDRESSES);
     let mut response = Response::new(Body::whole(directory::answer(&addresses, keep)));
     let json = hyper::header::HeaderValue::from_static("application/json");
     response
@@ -46,6 +55,14 @@
     response
 }
 
+/// Number that a caller's draw depends on.
+fn draw_key<B>(app: &App, request: &Request<B>) -> u64 {
+    let peer = request.extensions().get::<Peer>();
+    let caller = peer.map_or(String::new(), |Peer(address)| address.ip().to_string());
+    let turn = app.started.elapsed().as_secs() / DRAW_TIME.as_secs();
+    stable_hash([caller.as_str(), turn.to_string().as_str()])
+}
+
 fn empty(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::whole(""));
     *response.status_mut() = status;
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -62,6 +62,8 @@
     pub requests: SocketAddrV4,
     /// Where it takes links.
     pub link: SocketAddrV4,
+    /// What its VM can carry, in thousandths of a core.
+    pub capacity: u32,
 }
 
 /// The state of a node. Names are short on the wire: each node sends some beats a second to each
@@ -127,6 +129,7 @@
             zone: member.zone,
             requests: member.requests,
             link: member.link,
+            capacity: member.capacity,
         }
     }
 }
@@ -138,6 +141,7 @@
             zone: hello.zone,
             requests: hello.requests,
             link: hello.link,
+            capacity: hello.capacity,
         }
     }
 }
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -20,6 +20,10 @@
 /// Pause after a connection that can't be accepted: descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Address of the caller that a request came from.
+#[derive(Clone, Copy, Debug)]
+pub struct Peer(pub SocketAddr);
+
 /// Listens on an address and answers each request by a function.
 pub async fn listen<S, F>(
     app: Arc<App>,
@@ -42,9 +46,9 @@
                 () = ending.wait(Phase::Finishing) => return,
             };
             match accepted {
-                Ok((stream, _)) => {
+                Ok((stream, peer)) => {
                     let (app, stop, serve) = (Arc::clone(&app), stop.clone(), serve.clone());
-                    tokio::spawn(connection(app, stop, stream, serve));
+                    tokio::spawn(connection(app, stop, (stream, Peer(peer)), serve));
                 }
                 Err(error) => {
                     log::warn!(event = 1707; "connection can't be accepted: {error}");
@@ -56,8 +60,12 @@
     Ok(())
 }
 
-async fn connection<S, F>(app: Arc<App>, mut stop: Stop, stream: TcpStream, serve: S)
-where
+async fn connection<S, F>(
+    app: Arc<App>,
+    mut stop: Stop,
+    (stream, peer): (TcpStream, Peer),
+    serve: S,
+) where
     S: Fn(Arc<App>, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -65,7 +73,8 @@
         return log::debug!(event = 1714; "connection can't be set up: {error}");
     }
     let limits = app.state().routes.config().limits.clone();
-    let service = service_fn(|request| {
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(peer);
         let answer = serve(Arc::clone(&app), request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -22,6 +22,9 @@
     zone: String,
     requests: SocketAddrV4,
     link: SocketAddrV4,
+    /// Thousandths of a core.
+    #[serde(default)]
+    capacity: u32,
 }
 
 /// Decodes a node's row; none when it isn't readable or is gone.
@@ -33,6 +36,7 @@
             zone: stored.zone,
             requests: stored.requests,
             link: stored.link,
+            capacity: stored.capacity,
         }),
         Err(error) => {
             unreadable(&row.key, &error);
@@ -46,6 +50,7 @@
         zone: member.zone.clone(),
         requests: member.requests,
         link: member.link,
+        capacity: member.capacity,
     };
     serde_json::to_vec(&stored).unwrap_or_default()
 }
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -146,6 +146,7 @@
             zone: "a".to_owned(),
             requests: address,
             link: address,
+            capacity: 250,
         });
         state.members.hear(now, &node, true, followed);
     }
--- a/crates/route/src/member/member.rs
+++ b/crates/route/src/member/member.rs
@@ -14,4 +14,6 @@
     pub requests: SocketAddrV4,
     /// Where other nodes link to it.
     pub link: SocketAddrV4,
+    /// What its VM can carry, in thousandths of a core.
+    pub capacity: u32,
 }
--- a/crates/route/src/member/members.rs
+++ b/crates/route/src/member/members.rs
@@ -3,7 +3,6 @@
 use super::Member;
 use crate::NodeName;
 use std::collections::BTreeMap;
-use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 /// When a member counts as alive.
@@ -116,13 +115,13 @@
             .map(|entry| &entry.member)
     }
 
-    /// Addresses of the members that take requests.
-    pub fn addresses(&self, now: Instant) -> Vec<SocketAddrV4> {
-        self.entries
-            .values()
-            .filter(|entry| entry.ready && entry.lives(now, self.settings.silence))
-            .map(|entry| entry.member.requests)
-            .collect()
+    /// Members that take requests.
+    pub fn ready(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        let silence = self.settings.silence;
+        let entries = self.entries.values();
+        entries
+            .filter(move |entry| entry.ready && entry.lives(now, silence))
+            .map(|entry| &entry.member)
     }
 }
 
--- a/crates/route/src/site/site.rs
+++ b/crates/route/src/site/site.rs
@@ -37,3 +37,10 @@
     /// Bounds of the site.
     pub bounds: Bounds,
 }
+
+impl Site {
+    /// What the VM can carry, in thousandths of a core.
+    pub fn capacity(&self) -> u32 {
+        (self.cpu_share * 1e3).round() as u32
+    }
+}
