--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -1,21 +1,21 @@
 //! The shared parts.
 
 use super::State;
+use crate::link::Round;
 use crate::metrics::Metrics;
 use crate::stop::Inside;
 use limits::suspect::Fingerprint;
 use platform::store;
 use route::member::Member;
 use route::site::Site;
-use route::{ServerId, Version};
+use route::{NodeName, ServerId, Version};
 use settings::log::Counts;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 use tokio::sync::{Notify, broadcast};
-use tokio_tungstenite::tungstenite::Message;
 
-/// Beats that wait for a link; one that is further behind gets a whole one.
-const MAX_BEATS: usize = 8;
+/// Rounds of beats that wait for a link; one that is further behind goes on with the newest.
+const MAX_ROUNDS: usize = 4;
 /// Words that wait for a link; one that is further behind is told all that is known.
 const MAX_TOLD: usize = 1024;
 
@@ -24,9 +24,18 @@
 /// A request, by its fingerprint, and a backend server that ended under it.
 pub type Crash = (Fingerprint, ServerId);
 
-/// What one node tells the others.
+/// What each node is to hear once.
 #[derive(Clone, Debug)]
-pub enum Told {
+pub struct Told {
+    /// The node that it came from over a link; none when this one tells it.
+    pub from: Option<NodeName>,
+    /// The word.
+    pub what: What,
+}
+
+/// A word for all nodes.
+#[derive(Clone, Debug)]
+pub enum What {
     /// A session is on a version.
     Stay(Stay),
     /// A backend server ended under a request.
@@ -49,7 +58,7 @@
     /// Wakes the links: something has to be told at once.
     pub news: Notify,
     /// Beats for the links.
-    pub beats: broadcast::Sender<Message>,
+    pub rounds: broadcast::Sender<Arc<Round>>,
     /// What the links are to tell.
     pub told: broadcast::Sender<Told>,
     /// Requests that the node is working on.
@@ -69,7 +78,7 @@
             room: Notify::new(),
             store_back: Notify::new(),
             news: Notify::new(),
-            beats: broadcast::Sender::new(MAX_BEATS),
+            rounds: broadcast::Sender::new(MAX_ROUNDS),
             told: broadcast::Sender::new(MAX_TOLD),
             inside: Arc::default(),
             metrics: Metrics::default(),
@@ -85,6 +94,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Tells the other nodes a word of this one.
+    pub fn tell_own(&self, what: What) {
+        self.tell(Told { from: None, what });
+    }
+
     /// Tells the other nodes.
     pub fn tell(&self, told: Told) {
         // An error says that there are no links: then there is nobody to tell.
--- a/crates/edge/src/app/mod.rs
+++ b/crates/edge/src/app/mod.rs
@@ -6,7 +6,7 @@
 mod state;
 mod table;
 
-pub use app::{App, Crash, Stay, Told};
+pub use app::{App, Crash, Stay, Told, What};
 pub use mirror::{Copy, Mirror};
 pub use retries::Retries;
 pub use state::{State, unreadable};
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -10,12 +10,14 @@
 use platform::store::{Page, Row};
 use route::config::Config;
 use route::member::Members;
-use route::pool::{self, Bearing, Pool, Query, Refusal, Stage};
-use route::rollout::{self, Order, Outcome, Side, Trial};
+use route::pool::{self, Bearing, Load, Pool, Query, Refusal, Stage, Tag};
+use route::relay::{self, Relays};
+use route::rollout::{self, Order, Outcome, Side, Tally, Trial};
 use route::server::Listing;
 use route::session::Sessions;
 use route::site::{Bounds, Site};
 use route::{NodeName, Position, ServerId, ServiceName, Version, table};
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -77,6 +79,14 @@
     pub pool: Pool,
     /// The other nodes.
     pub members: Members,
+    /// The links to some of them.
+    pub relays: Relays,
+    /// Nodes to which links are to stay.
+    pub kept_links: Set<NodeName>,
+    /// Work on backend servers that the relay of this node was last told of.
+    pub told_loads: BTreeMap<Tag, Load>,
+    /// Evidence of roll-outs that it was last told of, by service.
+    pub told_tallies: Map<ServiceName, Tally>,
     /// Whether the node is to stop.
     pub stopping: bool,
     /// Whether the node takes no request any more.
@@ -137,6 +147,10 @@
             routes: Arc::default(),
             pool: Pool::new(pool::Settings::default()),
             members: Members::default(),
+            relays: Relays::new(relay::Settings::default()),
+            kept_links: Set::default(),
+            told_loads: BTreeMap::new(),
+            told_tallies: Map::default(),
             stopping: false,
             finishing: false,
             trials: Map::default(),
@@ -360,14 +374,13 @@
         }
     }
 
-    /// Sessions that a node is to hear of which has just opened a link to this one, or is behind. Of
-    /// those that are known from others, the few nodes tell that follow the store: a node that starts
-    /// is told by all others at once.
-    pub fn sessions_to_tell(&self, now: Instant) -> Vec<Stay> {
-        match (self.on_trial(), self.part(now, Table::Intents)) {
+    /// Sessions that a node is to hear of which begins to hear from this one: all that are known, or
+    /// those that were placed here.
+    pub fn sessions_to_tell(&self, now: Instant, all: bool) -> Vec<Stay> {
+        match (self.on_trial(), all) {
             (false, _) => Vec::new(),
-            (true, Part::Follower) => self.sessions.all(now),
-            (true, Part::StandIn(_) | Part::Learner) => self.sessions.own(now),
+            (true, true) => self.sessions.all(now),
+            (true, false) => self.sessions.own(now),
         }
     }
 
@@ -441,7 +454,8 @@
     }
 
     fn apply_member(&mut self, row: &Row) {
-        if let Some(member) = membership::decode(row) {
+        let member = membership::decode(row);
+        if let Some(member) = member.filter(|member| member.node != self.node) {
             self.members.add(member);
         }
     }
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -8,6 +8,7 @@
 use platform::store::Row;
 use route::member::Member;
 use route::pool::{self, Tag};
+use route::relay::{self, Head, Scope};
 use route::{NodeName, Position, ServiceName, Version, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -22,6 +23,10 @@
     Hello(Hello),
     /// The sender lives.
     Beat(Beat),
+    /// Whom the sender has heard of: short names and flags.
+    Heads(Vec<(u32, u8)>),
+    /// What other nodes are to know, each word once.
+    News(News),
     /// Asks for the changes of a table after a position.
     Fetch {
         /// Index of the table.
@@ -66,11 +71,14 @@
     pub capacity: u32,
 }
 
-/// The state of a node. Names are short on the wire: each node sends some beats a second to each
-/// other one.
+/// The state of a node, or the sum of several. Names are short on the wire: each node sends some beats
+/// a second on each link.
 #[derive(Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
 pub struct Beat {
+    /// What it says of its link.
+    #[serde(rename = "g")]
+    pub sign: Sign,
     /// Whether it takes requests.
     #[serde(rename = "r")]
     pub ready: bool,
@@ -80,20 +88,78 @@
     /// Newest change that it knows of each table.
     #[serde(rename = "n")]
     pub newest: [Position; 4],
-    /// Requests that it has on backend servers.
+    /// Requests that it has on backend servers, with those of the nodes that it tells of.
     #[serde(rename = "l", skip_serializing_if = "BTreeMap::is_empty")]
     pub loads: BTreeMap<Tag, Load>,
     /// Roll-outs under way as it sees them.
     #[serde(rename = "t", skip_serializing_if = "Vec::is_empty")]
     pub trials: Vec<Trial>,
-    /// Sessions with the versions that they are on, as far as the receiver hasn't been told.
+}
+
+/// What other nodes are to know, each word once.
+#[derive(Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct News {
+    /// Sessions with the versions that they are on.
     #[serde(rename = "s", skip_serializing_if = "Vec::is_empty")]
     pub stays: Vec<Stay>,
-    /// Requests and backend servers that ended under them, likewise.
+    /// Requests and backend servers that ended under them.
     #[serde(rename = "c", skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<Crash>,
 }
 
+/// What a beat says of its link: the scope as a number, and flags.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct Sign(u8, bool, bool);
+
+impl From<relay::Sign> for Sign {
+    fn from(sign: relay::Sign) -> Self {
+        let scope = match sign.scope {
+            Scope::Own => 0,
+            Scope::Group => 1,
+            Scope::Fleet => 2,
+        };
+        Self(scope, sign.attached, sign.primary)
+    }
+}
+
+impl From<Sign> for relay::Sign {
+    fn from(Sign(scope, attached, primary): Sign) -> Self {
+        let scope = match scope {
+            0 => Scope::Own,
+            1 => Scope::Group,
+            _ => Scope::Fleet,
+        };
+        Self {
+            scope,
+            attached,
+            primary,
+        }
+    }
+}
+
+/// Bits of the flags of a node that another one has heard of.
+const READY: u8 = 1;
+const FOLLOWS: u8 = 2;
+
+/// A node that another one has heard of, as it goes over a link.
+pub fn encode_head(head: &Head) -> (u32, u8) {
+    let flag = |is: bool, bit: u8| if is { bit } else { 0 };
+    (
+        head.tag,
+        flag(head.ready, READY) | flag(head.follows, FOLLOWS),
+    )
+}
+
+/// A node that another one has heard of.
+pub fn decode_head((tag, flags): (u32, u8)) -> Head {
+    Head {
+        tag,
+        ready: flags & READY != 0,
+        follows: flags & FOLLOWS != 0,
+    }
+}
+
 /// Requests on a backend server: how many, thousands of their tokens, tenths of their weight, and
 /// hundreds of the tokens that are yet to be read.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/edge/src/link/listen.rs
+++ b/crates/edge/src/link/listen.rs
@@ -1,21 +1,16 @@
 //! Links that other nodes open.
 
-use super::frame::Frame;
-use super::serve::serve;
+use super::run::run;
 use crate::Error;
 use crate::app::App;
 use crate::upstream::watch;
-use futures::{SinkExt, StreamExt};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio_tungstenite::accept_async_with_config;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
-use tokio_tungstenite::{accept_async_with_config, tungstenite};
 
-/// Time without a frame after which a link is given up; the other side opens a new one.
-const SILENCE: Duration = Duration::from_secs(3);
-/// Bytes of a link's read buffer: a beat fits, and a node has a link for each other node.
+/// Bytes of a link's read buffer: a beat fits, and relays have many links.
 const READ_BUFFER: usize = 8 << 10;
 
 /// How links are set up.
@@ -45,23 +40,14 @@
 }
 
 async fn accept(app: Arc<App>, stream: TcpStream) {
-    if let Err(error) = receive(app, stream).await {
+    if let Err(error) = receive(&app, stream).await {
         log::debug!(event = 1716; "link ended: {error}");
     }
 }
 
-async fn receive(app: Arc<App>, stream: TcpStream) -> Result<(), tungstenite::Error> {
+async fn receive(app: &Arc<App>, stream: TcpStream) -> Result<(), super::run::Error> {
     watch(&stream)?;
     stream.set_nodelay(true)?;
-    let mut link = accept_async_with_config(stream, Some(config())).await?;
-    let mut peer = None;
-    while let Ok(Some(message)) = timeout(SILENCE, link.next()).await {
-        let Some(frame) = Frame::decode(&message?) else {
-            continue;
-        };
-        for answer in serve(&app, &mut peer, frame) {
-            link.send(answer).await?;
-        }
-    }
-    Ok(())
+    let link = accept_async_with_config(stream, Some(config())).await?;
+    run(app, link, None).await
 }
--- a/crates/edge/src/link/mod.rs
+++ b/crates/edge/src/link/mod.rs
@@ -3,10 +3,14 @@
 mod dial;
 mod frame;
 mod listen;
+mod news;
+mod round;
+mod run;
 mod serve;
 mod tick;
 
 pub use dial::dial;
 pub use frame::{Change, Frame};
 pub use listen::listen;
+pub use round::Round;
 pub use tick::tick;
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -1,33 +1,30 @@
 //! What a node does with a frame.
 
-use super::frame::{self, Beat, Frame};
-use crate::app::{App, Copy, Crash, State, Stay, Table, Told};
+use super::frame::{self, Beat, Frame, News, decode_head};
+use crate::app::{App, Copy, State, Table, Told, What};
+use contract::Map;
 use platform::store::{Page, Row};
-use route::member::Member;
-use route::pool::Tag;
+use route::pool::Load;
+use route::relay::{Head, LinkId, Scope, Sign};
 use route::rollout::{Count, Tally, Trial};
 use route::{NodeName, Position};
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
-use tokio::sync::broadcast::Receiver;
-use tokio::sync::broadcast::error::TryRecvError;
 use tokio_tungstenite::tungstenite::Message;
 
-/// Takes in a frame of a node, whose name its first frame tells; gives the answers to it.
-pub fn serve(app: &App, peer: &mut Option<NodeName>, frame: Frame) -> Vec<Message> {
+/// Takes in a frame of a node; gives the answers to it.
+pub fn serve(app: &App, peer: &NodeName, frame: Frame) -> Vec<Message> {
     let answers = match frame {
-        Frame::Hello(hello) => {
-            let member = Member::from(hello);
-            *peer = Some(member.node.clone());
-            if app.state().members.add(member) {
-                app.news.notify_one();
-            }
+        // It has said who it is.
+        Frame::Hello(_) => Vec::new(),
+        Frame::Beat(beat) => hear(app, peer, beat),
+        Frame::Heads(heads) => {
+            hear_heads(app, peer, heads.into_iter().map(decode_head).collect());
+            Vec::new()
+        }
+        Frame::News(news) => {
+            hear_news(app, peer, news);
             Vec::new()
         }
-        Frame::Beat(beat) => match peer {
-            Some(node) => hear(app, node, beat),
-            None => Vec::new(),
-        },
         Frame::Fetch { table, after } => {
             return table_of(table)
                 .and_then(|table| tell_rows(app, table, after))
@@ -46,9 +43,7 @@
                     position,
                     ..Page::default()
                 };
-                app.state()
-                    .learn(Instant::now(), table, Copy { whole, page });
-                app.room.notify_waiters();
+                learn(app, table, Copy { whole, page });
             }
             Vec::new()
         }
@@ -58,6 +53,19 @@
     answers.iter().filter_map(Frame::encode).collect()
 }
 
+/// Takes in rows of another node, and tells those that hear of them through this one.
+fn learn(app: &App, table: Table, copy: Copy) {
+    let mut state = app.state();
+    let before = state.mirror(table).newest();
+    state.learn(Instant::now(), table, copy);
+    let news = state.mirror(table).newest() != before;
+    drop(state);
+    app.room.notify_waiters();
+    if news {
+        app.news.notify_one();
+    }
+}
+
 /// What another node lacks of a table. Many ask for the same change at once: the last answer is
 /// kept, since packing a large one takes a small VM long.
 fn tell_rows(app: &App, table: Table, after: Position) -> Option<Message> {
@@ -80,23 +88,17 @@
 }
 
 /// Takes in a beat; asks for what the sender knows and this node doesn't.
-fn hear(app: &App, node: &NodeName, beat: Beat) -> Vec<Frame> {
+fn hear(app: &App, peer: &NodeName, beat: Beat) -> Vec<Frame> {
     let now = Instant::now();
     let mut state = app.state();
-    state.members.hear(now, node, beat.ready, beat.follows);
-    let loads = beat.loads.into_iter().map(|(tag, load)| (tag, load.into()));
-    state.pool.set_others(node, loads.collect());
-    for trial in &beat.trials {
-        hear_trial(&mut state, now, node, trial);
-    }
-    for (session, version) in &beat.stays {
-        state.sessions.learn(now, session, version);
-    }
-    for (fingerprint, server) in &beat.crashes {
-        state
-            .suspects
-            .crash(now, fingerprint, server, Duration::ZERO);
+    let state = &mut *state;
+    state.relays.hear(now, peer, beat.sign.into());
+    let mut news = state.members.hear(now, peer, beat.ready, beat.follows);
+    news |= state.members.hear_of(now, state.relays.heads(peer));
+    if news && state.relays.is_relay() {
+        app.news.notify_one();
     }
+    hear_work(state, now, peer, &beat);
     let mut fetches = Vec::new();
     for table in Table::ALL {
         if let Some(after) = state.lacks(now, table, beat.newest[table as usize]) {
@@ -107,10 +109,35 @@
     fetches
 }
 
-fn hear_trial(state: &mut State, now: Instant, node: &NodeName, told: &frame::Trial) {
-    let Some(trial) = state.trials.get_mut(&told.service) else {
+/// Takes in the work and the evidence that a node tells of, where no other one tells of the same.
+/// Words of the whole fleet hold what this node has told.
+fn hear_work(state: &mut State, now: Instant, peer: &NodeName, beat: &Beat) {
+    if !state.relays.counts(peer) {
+        state.pool.set_others(peer, Map::default());
+        for trial in state.trials.values_mut() {
+            trial.forget(peer);
+        }
         return;
-    };
+    }
+    let whole = Sign::from(beat.sign).scope == Scope::Fleet;
+    let mut loads: Map<_, Load> = Map::default();
+    for (tag, load) in &beat.loads {
+        let told = state.told_loads.get(tag).filter(|_| whole);
+        let load = Load::from(*load);
+        let rest = told.map_or(load, |told| load.minus(*told));
+        loads.insert(*tag, rest);
+    }
+    state.pool.set_others(peer, loads);
+    for told in &beat.trials {
+        let own = state.told_tallies.get(&told.service).filter(|_| whole);
+        let own = own.copied().unwrap_or_default();
+        if let Some(trial) = state.trials.get_mut(&told.service) {
+            hear_trial(trial, now, peer, told, own);
+        }
+    }
+}
+
+fn hear_trial(trial: &mut Trial, now: Instant, peer: &NodeName, told: &frame::Trial, own: Tally) {
     if trial.order.to != told.to {
         return;
     }
@@ -125,80 +152,128 @@
         old: count(told.old),
         new: count(told.new),
     };
-    trial.hear(node, tally);
+    trial.hear(peer, tally.minus(own));
     trial.known_for(now, Duration::from_millis(told.age_ms));
 }
 
-fn tell_loads(state: &State) -> BTreeMap<Tag, frame::Load> {
-    let loads = state.pool.loads();
-    loads.map(|(tag, load)| (tag, load.into())).collect()
+/// Takes in whom a node has heard of.
+fn hear_heads(app: &App, peer: &NodeName, heads: Vec<Head>) {
+    let now = Instant::now();
+    let mut state = app.state();
+    let state = &mut *state;
+    let gone = state.relays.set_heads(peer, heads);
+    let lost = forget_heads(state, now, &gone);
+    let news = state.members.hear_of(now, state.relays.heads(peer));
+    if (news || lost) && state.relays.is_relay() {
+        app.news.notify_one();
+    }
 }
 
-fn tell_trial(trial: &Trial, now: Instant) -> frame::Trial {
-    let counts = |count: Count| [count.sent, count.known, count.bad, count.timed, count.slow];
-    let own = trial.own();
-    frame::Trial {
-        service: trial.order.service.clone(),
-        to: trial.order.to.clone(),
-        age_ms: trial.age(now).as_millis() as u64,
-        old: counts(own.old),
-        new: counts(own.new),
+/// Takes in that nodes are no longer named by one that has heard of them; whether some are lost.
+fn forget_heads(state: &mut State, now: Instant, gone: &[Head]) -> bool {
+    let names = gone
+        .iter()
+        .filter_map(|head| state.members.by_tag(head.tag));
+    let lost: Vec<_> = names
+        .filter(|name| !state.relays.reaches(now, name))
+        .cloned()
+        .collect();
+    for name in &lost {
+        state.members.lose(name);
     }
+    !lost.is_empty()
 }
 
-/// Words for another node that it hasn't been told of.
-#[derive(Debug, Default)]
-pub struct Words {
-    stays: Vec<Stay>,
-    crashes: Vec<Crash>,
+/// Takes in the end of a link: who was heard through it alone is lost until heard again.
+pub fn lose(app: &App, peer: &NodeName, id: LinkId) {
+    let now = Instant::now();
+    let mut state = app.state();
+    let state = &mut *state;
+    let Some(mut gone) = state.relays.close(peer, id) else {
+        return;
+    };
+    log::info!(event = 1710, peer = peer.as_str(); "link closed");
+    if !gone.is_empty() {
+        // Another relay tells of them from now on.
+        for trial in state.trials.values_mut() {
+            trial.forget(peer);
+        }
+    }
+    gone.push(Head {
+        tag: Head::tag(peer),
+        ready: false,
+        follows: false,
+    });
+    state.pool.set_others(peer, Map::default());
+    forget_heads(state, now, &gone);
+    app.news.notify_one();
 }
 
-impl Words {
-    /// What a node is to hear that has just opened a link, or is behind.
-    pub fn whole(app: &App) -> Self {
-        let now = Instant::now();
-        let state = app.state();
-        let crashes = state.suspects.known(now);
-        Self {
-            stays: state.sessions_to_tell(now),
-            crashes: crashes
-                .map(|(fingerprint, server, _)| (fingerprint.clone(), server.clone()))
-                .collect(),
-        }
+/// Takes in what each node is to hear once, and passes it on.
+fn hear_news(app: &App, peer: &NodeName, news: News) {
+    let now = Instant::now();
+    let mut state = app.state();
+    for (session, version) in &news.stays {
+        state.sessions.learn(now, session, version);
+    }
+    for (fingerprint, server) in &news.crashes {
+        state
+            .suspects
+            .crash(now, fingerprint, server, Duration::ZERO);
+    }
+    drop(state);
+    let stays = news.stays.into_iter().map(What::Stay);
+    let crashes = news.crashes.into_iter().map(What::Crash);
+    for what in stays.chain(crashes) {
+        app.tell(Told {
+            from: Some(peer.clone()),
+            what,
+        });
     }
+}
 
-    /// What came since the last time.
-    pub fn news(app: &App, told: &mut Receiver<Told>) -> Self {
-        let mut words = Self {
-            stays: app.state().take_recalled(Instant::now()),
-            crashes: Vec::new(),
-        };
-        loop {
-            match told.try_recv() {
-                Ok(Told::Stay(stay)) => words.stays.push(stay),
-                Ok(Told::Crash(crash)) => words.crashes.push(crash),
-                Err(TryRecvError::Lagged(_)) => return Self::whole(app),
-                Err(TryRecvError::Empty | TryRecvError::Closed) => return words,
-            }
-        }
+fn tell_trial(trial: &Trial, now: Instant, tally: Tally) -> frame::Trial {
+    let counts = |count: Count| [count.sent, count.known, count.bad, count.timed, count.slow];
+    frame::Trial {
+        service: trial.order.service.clone(),
+        to: trial.order.to.clone(),
+        age_ms: trial.age(now).as_millis() as u64,
+        old: counts(tally.old),
+        new: counts(tally.new),
     }
 }
 
-/// What this node tells of itself.
-pub fn beat(app: &App, words: Words) -> Frame {
-    let state = app.state();
-    let now = Instant::now();
-    Frame::Beat(Beat {
+/// What this node tells on links of one kind.
+pub fn beat(app: &App, now: Instant, sign: Sign) -> Frame {
+    let mut state = app.state();
+    let state = &mut *state;
+    let mut beat = Beat {
+        sign: sign.into(),
         ready: state.ready(),
         follows: state.follows(now),
         newest: Table::ALL.map(|table| state.mirror(table).newest()),
-        loads: tell_loads(&state),
-        trials: state
-            .trials
-            .values()
-            .map(|trial| tell_trial(trial, now))
-            .collect(),
-        stays: words.stays,
-        crashes: words.crashes,
-    })
+        ..Beat::default()
+    };
+    if sign.attached && !sign.primary {
+        // Another relay passes on the work.
+        return Frame::Beat(beat);
+    }
+    let relays = &state.relays;
+    let told = |node: &str| relays.is_told(now, sign.scope, node);
+    let loads = state.pool.loads_with(told);
+    let mut tallies = Map::default();
+    for (service, trial) in &state.trials {
+        let tally = trial.seen_with(told);
+        beat.trials.push(tell_trial(trial, now, tally));
+        tallies.insert(service.clone(), tally);
+    }
+    beat.loads = loads
+        .iter()
+        .map(|(tag, load)| (*tag, (*load).into()))
+        .collect();
+    if sign.primary {
+        state.told_loads = loads;
+        state.told_tallies = tallies;
+    }
+    Frame::Beat(beat)
 }
--- a/crates/edge/src/link/tick.rs
+++ b/crates/edge/src/link/tick.rs
@@ -1,40 +1,70 @@
-//! The beat of this node, built once for all links.
+//! The beats of this node, built once for all links.
 
-use super::serve::{Words, beat};
+use super::frame::{Frame, encode_head};
+use super::round::{ListId, Round};
+use super::serve::beat;
 use crate::app::App;
+use contract::Map;
+use route::relay::{Head, Scope};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::time::sleep;
+use tokio_tungstenite::tungstenite::Message;
 
 /// Time between two beats: several fit into the silence after which a node counts as gone.
 const BEAT: Duration = Duration::from_millis(300);
-/// What each other node adds to that, since each beat goes to all of them.
-const BEAT_PER_NODE: Duration = Duration::from_micros(2200);
-/// Longest time between two beats.
-const LONGEST_BEAT: Duration = Duration::from_millis(500);
 /// Shortest time between two beats, in which news gather.
 const SHORTEST_BEAT: Duration = Duration::from_millis(40);
 
-/// Gives a beat to all links, from time to time and on news, for as long as the node runs.
+/// The last list of nodes of each scope.
+type Lists = Map<Scope, (ListId, Vec<Head>, Message)>;
+
+/// Gives beats to all links, from time to time and on news, for as long as the node runs.
 pub async fn tick(app: Arc<App>) {
-    let mut told = app.told.subscribe();
+    let mut lists = Lists::default();
     loop {
         let news = app.news.notified();
         tokio::select! {
-            () = sleep(pause(&app)) => (),
+            () = sleep(BEAT - SHORTEST_BEAT) => (),
             () = news => (),
         }
-        let words = Words::news(&app, &mut told);
-        if let Some(message) = beat(&app, words).encode() {
-            // An error says that there are no links.
-            let _ = app.beats.send(message);
-        }
+        // An error says that there are no links.
+        let _ = app.rounds.send(Arc::new(round(&app, &mut lists)));
         sleep(SHORTEST_BEAT).await;
     }
 }
 
-/// Time to the next beat.
-fn pause(app: &App) -> Duration {
-    let nodes = app.state().members.all().count() as u32;
-    (BEAT + BEAT_PER_NODE * nodes).min(LONGEST_BEAT) - SHORTEST_BEAT
+fn round(app: &App, lists: &mut Lists) -> Round {
+    let now = Instant::now();
+    let signs = app.state().relays.signs(now);
+    let mut round = Round::default();
+    for sign in signs {
+        if let Some(message) = beat(app, now, sign).encode() {
+            round.beats.insert(sign, message);
+        }
+        if sign.scope != Scope::Own
+            && !round.heads.contains_key(&sign.scope)
+            && let Some(list) = list(app, now, sign.scope, lists)
+        {
+            round.heads.insert(sign.scope, list);
+        }
+    }
+    round
+}
+
+/// Whom the node has heard of, and the number of the list.
+fn list(app: &App, now: Instant, scope: Scope, lists: &mut Lists) -> Option<(ListId, Message)> {
+    let heads = {
+        let state = app.state();
+        let named = state.relays.named(now, scope);
+        state.members.heads(now, named)
+    };
+    let known = lists.get(&scope);
+    if let Some((id, _, message)) = known.filter(|(_, known, _)| *known == heads) {
+        return Some((*id, message.clone()));
+    }
+    let id = known.map_or(1, |(id, ..)| id + 1);
+    let message = Frame::Heads(heads.iter().map(encode_head).collect()).encode()?;
+    lists.insert(scope, (id, heads, message.clone()));
+    Some((id, message))
 }
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -226,15 +226,15 @@
     list(&mut state, &["v1", "v2"]);
     let old = state.pool.servers()["i-v1"].listing.clone();
     assert!(!state.sent(now, &old, Some("s-1")), "no node needs it yet");
-    assert!(state.sessions_to_tell(now).is_empty());
+    assert!(state.sessions_to_tell(now, true).is_empty());
     order(&mut state, 2, "v2");
     assert_eq!(state.take_recalled(now).len(), 1);
     assert!(state.take_recalled(now).is_empty(), "it is told once");
     assert!(state.sent(now, &old, Some("s-2")));
-    assert_eq!(state.sessions_to_tell(now).len(), 2);
+    assert_eq!(state.sessions_to_tell(now, true).len(), 2);
     let status = r#"{"state":"rolled_back","to":"v2"}"#;
     put(&mut state, Table::Status, "rollout/s", 3, status);
-    assert!(state.sessions_to_tell(now).is_empty());
+    assert!(state.sessions_to_tell(now, true).is_empty());
 }
 
 #[test]
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ids;
 pub mod member;
 pub mod pool;
+pub mod relay;
 pub mod rollout;
 pub mod server;
 pub mod session;
--- a/crates/route/src/member/members.rs
+++ b/crates/route/src/member/members.rs
@@ -2,6 +2,8 @@
 
 use super::Member;
 use crate::NodeName;
+use crate::relay::Head;
+use contract::Map;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -36,6 +38,8 @@
 pub struct Members {
     settings: Settings,
     entries: BTreeMap<NodeName, Entry>,
+    /// Names by their short form.
+    tags: Map<u32, NodeName>,
 }
 
 impl Members {
@@ -43,7 +47,7 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
-            entries: BTreeMap::new(),
+            ..Self::default()
         }
     }
 
@@ -63,22 +67,69 @@
                     follows: false,
                     silent: true,
                 };
+                let tag = Head::tag(&member.node);
+                self.tags.insert(tag, member.node.clone());
                 self.entries.insert(member.node, entry);
                 true
             }
         }
     }
 
-    /// Takes in a word from a member.
-    pub fn hear(&mut self, now: Instant, node: &str, ready: bool, follows: bool) {
+    /// Takes in a word from a member; true when it says something new.
+    pub fn hear(&mut self, now: Instant, node: &str, ready: bool, follows: bool) -> bool {
+        let silence = self.settings.silence;
+        let Some(entry) = self.entries.get_mut(node) else {
+            return false;
+        };
+        let known = entry.lives(now, silence) && entry.ready == ready && entry.follows == follows;
+        entry.heard = Some(now);
+        entry.ready = ready;
+        entry.follows = follows;
+        entry.silent = false;
+        !known
+    }
+
+    /// Takes in what another member has heard of members; true when some of it is new.
+    pub fn hear_of(&mut self, now: Instant, heads: &[Head]) -> bool {
+        let mut news = false;
+        for head in heads {
+            if let Some(node) = self.tags.get(&head.tag).cloned() {
+                news |= self.hear(now, &node, head.ready, head.follows);
+            }
+        }
+        news
+    }
+
+    /// Takes in that a member isn't heard any more.
+    pub fn lose(&mut self, node: &str) {
         if let Some(entry) = self.entries.get_mut(node) {
-            entry.heard = Some(now);
-            entry.ready = ready;
-            entry.follows = follows;
-            entry.silent = false;
+            entry.heard = None;
         }
     }
 
+    /// The name of a member, by its short form.
+    pub fn by_tag(&self, tag: u32) -> Option<&NodeName> {
+        self.tags.get(&tag)
+    }
+
+    /// What is known of these members that live.
+    pub fn heads(&self, now: Instant, tags: impl IntoIterator<Item = u32>) -> Vec<Head> {
+        let silence = self.settings.silence;
+        let mut heads: Vec<_> = tags
+            .into_iter()
+            .filter_map(|tag| {
+                let entry = self.entries.get(self.tags.get(&tag)?)?;
+                entry.lives(now, silence).then_some(Head {
+                    tag,
+                    ready: entry.ready,
+                    follows: entry.follows,
+                })
+            })
+            .collect();
+        heads.sort_unstable();
+        heads
+    }
+
     /// Members heard of of late that follow the store.
     pub fn following(&self, now: Instant) -> impl Iterator<Item = &str> {
         let silence = self.settings.silence;
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -332,6 +332,17 @@
         self.settings.crowding(Stage::Pace, mean)
     }
 
+    /// Work of this node and of some others on backend servers, by tag.
+    pub fn loads_with(&self, told: impl Fn(&str) -> bool) -> BTreeMap<Tag, Load> {
+        let mut loads: BTreeMap<Tag, Load> = self.loads().collect();
+        let others = self.others.iter().filter(|(node, _)| told(node));
+        for (tag, load) in others.flat_map(|(_, others)| others) {
+            let sum = loads.entry(*tag).or_default();
+            *sum = sum.plus(*load);
+        }
+        loads
+    }
+
     /// Work that this node has on backend servers, by tag.
     pub fn loads(&self) -> impl Iterator<Item = (Tag, Load)> {
         let servers = self.servers.iter();
--- /dev/null
+++ b/crates/route/src/relay/relays.rs
@@ -0,0 +1,375 @@
+//! A node's links, and whom it hears through them.
+
+use super::{Head, Link, LinkId, Plan, Scope, Settings, Sign};
+use crate::member::{Member, Members};
+use crate::{NodeName, Zone};
+use contract::{Map, Set, stable_hash};
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+/// Key by which nodes of the same capacity are ordered.
+const ORDER_KEY: &str = "relays";
+
+/// How links to an address went.
+#[derive(Clone, Copy, Debug)]
+enum Reach {
+    /// One is being opened.
+    Opening { since: Instant, pause: Duration },
+    /// The last one failed; the next one may be tried at a time.
+    Failed { next: Instant, pause: Duration },
+}
+
+/// A node's links, and whom it hears through them.
+#[derive(Clone, Debug, Default)]
+pub struct Relays {
+    settings: Settings,
+    links: Map<NodeName, Link>,
+    reach: Map<SocketAddrV4, Reach>,
+    last_id: LinkId,
+    primary: Option<NodeName>,
+    relay: bool,
+    /// Relays that this node is attached to.
+    parents: Set<NodeName>,
+    /// Whether no other node is known: whoever answers is a relay then.
+    alone: bool,
+}
+
+impl Relays {
+    /// A node without links.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Whether this node is a relay, as of the last plan.
+    pub fn is_relay(&self) -> bool {
+        self.relay
+    }
+
+    /// The relay that passes on this node's work; none while it is a relay itself.
+    pub fn primary(&self) -> Option<&NodeName> {
+        self.primary.as_ref()
+    }
+
+    /// Notes that a link to an address is being opened.
+    pub fn opening(&mut self, now: Instant, address: SocketAddrV4) {
+        let pause = match self.reach.get(&address) {
+            Some(Reach::Failed { pause, .. } | Reach::Opening { pause, .. }) => *pause,
+            None => self.settings.pause,
+        };
+        let opening = Reach::Opening { since: now, pause };
+        self.reach.insert(address, opening);
+    }
+
+    /// Notes that a link that this node opened, or wanted to open, has failed.
+    pub fn failed(&mut self, now: Instant, address: SocketAddrV4) {
+        let pause = match self.reach.get(&address) {
+            Some(Reach::Failed { pause, .. } | Reach::Opening { pause, .. }) => *pause,
+            None => self.settings.pause,
+        };
+        let failed = Reach::Failed {
+            next: now + pause,
+            pause: (pause * 2).min(self.settings.longest_pause),
+        };
+        self.reach.insert(address, failed);
+    }
+
+    /// Notes that a link was given up on purpose.
+    pub fn released(&mut self, address: SocketAddrV4) {
+        self.reach.remove(&address);
+    }
+
+    /// Notes an open link, by whom it was opened; none when another link to the node stays. Of two
+    /// that were opened at once, both nodes keep the same one.
+    pub fn open(
+        &mut self,
+        now: Instant,
+        own: &str,
+        peer: &NodeName,
+        opened: bool,
+    ) -> Option<LinkId> {
+        if let Some(known) = self.links.get(peer) {
+            let by_less = opened == (own < peer.as_str());
+            let stays = known.heard.is_none() || self.is_fresh(now, known);
+            if known.opened != opened && !by_less && stays {
+                return None;
+            }
+        }
+        self.last_id += 1;
+        let link = Link {
+            id: self.last_id,
+            opened,
+            heard: None,
+            sign: Sign::default(),
+            heads: Vec::new(),
+        };
+        self.links.insert(peer.clone(), link);
+        Some(self.last_id)
+    }
+
+    /// Whether a link is still the one to its node.
+    pub fn is_open(&self, peer: &str, id: LinkId) -> bool {
+        self.links.get(peer).is_some_and(|link| link.id == id)
+    }
+
+    /// Notes the end of a link; whether it was the one to its node. Gives the nodes that were known
+    /// through it.
+    pub fn close(&mut self, peer: &str, id: LinkId) -> Option<Vec<Head>> {
+        if !self.is_open(peer, id) {
+            return None;
+        }
+        if self.primary.as_deref() == Some(peer) {
+            self.primary = None;
+        }
+        self.links.remove(peer).map(|link| link.heads)
+    }
+
+    /// Takes in a word of a node on its link.
+    pub fn hear(&mut self, now: Instant, peer: &str, sign: Sign) {
+        if let Some(link) = self.links.get_mut(peer) {
+            link.heard = Some(now);
+            link.sign = sign;
+        }
+    }
+
+    /// Takes in whom a node has heard of; gives those that it no longer names.
+    pub fn set_heads(&mut self, peer: &str, heads: Vec<Head>) -> Vec<Head> {
+        let Some(link) = self.links.get_mut(peer) else {
+            return Vec::new();
+        };
+        let tags: Set<u32> = heads.iter().map(|head| head.tag).collect();
+        let mut before = std::mem::replace(&mut link.heads, heads);
+        before.retain(|head| !tags.contains(&head.tag));
+        before
+    }
+
+    /// Whom a node has heard of.
+    pub fn heads(&self, peer: &str) -> &[Head] {
+        self.links.get(peer).map_or(&[], |link| &link.heads)
+    }
+
+    /// Whether a node is heard, over a link to it or through another one.
+    pub fn reaches(&self, now: Instant, node: &str) -> bool {
+        let tag = Head::tag(node);
+        let direct = self
+            .links
+            .get(node)
+            .is_some_and(|link| self.is_fresh(now, link));
+        let names = |link: &Link| link.heads.iter().any(|head| head.tag == tag);
+        direct
+            || self
+                .links
+                .values()
+                .any(|link| self.is_fresh(now, link) && names(link))
+    }
+
+    fn is_fresh(&self, now: Instant, link: &Link) -> bool {
+        let silence = self.settings.silence;
+        link.heard
+            .is_some_and(|heard| now.saturating_duration_since(heard) < silence)
+    }
+
+    /// Whether a node is attached to this one, and whether this one passes on its work.
+    pub fn attached(&self, now: Instant, node: &str) -> Option<bool> {
+        let link = self.links.get(node)?;
+        (link.sign.attached && self.is_fresh(now, link)).then_some(link.sign.primary)
+    }
+
+    /// Of whom another node is told.
+    pub fn scope_for(&self, now: Instant, peer: &str) -> Scope {
+        if self.attached(now, peer).is_some() {
+            return Scope::Fleet;
+        }
+        match self.relay {
+            true => Scope::Group,
+            false => Scope::Own,
+        }
+    }
+
+    /// What words to another node say of the link.
+    pub fn sign_for(&self, now: Instant, peer: &str) -> Sign {
+        let scope = self.scope_for(now, peer);
+        Sign {
+            scope,
+            attached: scope == Scope::Own && (self.alone || self.parents.contains(peer)),
+            primary: self.primary.as_deref() == Some(peer),
+        }
+    }
+
+    /// Whether the work that a node tells of is counted: a second relay tells of the same.
+    pub fn counts(&self, peer: &str) -> bool {
+        let Some(link) = self.links.get(peer) else {
+            return false;
+        };
+        match link.sign.scope {
+            Scope::Own => link.sign.primary || !link.sign.attached,
+            Scope::Group => self.relay,
+            Scope::Fleet => self.primary.as_deref() == Some(peer),
+        }
+    }
+
+    /// Whether a node's work is told in words of a scope.
+    pub fn is_told(&self, now: Instant, scope: Scope, node: &str) -> bool {
+        match scope {
+            Scope::Own => false,
+            Scope::Group => self.attached(now, node) == Some(true),
+            Scope::Fleet => true,
+        }
+    }
+
+    /// Nodes that words of a scope name: those heard directly, and for the whole fleet also those of
+    /// the groups of other relays. What was heard of the whole fleet is never passed on, so that no
+    /// word goes round.
+    pub fn named(&self, now: Instant, scope: Scope) -> Set<u32> {
+        let mut tags = Set::default();
+        for (node, link) in &self.links {
+            if !self.is_fresh(now, link) {
+                continue;
+            }
+            let attached = link.sign.attached;
+            if scope == Scope::Fleet || scope == Scope::Group && attached {
+                tags.insert(Head::tag(node));
+            }
+            if scope == Scope::Fleet && link.sign.scope == Scope::Group {
+                tags.extend(link.heads.iter().map(|head| head.tag));
+            }
+        }
+        tags
+    }
+
+    /// What words say of their links, for all that are open.
+    pub fn signs(&self, now: Instant) -> Set<Sign> {
+        let links = self.links.keys();
+        links.map(|peer| self.sign_for(now, peer)).collect()
+    }
+
+    /// The links that this node is to have. Nodes are taken in an order that all know: by capacity, then
+    /// by a hash of the name. Those that can't be reached are passed over, and tried again.
+    pub fn plan(
+        &mut self,
+        now: Instant,
+        own: &Member,
+        members: &Members,
+        seeds: &[SocketAddrV4],
+    ) -> Plan {
+        let mut zones: BTreeMap<&Zone, Vec<&Member>> = BTreeMap::new();
+        let others = members.all().filter(|member| member.node != own.node);
+        for member in others.chain([own]) {
+            zones.entry(&member.zone).or_default().push(member);
+        }
+        let all = zones.values().map(Vec::len).sum::<usize>();
+        let per_zone = match all <= self.settings.mesh {
+            true => usize::MAX,
+            false => self.settings.per_zone,
+        };
+        let mut plan = Plan::default();
+        let own_zone = zones.remove(&own.zone).unwrap_or_default();
+        let chosen = self.choose(now, own, own_zone, per_zone, &mut plan);
+        let ranked = chosen.iter().any(|member| member.node == own.node);
+        plan.relay = ranked
+            || self
+                .links
+                .keys()
+                .any(|node| self.attached(now, node).is_some());
+        if plan.relay {
+            for zone in zones.into_values() {
+                self.choose(now, own, zone, per_zone, &mut plan);
+            }
+        }
+        if all == 1 {
+            let seeds = seeds.iter().copied().filter(|seed| *seed != own.link);
+            plan.open
+                .extend(seeds.filter(|seed| self.is_due(now, *seed)));
+        }
+        self.alone = all == 1;
+        self.relay = plan.relay && !self.alone;
+        let parents = chosen.iter().map(|member| member.node.clone());
+        self.parents = match self.relay {
+            true => Set::default(),
+            false => parents.collect(),
+        };
+        self.primary = match plan.relay {
+            true => None,
+            false => self.choose_primary(now, &chosen),
+        };
+        plan
+    }
+
+    /// The first reachable nodes of a zone, in the common order; links to them, and to those before
+    /// them that are to be tried again, go into the plan.
+    fn choose<'a>(
+        &self,
+        now: Instant,
+        own: &Member,
+        mut zone: Vec<&'a Member>,
+        most: usize,
+        plan: &mut Plan,
+    ) -> Vec<&'a Member> {
+        let order = |member: &&Member| {
+            let hash = stable_hash([ORDER_KEY, member.node.as_str()]);
+            Reverse((member.capacity, hash))
+        };
+        zone.sort_by_cached_key(order);
+        let mut chosen = Vec::new();
+        for member in zone {
+            if chosen.len() >= most {
+                break;
+            }
+            if member.node == own.node {
+                chosen.push(member);
+                continue;
+            }
+            plan.keep.insert(member.node.clone());
+            if !self.links.contains_key(&member.node) && self.is_due(now, member.link) {
+                plan.open.push(member.link);
+            }
+            if self.is_usable(now, member) {
+                chosen.push(member);
+            }
+        }
+        chosen
+    }
+
+    fn choose_primary(&self, now: Instant, chosen: &[&Member]) -> Option<NodeName> {
+        let heard = |node: &str| {
+            let link = self.links.get(node);
+            link.is_some_and(|link| self.is_fresh(now, link))
+        };
+        let known = self.primary.as_deref();
+        let known = known.filter(|node| chosen.iter().any(|member| member.node == *node));
+        let first = chosen.iter().map(|member| member.node.as_str());
+        known
+            .into_iter()
+            .chain(first)
+            .find(|node| heard(node))
+            .map(str::to_owned)
+    }
+
+    /// Whether a link to an address may be opened now.
+    fn is_due(&self, now: Instant, address: SocketAddrV4) -> bool {
+        match self.reach.get(&address) {
+            None => true,
+            Some(Reach::Opening { .. }) => false,
+            Some(Reach::Failed { next, .. }) => now >= *next,
+        }
+    }
+
+    /// Whether a node is heard over a link, or a first one to it is being opened.
+    fn is_usable(&self, now: Instant, member: &Member) -> bool {
+        if let Some(link) = self.links.get(&member.node) {
+            return self.is_fresh(now, link) || link.heard.is_none();
+        }
+        match self.reach.get(&member.link) {
+            None => true,
+            Some(Reach::Opening { since, pause }) => {
+                *pause == self.settings.pause
+                    && now.saturating_duration_since(*since) < self.settings.opening
+            }
+            Some(Reach::Failed { .. }) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/relay/settings.rs
@@ -0,0 +1,33 @@
+//! Settings of relays.
+
+use std::time::Duration;
+
+/// How many relays there are, and when one counts as lost.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Relays of an availability zone: one that fails leaves another.
+    pub per_zone: usize,
+    /// Nodes up to which all are relays: a link from each to each is cheap.
+    pub mesh: usize,
+    /// Time for which a link may take to open before the next node in order is tried as well.
+    pub opening: Duration,
+    /// Time without a word after which a link counts as lost.
+    pub silence: Duration,
+    /// First pause after a link that failed; it doubles up to the longest.
+    pub pause: Duration,
+    /// Longest pause after links that failed.
+    pub longest_pause: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            per_zone: 2,
+            mesh: 16,
+            opening: Duration::from_millis(250),
+            silence: Duration::from_millis(1300),
+            pause: Duration::from_millis(100),
+            longest_pause: Duration::from_secs(1),
+        }
+    }
+}
--- a/crates/route/src/rollout/tally.rs
+++ b/crates/route/src/rollout/tally.rs
@@ -121,4 +121,19 @@
             new: sum(self.new, other.new),
         }
     }
+
+    /// What is left without a part.
+    pub fn minus(self, part: Self) -> Self {
+        let rest = |all: Count, part: Count| Count {
+            sent: all.sent.saturating_sub(part.sent),
+            known: all.known.saturating_sub(part.known),
+            bad: all.bad.saturating_sub(part.bad),
+            timed: all.timed.saturating_sub(part.timed),
+            slow: all.slow.saturating_sub(part.slow),
+        };
+        Self {
+            old: rest(self.old, part.old),
+            new: rest(self.new, part.new),
+        }
+    }
 }
--- a/crates/route/src/rollout/trial.rs
+++ b/crates/route/src/rollout/trial.rs
@@ -97,11 +97,20 @@
         self.others.insert(node.clone(), tally);
     }
 
+    /// Forgets what a node told: another one tells of the same from now on.
+    pub fn forget(&mut self, node: &str) {
+        self.others.remove(node);
+    }
+
+    /// What this node and some others have seen.
+    pub fn seen_with(&self, told: impl Fn(&str) -> bool) -> Tally {
+        let others = self.others.iter().filter(|(node, _)| told(node));
+        others.fold(self.own, |sum, (_, tally)| sum.plus(*tally))
+    }
+
     /// What all nodes have seen.
     pub fn seen(&self) -> Tally {
-        self.others
-            .values()
-            .fold(self.own, |sum, tally| sum.plus(*tally))
+        self.seen_with(|_| true)
     }
 
     /// Judges by what was seen; the outcome is kept.
--- /dev/null
+++ b/crates/route/tests/relay/world.rs
@@ -0,0 +1,354 @@
+//! A fleet of nodes in simulated time.
+
+use route::NodeName;
+use route::member::{Member, Members};
+use route::relay::{Head, LinkId, Plan, Relays, Scope, Settings};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+/// Step of time.
+const STEP: Duration = Duration::from_millis(50);
+/// Time between two looks at which links there are to be.
+const LOOK: u32 = 2;
+/// Time between two beats, in steps.
+const BEAT: u32 = 6;
+/// Time after which an attempt to open a link to a machine that doesn't answer fails.
+const OPEN_TIME: Duration = Duration::from_millis(600);
+/// Time after which a silent link is closed.
+const SILENCE: Duration = Duration::from_secs(3);
+
+/// An open link between two nodes, by index; the first one opened it.
+struct Link {
+    ends: [usize; 2],
+    ids: [LinkId; 2],
+    heard: [Instant; 2],
+}
+
+struct Node {
+    member: Member,
+    members: Members,
+    relays: Relays,
+    /// Work that other nodes tell of, by who tells it.
+    others: BTreeMap<NodeName, f64>,
+    plan: Plan,
+    up: bool,
+    frozen: bool,
+}
+
+/// A fleet of nodes, each with work of one.
+pub struct World {
+    nodes: Vec<Node>,
+    links: Vec<Link>,
+    failing: Vec<(Instant, usize, SocketAddrV4)>,
+    parted: Vec<(String, String)>,
+    now: Instant,
+    steps: u32,
+}
+
+fn member(index: usize, zones: usize) -> Member {
+    let address = |port: u16| {
+        let ip = [10, 0, (index / 250) as u8, (index % 250) as u8];
+        SocketAddrV4::new(ip.into(), port)
+    };
+    Member {
+        node: format!("n-{index}"),
+        zone: format!("z-{}", index % zones),
+        requests: address(80),
+        link: address(81),
+        capacity: if index < zones { 500 } else { 120 },
+    }
+}
+
+impl World {
+    pub fn new(nodes: usize, zones: usize) -> Self {
+        let all: Vec<_> = (0..nodes).map(|index| member(index, zones)).collect();
+        let node = |index: usize| {
+            let mut members = Members::default();
+            for member in all.iter().filter(|member| **member != all[index]) {
+                members.add(member.clone());
+            }
+            Node {
+                member: all[index].clone(),
+                members,
+                relays: Relays::new(Settings::default()),
+                others: BTreeMap::new(),
+                plan: Plan::default(),
+                up: true,
+                frozen: false,
+            }
+        };
+        Self {
+            nodes: (0..nodes).map(node).collect(),
+            links: Vec::new(),
+            failing: Vec::new(),
+            parted: Vec::new(),
+            now: Instant::now(),
+            steps: 0,
+        }
+    }
+
+    /// Nodes that a node takes for alive, without itself.
+    pub fn known(&self, index: usize) -> usize {
+        self.nodes[index].members.alive(self.now).count()
+    }
+
+    /// Work of all nodes, as a node knows it.
+    pub fn work(&self, index: usize) -> f64 {
+        1.0 + self.nodes[index].others.values().sum::<f64>()
+    }
+
+    /// Open links of a node.
+    pub fn links(&self, index: usize) -> usize {
+        self.links
+            .iter()
+            .filter(|link| link.ends.contains(&index))
+            .count()
+    }
+
+    /// Relays of a zone.
+    pub fn relays_of(&self, zone: usize) -> Vec<usize> {
+        let nodes = self.zone(zone);
+        nodes
+            .into_iter()
+            .filter(|index| self.nodes[*index].relays.is_relay())
+            .collect()
+    }
+
+    /// Nodes of a zone.
+    pub fn zone(&self, zone: usize) -> Vec<usize> {
+        let name = format!("z-{zone}");
+        let nodes = self.nodes.iter().enumerate();
+        nodes
+            .filter(|(_, node)| node.member.zone == name)
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// A process ends: its connections are reset.
+    pub fn end(&mut self, index: usize) {
+        self.nodes[index].up = false;
+        let links = self.links.iter().enumerate();
+        let ended: Vec<_> = links
+            .filter(|(_, link)| link.ends.contains(&index))
+            .map(|(at, _)| at)
+            .collect();
+        for at in ended.into_iter().rev() {
+            self.close(at);
+        }
+    }
+
+    /// A process starts anew.
+    pub fn start(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.up = true;
+        node.relays = Relays::new(Settings::default());
+        node.others.clear();
+        let known: Vec<_> = node.members.all().cloned().collect();
+        node.members = Members::default();
+        for member in known {
+            node.members.add(member);
+        }
+    }
+
+    /// A machine stops for a while.
+    pub fn freeze(&mut self, index: usize) {
+        self.nodes[index].frozen = true;
+    }
+
+    pub fn thaw(&mut self, index: usize) {
+        self.nodes[index].frozen = false;
+    }
+
+    /// Two zones can't reach each other any more.
+    pub fn part(&mut self, one: usize, other: usize) {
+        self.parted.push((format!("z-{one}"), format!("z-{other}")));
+    }
+
+    pub fn join(&mut self, one: usize, other: usize) {
+        let pair = (format!("z-{one}"), format!("z-{other}"));
+        self.parted.retain(|parted| *parted != pair);
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.steps += 1;
+        let now = self.now;
+        let due: Vec<_> = self.failing.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, index, address) in due {
+            self.nodes[index].relays.failed(now, address);
+        }
+        if self.steps.is_multiple_of(LOOK) {
+            (0..self.nodes.len()).for_each(|index| self.look(index));
+        }
+        if self.steps.is_multiple_of(BEAT) {
+            self.beat();
+        }
+        let silent = |link: &Link| link.heard.iter().any(|at| now - *at > SILENCE);
+        let silent: Vec<_> = (0..self.links.len())
+            .filter(|at| silent(&self.links[*at]))
+            .collect();
+        for at in silent.into_iter().rev() {
+            self.close(at);
+        }
+    }
+
+    fn passes(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (&self.nodes[from], &self.nodes[to]);
+        let zones = (&from.member.zone, &to.member.zone);
+        let parted =
+            |(one, other): &(String, String)| (one, other) == zones || (other, one) == zones;
+        to.up && !to.frozen && !self.parted.iter().any(parted)
+    }
+
+    fn look(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if !node.up || node.frozen {
+            return;
+        }
+        node.plan = node.relays.plan(now, &node.member, &node.members, &[]);
+        for address in node.plan.open.clone() {
+            self.nodes[index].relays.opening(now, address);
+            let peer = self
+                .nodes
+                .iter()
+                .position(|node| node.member.link == address);
+            let peer = peer.expect("an address of a node");
+            match self.passes(index, peer) {
+                true => self.open(index, peer),
+                false if self.nodes[peer].up => {
+                    self.failing.push((now + OPEN_TIME, index, address))
+                }
+                false => self.nodes[index].relays.failed(now, address),
+            }
+        }
+    }
+
+    fn open(&mut self, index: usize, peer: usize) {
+        let now = self.now;
+        let (own, other) = (self.name(index), self.name(peer));
+        let address = self.nodes[peer].member.link;
+        let far = self.nodes[peer].relays.open(now, &other, &own, false);
+        let near = self.nodes[index].relays.open(now, &own, &other, true);
+        let (Some(near), Some(far)) = (near, far) else {
+            self.nodes[index].relays.failed(now, address);
+            return;
+        };
+        self.nodes[index].relays.released(address);
+        self.links.push(Link {
+            ends: [index, peer],
+            ids: [near, far],
+            heard: [now; 2],
+        });
+    }
+
+    fn name(&self, index: usize) -> NodeName {
+        self.nodes[index].member.node.clone()
+    }
+
+    fn close(&mut self, at: usize) {
+        let link = self.links.swap_remove(at);
+        for (side, index) in link.ends.into_iter().enumerate() {
+            let peer = link.ends[1 - side];
+            let name = self.name(peer);
+            let node = &mut self.nodes[index];
+            let Some(mut gone) = node.relays.close(&name, link.ids[side]) else {
+                continue;
+            };
+            if side == 0 {
+                node.relays.failed(self.now, member_address(peer));
+            }
+            node.others.remove(&name);
+            gone.push(Head {
+                tag: Head::tag(&name),
+                ready: false,
+                follows: false,
+            });
+            self.forget(index, &gone);
+        }
+    }
+
+    fn forget(&mut self, index: usize, gone: &[Head]) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        for head in gone {
+            let name = node.members.by_tag(head.tag).cloned();
+            if let Some(name) = name.filter(|name| !node.relays.reaches(now, name)) {
+                node.members.lose(&name);
+            }
+        }
+    }
+
+    /// Each node tells on each of its links what it knows.
+    fn beat(&mut self) {
+        let now = self.now;
+        for at in 0..self.links.len() {
+            for side in 0..2 {
+                let (from, to) = (self.links[at].ends[side], self.links[at].ends[1 - side]);
+                if self.nodes[from].frozen || !self.passes(from, to) {
+                    continue;
+                }
+                self.links[at].heard[1 - side] = now;
+                self.tell(from, to);
+            }
+        }
+        let unneeded: Vec<_> = (0..self.links.len())
+            .filter(|at| {
+                let [near, far] = self.links[*at].ends;
+                let (node, peer) = (&self.nodes[near], self.name(far));
+                !node.frozen
+                    && !node.plan.keep.contains(&peer)
+                    && node.relays.attached(now, &peer).is_none()
+            })
+            .collect();
+        for at in unneeded.into_iter().rev() {
+            self.close(at);
+        }
+    }
+
+    fn tell(&mut self, from: usize, to: usize) {
+        let now = self.now;
+        let (sender, receiver) = (self.name(from), self.name(to));
+        let node = &self.nodes[from];
+        let sign = node.relays.sign_for(now, &receiver);
+        let heads = match sign.scope {
+            Scope::Own => Vec::new(),
+            scope => node.members.heads(now, node.relays.named(now, scope)),
+        };
+        let told = |(name, _): &(&NodeName, &f64)| node.relays.is_told(now, sign.scope, name);
+        let work = 1.0
+            + node
+                .others
+                .iter()
+                .filter(told)
+                .map(|(_, work)| work)
+                .sum::<f64>();
+        let node = &mut self.nodes[to];
+        node.relays.hear(now, &sender, sign);
+        node.members.hear(now, &sender, true, false);
+        let gone = match node.relays.heads(&sender) == heads {
+            true => Vec::new(),
+            false => node.relays.set_heads(&sender, heads),
+        };
+        node.members.hear_of(now, node.relays.heads(&sender));
+        match node.relays.counts(&sender) {
+            true if sign.scope == Scope::Fleet => node.others.insert(sender, work - 1.0),
+            true => node.others.insert(sender, work),
+            false => node.others.remove(&sender),
+        };
+        self.forget(to, &gone);
+    }
+}
+
+fn member_address(index: usize) -> SocketAddrV4 {
+    member(index, 1).link
+}
