--- a/crates/edge/src/app/mod.rs
+++ b/crates/edge/src/app/mod.rs
@@ -2,12 +2,10 @@
 
 mod app;
 mod mirror;
-mod retries;
 mod state;
 mod table;
 
 pub use app::{App, Crash, Stay, Told, What};
 pub use mirror::{Copy, Mirror};
-pub use retries::Retries;
 pub use state::{State, unreadable};
 pub use table::Table;
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -1,10 +1,10 @@
 //! What a node believes.
 
-use super::{Copy, Crash, Mirror, Retries, Stay, Table};
+use super::{Copy, Crash, Mirror, Stay, Table};
 use crate::follow::Part;
 use crate::membership;
 use contract::{Map, Set, stable_hash};
-use limits::retry;
+use limits::retry::{Allowance, Window};
 use limits::suspect::{self, Fingerprint, Suspects};
 use platform::Intent;
 use platform::store::{Page, Row};
@@ -27,11 +27,12 @@
 const FLEET_MARGIN: f64 = 1.7;
 /// Time after an outage of the store in which entries that lapsed meanwhile come back.
 const LAPSE_TIME: Duration = Duration::from_millis(2000);
-/// Part of the retry ratio that nodes spend: windows of nodes and of the site don't coincide.
-const RETRY_PART: f64 = 0.75;
-/// Part of the retry ratio by which a node may run ahead, in requests of the window: what it didn't
-/// spend in one part of a window, it may spend in another.
-const RETRY_SLACK: f64 = 0.2;
+/// Part of the retry ratio that nodes spend: a send reaches its backend server a little after it is
+/// counted, and the site's window may lack its first one then.
+const RETRY_PART: f64 = 0.85;
+/// Part of the budget up to which a request is sent again that has an answer already: the rest is for
+/// requests without one.
+const SPARE_PART: f64 = 0.7;
 
 /// Multiple of the median time above which an answer counts as slow in a roll-out. Under load a
 /// third of the old version's answers are beyond it, nearly all of a version of half the speed.
@@ -121,7 +122,7 @@
     /// Whether this node follows in the place of those that don't hear the store.
     standing_in: bool,
     lapsed: Vec<(ServerId, Instant)>,
-    budgets: Map<ServiceName, Retries>,
+    budgets: Map<ServiceName, Window>,
     /// Bounds of the site.
     pub bounds: Bounds,
     /// Links of a few nodes to begin with.
@@ -182,11 +183,10 @@
     }
 
     /// Takes over what may change in the settings file while the node runs.
-    pub fn reload(&mut self, now: Instant, site: Site) {
+    pub fn reload(&mut self, site: Site) {
         self.bounds = site.bounds;
         self.seeds = site.seeds;
-        self.budgets.clear();
-        self.share(now);
+        self.share();
     }
 
     /// Whether the node can serve requests.
@@ -308,13 +308,13 @@
             self.apply_outcomes();
         }
         if table == Table::Members && !news.is_empty() {
-            self.share(now);
+            self.share();
         }
     }
 
     fn apply_intent(&mut self, now: Instant, row: &Row) {
         match (platform::intent(&row.key), &row.value) {
-            (Intent::Config, Some(value)) => self.apply_config(now, value),
+            (Intent::Config, Some(value)) => self.apply_config(value),
             (Intent::Rollout(_), Some(value)) if !row.removed => match platform::rollout(value) {
                 Ok(order) => self.apply_order(now, order),
                 Err(error) => unreadable(&row.key, &error),
@@ -397,7 +397,7 @@
         }
     }
 
-    fn apply_config(&mut self, now: Instant, value: &[u8]) {
+    fn apply_config(&mut self, value: &[u8]) {
         let config = match platform::config(value) {
             Ok(config) => config,
             Err(error) => return unreadable("config", &error),
@@ -407,7 +407,7 @@
         }
         log::info!(event = 1723, revision = config.revision, routes = config.routes.len(); "configuration in force");
         self.routes = Arc::new(table::Table::new(config));
-        self.share(now);
+        self.share();
     }
 
     fn apply_server(&mut self, now: Instant, row: &Row) {
@@ -498,12 +498,17 @@
     }
 
     /// Cuts what all nodes share into this node's part.
-    fn share(&mut self, now: Instant) {
+    fn share(&mut self) {
         let own = std::iter::once(self.node.clone());
         let others = self.members.all().map(|member| member.node.clone());
         let others = others.filter(|node| *node != self.node);
         let names: Vec<_> = own.chain(others).collect();
         let nodes = names.len() as f64 * FLEET_MARGIN;
+        let allowance = Allowance {
+            window: self.bounds.retry_window,
+            ratio: self.bounds.retry_ratio * RETRY_PART,
+            extra: self.bounds.retry_extra / nodes,
+        };
         let config: &Config = self.routes.config();
         let mut bearings = Map::default();
         for (name, service) in &config.services {
@@ -517,14 +522,7 @@
                     .map_or(0.0, |engine| engine.memory_tokens as f64),
             };
             bearings.insert(name.clone(), bearing);
-            let settings = retry::Settings {
-                ratio: self.bounds.retry_ratio * RETRY_PART,
-                burst: self.bounds.retry_extra / nodes,
-                floor: 0.0,
-            };
-            self.budgets
-                .entry(name.clone())
-                .or_insert_with(|| Retries::new(settings, now));
+            self.budgets.entry(name.clone()).or_default().set(allowance);
         }
         self.pool.share(bearings, &names);
     }
@@ -642,24 +640,20 @@
 
     /// Counts the first send of a request.
     pub fn count_request(&mut self, now: Instant, service: &str) {
-        let nodes = (1 + self.members.all().count()) as f64 * FLEET_MARGIN;
-        let burst = self.bounds.retry_extra / nodes;
-        let window = self.bounds.retry_window;
-        let slack = self.bounds.retry_ratio * RETRY_SLACK;
-        if let Some(retries) = self.budgets.get_mut(service) {
-            retries.count(now, window, burst, slack);
+        if let Some(budget) = self.budgets.get_mut(service) {
+            budget.count(now);
         }
     }
 
     /// Takes a further send of a request out of the budget.
     pub fn take_retry(&mut self, now: Instant, service: &str) -> bool {
-        let retries = self.budgets.get_mut(service);
-        retries.is_some_and(|retries| retries.take(now))
+        let budget = self.budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.take(now, 1.0))
     }
 
     /// The same for a request that has an answer already.
     pub fn take_spare_retry(&mut self, now: Instant, service: &str) -> bool {
-        let retries = self.budgets.get_mut(service);
-        retries.is_some_and(|retries| retries.take_spare(now))
+        let budget = self.budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.take(now, SPARE_PART))
     }
 }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
@@ -114,7 +114,7 @@
     match platform::site(&text) {
         Ok(site) => {
             let moved = site.requests != app.site.requests;
-            app.state().reload(Instant::now(), site);
+            app.state().reload(site);
             log::info!(event = 1713, moved = moved; "settings file has changed");
         }
         Err(error) => log::warn!(event = 1726; "changed settings can't be used: {error}"),
--- a/crates/limits/src/retry/budget.rs
+++ b/crates/limits/src/retry/budget.rs
@@ -30,20 +30,6 @@
         }
     }
 
-    /// Sets the most tokens that the budget holds.
-    ///
-    /// ```
-    /// # use limits::retry::{Budget, Settings};
-    /// let now = std::time::Instant::now();
-    /// let mut budget = Budget::new(Settings::default(), now);
-    /// budget.set_burst(0.0);
-    /// assert!(!budget.take(now));
-    /// ```
-    pub fn set_burst(&mut self, burst: f64) {
-        self.settings.burst = burst;
-        self.tokens = self.tokens.min(burst);
-    }
-
     /// Counts a first request.
     ///
     /// ```
@@ -62,26 +48,11 @@
     /// assert!(Budget::new(Settings::default(), now).take(now));
     /// ```
     pub fn take(&mut self, now: Instant) -> bool {
-        self.take_above(now, 0.0)
-    }
-
-    /// Takes one extra request unless less than this part of a full budget would be left: the rest is
-    /// for requests that need it more.
-    ///
-    /// ```
-    /// # use limits::retry::{Budget, Settings};
-    /// let now = std::time::Instant::now();
-    /// let mut budget = Budget::new(Settings { burst: 4.0, ..Default::default() }, now);
-    /// assert!(budget.take_above(now, 0.6));
-    /// assert!(!budget.take_above(now, 0.6));
-    /// assert!(budget.take(now));
-    /// ```
-    pub fn take_above(&mut self, now: Instant, part: f64) -> bool {
         let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = self.at.max(now);
         let refill = elapsed * self.settings.floor;
         self.tokens = (self.tokens + refill).min(self.settings.burst);
-        if self.tokens < 1.0 + part * self.settings.burst {
+        if self.tokens < 1.0 {
             return false;
         }
         self.tokens -= 1.0;
--- a/crates/limits/src/retry/mod.rs
+++ b/crates/limits/src/retry/mod.rs
@@ -2,6 +2,8 @@
 
 mod budget;
 mod settings;
+mod window;
 
 pub use budget::Budget;
 pub use settings::Settings;
+pub use window::{Allowance, Window};
