--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -22,14 +22,19 @@
 const LONGEST_PAUSE_OF_OTHERS: Duration = Duration::from_millis(3200);
 /// Nodes that may ask a lost store for a whole table as often as one alone.
 const READERS: f64 = 16.0;
-/// Time after the first read of a table in which links open, so that nodes know who follows: until
-/// then a node follows by itself.
-const JOIN_TIME: Duration = Duration::from_millis(900);
+/// Time after the first read of a table in which links open, so that nodes know who follows.
+const JOIN_TIME: Duration = Duration::from_millis(400);
+/// Longest wait for changes of a node that hears no other one, which may be about to learn who follows.
+const LONE_WAIT: Duration = Duration::from_millis(900);
+/// Time for which other nodes may tell what stands in a table that a node can serve without.
+const TELL_TIME: Duration = Duration::from_millis(600);
+/// Pause between two looks whether they have.
+const TELL_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between two looks whether this node is to follow: a part of the time for a change.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a change in which further ones gather, so that one call brings them: backend servers
 /// come and go in groups.
-const GATHER: Duration = Duration::from_millis(100);
+const GATHER: Duration = Duration::from_millis(300);
 /// Pause between two looks at entries that lapsed.
 const SWEEP_PAUSE: Duration = Duration::from_millis(100);
 
@@ -40,19 +45,16 @@
 pub async fn follow(app: Arc<App>, table: Table) {
     let mut backoff = Backoff::new(PAUSE, LONGEST_PAUSE);
     let mut answering = true;
+    if !app.site.first_start {
+        wait_to_be_told(&app, table).await;
+    }
     let mut joined = false;
     loop {
-        let joins = !joined && app.state().mirror(table).position().is_some();
-        joined |= joins;
-        if joins && app.site.first_start {
-            // Nothing happens so early, and all nodes would ask.
+        if !joined && app.state().mirror(table).position().is_some() {
+            joined = true;
             sleep(JOIN_TIME).await;
         }
-        let wait = match joins && !app.site.first_start {
-            true => Some(JOIN_TIME),
-            false => turn(&app, table).await,
-        };
-        let Some(wait) = wait else {
+        let Some(wait) = turn(&app, table).await else {
             continue;
         };
         let answer = call(&app, table, wait).await;
@@ -93,9 +95,23 @@
     }
 }
 
+/// Waits a little for other nodes to tell a table, where the node can serve without it. Those that all
+/// others turn to first don't wait.
+async fn wait_to_be_told(app: &App, table: Table) {
+    let needed = matches!(table, Table::Intents | Table::Servers);
+    if needed || app.site.seeds.contains(&app.site.link) {
+        return;
+    }
+    let begun = Instant::now();
+    while begun.elapsed() < TELL_TIME && app.state().mirror(table).position().is_none() {
+        sleep(TELL_PAUSE).await;
+    }
+}
+
 /// Time for which this node's next call is to wait for changes; none when another node is to ask.
 async fn turn(app: &App, table: Table) -> Option<Duration> {
     match part(app, table) {
+        Part::Follower if is_lone(app) => Some(LONE_WAIT),
         Part::Follower => Some(WAIT),
         Part::StandIn(pause) => {
             sleep(pause).await;
@@ -109,6 +125,13 @@
     }
 }
 
+/// Whether this node knows of others, and hears none.
+fn is_lone(app: &App) -> bool {
+    let state = app.state();
+    let mut alive = state.members.alive(Instant::now());
+    alive.next().is_none() && state.members.all().next().is_some()
+}
+
 fn part(app: &App, table: Table) -> Part {
     app.state().part(Instant::now(), table)
 }
