--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -29,10 +29,10 @@
 const LAPSE_TIME: Duration = Duration::from_millis(2000);
 /// Part of the retry ratio that nodes spend: a send reaches its backend server a little after it is
 /// counted, and the site's window may lack its first one then.
-const RETRY_PART: f64 = 0.85;
+const RETRY_PART: f64 = 0.9;
 /// Part of the budget up to which a request is sent again that has an answer already: the rest is for
 /// requests without one.
-const SPARE_PART: f64 = 0.7;
+const SPARE_PART: f64 = 0.8;
 
 /// Multiple of the median time above which an answer counts as slow in a roll-out. Under load a
 /// third of the old version's answers are beyond it, nearly all of a version of half the speed.
