--- a/crates/edge/src/forward/event.rs
+++ b/crates/edge/src/forward/event.rs
@@ -2,8 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Longest event that is waited for, in bytes.
-const MAX_EVENT: usize = 1 << 20;
+/// Longest event that is waited for, in bytes: a small VM bears some hundred of them.
+const MAX_EVENT: usize = 128 << 10;
 
 /// One whole event.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/standin/src/site/fault.rs
+++ b/crates/standin/src/site/fault.rs
@@ -36,6 +36,10 @@
     Stall(u64),
     /// It answers with the id of another request.
     Crossed,
+    /// The head of its answer has no end.
+    EndlessHead,
+    /// The body of its answer has no end; that of a stream holds no event.
+    EndlessBody,
     /// It takes this long for an answer or for each event.
     Slow(Duration),
 }
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -69,6 +69,13 @@
     match fault {
         WorkerFault::Reset => reset(stream)?,
         WorkerFault::Mute => silent(stream).await?,
+        WorkerFault::EndlessHead => endless_head(stream).await?,
+        WorkerFault::EndlessBody => {
+            let mut bytes = head(200, &headers);
+            bytes.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
+            stream.write_all(&bytes).await?;
+            endless_body(stream).await?;
+        }
         WorkerFault::Break(_) => {
             let mut bytes = head(200, &headers);
             bytes.extend_from_slice(b"content-length: 1000\r\n\r\n");
@@ -112,6 +119,7 @@
             return Ok(false);
         }
         WorkerFault::Mute => silent(stream).await?,
+        WorkerFault::EndlessHead => endless_head(stream).await?,
         WorkerFault::Fail(status) => {
             answer(stream, status, &[], b"failed").await?;
             return Ok(true);
@@ -129,6 +137,9 @@
     let mut bytes = head(200, &headers);
     bytes.extend_from_slice(b"\r\n");
     stream.write_all(&bytes).await?;
+    if fault == WorkerFault::EndlessBody {
+        endless_body(stream).await?;
+    }
     let done: u64 = request.header("last-event-id").parse().unwrap_or(0);
     for number in done + 1..=count {
         match fault {
@@ -151,6 +162,26 @@
     stream.write_all(bytes.as_bytes()).await
 }
 
+/// Bytes of one line of an endless head, and of one chunk of an endless body.
+const ENDLESS_BYTES: usize = 1 << 10;
+
+/// Sends headers until the other side closes.
+async fn endless_head(stream: &mut TcpStream) -> io::Result<()> {
+    stream.write_all(b"HTTP/1.1 200 OK\r\n").await?;
+    let line = format!("x-more: {}\r\n", "a".repeat(ENDLESS_BYTES));
+    loop {
+        stream.write_all(line.as_bytes()).await?;
+    }
+}
+
+/// Sends chunks that hold no event until the other side closes.
+async fn endless_body(stream: &mut TcpStream) -> io::Result<()> {
+    let text = "a".repeat(ENDLESS_BYTES);
+    loop {
+        chunk(stream, &text).await?;
+    }
+}
+
 /// Says nothing until the other side closes.
 async fn silent(stream: &mut TcpStream) -> io::Result<()> {
     stream.readable().await?;
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -37,6 +37,8 @@
         ..plain()
     })
     a_mixed_answer_is_never_passed_on(plain())
+    an_answer_without_an_end_is_left(plain())
+    a_stream_without_events_is_left(models())
     a_broken_stream_goes_on_elsewhere(models())
     a_silent_stream_goes_on_elsewhere(models())
     a_silent_stream_is_kept_where_there_is_no_other(one_model())
@@ -114,6 +116,20 @@
         .header("session", session)
 }
 
+/// Time within which an answer without an end is left for another backend server.
+const ENDLESS_TIME: Duration = Duration::from_secs(3);
+/// Bytes by which a node may grow while it reads answers without an end: a quarter of the smallest VM.
+const ENDLESS_MEMORY: i64 = 22 << 20;
+
+/// Memory of the first node.
+async fn resident_bytes(site: &Site) -> Result<i64, Error> {
+    let text = site.nodes[0].metrics().await?;
+    let mut lines = text.lines();
+    let bytes = lines.find_map(|line| line.strip_prefix("sardinebank_resident_bytes "));
+    let bytes = bytes.and_then(|bytes| bytes.parse().ok());
+    Ok(bytes.expect("a node tells its memory"))
+}
+
 /// All runs in the order of their times.
 fn runs(workers: &[Worker]) -> Vec<Run> {
     let mut runs: Vec<_> = workers.iter().flat_map(|worker| worker.runs()).collect();
@@ -294,6 +310,52 @@
         Ok(())
     }
 
+    pub async fn an_answer_without_an_end_is_left(site: &mut Site) -> Result<(), Error> {
+        for fault in [WorkerFault::EndlessHead, WorkerFault::EndlessBody] {
+            site.desks[0].set_fault(fault);
+            let before = resident_bytes(site).await?;
+            for _ in 0..4 {
+                let begun = Instant::now();
+                let answer = send(site, "/again/a").await?;
+                assert_eq!(answer.status(), 200, "{fault:?}");
+                assert_eq!(answer.headers()["response-seal"], "seal.i-desk-1");
+                assert!(
+                    begun.elapsed() < ENDLESS_TIME,
+                    "{fault:?}: {:?}",
+                    begun.elapsed()
+                );
+            }
+            let grown = resident_bytes(site).await? - before;
+            assert!(grown < ENDLESS_MEMORY, "{fault:?}: {grown} bytes");
+        }
+        Ok(())
+    }
+
+    pub async fn a_stream_without_events_is_left(site: &mut Site) -> Result<(), Error> {
+        let client = Client::new();
+        for fault in [WorkerFault::EndlessHead, WorkerFault::EndlessBody] {
+            site.models[..2]
+                .iter()
+                .for_each(|worker| worker.set_fault(fault));
+            let before = resident_bytes(site).await?;
+            let asked = (0..30).map(|index| stream(&client, site, &format!("s-{index}")).send());
+            for answer in futures::future::join_all(asked).await {
+                let answer = answer?;
+                if answer.status() == 200 {
+                    assert_eq!(numbers(&answer.text().await?), [1, 2, 3, 4, 5], "{fault:?}");
+                }
+            }
+            let grown = resident_bytes(site).await? - before;
+            assert!(grown < ENDLESS_MEMORY, "{fault:?}: {grown} bytes");
+            site.models
+                .iter()
+                .for_each(|worker| worker.set_fault(WorkerFault::None));
+            let answer = stream(&client, site, "after").send().await?;
+            assert_eq!(numbers(&answer.text().await?), [1, 2, 3, 4, 5], "{fault:?}");
+        }
+        Ok(())
+    }
+
     pub async fn a_broken_stream_goes_on_elsewhere(site: &mut Site) -> Result<(), Error> {
         site.models
             .iter()
