--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{Notify, broadcast};
 
 /// Rounds of beats that wait for a link; one that is further behind goes on with the newest.
-const MAX_ROUNDS: usize = 4;
+const MAX_ROUNDS: usize = 16;
 /// Words that wait for a link; one that is further behind is told all that is known.
 const MAX_TOLD: usize = 1024;
 
@@ -57,6 +57,8 @@
     pub store_back: Notify,
     /// Wakes the links: something has to be told at once.
     pub news: Notify,
+    /// Wakes the links for the words that each node is to hear once.
+    pub words: Notify,
     /// Beats for the links.
     pub rounds: broadcast::Sender<Arc<Round>>,
     /// What the links are to tell.
@@ -78,6 +80,7 @@
             room: Notify::new(),
             store_back: Notify::new(),
             news: Notify::new(),
+            words: Notify::new(),
             rounds: broadcast::Sender::new(MAX_ROUNDS),
             told: broadcast::Sender::new(MAX_TOLD),
             inside: Arc::default(),
@@ -103,6 +106,7 @@
     pub fn tell(&self, told: Told) {
         // An error says that there are no links: then there is nobody to tell.
         let _ = self.told.send(told);
+        self.words.notify_one();
     }
 
     /// This node, as other nodes know it.
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -58,6 +58,13 @@
 /// Lost requests that are remembered for it.
 const MAX_LOST: usize = 512;
 
+/// Time after which a caller may come back that nothing can serve now: a quarantine or a full queue
+/// is over then.
+const RETURN_TIME: Duration = Duration::from_millis(750);
+/// The same while a node has no configuration and the store doesn't answer, at the least: it is away
+/// for seconds.
+const OUTAGE_RETURN_TIME: Duration = Duration::from_secs(2);
+
 /// Notes that a row can't be read; what was known before stays.
 pub fn unreadable(row: &str, why: &impl std::fmt::Display) {
     log::warn!(event = 1720, row = row; "row can't be used: {why}");
@@ -117,6 +124,8 @@
     fetching: [Option<Instant>; 4],
     /// When the store last didn't answer.
     store_lost: Option<Instant>,
+    /// When it first didn't, of the last times without an answer between.
+    store_lost_since: Option<Instant>,
     /// When it answered again.
     store_back: Option<Instant>,
     /// Whether this node follows in the place of those that don't hear the store.
@@ -172,6 +181,7 @@
             last_rows: None,
             fetching: Default::default(),
             store_lost: None,
+            store_lost_since: None,
             store_back: None,
             standing_in: false,
             lapsed: Vec::new(),
@@ -473,6 +483,7 @@
     /// Takes in that the store doesn't answer.
     pub fn lose_store(&mut self, now: Instant) {
         self.store_lost = Some(now);
+        self.store_lost_since.get_or_insert(now);
         self.store_back = None;
         self.standing_in = false;
     }
@@ -480,6 +491,16 @@
     /// Takes in that the store has answered.
     pub fn hear_store(&mut self, now: Instant) {
         self.store_back.get_or_insert(now);
+        self.store_lost_since = None;
+    }
+
+    /// Time after which a caller may come back that nothing can serve now. Without a configuration that
+    /// is when the store is back: it is taken to be away for as long again as it has been.
+    pub fn return_time(&self, now: Instant) -> Duration {
+        let lost = self.store_lost_since.filter(|_| !self.configured());
+        lost.map_or(RETURN_TIME, |since| {
+            now.saturating_duration_since(since).max(OUTAGE_RETURN_TIME)
+        })
     }
 
     /// Forgets backend servers whose entries lapsed and didn't come back, and the work of nodes that
--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -40,13 +40,15 @@
     let mut kind = "none";
     let answer = serve(&app, received, request, entered, &mut kind).await;
     let took = received.elapsed().as_millis() as u64;
-    let (revision, members, stopping) = {
+    let (revision, members, stopping, return_time) = {
         let state = app.state();
         let revision = state.routes.config().revision;
+        let now = Instant::now();
         (
             revision,
-            state.members.alive(Instant::now()).count(),
+            state.members.alive(now).count(),
             state.stopping,
+            state.return_time(now),
         )
     };
     app.metrics
@@ -70,8 +72,8 @@
         Err(refusal) => {
             count(refusal.status().as_u16(), refusal.name());
             log::warn!(event = 1739, request = name.as_str(), took_ms = took, revision = revision,
-                members = members, stopping = stopping; "refused: {refusal}");
-            refusal.answer(id.as_ref())
+                members = members, stopping = stopping, return_ms = return_time.as_millis() as u64; "refused: {refusal}");
+            refusal.answer(id.as_ref(), return_time)
         }
     }
 }
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -36,11 +36,9 @@
     Late,
 }
 
-/// Least time after which a refused caller may come back.
-const LEAST_WAIT: Duration = Duration::from_millis(300);
-/// Most time after which a refused caller may come back. Callers are spread over the span, so that
+/// Parts of the time after which a refused caller may come back over which callers are spread, so that
 /// they don't return together.
-const MOST_WAIT: Duration = Duration::from_millis(1200);
+const SPREAD: std::ops::Range<f64> = 0.5..1.5;
 
 impl Refusal {
     /// Its name in metrics.
@@ -71,8 +69,9 @@
         }
     }
 
-    /// The answer to the caller.
-    pub fn answer(self, id: Option<&HeaderValue>) -> Response<Body> {
+    /// The answer to the caller. Where the request hasn't run, the caller may come back after about the
+    /// given time.
+    pub fn answer(self, id: Option<&HeaderValue>, return_time: Duration) -> Response<Body> {
         let mut response = Response::new(Body::whole(self.to_string()));
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
@@ -80,7 +79,7 @@
             headers.insert(HeaderName::from_static(ATTEMPT), id.clone());
         }
         if self == Self::NotNow {
-            let wait = rand::rng().random_range(LEAST_WAIT..MOST_WAIT);
+            let wait = return_time.mul_f64(rand::rng().random_range(SPREAD));
             let seconds = format!("{:.2}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 headers.insert(HeaderName::from_static(RETRY_AFTER), value);
--- a/crates/edge/src/link/mod.rs
+++ b/crates/edge/src/link/mod.rs
@@ -13,4 +13,4 @@
 pub use frame::{Change, Frame};
 pub use listen::listen;
 pub use round::Round;
-pub use tick::tick;
+pub use tick::{tick, tick_words};
--- a/crates/edge/src/link/tick.rs
+++ b/crates/edge/src/link/tick.rs
@@ -11,11 +11,15 @@
 use tokio::time::sleep;
 use tokio_tungstenite::tungstenite::Message;
 
-/// Time between two beats: several fit into the silence after which a node counts as gone.
-const BEAT: Duration = Duration::from_millis(300);
+/// Time between two beats: the work of a node is told over three links at most, and nodes place by it.
+const BEAT: Duration = Duration::from_millis(150);
 /// Shortest time between two beats, in which news gather.
 const SHORTEST_BEAT: Duration = Duration::from_millis(40);
 
+/// Time in which words for all nodes gather. A session's next request may come to a node that has yet
+/// to hear of it, three links away.
+const GATHER: Duration = Duration::from_millis(10);
+
 /// The last list of nodes of each scope.
 type Lists = Map<Scope, (ListId, Vec<Head>, Message)>;
 
@@ -34,6 +38,16 @@
     }
 }
 
+/// Lets the links tell what each node is to hear once, as soon as there is something.
+pub async fn tick_words(app: Arc<App>) {
+    loop {
+        app.words.notified().await;
+        sleep(GATHER).await;
+        // An error says that there are no links.
+        let _ = app.rounds.send(Arc::default());
+    }
+}
+
 fn round(app: &App, lists: &mut Lists) -> Round {
     let now = Instant::now();
     let signs = app.state().relays.signs(now);
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -268,3 +268,20 @@
     state.update(removed, Table::Servers, change("i-v1", 2, None));
     assert!(!state.pool.servers().contains_key("i-v1"));
 }
+
+#[test]
+fn callers_come_back_when_the_store_may_be_there_again() {
+    let lost = Instant::now();
+    let millis = Duration::from_millis;
+    let mut state = State::new(&site());
+    assert!(
+        state.return_time(lost) < millis(1000),
+        "the tables are being read"
+    );
+    state.lose_store(lost);
+    assert_eq!(state.return_time(lost), millis(2000));
+    state.lose_store(lost + millis(3000));
+    assert_eq!(state.return_time(lost + millis(5000)), millis(5000));
+    state.hear_store(lost + millis(6000));
+    assert!(state.return_time(lost + millis(6000)) < millis(1000));
+}
