--- a/crates/route/src/member/members.rs
+++ b/crates/route/src/member/members.rs
@@ -26,6 +26,8 @@
 struct Entry {
     member: Member,
     heard: Option<Instant>,
+    /// When a word of its own last came.
+    direct: Option<Instant>,
     ready: bool,
     /// Whether it follows the store and the store answers it.
     follows: bool,
@@ -63,6 +65,7 @@
                 let entry = Entry {
                     member: member.clone(),
                     heard: None,
+                    direct: None,
                     ready: false,
                     follows: false,
                     silent: true,
@@ -81,20 +84,22 @@
         let Some(entry) = self.entries.get_mut(node) else {
             return false;
         };
-        let known = entry.lives(now, silence) && entry.ready == ready && entry.follows == follows;
-        entry.heard = Some(now);
-        entry.ready = ready;
-        entry.follows = follows;
-        entry.silent = false;
-        !known
+        entry.direct = Some(now);
+        entry.hear(now, silence, ready, follows)
     }
 
-    /// Takes in what another member has heard of members; true when some of it is new.
+    /// Takes in what another member has heard of members; true when some of it is new. What a member
+    /// says of itself goes before: others may have heard it earlier.
     pub fn hear_of(&mut self, now: Instant, heads: &[Head]) -> bool {
+        let silence = self.settings.silence;
         let mut news = false;
         for head in heads {
-            if let Some(node) = self.tags.get(&head.tag).cloned() {
-                news |= self.hear(now, &node, head.ready, head.follows);
+            let node = self.tags.get(&head.tag);
+            let Some(entry) = node.and_then(|node| self.entries.get_mut(node)) else {
+                continue;
+            };
+            if !entry.is_direct(now, silence) {
+                news |= entry.hear(now, silence, head.ready, head.follows);
             }
         }
         news
@@ -104,6 +109,7 @@
     pub fn lose(&mut self, node: &str) {
         if let Some(entry) = self.entries.get_mut(node) {
             entry.heard = None;
+            entry.direct = None;
         }
     }
 
@@ -177,6 +183,20 @@
 }
 
 impl Entry {
+    fn hear(&mut self, now: Instant, silence: Duration, ready: bool, follows: bool) -> bool {
+        let known = self.lives(now, silence) && self.ready == ready && self.follows == follows;
+        self.heard = Some(now);
+        self.ready = ready;
+        self.follows = follows;
+        self.silent = false;
+        !known
+    }
+
+    fn is_direct(&self, now: Instant, silence: Duration) -> bool {
+        self.direct
+            .is_some_and(|heard| now.saturating_duration_since(heard) < silence)
+    }
+
     fn lives(&self, now: Instant, silence: Duration) -> bool {
         self.heard
             .is_some_and(|heard| now.saturating_duration_since(heard) < silence)
--- a/crates/route/tests/members.rs
+++ b/crates/route/tests/members.rs
@@ -1,6 +1,7 @@
 //! Who lives, and whom callers are sent to.
 
 use route::member::{Member, Members, Question};
+use route::relay::Head;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,25 @@
     assert_eq!(members.alive(now).count(), 1);
 }
 
+#[test]
+fn a_members_own_word_goes_before_what_others_say_of_it() {
+    let mut members = Members::default();
+    let now = Instant::now();
+    members.add(member("n"));
+    let old = [Head {
+        tag: Head::tag("n"),
+        ready: false,
+        follows: false,
+    }];
+    assert!(members.hear(now, "n", true, true));
+    assert!(!members.hear_of(now, &old), "no news: it is older");
+    assert_eq!(members.ready(now).count(), 1);
+    assert!(!members.hear(now, "n", true, true), "nothing has changed");
+    members.lose("n");
+    assert!(members.hear_of(now, &old), "others hear it still");
+    assert_eq!(members.alive(now).count(), 1);
+}
+
 /// Most addresses in one answer.
 const MOST: usize = 64;
 /// Availability zones of the fleet.
