--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -17,7 +17,7 @@
 /// Rounds of beats that wait for a link; one that is further behind goes on with the newest.
 const MAX_ROUNDS: usize = 16;
 /// Words that wait for a link; one that is further behind is told all that is known.
-const MAX_TOLD: usize = 1024;
+const MAX_TOLD: usize = 4096;
 
 /// A session and the version that it is on.
 pub type Stay = (String, Version);
--- a/crates/edge/src/link/news.rs
+++ b/crates/edge/src/link/news.rs
@@ -100,7 +100,7 @@
     let state = app.state();
     let crashes = state.suspects.known(now);
     News {
-        stays: state.sessions_to_tell(now, way == Way::Down),
+        stays: state.sessions_to_tell(now, way != Way::Up),
         crashes: crashes
             .map(|(fingerprint, server, _)| (fingerprint.clone(), server.clone()))
             .collect(),
--- a/crates/edge/src/link/tick.rs
+++ b/crates/edge/src/link/tick.rs
@@ -3,7 +3,7 @@
 use super::frame::{Frame, encode_head};
 use super::round::{ListId, Round};
 use super::serve::beat;
-use crate::app::App;
+use crate::app::{App, What};
 use contract::Map;
 use route::relay::{Head, Scope};
 use std::sync::Arc;
@@ -32,6 +32,10 @@
             () = sleep(BEAT - SHORTEST_BEAT) => (),
             () = news => (),
         }
+        let recalled = app.state().take_recalled(Instant::now());
+        for stay in recalled {
+            app.tell_own(What::Stay(stay));
+        }
         // An error says that there are no links.
         let _ = app.rounds.send(Arc::new(round(&app, &mut lists)));
         sleep(SHORTEST_BEAT).await;
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -56,6 +56,7 @@
     the_directory_names_those_that_live(three_nodes())
     a_stop_finishes_what_is_inside(models())
     a_stopping_node_refuses_late_requests_at_once(models())
+    sessions_from_before_a_roll_out_stay_on_their_version(Settings { nodes: 3, ..models() })
     a_bad_version_is_rolled_back(models())
     a_good_version_is_completed(models())
     a_version_with_a_backend_server_that_is_away_is_completed(models())
@@ -107,8 +108,11 @@
     Ok(request(&Client::new(), site, 0, path).send().await?)
 }
 
-fn stream(client: &Client, site: &Site, session: &str) -> reqwest::RequestBuilder {
-    request(client, site, 0, "/stream/a")
+/// Sessions of which each twelfth would be on trial if it were new.
+const SESSIONS: usize = 80;
+
+fn stream(client: &Client, site: &Site, node: usize, session: &str) -> reqwest::RequestBuilder {
+    request(client, site, node, "/stream/a")
         .header("accept", "text/event-stream")
         .header("model", "*")
         .header("token-count", "100,50")
@@ -195,7 +199,7 @@
             .iter()
             .for_each(|worker| worker.set_events(4, Duration::from_millis(150)));
         let begun = Instant::now();
-        let mut answer = stream(&Client::new(), site, "s").send().await?;
+        let mut answer = stream(&Client::new(), site, 0, "s").send().await?;
         assert_eq!(answer.status(), 200);
         let mut times = Vec::new();
         while let Some(bytes) = answer.chunk().await? {
@@ -338,7 +342,7 @@
                 .iter()
                 .for_each(|worker| worker.set_fault(fault));
             let before = resident_bytes(site).await?;
-            let asked = (0..30).map(|index| stream(&client, site, &format!("s-{index}")).send());
+            let asked = (0..30).map(|index| stream(&client, site, 0, &format!("s-{index}")).send());
             for answer in futures::future::join_all(asked).await {
                 let answer = answer?;
                 if answer.status() == 200 {
@@ -350,7 +354,7 @@
             site.models
                 .iter()
                 .for_each(|worker| worker.set_fault(WorkerFault::None));
-            let answer = stream(&client, site, "after").send().await?;
+            let answer = stream(&client, site, 0, "after").send().await?;
             assert_eq!(numbers(&answer.text().await?), [1, 2, 3, 4, 5], "{fault:?}");
         }
         Ok(())
@@ -361,7 +365,7 @@
             .iter()
             .for_each(|worker| worker.set_fault(WorkerFault::Break(3)));
         let client = Client::new();
-        let answer = stream(&client, site, "s").send().await?;
+        let answer = stream(&client, site, 0, "s").send().await?;
         let first = answer.headers()["response-seal"].clone();
         let broken: Vec<_> = runs(&site.models);
         site.models
@@ -386,7 +390,7 @@
             .iter()
             .for_each(|worker| worker.set_fault(WorkerFault::Stall(2)));
         let client = Client::new();
-        let answer = stream(&client, site, "s").send().await?;
+        let answer = stream(&client, site, 0, "s").send().await?;
         site.models
             .iter()
             .for_each(|worker| worker.set_fault(WorkerFault::None));
@@ -405,7 +409,7 @@
         site: &mut Site,
     ) -> Result<(), Error> {
         site.models[0].set_events(3, Duration::from_millis(1300));
-        let answer = stream(&Client::new(), site, "s").send().await?;
+        let answer = stream(&Client::new(), site, 0, "s").send().await?;
         assert_eq!(numbers(&answer.text().await?), [1, 2, 3]);
         assert_eq!(runs(&site.models).len(), 1);
         Ok(())
@@ -416,9 +420,9 @@
         let engine = &site.models[0];
         // Longer between its events than a silent engine is waited for.
         engine.set_events(3, Duration::from_millis(900));
-        let slow = stream(&client, site, "s-1").send().await?;
+        let slow = stream(&client, site, 0, "s-1").send().await?;
         engine.set_events(200, Duration::from_millis(20));
-        let lively = stream(&client, site, "s-2").send().await?;
+        let lively = stream(&client, site, 0, "s-2").send().await?;
         let idle = Worker::start("i-model-idle").await?;
         site.list(&idle, "models", "v1", "ready");
         assert_eq!(numbers(&slow.text().await?), [1, 2, 3]);
@@ -437,7 +441,7 @@
         site.models
             .iter()
             .for_each(|worker| worker.set_confidence(10));
-        let answer = stream(&Client::new(), site, "s").send().await?;
+        let answer = stream(&Client::new(), site, 0, "s").send().await?;
         assert_eq!(numbers(&answer.text().await?), [1, 2, 3, 4, 5]);
         let runs = runs(&site.models);
         let models: Vec<_> = runs.iter().map(|run| run.request.header("model")).collect();
@@ -450,7 +454,7 @@
         site.models
             .iter()
             .for_each(|worker| worker.set_events(100, Duration::from_millis(50)));
-        let mut answer = stream(&Client::new(), site, "s").send().await?;
+        let mut answer = stream(&Client::new(), site, 0, "s").send().await?;
         answer.chunk().await?;
         drop(answer);
         let cut = async || runs(&site.models)[0].cut;
@@ -629,7 +633,7 @@
         site.models
             .iter()
             .for_each(|worker| worker.set_events(20, Duration::from_millis(200)));
-        let answer = stream(&Client::new(), site, "s").send().await?;
+        let answer = stream(&Client::new(), site, 0, "s").send().await?;
         site.nodes[0].terminate()?;
         site.nodes[0].until_ready(false).await?;
         let body = answer.text().await?;
@@ -645,7 +649,7 @@
             .iter()
             .for_each(|worker| worker.set_events(28, Duration::from_millis(150)));
         let client = Client::new();
-        let answer = stream(&client, site, "s").send().await?;
+        let answer = stream(&client, site, 0, "s").send().await?;
         site.nodes[0].terminate()?;
         sleep(Duration::from_millis(1000)).await;
         let early = request(&Client::new(), site, 0, "/once/a").send().await?;
@@ -680,7 +684,7 @@
         while begun.elapsed().as_secs_f64() < seconds {
             session += 1;
             let name = format!("s-{session}");
-            let answers = (0..4).map(|_| stream(&client, site, &name).send());
+            let answers = (0..4).map(|_| stream(&client, site, 0, &name).send());
             let answers = futures::future::join_all(answers).await;
             for answer in answers {
                 answer?.bytes().await?;
@@ -694,13 +698,35 @@
         Ok(None)
     }
 
+    pub async fn sessions_from_before_a_roll_out_stay_on_their_version(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let client = Client::new();
+        let names: Vec<_> = (0..SESSIONS).map(|index| format!("s-{index}")).collect();
+        for name in &names {
+            stream(&client, site, 0, name).send().await?.bytes().await?;
+        }
+        site.list(&site.models[1], "models", "v2", "ready");
+        let order = json!({"service": "models", "to": "v2", "rolloutS": 30});
+        site.store.put("op", "rollout/models", Some(&order));
+        // New sessions are tried on the new version from a twentieth of the time on.
+        sleep(Duration::from_millis(2000)).await;
+        let before = site.models[1].runs().len();
+        for name in &names {
+            stream(&client, site, 1, name).send().await?.bytes().await?;
+        }
+        let moved = site.models[1].runs().len() - before;
+        assert_eq!(moved, 0, "of {SESSIONS} sessions");
+        Ok(())
+    }
+
     pub async fn a_bad_version_is_rolled_back(site: &mut Site) -> Result<(), Error> {
         let outcome = roll_out(site, 20.0, [WorkerFault::Fail(500); 2]).await?;
         assert_eq!(outcome.as_deref(), Some("rolled_back"));
         let before = site.models[1].runs().len() + site.models[2].runs().len();
         for session in 0..30 {
             let name = format!("t-{session}");
-            stream(&Client::new(), site, &name)
+            stream(&Client::new(), site, 0, &name)
                 .send()
                 .await?
                 .bytes()
@@ -780,7 +806,7 @@
         site.models
             .iter()
             .for_each(|worker| worker.set_events(100, Duration::from_millis(100)));
-        let _answer = stream(&Client::new(), site, "s").send().await?;
+        let _answer = stream(&Client::new(), site, 0, "s").send().await?;
         let begun = Instant::now();
         site.nodes[0].terminate()?;
         site.nodes[0].ended().await?;
