--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -534,13 +534,12 @@
         let mut bearings = Map::default();
         for (name, service) in &config.services {
             let rate = service.cold_rate * self.bounds.cold_factor + self.bounds.cold_extra;
+            let engine = service.engine.as_ref();
             let bearing = Bearing {
                 cold_rate: (service.cold_rate > 0.0).then_some(rate),
                 cold: service.cold,
-                memory: service
-                    .engine
-                    .as_ref()
-                    .map_or(0.0, |engine| engine.memory_tokens as f64),
+                memory: engine.map_or(0.0, |engine| engine.memory_tokens as f64),
+                event_tokens: engine.map_or(0.0, |engine| f64::from(engine.event_tokens)),
             };
             bearings.insert(name.clone(), bearing);
             self.budgets.entry(name.clone()).or_default().set(allowance);
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use route::ServerId;
-use route::pool::{self, Load, Outcome, Query, Refusal, Stage};
+use route::pool::{self, Load, Outcome, Query, Reading, Refusal, Stage};
 use route::server::Listing;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -56,7 +56,7 @@
     pub server: Box<Listing>,
     begun: Instant,
     outcome: Outcome,
-    unread: f64,
+    reading: Reading,
     load: Load,
     model: String,
     /// Whether its end says nothing of the version: the backend server was silent or away.
@@ -130,8 +130,14 @@
         match self.first_event {
             None => {
                 self.first_event = Some(Instant::now());
-                let tokens = std::mem::take(&mut self.unread);
-                self.app.state().pool.prompt_read(&self.server.id, tokens);
+                let reading = std::mem::take(&mut self.reading);
+                let millis = self.age().as_secs_f64() * 1e3;
+                let mut state = self.app.state();
+                state.pool.prompt_read(&self.server.id, reading.own);
+                state
+                    .pool
+                    .first_event(Instant::now(), &self.server, reading, millis);
+                drop(state);
                 self.time(Stage::First, self.age());
             }
             Some(first) if self.events == PACE_EVENTS => {
@@ -168,7 +174,7 @@
         self.app.metrics.sends.get_or_create(&label).inc();
         let mut state = self.app.state();
         let mut rng = SmallRng::from_os_rng();
-        state.pool.prompt_read(&self.server.id, self.unread);
+        state.pool.prompt_read(&self.server.id, self.reading.own);
         state.pool.end(
             Instant::now(),
             &self.server.id,
@@ -218,7 +224,7 @@
         draw: rand::rng().random(),
     };
     let server = state.pick(now, &query, job.name(), job.session.as_deref())?;
-    let unread = state.pool.begin(now, &server.id, &query);
+    let reading = state.pool.begin(now, &server.id, &query);
     let news = state.sent(now, &server, job.session.as_deref());
     let load = state
         .pool
@@ -231,7 +237,7 @@
         version = server.version.as_str(), zone = server.zone.as_str(),
         model = query.model.map_or("-", |(model, _)| model),
         load = load.unwrap_or_default().requests, list_age_ms = age.as_millis() as u64,
-        unread = unread as u64, sends = job.sends, left_ms = job.left().as_millis() as u64; "placed");
+        unread = (reading.own + reading.ahead) as u64, sends = job.sends, left_ms = job.left().as_millis() as u64; "placed");
     if let (true, Some(session)) = (news, &job.session) {
         app.tell_own(What::Stay((session.clone(), server.version.clone())));
     }
@@ -240,7 +246,7 @@
         server: Box::new(server),
         begun: now,
         outcome: Outcome::Unknown,
-        unread,
+        reading,
         load: pool::load_of(&query),
         model: job
             .model
--- a/crates/route/src/pool/bearing.rs
+++ b/crates/route/src/pool/bearing.rs
@@ -11,4 +11,6 @@
     pub cold: Duration,
     /// Tokens that an engine keeps in memory; 0 for a plain service.
     pub memory: f64,
+    /// Tokens in one event of a stream; 0 where nobody says.
+    pub event_tokens: f64,
 }
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -1,7 +1,8 @@
 //! All backend servers of a site.
 
 use super::{
-    Bearing, Load, Norms, Outcome, Query, Ratio, Refusal, Server, Settings, Stage, part_id, rank,
+    Bearing, Law, Load, Norms, Outcome, Query, Ratio, Refusal, Server, Settings, Stage, part_id,
+    rank,
 };
 use crate::server::Listing;
 use crate::{NodeName, ServerId, ServiceName, Zone};
@@ -10,6 +11,16 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+/// What an engine has to read before a first event, in tokens that a model of middle size would read
+/// in the time.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Reading {
+    /// Of the request's own prompt.
+    pub own: f64,
+    /// Of the prompts that came before.
+    pub ahead: f64,
+}
+
 /// A short name of a backend server, for what nodes tell each other often.
 pub type Tag = u32;
 
@@ -32,6 +43,8 @@
     others: Map<NodeName, Map<Tag, Load>>,
     zones_out: Set<Zone>,
     norms: Norms,
+    /// How long engines take, by service.
+    laws: Map<ServiceName, Law>,
     /// What the backend servers bear, by service.
     bearings: Map<ServiceName, Bearing>,
     /// Hashes of the nodes that share what cold backend servers bear, this one first.
@@ -157,6 +170,7 @@
         let sample = self.sample(query.service);
         let bearing = self.bearings.get(query.service);
         let bearing = bearing.copied().unwrap_or_default();
+        let law = self.law(query.service);
         // The best one, with its cost and whether it was drawn: those that were go first.
         let mut best: Option<(bool, f64, &Server)> = None;
         let mut refusal = Refusal::Absent;
@@ -171,7 +185,7 @@
             if passed_over || !self.has_room(now, server) {
                 continue;
             }
-            let cost = cost(&self.settings, now, server, query, &bearing, first);
+            let cost = cost(&self.settings, &law, now, server, query, &bearing, first);
             if best.is_none_or(|(other, least, _)| drawn && !other || cost < least) {
                 best = Some((drawn, cost, server));
             }
@@ -222,11 +236,16 @@
             && !query.tried.contains(&listing.id)
     }
 
-    /// Counts a request as sent; gives the tokens of its prompt that the engine has yet to read, as
-    /// many as a model of middle size would read in the time.
-    pub fn begin(&mut self, now: Instant, id: &str, query: &Query) -> f64 {
+    /// How long engines of a service take.
+    pub fn law(&self, service: &str) -> Law {
+        let known = self.laws.get(service).copied();
+        known.unwrap_or_else(|| Law::new(&self.settings))
+    }
+
+    /// Counts a request as sent; gives what the engine has to read before its first event.
+    pub fn begin(&mut self, now: Instant, id: &str, query: &Query) -> Reading {
         let Some(server) = self.servers.get_mut(id) else {
-            return 0.0;
+            return Reading::default();
         };
         server.breaker.begin(now);
         if now < server.cold_until {
@@ -234,10 +253,28 @@
         }
         server.open = server.open.plus(load_of(query));
         let pace = query.model.map_or(0.0, |(_, pace)| pace);
-        let missing = server.missing(now, query, &self.settings) * pace;
-        server.open.unread += missing;
+        let own = server.missing(now, query, &self.settings) * pace;
+        let ahead = server.load().unread;
+        server.open.unread += own;
         server.read(now, query, &self.settings);
-        missing
+        Reading { own, ahead }
+    }
+
+    /// Takes in how long a first event took. The times of a cold backend server say nothing.
+    pub fn first_event(&mut self, now: Instant, listing: &Listing, reading: Reading, millis: f64) {
+        let server = self.servers.get(&listing.id);
+        if server.is_none_or(|server| now < server.cold_until) {
+            return;
+        }
+        self.law_mut(&listing.service)
+            .reading
+            .add(reading.own + reading.ahead, millis);
+    }
+
+    fn law_mut(&mut self, service: &str) -> &mut Law {
+        let settings = &self.settings;
+        let law = self.laws.entry(service.to_owned());
+        law.or_insert_with(|| Law::new(settings))
     }
 
     /// Takes in that an engine has read the prompt: its first event is there.
@@ -282,18 +319,27 @@
         millis: f64,
         reference: bool,
     ) -> Option<Ratio> {
-        let server = self.servers.get_mut(&listing.id);
-        if server
-            .as_ref()
-            .is_some_and(|server| now < server.cold_until)
-        {
+        let server = self.servers.get(&listing.id);
+        if server.is_some_and(|server| now < server.cold_until) {
             return None;
         }
-        let weight = server.as_ref().map_or(0.0, |server| server.load().weight);
-        let alone = millis / self.settings.crowding(stage, weight);
+        let weight = server.map_or(0.0, |server| server.load().weight);
         let service = &listing.service;
+        let tokens = self
+            .bearings
+            .get(service)
+            .map_or(0.0, |bearing| bearing.event_tokens);
+        let crowding = match stage {
+            Stage::Pace => self.law(service).crowding(weight),
+            Stage::First | Stage::Whole => 1.0,
+        };
+        if stage == Stage::Pace && tokens > 0.0 && reference {
+            self.law_mut(service).step.add(weight, millis / tokens);
+        }
+        let alone = millis / crowding;
         let ratio = self.norms.ratio(service, model, stage, alone, reference)?;
         // The time to a first event says more of the prompt than of the engine.
+        let server = self.servers.get_mut(&listing.id);
         if let (Stage::Pace | Stage::Whole, Some(server)) = (stage, server) {
             server.timed(ratio.to_mean, &self.settings);
         }
@@ -329,7 +375,7 @@
             (count + 1.0, weight + server.load().weight)
         });
         let mean = if count > 0.0 { weight / count } else { 0.0 };
-        self.settings.crowding(Stage::Pace, mean)
+        self.law(service).crowding(mean)
     }
 
     /// Work of this node and of some others on backend servers, by tag.
@@ -367,6 +413,7 @@
 /// the requests beside it, and what it takes away from others.
 fn cost(
     settings: &Settings,
+    law: &Law,
     now: Instant,
     server: &Server,
     query: &Query,
@@ -388,8 +435,9 @@
         return cost + work * millis(settings.queue_cost);
     };
     let others = f64::from(load.requests);
-    let per_weight = millis(settings.step_per_weight);
-    let step = millis(settings.step) + per_weight * (load.weight + pace);
+    let per_weight = law.step.slope();
+    let step = law.step.at(load.weight + pace);
+    let read_rate = law.read_rate();
     cost += query.work.output * step * server.slowness;
     // Each of its steps takes longer for all others too.
     cost += query.work.output * per_weight * pace * server.slowness * others * settings.crowd;
@@ -399,9 +447,9 @@
         let own = query.work.parts.last().map_or(0.0, |(_, tokens)| *tokens);
         missing = missing.min(own);
     }
-    let reading = missing * pace * server.slowness / settings.read_rate;
+    let reading = missing * pace * server.slowness / read_rate;
     cost += reading * (settings.reading_weight + others * settings.reading_crowd);
-    cost += load.unread * settings.unread_weight * server.slowness / settings.read_rate;
+    cost += load.unread * settings.unread_weight * server.slowness / read_rate;
     if bearing.memory > 0.0 {
         let used = (load.tokens + load_of(query).tokens) / bearing.memory;
         cost += (used - settings.memory_part).max(0.0) * millis(settings.memory_cost);
--- a/crates/route/src/pool/settings.rs
+++ b/crates/route/src/pool/settings.rs
@@ -1,18 +1,23 @@
 //! Settings of placement.
 
-use super::Stage;
 use std::time::Duration;
 
 /// What is assumed of backend servers where nothing is known of them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// Time of one decoding step of an engine with a single request.
+    /// Time of one decoding step of an engine with a single request, before any answer.
     pub step: Duration,
-    /// What a request to a model of middle size adds to a step; others add in proportion to their
-    /// pace.
+    /// What a request to a model of middle size adds to a step, before any answer; others add in
+    /// proportion to their pace.
     pub step_per_weight: Duration,
-    /// Prompt tokens that an engine reads in a millisecond.
+    /// Weight of the requests on an engine for which these two are meant.
+    pub usual_weight: f64,
+    /// Prompt tokens that an engine reads in a millisecond, before any answer.
     pub read_rate: f64,
+    /// Time to a first event without a prompt, before any answer.
+    pub first_event: Duration,
+    /// Prompt tokens read before a first event for which these two are meant.
+    pub usual_unread: f64,
     /// Time for which a part of a prompt is taken to stay in an engine's memory after its last use.
     pub part_age: Duration,
     /// Parts remembered for one engine; the oldest go first.
@@ -70,7 +75,10 @@
         Self {
             step: Duration::from_micros(2900),
             step_per_weight: Duration::from_micros(220),
+            usual_weight: 12.0,
             read_rate: 55.0,
+            first_event: Duration::from_millis(20),
+            usual_unread: 3000.0,
             part_age: Duration::from_secs(30),
             max_parts: 256,
             failure_weight: 0.2,
@@ -95,22 +103,3 @@
         }
     }
 }
-
-impl Settings {
-    /// How many times as long a stage takes beside other requests of this weight as alone.
-    ///
-    /// ```
-    /// use route::pool::{Settings, Stage};
-    /// let settings = Settings::default();
-    /// assert_eq!(settings.crowding(Stage::Whole, 29.0), 1.0);
-    /// assert!(settings.crowding(Stage::Pace, 29.0) > 2.0);
-    /// ```
-    pub fn crowding(&self, stage: Stage, weight: f64) -> f64 {
-        match stage {
-            Stage::Pace => {
-                1.0 + self.step_per_weight.as_secs_f64() * weight / self.step.as_secs_f64()
-            }
-            Stage::First | Stage::Whole => 1.0,
-        }
-    }
-}
--- /dev/null
+++ b/crates/route/tests/law.rs
@@ -0,0 +1,193 @@
+//! Engines whose law no setting knows: placement by what answers tell against placement by the law
+//! itself.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use route::pool::{Bearing, Load, Pool, Query, Reading, Settings, Stage, Work, part_id, tag};
+use route::server::{Listing, State};
+use std::time::{Duration, Instant};
+
+/// How engines take time.
+#[derive(Clone, Copy)]
+struct Engines {
+    /// Milliseconds of a step with no request.
+    step: f64,
+    /// Milliseconds that a request of weight one adds.
+    per_weight: f64,
+    /// Prompt tokens read in a millisecond.
+    read_rate: f64,
+    /// Tokens of one event.
+    event: f64,
+}
+
+/// Backend servers of the pool.
+const ENGINES: usize = 12;
+/// Answers that were seen.
+const SEEN: usize = 150;
+/// Requests that are placed.
+const PLACED: usize = 1500;
+/// By how much choices by what was learned may take longer than by the law itself.
+const MOST: f64 = 1.05;
+
+impl Engines {
+    fn settings(self) -> Settings {
+        Settings {
+            step: Duration::from_secs_f64(self.step / 1e3),
+            step_per_weight: Duration::from_secs_f64(self.per_weight / 1e3),
+            read_rate: self.read_rate,
+            // All are looked at: the choice is compared, not the draw.
+            least_sample: ENGINES as f64,
+            ..Settings::default()
+        }
+    }
+
+    fn pool(self, settings: Settings, now: Instant) -> Pool {
+        let mut pool = Pool::new(settings);
+        let bearing = Bearing {
+            event_tokens: self.event,
+            ..Bearing::default()
+        };
+        let bearings = contract::Map::from_iter([("models".to_owned(), bearing)]);
+        pool.share(bearings, &["n".to_owned()]);
+        (0..ENGINES).for_each(|index| pool.list(now, listing(index)));
+        pool
+    }
+
+    /// What a node sees of answers: first events and paces, a fifth of it noise.
+    fn teach(self, pool: &mut Pool, now: Instant, rng: &mut SmallRng) {
+        for index in 0..SEEN {
+            let listing = listing(index % ENGINES);
+            let weight: f64 = rng.random_range(0.0..25.0);
+            let loads = [(tag(&listing.id), load(weight, 0.0))];
+            pool.set_others(&"m".to_owned(), loads.into_iter().collect());
+            let noise = |rng: &mut SmallRng| rng.random_range(0.8..1.2);
+            let step = (self.step + self.per_weight * weight) * noise(rng);
+            pool.timed(now, &listing, "m", Stage::Pace, step * self.event, true);
+            let reading = Reading {
+                own: rng.random_range(0.0..6000.0),
+                ahead: rng.random_range(0.0..6000.0),
+            };
+            let millis = (15.0 + (reading.own + reading.ahead) / self.read_rate) * noise(rng);
+            pool.first_event(now, &listing, reading, millis);
+        }
+    }
+
+    /// Milliseconds that a request takes on a backend server.
+    fn time(self, pool: &Pool, id: &str, work: &Work) -> f64 {
+        let load = pool.servers()[id].load();
+        let reading = (work.prompt + load.unread) / self.read_rate;
+        reading + work.output * (self.step + self.per_weight * (load.weight + 1.0))
+    }
+}
+
+fn load(weight: f64, unread: f64) -> Load {
+    Load {
+        requests: weight as u32,
+        weight,
+        unread,
+        ..Load::default()
+    }
+}
+
+fn listing(index: usize) -> Listing {
+    Listing {
+        id: format!("i-{index}"),
+        service: "models".to_owned(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        zone: "a".to_owned(),
+        version: "v1".to_owned(),
+        slots: 64,
+        state: State::Ready,
+        cold: Duration::ZERO,
+        born: 1,
+    }
+}
+
+/// Mean time of requests that are placed on engines with changing work.
+fn mean_time(engines: Engines, pool: &mut Pool, now: Instant) -> f64 {
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut sum = 0.0;
+    for index in 0..PLACED {
+        let loads = (0..ENGINES).map(|engine| {
+            let weight: f64 = rng.random_range(0.0..25.0);
+            let unread = match rng.random_bool(0.4) {
+                true => rng.random_range(0.0..30_000.0),
+                false => 0.0,
+            };
+            (tag(&format!("i-{engine}")), load(weight, unread))
+        });
+        let loads = loads.collect();
+        pool.set_others(&"m".to_owned(), loads);
+        let work = Work {
+            parts: vec![(part_id(&format!("own-{index}")), 3000.0)],
+            prompt: 3000.0,
+            output: rng.random_range(20.0..600.0),
+            kilobytes: 1.0,
+        };
+        let query = Query {
+            service: "models",
+            model: Some(("m", 1.0)),
+            model_id: part_id("m"),
+            work: &work,
+            zone: "a",
+            tried: &[],
+            draw: 0,
+        };
+        let id = pool.pick(now, &query, |_| true).unwrap().id;
+        sum += engines.time(pool, &id, &work);
+    }
+    sum / PLACED as f64
+}
+
+fn ratio_to_told(engines: Engines, learns: bool) -> f64 {
+    let listed = Instant::now();
+    let now = listed + Duration::from_secs(1);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let assumed = Settings {
+        least_sample: ENGINES as f64,
+        ..Settings::default()
+    };
+    let mut pool = engines.pool(assumed, listed);
+    if learns {
+        engines.teach(&mut pool, now, &mut rng);
+    }
+    let mut told = engines.pool(engines.settings(), listed);
+    mean_time(engines, &mut pool, now) / mean_time(engines, &mut told, now)
+}
+
+/// Each case: milliseconds of a step and of each weight, tokens read in a millisecond, tokens of an
+/// event.
+macro_rules! laws {
+    ($($case:ident: $step:literal, $per_weight:literal, $read_rate:literal, $event:literal;)*) => {
+        $(#[test]
+        fn $case() {
+            let engines = Engines {
+                step: $step,
+                per_weight: $per_weight,
+                read_rate: $read_rate,
+                event: $event,
+            };
+            let ratio = ratio_to_told(engines, true);
+            assert!(ratio < MOST, "{ratio}");
+        })*
+    };
+}
+
+laws! {
+    engines_as_assumed_are_learned: 2.9, 0.22, 55.0, 7.0;
+    engines_that_read_fast_are_learned: 2.2, 0.2, 140.0, 13.0;
+    engines_that_read_slowly_are_learned: 8.0, 0.1, 6.0, 1.0;
+    engines_that_decode_slowly_are_learned: 2.0, 4.0, 400.0, 5.0;
+}
+
+#[test]
+fn what_is_assumed_would_not_do_for_engines_that_decode_slowly() {
+    let engines = Engines {
+        step: 2.0,
+        per_weight: 4.0,
+        read_rate: 400.0,
+        event: 5.0,
+    };
+    let ratio = ratio_to_told(engines, false);
+    assert!(ratio > MOST, "{ratio}");
+}
--- a/crates/route/tests/overload.rs
+++ b/crates/route/tests/overload.rs
@@ -107,7 +107,7 @@
         let Ok(listing) = self.pool.pick(now, &query, |_| true) else {
             return;
         };
-        let unread = self.pool.begin(now, &listing.id, &query);
+        let unread = self.pool.begin(now, &listing.id, &query).own;
         let load = load_of(&query);
         self.runs.push(Run {
             engine: listing.id["i-".len()..].parse().unwrap(),
