--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -201,7 +201,17 @@
 
     /// Whether the node can serve requests.
     pub fn ready(&self) -> bool {
-        self.configured() && self.listed && !self.stopping
+        self.informed() && !self.stopping
+    }
+
+    /// Whether the node knows a configuration and the backend servers.
+    fn informed(&self) -> bool {
+        self.configured() && self.listed
+    }
+
+    /// Whether the node has yet to learn what it needs to serve requests.
+    pub fn awaits_tables(&self) -> bool {
+        !self.informed() && !self.finishing
     }
 
     /// Whether the node knows a configuration.
--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -27,6 +27,14 @@
 /// Longest time between two looks for a backend server: quarantines end unannounced.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Part of a caller's time for which a node that has just started holds a request: most likely it reads
+/// its tables meanwhile, and a caller that is refused may not come back.
+const HOLD_PART: f64 = 1.0 / 6.0;
+/// Longest time for which it does.
+const LONGEST_HOLD: Duration = Duration::from_secs(2);
+/// Requests inside beyond which none is held.
+const MAX_HELD: usize = 256;
+
 /// Answers a request.
 pub async fn forward(app: Arc<App>, request: Request<Incoming>) -> Response<Body> {
     let received = Instant::now();
@@ -85,6 +93,8 @@
     entered: crate::stop::Entered,
     kind: &mut &'static str,
 ) -> Result<Response<Body>, Refusal> {
+    let (parts, body) = request.into_parts();
+    hold(app, received, &parts.headers).await;
     let routes = {
         let state = app.state();
         if state.finishing || !state.configured() {
@@ -92,7 +102,6 @@
         }
         Arc::clone(&state.routes)
     };
-    let (parts, body) = request.into_parts();
     let host = text(&parts.headers, HOST.as_str());
     let host = host.or(parts.uri.host()).unwrap_or_default();
     let route = routes.route(host, parts.uri.path()).map_err(refuse)?;
@@ -131,6 +140,18 @@
     }
 }
 
+/// Holds a request for a while where the node has yet to read its tables.
+async fn hold(app: &App, received: Instant, headers: &hyper::HeaderMap) {
+    let left = time_left(headers).unwrap_or_default();
+    let until = received + left.mul_f64(HOLD_PART).min(LONGEST_HOLD);
+    while Instant::now() < until {
+        if !app.state().awaits_tables() || app.inside.count() > MAX_HELD {
+            return;
+        }
+        let _ = timeout(LOOK, app.room.notified()).await;
+    }
+}
+
 /// The model that answers, with how many times the smallest one's time it takes.
 fn choose_model(route: &Route) -> Option<(String, f64)> {
     let model = size::first(&route.sizes)?;
@@ -145,11 +166,16 @@
 }
 
 fn time_for_body(headers: &hyper::HeaderMap, route: &Route) -> Duration {
-    let left = number(headers, header::TIME_LEFT_MS);
-    let left = left.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok());
+    let left = time_left(headers);
     left.map_or(route.timeout, |left| left.min(route.timeout))
 }
 
+/// How long a caller waits for the answer, if it tells.
+pub fn time_left(headers: &hyper::HeaderMap) -> Option<Duration> {
+    let left = number(headers, header::TIME_LEFT_MS);
+    left.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok())
+}
+
 async fn read(body: Incoming, most: usize, time: Duration) -> Result<Bytes, Refusal> {
     match timeout(time, Limited::new(body, most).collect()).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
--- a/crates/edge/src/forward/job.rs
+++ b/crates/edge/src/forward/job.rs
@@ -1,5 +1,6 @@
 //! A request on its way.
 
+use super::forward::time_left;
 use super::head::{number, strip, text};
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
@@ -75,9 +76,7 @@
         customer: Option<&Customer>,
     ) -> Self {
         let mut headers = parts.headers;
-        let left = number(&headers, header::TIME_LEFT_MS)
-            .and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok());
-        let time = left.map_or(route.timeout, |left| left.min(route.timeout));
+        let time = time_left(&headers).map_or(route.timeout, |left| left.min(route.timeout));
         let work = work(&headers, body.len());
         let session = text(&headers, header::SESSION).map(str::to_owned);
         let id = headers.get(header::ATTEMPT).cloned();
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -48,6 +48,7 @@
     a_change_is_in_force_in_time(plain())
     a_change_reaches_a_node_that_the_store_refuses(three_nodes())
     a_node_that_starts_without_the_store_asks_the_others(three_nodes())
+    a_node_that_starts_holds_requests_until_the_store_answers(plain())
     a_forgotten_history_is_read_anew(plain())
     a_leaving_backend_server_gets_nothing(plain())
     a_zone_that_is_out_gets_nothing(plain())
@@ -526,6 +527,25 @@
         Ok(())
     }
 
+    pub async fn a_node_that_starts_holds_requests_until_the_store_answers(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let door = site.store.open().await?;
+        site.store.set_fault(StoreFault::Refuse(503), &[]);
+        site.restart_node(0, door).await?;
+        let client = Client::new();
+        let listens = async || site.nodes[0].metrics().await.is_ok();
+        assert!(within(Duration::from_secs(5), listens).await);
+        let asked = request(&client, site, 0, "/once/a").send();
+        let back = async {
+            sleep(Duration::from_millis(200)).await;
+            site.store.set_fault(StoreFault::None, &[]);
+        };
+        let (answer, ()) = futures::join!(asked, back);
+        assert_eq!(answer?.status(), 200);
+        Ok(())
+    }
+
     pub async fn a_forgotten_history_is_read_anew(site: &mut Site) -> Result<(), Error> {
         site.store.set_fault(StoreFault::Refuse(503), &[]);
         sleep(Duration::from_millis(200)).await;
