--- a/crates/edge/src/link/mod.rs
+++ b/crates/edge/src/link/mod.rs
@@ -10,7 +10,8 @@
 mod tick;
 
 pub use dial::dial;
-pub use frame::{Change, Frame};
+pub use frame::{Change, Frame, News};
 pub use listen::listen;
 pub use round::Round;
+pub use serve::serve;
 pub use tick::{tick, tick_words};
--- a/crates/edge/src/link/news.rs
+++ b/crates/edge/src/link/news.rs
@@ -24,7 +24,8 @@
 pub struct Outbox {
     peer: NodeName,
     told: Receiver<Told>,
-    way: Option<Way>,
+    /// Whether the node has been told what is known.
+    begun: bool,
 }
 
 impl Outbox {
@@ -33,37 +34,34 @@
         Self {
             peer,
             told: app.told.subscribe(),
-            way: None,
+            begun: false,
         }
     }
 
     /// What came since the last time, or all that is known when the node begins to hear from here.
+    /// While nothing is to go over the link, words wait.
     pub fn take(&mut self, app: &App, now: Instant, sign: Sign) -> Option<Frame> {
-        let way = way(app, now, &self.peer, sign);
-        let before = std::mem::replace(&mut self.way, way);
-        let news = match way {
-            Some(way) if before != Some(way) => {
+        let way = way(app, now, &self.peer, sign)?;
+        let news = match std::mem::replace(&mut self.begun, true) {
+            false => {
                 self.told = self.told.resubscribe();
                 whole(app, now, way)
             }
-            way => self.drain(app, now, way),
+            true => self.drain(app, now, way),
         };
         let any = !news.stays.is_empty() || !news.crashes.is_empty();
         any.then_some(Frame::News(news))
     }
 
-    fn drain(&mut self, app: &App, now: Instant, way: Option<Way>) -> News {
+    fn drain(&mut self, app: &App, now: Instant, way: Way) -> News {
         let mut news = News::default();
         loop {
             let told = match self.told.try_recv() {
                 Ok(told) => told,
-                Err(TryRecvError::Lagged(_)) => match way {
-                    Some(way) => return whole(app, now, way),
-                    None => continue,
-                },
+                Err(TryRecvError::Lagged(_)) => return whole(app, now, way),
                 Err(TryRecvError::Empty | TryRecvError::Closed) => return news,
             };
-            if !way.is_some_and(|way| self.passes(app, now, way, told.from.as_ref())) {
+            if !self.passes(app, now, way, told.from.as_ref()) {
                 continue;
             }
             match told.what {
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -209,22 +209,27 @@
     app.news.notify_one();
 }
 
-/// Takes in what each node is to hear once, and passes it on.
+/// Takes in what each node is to hear once, and passes on what is news: words that come twice would
+/// otherwise multiply.
 fn hear_news(app: &App, peer: &NodeName, news: News) {
     let now = Instant::now();
     let mut state = app.state();
-    for (session, version) in &news.stays {
-        state.sessions.learn(now, session, version);
+    let mut words = Vec::new();
+    for stay in news.stays {
+        if state.sessions.learn(now, &stay.0, &stay.1) {
+            words.push(What::Stay(stay));
+        }
     }
-    for (fingerprint, server) in &news.crashes {
-        state
+    for crash in news.crashes {
+        if state
             .suspects
-            .crash(now, fingerprint, server, Duration::ZERO);
+            .crash(now, &crash.0, &crash.1, Duration::ZERO)
+        {
+            words.push(What::Crash(crash));
+        }
     }
     drop(state);
-    let stays = news.stays.into_iter().map(What::Stay);
-    let crashes = news.crashes.into_iter().map(What::Crash);
-    for what in stays.chain(crashes) {
+    for what in words {
         app.tell(Told {
             from: Some(peer.clone()),
             what,
--- a/crates/edge/src/link/tick.rs
+++ b/crates/edge/src/link/tick.rs
@@ -18,7 +18,7 @@
 
 /// Time in which words for all nodes gather. A session's next request may come to a node that has yet
 /// to hear of it, three links away.
-const GATHER: Duration = Duration::from_millis(10);
+const GATHER: Duration = Duration::from_millis(25);
 
 /// The last list of nodes of each scope.
 type Lists = Map<Scope, (ListId, Vec<Head>, Message)>;
--- /dev/null
+++ b/crates/edge/tests/news.rs
@@ -0,0 +1,35 @@
+//! Words that each node is to hear once, as a node passes them on.
+
+mod fixture;
+
+use edge::app::App;
+use edge::link::{Frame, News, serve};
+use fixture::site;
+use settings::log::Counts;
+
+fn app() -> App {
+    App::new(site(), Counts::default()).unwrap()
+}
+
+fn news(version: &str) -> Frame {
+    Frame::News(News {
+        stays: vec![("s-1".to_owned(), version.to_owned())],
+        crashes: vec![("f-1".to_owned(), "i-1".to_owned())],
+    })
+}
+
+#[test]
+fn a_word_that_is_known_is_not_passed_on_again() {
+    let app = app();
+    let mut passed = app.told.subscribe();
+    let peers = ["m-1".to_owned(), "m-2".to_owned()];
+    serve(&app, &peers[0], news("v1"));
+    serve(&app, &peers[1], news("v1"));
+    serve(&app, &peers[0], news("v1"));
+    let first = passed.try_recv().unwrap();
+    assert_eq!(first.from.as_ref(), Some(&peers[0]));
+    assert!(passed.try_recv().is_ok(), "the crash");
+    assert!(passed.try_recv().is_err(), "both came before");
+    serve(&app, &peers[1], news("v2"));
+    assert!(passed.try_recv().is_ok(), "another version is news");
+}
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -1,34 +1,16 @@
 //! What a node believes: roll-outs that follow each other.
 
+mod fixture;
+
 use edge::app::{State, Table};
 use edge::follow::Part;
+use fixture::site;
 use platform::store::{Page, Row};
 use route::member::Member;
 use route::pool::{Query, Stage, Work};
 use route::rollout::Outcome;
-use route::site::{Bounds, Site};
 use std::time::{Duration, Instant};
 
-fn site() -> Site {
-    let address = "127.0.0.1:1".parse().unwrap();
-    Site {
-        node: "n".to_owned(),
-        ip: "127.0.0.1".parse().unwrap(),
-        zone: "a".to_owned(),
-        requests: address,
-        ready: address,
-        directory: address,
-        link: address,
-        seeds: Vec::new(),
-        first_start: false,
-        cpu_share: 1.0,
-        memory: 1 << 27,
-        store: address,
-        heartbeat: Duration::from_secs(1),
-        bounds: Bounds::default(),
-    }
-}
-
 fn put(state: &mut State, table: Table, key: &str, position: u64, value: &str) {
     state.update(Instant::now(), table, change(key, position, Some(value)));
 }
--- a/crates/route/src/session/sessions.rs
+++ b/crates/route/src/session/sessions.rs
@@ -54,9 +54,9 @@
         self.put(now, session, version, true)
     }
 
-    /// Takes in what another node tells of a session.
-    pub fn learn(&mut self, now: Instant, session: &str, version: &str) {
-        self.put(now, session, version, false);
+    /// Takes in what another node tells of a session; true when that is news.
+    pub fn learn(&mut self, now: Instant, session: &str, version: &str) -> bool {
+        self.put(now, session, version, false)
     }
 
     fn put(&mut self, now: Instant, session: &str, version: &str, own: bool) -> bool {
