--- a/crates/standin/src/site/fault.rs
+++ b/crates/standin/src/site/fault.rs
@@ -36,6 +36,9 @@
     Stall(u64),
     /// It answers with the id of another request.
     Crossed,
+    /// It sends this many events of a stream, and then a byte now and then; a whole answer comes so from
+    /// its beginning.
+    Drip(u64),
     /// The head of its answer has no end.
     EndlessHead,
     /// The body of its answer has no end; that of a stream holds no event.
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -4,7 +4,7 @@
 use super::wire::{Request, answer, head, reset};
 use super::worker::{Run, Shared};
 use std::io;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -70,6 +70,12 @@
         WorkerFault::Reset => reset(stream)?,
         WorkerFault::Mute => silent(stream).await?,
         WorkerFault::EndlessHead => endless_head(stream).await?,
+        WorkerFault::Drip(_) => {
+            let mut bytes = head(200, &headers);
+            bytes.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
+            stream.write_all(&bytes).await?;
+            drip(stream).await?;
+        }
         WorkerFault::EndlessBody => {
             let mut bytes = head(200, &headers);
             bytes.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
@@ -148,6 +154,7 @@
                 return Ok(false);
             }
             WorkerFault::Stall(last) if number > last => silent(stream).await?,
+            WorkerFault::Drip(last) if number > last => drip(stream).await?,
             WorkerFault::Slow(time) => sleep(time).await,
             _ => sleep(pause).await,
         }
@@ -165,6 +172,17 @@
 /// Bytes of one line of an endless head, and of one chunk of an endless body.
 const ENDLESS_BYTES: usize = 1 << 10;
 
+/// Time between two bytes of an answer that drips: no silence is long enough to be one.
+const DRIP_PAUSE: Duration = Duration::from_millis(30);
+
+/// Sends a byte now and then until the other side closes.
+async fn drip(stream: &mut TcpStream) -> io::Result<()> {
+    loop {
+        sleep(DRIP_PAUSE).await;
+        chunk(stream, "a").await?;
+    }
+}
+
 /// Sends headers until the other side closes.
 async fn endless_head(stream: &mut TcpStream) -> io::Result<()> {
     stream.write_all(b"HTTP/1.1 200 OK\r\n").await?;
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -1,7 +1,7 @@
 //! An entry node on the operators' platform, as a process before stand-ins of store and backend
 //! servers.
 
-use reqwest::header::HeaderValue;
+use reqwest::header::{HeaderMap, HeaderValue};
 use reqwest::{Client, Response};
 use serde_json::json;
 use standin::Error;
@@ -41,6 +41,9 @@
     a_stream_without_events_is_left(models())
     a_broken_stream_goes_on_elsewhere(models())
     a_silent_stream_goes_on_elsewhere(models())
+    a_stream_that_drips_goes_on_elsewhere(models())
+    an_answer_that_drips_is_asked_elsewhere(plain())
+    a_body_that_drips_is_refused_in_time(plain())
     a_silent_stream_is_kept_where_there_is_no_other(one_model())
     a_slow_stream_of_a_busy_engine_stays(one_model())
     a_doubted_answer_is_asked_of_the_larger_model(models())
@@ -121,6 +124,9 @@
         .header("session", session)
 }
 
+/// Time within which an answer that comes a byte now and then is left, and a caller's body refused: well
+/// within the time of a caller.
+const DRIP_TIME: Duration = Duration::from_secs(3);
 /// Time within which an answer without an end is left for another backend server.
 const ENDLESS_TIME: Duration = Duration::from_secs(3);
 /// Bytes by which a node may grow while it reads answers without an end: a quarter of the smallest VM.
@@ -406,6 +412,51 @@
         Ok(())
     }
 
+    pub async fn a_stream_that_drips_goes_on_elsewhere(site: &mut Site) -> Result<(), Error> {
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_fault(WorkerFault::Drip(2)));
+        let client = Client::new();
+        let answer = stream(&client, site, 0, "s").send().await?;
+        site.models
+            .iter()
+            .for_each(|worker| worker.set_fault(WorkerFault::None));
+        let begun = Instant::now();
+        assert_eq!(numbers(&answer.text().await?), [1, 2, 3, 4, 5]);
+        assert!(begun.elapsed() < DRIP_TIME, "{:?}", begun.elapsed());
+        Ok(())
+    }
+
+    pub async fn an_answer_that_drips_is_asked_elsewhere(site: &mut Site) -> Result<(), Error> {
+        site.desks[0].set_fault(WorkerFault::Drip(0));
+        for _ in 0..3 {
+            let begun = Instant::now();
+            let answer = send(site, "/again/a").await?;
+            assert_eq!(answer.headers()["response-seal"], "seal.i-desk-1");
+            assert!(begun.elapsed() < DRIP_TIME, "{:?}", begun.elapsed());
+        }
+        Ok(())
+    }
+
+    pub async fn a_body_that_drips_is_refused_in_time(site: &mut Site) -> Result<(), Error> {
+        let drips = futures::stream::unfold((), async |()| {
+            sleep(Duration::from_millis(30)).await;
+            Some((Ok::<_, std::io::Error>("a"), ()))
+        });
+        let mut time_left = HeaderMap::new();
+        time_left.insert("deadline-ms", HeaderValue::from_static("1000"));
+        let begun = Instant::now();
+        let answer = request(&Client::new(), site, 0, "/once/a")
+            .headers(time_left)
+            .body(reqwest::Body::wrap_stream(drips))
+            .send()
+            .await?;
+        assert_eq!(answer.status(), 408);
+        assert!(begun.elapsed() < DRIP_TIME, "{:?}", begun.elapsed());
+        assert!(runs(&site.desks).is_empty(), "it hasn't run");
+        Ok(())
+    }
+
     pub async fn a_silent_stream_is_kept_where_there_is_no_other(
         site: &mut Site,
     ) -> Result<(), Error> {
