--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -366,7 +366,8 @@
     }
 
     /// How many times as long a step of a service's engines takes as alone, on average over those
-    /// that take new work.
+    /// that take new work, by what is assumed of engines. Learned steps hold prompts that are read
+    /// between them as well, which pass sooner than the answers beside them.
     pub fn crowding(&self, service: &str) -> f64 {
         let servers = self.servers.values();
         let open =
@@ -375,7 +376,7 @@
             (count + 1.0, weight + server.load().weight)
         });
         let mean = if count > 0.0 { weight / count } else { 0.0 };
-        self.law(service).crowding(mean)
+        Law::new(&self.settings).crowding(mean)
     }
 
     /// Work of this node and of some others on backend servers, by tag.
--- a/crates/route/tests/law.rs
+++ b/crates/route/tests/law.rs
@@ -191,3 +191,28 @@
     let ratio = ratio_to_told(engines, false);
     assert!(ratio > MOST, "{ratio}");
 }
+
+#[test]
+fn what_prompts_add_to_steps_is_no_crowd() {
+    let listed = Instant::now();
+    let now = listed + Duration::from_secs(1);
+    let mut rng = SmallRng::seed_from_u64(3);
+    // Prompts are read between the steps, the more of them the more requests there are.
+    let engines = Engines {
+        step: 2.9,
+        per_weight: 1.0,
+        read_rate: 55.0,
+        event: 7.0,
+    };
+    let mut pool = engines.pool(Settings::default(), listed);
+    let crowding = |pool: &mut Pool| {
+        let loads = (0..ENGINES).map(|index| (tag(&format!("i-{index}")), load(12.0, 0.0)));
+        let loads = loads.collect();
+        pool.set_others(&"m".to_owned(), loads);
+        pool.crowding("models")
+    };
+    let before = crowding(&mut pool);
+    engines.teach(&mut pool, now, &mut rng);
+    assert!(pool.law("models").crowding(12.0) > 2.0 * before);
+    assert_eq!(crowding(&mut pool), before);
+}
