--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -16,26 +16,26 @@
 
 /// Rounds of beats that wait for a link; one that is further behind goes on with the newest.
 const MAX_ROUNDS: usize = 16;
-/// Words that wait for a link; one that is further behind is told all that is known.
-const MAX_TOLD: usize = 4096;
+/// Announcements that wait for a link; one that is further behind is told all that is known.
+const MAX_ANNOUNCEMENTS: usize = 4096;
 
 /// A session and the version that it is on.
 pub type Stay = (String, Version);
 /// A request, by its fingerprint, and a backend server that ended under it.
 pub type Crash = (Fingerprint, ServerId);
 
-/// What each node is to hear once.
+/// A notice that all nodes are to get once, on its way.
 #[derive(Clone, Debug)]
-pub struct Told {
-    /// The node that it came from over a link; none when this one tells it.
+pub struct Announcement {
+    /// The node that it came from over a link; none when it is this one's.
     pub from: Option<NodeName>,
-    /// The word.
-    pub what: What,
+    /// The notice.
+    pub notice: Notice,
 }
 
-/// A word for all nodes.
+/// A notice for all nodes.
 #[derive(Clone, Debug)]
-pub enum What {
+pub enum Notice {
     /// A session is on a version.
     Stay(Stay),
     /// A backend server ended under a request.
@@ -57,12 +57,12 @@
     pub store_back: Notify,
     /// Wakes the links: something has to be told at once.
     pub news: Notify,
-    /// Wakes the links for the words that each node is to hear once.
-    pub words: Notify,
+    /// Wakes the links: there are announcements.
+    pub announced: Notify,
     /// Beats for the links.
     pub rounds: broadcast::Sender<Arc<Round>>,
     /// What the links are to tell.
-    pub told: broadcast::Sender<Told>,
+    pub announcements: broadcast::Sender<Announcement>,
     /// Requests that the node is working on.
     pub inside: Arc<Inside>,
     /// Counters and latencies.
@@ -80,9 +80,9 @@
             room: Notify::new(),
             store_back: Notify::new(),
             news: Notify::new(),
-            words: Notify::new(),
+            announced: Notify::new(),
             rounds: broadcast::Sender::new(MAX_ROUNDS),
-            told: broadcast::Sender::new(MAX_TOLD),
+            announcements: broadcast::Sender::new(MAX_ANNOUNCEMENTS),
             inside: Arc::default(),
             metrics: Metrics::default(),
             lines,
@@ -97,16 +97,16 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Tells the other nodes a word of this one.
-    pub fn tell_own(&self, what: What) {
-        self.tell(Told { from: None, what });
+    /// Announces a notice of this node to the others.
+    pub fn announce(&self, notice: Notice) {
+        self.pass_on(Announcement { from: None, notice });
     }
 
-    /// Tells the other nodes.
-    pub fn tell(&self, told: Told) {
+    /// Passes an announcement on over the links.
+    pub fn pass_on(&self, announcement: Announcement) {
         // An error says that there are no links: then there is nobody to tell.
-        let _ = self.told.send(told);
-        self.words.notify_one();
+        let _ = self.announcements.send(announcement);
+        self.announced.notify_one();
     }
 
     /// This node, as other nodes know it.
--- a/crates/edge/src/app/mod.rs
+++ b/crates/edge/src/app/mod.rs
@@ -6,7 +6,7 @@
 mod state;
 mod table;
 
-pub use app::{App, Crash, Stay, Told, What};
+pub use app::{Announcement, App, Crash, Notice, Stay};
 pub use mirror::{Copy, Mirror};
 pub use outage::Outage;
 pub use state::{State, unreadable};
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -83,9 +83,9 @@
     /// Nodes to which links are to stay.
     pub kept_links: Set<NodeName>,
     /// Work on backend servers that the relay of this node was last told of.
-    pub told_loads: BTreeMap<Tag, Load>,
+    pub reported_loads: BTreeMap<Tag, Load>,
     /// Evidence of roll-outs that it was last told of, by service.
-    pub told_tallies: Map<ServiceName, Tally>,
+    pub reported_tallies: Map<ServiceName, Tally>,
     /// Whether the node is to stop.
     pub stopping: bool,
     /// Whether the node takes no request any more.
@@ -146,8 +146,8 @@
             members: Members::default(),
             relays: Relays::new(relay::Settings::default()),
             kept_links: Set::default(),
-            told_loads: BTreeMap::new(),
-            told_tallies: Map::default(),
+            reported_loads: BTreeMap::new(),
+            reported_tallies: Map::default(),
             stopping: false,
             finishing: false,
             trials: Map::default(),
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -1,7 +1,7 @@
 //! One loop a table: the whole table once, then its changes.
 
 use super::Part;
-use crate::app::{App, Table, What};
+use crate::app::{App, Notice, Table};
 use crate::backoff::Backoff;
 use crate::metrics::Call;
 use platform::Error;
@@ -206,7 +206,7 @@
             state.take_crashes()
         };
         for crash in crashes {
-            app.tell_own(What::Crash(crash));
+            app.announce(Notice::Crash(crash));
         }
     }
 }
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -8,7 +8,7 @@
 use platform::store::Row;
 use route::member::Member;
 use route::pool::{self, Tag};
-use route::relay::{self, Head, Scope};
+use route::relay::{self, Presence, Scope};
 use route::{NodeName, Position, ServiceName, Version, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -24,7 +24,7 @@
     /// The sender lives.
     Beat(Beat),
     /// Whom the sender has heard of: short names and flags.
-    Heads(Vec<(u32, u8)>),
+    Presences(Vec<(u32, u8)>),
     /// What other nodes are to know, each word once.
     News(News),
     /// Asks for the changes of a table after a position.
@@ -78,7 +78,7 @@
 pub struct Beat {
     /// What it says of its link.
     #[serde(rename = "g")]
-    pub sign: Sign,
+    pub role: Role,
     /// Whether it takes requests.
     #[serde(rename = "r")]
     pub ready: bool,
@@ -110,21 +110,21 @@
 
 /// What a beat says of its link: the scope as a number, and flags.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
-pub struct Sign(u8, bool, bool);
+pub struct Role(u8, bool, bool);
 
-impl From<relay::Sign> for Sign {
-    fn from(sign: relay::Sign) -> Self {
-        let scope = match sign.scope {
+impl From<relay::Role> for Role {
+    fn from(role: relay::Role) -> Self {
+        let scope = match role.scope {
             Scope::Own => 0,
             Scope::Group => 1,
             Scope::Fleet => 2,
         };
-        Self(scope, sign.attached, sign.primary)
+        Self(scope, role.attached, role.primary)
     }
 }
 
-impl From<Sign> for relay::Sign {
-    fn from(Sign(scope, attached, primary): Sign) -> Self {
+impl From<Role> for relay::Role {
+    fn from(Role(scope, attached, primary): Role) -> Self {
         let scope = match scope {
             0 => Scope::Own,
             1 => Scope::Group,
@@ -143,17 +143,17 @@
 const FOLLOWS: u8 = 2;
 
 /// A node that another one has heard of, as it goes over a link.
-pub fn encode_head(head: &Head) -> (u32, u8) {
+pub fn encode_presence(presence: &Presence) -> (u32, u8) {
     let flag = |is: bool, bit: u8| if is { bit } else { 0 };
     (
-        head.tag,
-        flag(head.ready, READY) | flag(head.follows, FOLLOWS),
+        presence.tag,
+        flag(presence.ready, READY) | flag(presence.follows, FOLLOWS),
     )
 }
 
 /// A node that another one has heard of.
-pub fn decode_head((tag, flags): (u32, u8)) -> Head {
-    Head {
+pub fn decode_presence((tag, flags): (u32, u8)) -> Presence {
+    Presence {
         tag,
         ready: flags & READY != 0,
         follows: flags & FOLLOWS != 0,
--- a/crates/edge/src/link/mod.rs
+++ b/crates/edge/src/link/mod.rs
@@ -14,4 +14,4 @@
 pub use listen::listen;
 pub use round::Round;
 pub use serve::serve;
-pub use tick::{tick, tick_words};
+pub use tick::{tick, tick_announcements};
--- a/crates/edge/src/link/round.rs
+++ b/crates/edge/src/link/round.rs
@@ -1,7 +1,7 @@
 //! What a node tells on all its links at one time.
 
 use contract::Map;
-use route::relay::{Scope, Sign};
+use route::relay::{Role, Scope};
 use tokio_tungstenite::tungstenite::Message;
 
 /// Number of a list of nodes: another one when the list is another.
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Round {
     /// Beats, by what they say of their link.
-    pub beats: Map<Sign, Message>,
+    pub beats: Map<Role, Message>,
     /// Whom the node has heard of, by the scope of the words.
-    pub heads: Map<Scope, (ListId, Message)>,
+    pub presences: Map<Scope, (ListId, Message)>,
 }
--- a/crates/edge/src/link/run.rs
+++ b/crates/edge/src/link/run.rs
@@ -137,17 +137,17 @@
 /// Tells what the round holds for this link.
 async fn tell(app: &App, link: &mut Link, sent: &mut Sent, round: &Round) -> Result<(), Error> {
     let now = Instant::now();
-    let sign = app.state().relays.sign_for(now, &sent.peer);
-    let list = round.heads.get(&sign.scope);
-    if let Some((id, message)) = list.filter(|(id, _)| sent.list != Some((sign.scope, *id))) {
-        sent.list = Some((sign.scope, *id));
+    let role = app.state().relays.role_for(now, &sent.peer);
+    let list = round.presences.get(&role.scope);
+    if let Some((id, message)) = list.filter(|(id, _)| sent.list != Some((role.scope, *id))) {
+        sent.list = Some((role.scope, *id));
         link.feed(message.clone()).await?;
     }
-    let news = sent.outbox.take(app, now, sign);
+    let news = sent.outbox.take(app, now, role);
     if let Some(message) = news.and_then(|news| news.encode()) {
         link.feed(message).await?;
     }
-    if let Some(message) = round.beats.get(&sign) {
+    if let Some(message) = round.beats.get(&role) {
         link.feed(message.clone()).await?;
     }
     link.flush().await?;
--- a/crates/edge/src/link/serve.rs
+++ b/crates/edge/src/link/serve.rs
@@ -1,11 +1,11 @@
 //! What a node does with a frame.
 
-use super::frame::{self, Beat, Frame, News, decode_head};
-use crate::app::{App, Copy, State, Table, Told, What};
+use super::frame::{self, Beat, Frame, News, decode_presence};
+use crate::app::{Announcement, App, Copy, Notice, State, Table};
 use contract::Map;
 use platform::store::{Page, Row};
 use route::pool::Load;
-use route::relay::{Head, LinkId, Scope, Sign};
+use route::relay::{LinkId, Presence, Role, Scope};
 use route::rollout::{Count, Tally, Trial};
 use route::{NodeName, Position};
 use std::time::{Duration, Instant};
@@ -17,8 +17,12 @@
         // It has said who it is.
         Frame::Hello(_) => Vec::new(),
         Frame::Beat(beat) => hear(app, peer, beat),
-        Frame::Heads(heads) => {
-            hear_heads(app, peer, heads.into_iter().map(decode_head).collect());
+        Frame::Presences(presences) => {
+            hear_presences(
+                app,
+                peer,
+                presences.into_iter().map(decode_presence).collect(),
+            );
             Vec::new()
         }
         Frame::News(news) => {
@@ -92,9 +96,9 @@
     let now = Instant::now();
     let mut state = app.state();
     let state = &mut *state;
-    state.relays.hear(now, peer, beat.sign.into());
+    state.relays.hear(now, peer, beat.role.into());
     let mut news = state.members.hear(now, peer, beat.ready, beat.follows);
-    news |= state.members.hear_of(now, state.relays.heads(peer));
+    news |= state.members.hear_of(now, state.relays.presences(peer));
     if news && state.relays.is_relay() {
         app.news.notify_one();
     }
@@ -119,17 +123,17 @@
         }
         return;
     }
-    let whole = Sign::from(beat.sign).scope == Scope::Fleet;
+    let whole = Role::from(beat.role).scope == Scope::Fleet;
     let mut loads: Map<_, Load> = Map::default();
     for (tag, load) in &beat.loads {
-        let told = state.told_loads.get(tag).filter(|_| whole);
+        let told = state.reported_loads.get(tag).filter(|_| whole);
         let load = Load::from(*load);
         let rest = told.map_or(load, |told| load.minus(*told));
         loads.insert(*tag, rest);
     }
     state.pool.set_others(peer, loads);
     for told in &beat.trials {
-        let own = state.told_tallies.get(&told.service).filter(|_| whole);
+        let own = state.reported_tallies.get(&told.service).filter(|_| whole);
         let own = own.copied().unwrap_or_default();
         if let Some(trial) = state.trials.get_mut(&told.service) {
             hear_trial(trial, now, peer, told, own);
@@ -157,23 +161,23 @@
 }
 
 /// Takes in whom a node has heard of.
-fn hear_heads(app: &App, peer: &NodeName, heads: Vec<Head>) {
+fn hear_presences(app: &App, peer: &NodeName, presences: Vec<Presence>) {
     let now = Instant::now();
     let mut state = app.state();
     let state = &mut *state;
-    let gone = state.relays.set_heads(peer, heads);
-    let lost = forget_heads(state, now, &gone);
-    let news = state.members.hear_of(now, state.relays.heads(peer));
+    let gone = state.relays.set_presences(peer, presences);
+    let lost = forget_presences(state, now, &gone);
+    let news = state.members.hear_of(now, state.relays.presences(peer));
     if (news || lost) && state.relays.is_relay() {
         app.news.notify_one();
     }
 }
 
 /// Takes in that nodes are no longer named by one that has heard of them; whether some are lost.
-fn forget_heads(state: &mut State, now: Instant, gone: &[Head]) -> bool {
+fn forget_presences(state: &mut State, now: Instant, gone: &[Presence]) -> bool {
     let names = gone
         .iter()
-        .filter_map(|head| state.members.by_tag(head.tag));
+        .filter_map(|presence| state.members.by_tag(presence.tag));
     let lost: Vec<_> = names
         .filter(|name| !state.relays.reaches(now, name))
         .cloned()
@@ -199,25 +203,24 @@
             trial.forget(peer);
         }
     }
-    gone.push(Head {
-        tag: Head::tag(peer),
+    gone.push(Presence {
+        tag: Presence::tag(peer),
         ready: false,
         follows: false,
     });
     state.pool.set_others(peer, Map::default());
-    forget_heads(state, now, &gone);
+    forget_presences(state, now, &gone);
     app.news.notify_one();
 }
 
-/// Takes in what each node is to hear once, and passes on what is news: words that come twice would
-/// otherwise multiply.
+/// Takes in announcements, and passes on what is news: those that come twice would otherwise multiply.
 fn hear_news(app: &App, peer: &NodeName, news: News) {
     let now = Instant::now();
     let mut state = app.state();
-    let mut words = Vec::new();
+    let mut notices = Vec::new();
     for stay in news.stays {
         if state.sessions.learn(now, &stay.0, &stay.1) {
-            words.push(What::Stay(stay));
+            notices.push(Notice::Stay(stay));
         }
     }
     for crash in news.crashes {
@@ -225,14 +228,14 @@
             .suspects
             .crash(now, &crash.0, &crash.1, Duration::ZERO)
         {
-            words.push(What::Crash(crash));
+            notices.push(Notice::Crash(crash));
         }
     }
     drop(state);
-    for what in words {
-        app.tell(Told {
+    for notice in notices {
+        app.pass_on(Announcement {
             from: Some(peer.clone()),
-            what,
+            notice,
         });
     }
 }
@@ -249,22 +252,22 @@
 }
 
 /// What this node tells on links of one kind.
-pub fn beat(app: &App, now: Instant, sign: Sign) -> Frame {
+pub fn beat(app: &App, now: Instant, role: Role) -> Frame {
     let mut state = app.state();
     let state = &mut *state;
     let mut beat = Beat {
-        sign: sign.into(),
+        role: role.into(),
         ready: state.ready(),
         follows: state.follows(now),
         newest: Table::ALL.map(|table| state.mirror(table).newest()),
         ..Beat::default()
     };
-    if sign.attached && !sign.primary {
+    if role.attached && !role.primary {
         // Another relay passes on the work.
         return Frame::Beat(beat);
     }
     let relays = &state.relays;
-    let told = |node: &str| relays.is_told(now, sign.scope, node);
+    let told = |node: &str| relays.is_told(now, role.scope, node);
     let loads = state.pool.loads_with(told);
     let mut tallies = Map::default();
     for (service, trial) in &state.trials {
@@ -276,9 +279,9 @@
         .iter()
         .map(|(tag, load)| (*tag, (*load).into()))
         .collect();
-    if sign.primary {
-        state.told_loads = loads;
-        state.told_tallies = tallies;
+    if role.primary {
+        state.reported_loads = loads;
+        state.reported_tallies = tallies;
     }
     Frame::Beat(beat)
 }
--- a/crates/edge/src/link/tick.rs
+++ b/crates/edge/src/link/tick.rs
@@ -1,11 +1,11 @@
 //! The beats of this node, built once for all links.
 
-use super::frame::{Frame, encode_head};
+use super::frame::{Frame, encode_presence};
 use super::round::{ListId, Round};
 use super::serve::beat;
-use crate::app::{App, What};
+use crate::app::{App, Notice};
 use contract::Map;
-use route::relay::{Head, Scope};
+use route::relay::{Presence, Scope};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -16,12 +16,12 @@
 /// Shortest time between two beats, in which news gather.
 const SHORTEST_BEAT: Duration = Duration::from_millis(40);
 
-/// Time in which words for all nodes gather. A session's next request may come to a node that has yet
+/// Time in which announcements gather. A session's next request may come to a node that has yet
 /// to hear of it, three links away.
 const GATHER: Duration = Duration::from_millis(25);
 
 /// The last list of nodes of each scope.
-type Lists = Map<Scope, (ListId, Vec<Head>, Message)>;
+type Lists = Map<Scope, (ListId, Vec<Presence>, Message)>;
 
 /// Gives beats to all links, from time to time and on news, for as long as the node runs.
 pub async fn tick(app: Arc<App>) {
@@ -34,7 +34,7 @@
         }
         let recalled = app.state().take_recalled(Instant::now());
         for stay in recalled {
-            app.tell_own(What::Stay(stay));
+            app.announce(Notice::Stay(stay));
         }
         // An error says that there are no links.
         let _ = app.rounds.send(Arc::new(round(&app, &mut lists)));
@@ -42,10 +42,10 @@
     }
 }
 
-/// Lets the links tell what each node is to hear once, as soon as there is something.
-pub async fn tick_words(app: Arc<App>) {
+/// Lets the links pass announcements on, as soon as there are some.
+pub async fn tick_announcements(app: Arc<App>) {
     loop {
-        app.words.notified().await;
+        app.announced.notified().await;
         sleep(GATHER).await;
         // An error says that there are no links.
         let _ = app.rounds.send(Arc::default());
@@ -54,17 +54,17 @@
 
 fn round(app: &App, lists: &mut Lists) -> Round {
     let now = Instant::now();
-    let signs = app.state().relays.signs(now);
+    let roles = app.state().relays.roles(now);
     let mut round = Round::default();
-    for sign in signs {
-        if let Some(message) = beat(app, now, sign).encode() {
-            round.beats.insert(sign, message);
+    for role in roles {
+        if let Some(message) = beat(app, now, role).encode() {
+            round.beats.insert(role, message);
         }
-        if sign.scope != Scope::Own
-            && !round.heads.contains_key(&sign.scope)
-            && let Some(list) = list(app, now, sign.scope, lists)
+        if role.scope != Scope::Own
+            && !round.presences.contains_key(&role.scope)
+            && let Some(list) = list(app, now, role.scope, lists)
         {
-            round.heads.insert(sign.scope, list);
+            round.presences.insert(role.scope, list);
         }
     }
     round
@@ -72,17 +72,17 @@
 
 /// Whom the node has heard of, and the number of the list.
 fn list(app: &App, now: Instant, scope: Scope, lists: &mut Lists) -> Option<(ListId, Message)> {
-    let heads = {
+    let presences = {
         let state = app.state();
         let named = state.relays.named(now, scope);
-        state.members.heads(now, named)
+        state.members.presences(now, named)
     };
     let known = lists.get(&scope);
-    if let Some((id, _, message)) = known.filter(|(_, known, _)| *known == heads) {
+    if let Some((id, _, message)) = known.filter(|(_, known, _)| *known == presences) {
         return Some((*id, message.clone()));
     }
     let id = known.map_or(1, |(id, ..)| id + 1);
-    let message = Frame::Heads(heads.iter().map(encode_head).collect()).encode()?;
-    lists.insert(scope, (id, heads, message.clone()));
+    let message = Frame::Presences(presences.iter().map(encode_presence).collect()).encode()?;
+    lists.insert(scope, (id, presences, message.clone()));
     Some((id, message))
 }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -82,7 +82,7 @@
     tokio::spawn(follow::count_lines(Arc::clone(&app)));
     tokio::spawn(membership::join(Arc::clone(&app)));
     tokio::spawn(link::tick(Arc::clone(&app)));
-    tokio::spawn(link::tick_words(Arc::clone(&app)));
+    tokio::spawn(link::tick_announcements(Arc::clone(&app)));
     tokio::spawn(link::dial(Arc::clone(&app)));
     tokio::spawn(duty::run(Arc::clone(&app)));
     let mut known = read(&path)?;
--- a/crates/edge/tests/news.rs
+++ b/crates/edge/tests/news.rs
@@ -1,4 +1,4 @@
-//! Words that each node is to hear once, as a node passes them on.
+//! Announcements, as a node passes them on.
 
 mod fixture;
 
@@ -19,9 +19,9 @@
 }
 
 #[test]
-fn a_word_that_is_known_is_not_passed_on_again() {
+fn an_announcement_that_is_known_is_not_passed_on_again() {
     let app = app();
-    let mut passed = app.told.subscribe();
+    let mut passed = app.announcements.subscribe();
     let peers = ["m-1".to_owned(), "m-2".to_owned()];
     serve(&app, &peers[0], news("v1"));
     serve(&app, &peers[1], news("v1"));
--- a/crates/route/src/member/members.rs
+++ b/crates/route/src/member/members.rs
@@ -2,7 +2,7 @@
 
 use super::Member;
 use crate::NodeName;
-use crate::relay::Head;
+use crate::relay::Presence;
 use contract::Map;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -70,7 +70,7 @@
                     follows: false,
                     silent: true,
                 };
-                let tag = Head::tag(&member.node);
+                let tag = Presence::tag(&member.node);
                 self.tags.insert(tag, member.node.clone());
                 self.entries.insert(member.node, entry);
                 true
@@ -90,16 +90,16 @@
 
     /// Takes in what another member has heard of members; true when some of it is new. What a member
     /// says of itself goes before: others may have heard it earlier.
-    pub fn hear_of(&mut self, now: Instant, heads: &[Head]) -> bool {
+    pub fn hear_of(&mut self, now: Instant, presences: &[Presence]) -> bool {
         let silence = self.settings.silence;
         let mut news = false;
-        for head in heads {
-            let node = self.tags.get(&head.tag);
+        for presence in presences {
+            let node = self.tags.get(&presence.tag);
             let Some(entry) = node.and_then(|node| self.entries.get_mut(node)) else {
                 continue;
             };
             if !entry.is_direct(now, silence) {
-                news |= entry.hear(now, silence, head.ready, head.follows);
+                news |= entry.hear(now, silence, presence.ready, presence.follows);
             }
         }
         news
@@ -119,21 +119,21 @@
     }
 
     /// What is known of these members that live.
-    pub fn heads(&self, now: Instant, tags: impl IntoIterator<Item = u32>) -> Vec<Head> {
+    pub fn presences(&self, now: Instant, tags: impl IntoIterator<Item = u32>) -> Vec<Presence> {
         let silence = self.settings.silence;
-        let mut heads: Vec<_> = tags
+        let mut presences: Vec<_> = tags
             .into_iter()
             .filter_map(|tag| {
                 let entry = self.entries.get(self.tags.get(&tag)?)?;
-                entry.lives(now, silence).then_some(Head {
+                entry.lives(now, silence).then_some(Presence {
                     tag,
                     ready: entry.ready,
                     follows: entry.follows,
                 })
             })
             .collect();
-        heads.sort_unstable();
-        heads
+        presences.sort_unstable();
+        presences
     }
 
     /// Members heard of of late that follow the store.
--- a/crates/route/src/relay/link.rs
+++ b/crates/route/src/relay/link.rs
@@ -1,6 +1,6 @@
 //! An open link to another node.
 
-use super::{Head, Scope};
+use super::{Presence, Scope};
 use std::time::Instant;
 
 /// Number of a link of this process.
@@ -8,7 +8,7 @@
 
 /// What each word of a node says of its link.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
-pub struct Sign {
+pub struct Role {
     /// Of whom the word tells.
     pub scope: Scope,
     /// Whether the sender wants to hear of the whole fleet here: it is attached to the receiver.
@@ -27,7 +27,7 @@
     /// When a word last came.
     pub(super) heard: Option<Instant>,
     /// What the last word said.
-    pub(super) sign: Sign,
+    pub(super) role: Role,
     /// Whom the other node has heard of.
-    pub(super) heads: Vec<Head>,
+    pub(super) presences: Vec<Presence>,
 }
--- a/crates/route/src/relay/head.rs
+++ b/crates/route/src/relay/presence.rs
@@ -2,7 +2,7 @@
 
 /// What a relay says of one node that it has heard of.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Head {
+pub struct Presence {
     /// Short name of the node.
     pub tag: u32,
     /// Whether it takes requests.
@@ -11,12 +11,12 @@
     pub follows: bool,
 }
 
-impl Head {
+impl Presence {
     /// The short name of a node.
     ///
     /// ```
-    /// use route::relay::Head;
-    /// assert_ne!(Head::tag("n-1"), Head::tag("n-2"));
+    /// use route::relay::Presence;
+    /// assert_ne!(Presence::tag("n-1"), Presence::tag("n-2"));
     /// ```
     pub fn tag(node: &str) -> u32 {
         contract::stable_hash([node]) as u32
--- a/crates/route/src/relay/relays.rs
+++ b/crates/route/src/relay/relays.rs
@@ -1,6 +1,6 @@
 //! A node's links, and whom it hears through them.
 
-use super::{Head, Link, LinkId, Plan, Scope, Settings, Sign};
+use super::{Link, LinkId, Plan, Presence, Role, Scope, Settings};
 use crate::member::{Member, Members};
 use crate::{NodeName, Zone};
 use contract::{Map, Set, stable_hash};
@@ -106,8 +106,8 @@
             id: self.last_id,
             opened,
             heard: None,
-            sign: Sign::default(),
-            heads: Vec::new(),
+            role: Role::default(),
+            presences: Vec::new(),
         };
         self.links.insert(peer.clone(), link);
         Some(self.last_id)
@@ -120,48 +120,48 @@
 
     /// Notes the end of a link. Gives the nodes that were known through it; none when another link to
     /// the node has taken its place.
-    pub fn close(&mut self, peer: &str, id: LinkId) -> Option<Vec<Head>> {
+    pub fn close(&mut self, peer: &str, id: LinkId) -> Option<Vec<Presence>> {
         if !self.is_open(peer, id) {
             return None;
         }
         if self.primary.as_deref() == Some(peer) {
             self.primary = None;
         }
-        self.links.remove(peer).map(|link| link.heads)
+        self.links.remove(peer).map(|link| link.presences)
     }
 
     /// Takes in a word of a node on its link.
-    pub fn hear(&mut self, now: Instant, peer: &str, sign: Sign) {
+    pub fn hear(&mut self, now: Instant, peer: &str, role: Role) {
         if let Some(link) = self.links.get_mut(peer) {
             link.heard = Some(now);
-            link.sign = sign;
+            link.role = role;
         }
     }
 
     /// Takes in whom a node has heard of; gives those that it no longer names.
-    pub fn set_heads(&mut self, peer: &str, heads: Vec<Head>) -> Vec<Head> {
+    pub fn set_presences(&mut self, peer: &str, presences: Vec<Presence>) -> Vec<Presence> {
         let Some(link) = self.links.get_mut(peer) else {
             return Vec::new();
         };
-        let tags: Set<u32> = heads.iter().map(|head| head.tag).collect();
-        let mut before = std::mem::replace(&mut link.heads, heads);
-        before.retain(|head| !tags.contains(&head.tag));
+        let tags: Set<u32> = presences.iter().map(|presence| presence.tag).collect();
+        let mut before = std::mem::replace(&mut link.presences, presences);
+        before.retain(|presence| !tags.contains(&presence.tag));
         before
     }
 
     /// Whom a node has heard of.
-    pub fn heads(&self, peer: &str) -> &[Head] {
-        self.links.get(peer).map_or(&[], |link| &link.heads)
+    pub fn presences(&self, peer: &str) -> &[Presence] {
+        self.links.get(peer).map_or(&[], |link| &link.presences)
     }
 
     /// Whether a node is heard, over a link to it or through another one.
     pub fn reaches(&self, now: Instant, node: &str) -> bool {
-        let tag = Head::tag(node);
+        let tag = Presence::tag(node);
         let direct = self
             .links
             .get(node)
             .is_some_and(|link| self.is_fresh(now, link));
-        let names = |link: &Link| link.heads.iter().any(|head| head.tag == tag);
+        let names = |link: &Link| link.presences.iter().any(|presence| presence.tag == tag);
         direct
             || self
                 .links
@@ -178,7 +178,7 @@
     /// Whether a node is attached to this one, and whether this one passes on its work.
     pub fn attached(&self, now: Instant, node: &str) -> Option<bool> {
         let link = self.links.get(node)?;
-        (link.sign.attached && self.is_fresh(now, link)).then_some(link.sign.primary)
+        (link.role.attached && self.is_fresh(now, link)).then_some(link.role.primary)
     }
 
     /// Of whom another node is told.
@@ -193,9 +193,9 @@
     }
 
     /// What words to another node say of the link.
-    pub fn sign_for(&self, now: Instant, peer: &str) -> Sign {
+    pub fn role_for(&self, now: Instant, peer: &str) -> Role {
         let scope = self.scope_for(now, peer);
-        Sign {
+        Role {
             scope,
             attached: scope == Scope::Own && (self.alone || self.parents.contains(peer)),
             primary: self.primary.as_deref() == Some(peer),
@@ -207,8 +207,8 @@
         let Some(link) = self.links.get(peer) else {
             return false;
         };
-        match link.sign.scope {
-            Scope::Own => link.sign.primary || !link.sign.attached,
+        match link.role.scope {
+            Scope::Own => link.role.primary || !link.role.attached,
             Scope::Group => self.relay,
             Scope::Fleet => self.primary.as_deref() == Some(peer),
         }
@@ -232,21 +232,21 @@
             if !self.is_fresh(now, link) {
                 continue;
             }
-            let attached = link.sign.attached;
+            let attached = link.role.attached;
             if scope == Scope::Fleet || scope == Scope::Group && attached {
-                tags.insert(Head::tag(node));
+                tags.insert(Presence::tag(node));
             }
-            if scope == Scope::Fleet && link.sign.scope == Scope::Group {
-                tags.extend(link.heads.iter().map(|head| head.tag));
+            if scope == Scope::Fleet && link.role.scope == Scope::Group {
+                tags.extend(link.presences.iter().map(|presence| presence.tag));
             }
         }
         tags
     }
 
     /// What words say of their links, for all that are open.
-    pub fn signs(&self, now: Instant) -> Set<Sign> {
+    pub fn roles(&self, now: Instant) -> Set<Role> {
         let links = self.links.keys();
-        links.map(|peer| self.sign_for(now, peer)).collect()
+        links.map(|peer| self.role_for(now, peer)).collect()
     }
 
     /// The links that this node is to have. Nodes are taken in an order that all know: by capacity, then
--- a/crates/route/tests/members.rs
+++ b/crates/route/tests/members.rs
@@ -1,7 +1,7 @@
 //! Who lives, and whom callers are sent to.
 
 use route::member::{Member, Members, Question};
-use route::relay::Head;
+use route::relay::Presence;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -46,8 +46,8 @@
     let mut members = Members::default();
     let now = Instant::now();
     members.add(member("n"));
-    let old = [Head {
-        tag: Head::tag("n"),
+    let old = [Presence {
+        tag: Presence::tag("n"),
         ready: false,
         follows: false,
     }];
--- a/crates/route/tests/relay/world.rs
+++ b/crates/route/tests/relay/world.rs
@@ -2,7 +2,7 @@
 
 use route::NodeName;
 use route::member::{Member, Members};
-use route::relay::{Head, LinkId, Plan, Relays, Scope, Settings};
+use route::relay::{LinkId, Plan, Presence, Relays, Scope, Settings};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -268,8 +268,8 @@
                 node.relays.failed(self.now, member_address(peer));
             }
             node.others.remove(&name);
-            gone.push(Head {
-                tag: Head::tag(&name),
+            gone.push(Presence {
+                tag: Presence::tag(&name),
                 ready: false,
                 follows: false,
             });
@@ -277,11 +277,11 @@
         }
     }
 
-    fn forget(&mut self, index: usize, gone: &[Head]) {
+    fn forget(&mut self, index: usize, gone: &[Presence]) {
         let now = self.now;
         let node = &mut self.nodes[index];
-        for head in gone {
-            let name = node.members.by_tag(head.tag).cloned();
+        for presence in gone {
+            let name = node.members.by_tag(presence.tag).cloned();
             if let Some(name) = name.filter(|name| !node.relays.reaches(now, name)) {
                 node.members.lose(&name);
             }
@@ -319,12 +319,12 @@
         let now = self.now;
         let (sender, receiver) = (self.name(from), self.name(to));
         let node = &self.nodes[from];
-        let sign = node.relays.sign_for(now, &receiver);
-        let heads = match sign.scope {
+        let role = node.relays.role_for(now, &receiver);
+        let presences = match role.scope {
             Scope::Own => Vec::new(),
-            scope => node.members.heads(now, node.relays.named(now, scope)),
+            scope => node.members.presences(now, node.relays.named(now, scope)),
         };
-        let told = |(name, _): &(&NodeName, &f64)| node.relays.is_told(now, sign.scope, name);
+        let told = |(name, _): &(&NodeName, &f64)| node.relays.is_told(now, role.scope, name);
         let work = 1.0
             + node
                 .others
@@ -333,15 +333,15 @@
                 .map(|(_, work)| work)
                 .sum::<f64>();
         let node = &mut self.nodes[to];
-        node.relays.hear(now, &sender, sign);
+        node.relays.hear(now, &sender, role);
         node.members.hear(now, &sender, true, false);
-        let gone = match node.relays.heads(&sender) == heads {
+        let gone = match node.relays.presences(&sender) == presences {
             true => Vec::new(),
-            false => node.relays.set_heads(&sender, heads),
+            false => node.relays.set_presences(&sender, presences),
         };
-        node.members.hear_of(now, node.relays.heads(&sender));
+        node.members.hear_of(now, node.relays.presences(&sender));
         match node.relays.counts(&sender) {
-            true if sign.scope == Scope::Fleet => node.others.insert(sender, work - 1.0),
+            true if role.scope == Scope::Fleet => node.others.insert(sender, work - 1.0),
             true => node.others.insert(sender, work),
             false => node.others.remove(&sender),
         };
