--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -309,7 +309,7 @@
         if table == Table::Status && !news.is_empty() {
             self.apply_outcomes();
         }
-        if table == Table::Members && !news.is_empty() {
+        if table == Table::Members {
             self.share();
         }
     }
@@ -497,22 +497,28 @@
         }
     }
 
-    /// Cuts what all nodes share into this node's part.
+    /// Cuts what all nodes share into this node's part. Until it knows how many they are, it has none.
     fn share(&mut self) {
         let own = std::iter::once(self.node.clone());
         let others = self.members.all().map(|member| member.node.clone());
         let others = others.filter(|node| *node != self.node);
         let names: Vec<_> = own.chain(others).collect();
-        let nodes = names.len() as f64 * FLEET_MARGIN;
+        let part = match self.mirror(Table::Members).position() {
+            Some(_) => 1.0 / (names.len() as f64 * FLEET_MARGIN),
+            None => 0.0,
+        };
         let allowance = Allowance {
             window: self.bounds.retry_window,
             ratio: self.bounds.retry_ratio * RETRY_PART,
-            extra: self.bounds.retry_extra / nodes,
+            extra: self.bounds.retry_extra * part,
         };
         let config: &Config = self.routes.config();
         let mut bearings = Map::default();
         for (name, service) in &config.services {
-            let rate = service.cold_rate * self.bounds.cold_factor + self.bounds.cold_extra;
+            let rate = match part > 0.0 {
+                true => service.cold_rate * self.bounds.cold_factor + self.bounds.cold_extra,
+                false => 0.0,
+            };
             let engine = service.engine.as_ref();
             let bearing = Bearing {
                 cold_rate: (service.cold_rate > 0.0).then_some(rate),
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -267,3 +267,19 @@
     state.hear_store(lost + millis(6000));
     assert!(state.return_time(lost + millis(6000)) < millis(1000));
 }
+
+#[test]
+fn a_node_takes_no_part_of_what_all_share_until_it_knows_them() {
+    let now = Instant::now();
+    let mut site = site();
+    site.bounds.retry_ratio = 0.0;
+    let mut state = State::new(&site);
+    let config = r#"{"version": 1, "routes": [], "services": [{"name": "s", "maxConnections": 9,
+        "coldStartS": 0, "coldPerS": 0}], "limits": {"maxHeaderBytes": 1, "maxBodyBytes": 1,
+        "headerTimeoutMs": 1, "idleTimeoutMs": 1}}"#;
+    put(&mut state, Table::Intents, "config", 1, config);
+    assert!(state.configured());
+    assert!(!state.take_retry(now, "s"), "many others may do the same");
+    state.replace(now, Table::Members, Page::default());
+    assert!(state.take_retry(now, "s"), "there are no others");
+}
