--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -80,8 +80,6 @@
     pub members: Members,
     /// The links to some of them.
     pub relays: Relays,
-    /// Nodes to which links are to stay.
-    pub kept_links: Set<NodeName>,
     /// Work on backend servers that the relay of this node was last told of.
     pub reported_loads: BTreeMap<Tag, Load>,
     /// Evidence of roll-outs that it was last told of, by service.
@@ -145,7 +143,6 @@
             pool: Pool::new(pool::Settings::default()),
             members: Members::default(),
             relays: Relays::new(relay::Settings::default()),
-            kept_links: Set::default(),
             reported_loads: BTreeMap::new(),
             reported_tallies: Map::default(),
             stopping: false,
--- a/crates/edge/src/link/dial.rs
+++ b/crates/edge/src/link/dial.rs
@@ -4,7 +4,6 @@
 use super::run::{Error, run};
 use crate::app::App;
 use crate::upstream::watch;
-use route::relay::Plan;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,7 +19,7 @@
 /// Opens the links that this node is to have, for as long as it runs.
 pub async fn dial(app: Arc<App>) {
     loop {
-        for address in plan(&app).open {
+        for address in plan(&app) {
             app.state().relays.opening(Instant::now(), address);
             tokio::spawn(open(Arc::clone(&app), address));
         }
@@ -28,20 +27,20 @@
     }
 }
 
-/// The links that this node is to have now.
-pub fn plan(app: &App) -> Plan {
+/// Links that are to be opened now.
+fn plan(app: &App) -> Vec<SocketAddrV4> {
     let own = app.member();
     let mut state = app.state();
     let state = &mut *state;
     let was_relay = state.relays.is_relay();
-    let plan = state
+    let due = state
         .relays
         .plan(Instant::now(), &own, &state.members, &state.seeds);
-    if plan.relay != was_relay {
-        log::info!(event = 1728, relay = plan.relay, members = state.members.all().count(); "part in passing words on has changed");
+    let relay = state.relays.is_relay();
+    if relay != was_relay {
+        log::info!(event = 1728, relay = relay, members = state.members.all().count(); "part in passing words on has changed");
     }
-    state.kept_links = plan.keep.clone();
-    plan
+    due
 }
 
 async fn open(app: Arc<App>, address: SocketAddrV4) {
--- a/crates/edge/src/link/run.rs
+++ b/crates/edge/src/link/run.rs
@@ -158,8 +158,7 @@
 fn is_over(app: &App, sent: &mut Sent) -> bool {
     let state = app.state();
     let now = Instant::now();
-    let needed =
-        state.kept_links.contains(&sent.peer) || state.relays.attached(now, &sent.peer).is_some();
+    let needed = state.relays.keeps(&sent.peer) || state.relays.attached(now, &sent.peer).is_some();
     if needed {
         sent.unneeded = None;
         return false;
--- a/crates/route/src/relay/mod.rs
+++ b/crates/route/src/relay/mod.rs
@@ -13,7 +13,6 @@
 mod settings;
 
 pub use link::{Link, LinkId, Role};
-pub use plan::Plan;
 pub use presence::Presence;
 pub use relays::Relays;
 pub use scope::Scope;
--- a/crates/route/src/relay/plan.rs
+++ b/crates/route/src/relay/plan.rs
@@ -6,11 +6,9 @@
 
 /// The links that a node is to have, as it sees the fleet at a moment.
 #[derive(Clone, Debug, Default)]
-pub struct Plan {
-    /// Whether the node is a relay.
-    pub relay: bool,
+pub(super) struct Plan {
     /// Links that are to be opened now.
-    pub open: Vec<SocketAddrV4>,
+    pub(super) open: Vec<SocketAddrV4>,
     /// Nodes to which links are to stay.
-    pub keep: Set<NodeName>,
+    pub(super) kept: Set<NodeName>,
 }
--- a/crates/route/src/relay/relays.rs
+++ b/crates/route/src/relay/relays.rs
@@ -1,6 +1,7 @@
 //! A node's links, and whom it hears through them.
 
-use super::{Link, LinkId, Plan, Presence, Role, Scope, Settings};
+use super::plan::Plan;
+use super::{Link, LinkId, Presence, Role, Scope, Settings};
 use crate::member::{Member, Members};
 use crate::{NodeName, Zone};
 use contract::{Map, Set, stable_hash};
@@ -28,8 +29,11 @@
     links: Map<NodeName, Link>,
     reach: Map<SocketAddrV4, Reach>,
     last_id: LinkId,
+    /// The relay that passes on this node's work; none while it is a relay itself.
     primary: Option<NodeName>,
     relay: bool,
+    /// Nodes to which links are to stay.
+    kept: Set<NodeName>,
     /// Relays that this node is attached to.
     parents: Set<NodeName>,
     /// Whether no other node is known: whoever answers is a relay then.
@@ -50,9 +54,9 @@
         self.relay
     }
 
-    /// The relay that passes on this node's work; none while it is a relay itself.
-    pub fn primary(&self) -> Option<&NodeName> {
-        self.primary.as_ref()
+    /// Whether a link to a node is to stay, as of the last plan.
+    pub fn keeps(&self, node: &str) -> bool {
+        self.kept.contains(node)
     }
 
     /// Notes that a link to an address is being opened.
@@ -182,7 +186,7 @@
     }
 
     /// Of whom another node is told.
-    pub fn scope_for(&self, now: Instant, peer: &str) -> Scope {
+    fn scope_for(&self, now: Instant, peer: &str) -> Scope {
         if self.attached(now, peer).is_some() {
             return Scope::Fleet;
         }
@@ -249,7 +253,7 @@
         links.map(|peer| self.role_for(now, peer)).collect()
     }
 
-    /// The links that this node is to have. Nodes are taken in an order that all know: by capacity, then
+    /// Plans the links that this node is to have; gives those that are to be opened now. Nodes are taken in an order that all know: by capacity, then
     /// by a hash of the name. Those that can't be reached are passed over, and tried again.
     pub fn plan(
         &mut self,
@@ -257,7 +261,7 @@
         own: &Member,
         members: &Members,
         seeds: &[SocketAddrV4],
-    ) -> Plan {
+    ) -> Vec<SocketAddrV4> {
         let mut zones: BTreeMap<&Zone, Vec<&Member>> = BTreeMap::new();
         let others = members.all().filter(|member| member.node != own.node);
         for member in others.chain([own]) {
@@ -272,12 +276,9 @@
         let own_zone = zones.remove(&own.zone).unwrap_or_default();
         let chosen = self.choose(now, own, own_zone, per_zone, &mut plan);
         let ranked = chosen.iter().any(|member| member.node == own.node);
-        plan.relay = ranked
-            || self
-                .links
-                .keys()
-                .any(|node| self.attached(now, node).is_some());
-        if plan.relay {
+        let mut peers = self.links.keys();
+        let relay = ranked || peers.any(|node| self.attached(now, node).is_some());
+        if relay {
             for zone in zones.into_values() {
                 self.choose(now, own, zone, per_zone, &mut plan);
             }
@@ -288,17 +289,18 @@
                 .extend(seeds.filter(|seed| self.is_due(now, *seed)));
         }
         self.alone = all == 1;
-        self.relay = plan.relay && !self.alone;
+        self.relay = relay && !self.alone;
         let parents = chosen.iter().map(|member| member.node.clone());
         self.parents = match self.relay {
             true => Set::default(),
             false => parents.collect(),
         };
-        self.primary = match plan.relay {
+        self.primary = match relay {
             true => None,
             false => self.choose_primary(now, &chosen),
         };
-        plan
+        self.kept = plan.kept;
+        plan.open
     }
 
     /// The first reachable nodes of a zone, in the common order; links to them, and to those before
@@ -325,7 +327,7 @@
                 chosen.push(member);
                 continue;
             }
-            plan.keep.insert(member.node.clone());
+            plan.kept.insert(member.node.clone());
             if !self.links.contains_key(&member.node) && self.is_due(now, member.link) {
                 plan.open.push(member.link);
             }
--- a/crates/route/tests/relay/world.rs
+++ b/crates/route/tests/relay/world.rs
@@ -2,7 +2,7 @@
 
 use route::NodeName;
 use route::member::{Member, Members};
-use route::relay::{LinkId, Plan, Presence, Relays, Scope, Settings};
+use route::relay::{LinkId, Presence, Relays, Scope, Settings};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -31,7 +31,6 @@
     relays: Relays,
     /// Work that other nodes tell of, by who tells it.
     others: BTreeMap<NodeName, f64>,
-    plan: Plan,
     up: bool,
     frozen: bool,
 }
@@ -73,7 +72,6 @@
                 members,
                 relays: Relays::new(Settings::default()),
                 others: BTreeMap::new(),
-                plan: Plan::default(),
                 up: true,
                 frozen: false,
             }
@@ -215,8 +213,8 @@
         if !node.up || node.frozen {
             return;
         }
-        node.plan = node.relays.plan(now, &node.member, &node.members, &[]);
-        for address in node.plan.open.clone() {
+        let due = node.relays.plan(now, &node.member, &node.members, &[]);
+        for address in due {
             self.nodes[index].relays.opening(now, address);
             let peer = self
                 .nodes
@@ -306,7 +304,7 @@
                 let [near, far] = self.links[*at].ends;
                 let (node, peer) = (&self.nodes[near], self.name(far));
                 !node.frozen
-                    && !node.plan.keep.contains(&peer)
+                    && !node.relays.keeps(&peer)
                     && node.relays.attached(now, &peer).is_none()
             })
             .collect();
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -67,6 +67,7 @@
     a_lost_answer_of_the_store_is_settled(models())
     changed_settings_are_followed(models())
     metrics_count_what_happens(plain())
+    a_node_alone_is_quiet(plain())
     a_node_whose_log_nobody_reads_serves_on(Settings { unread_logs: true, ..plain() })
 }
 
@@ -861,6 +862,14 @@
         Ok(())
     }
 
+    pub async fn a_node_alone_is_quiet(site: &mut Site) -> Result<(), Error> {
+        let before = site.nodes[0].log()?.lines().count();
+        sleep(Duration::from_secs(1)).await;
+        let lines = site.nodes[0].log()?.lines().count() - before;
+        assert!(lines <= 1, "{lines} lines in a second without a request");
+        Ok(())
+    }
+
     pub async fn changed_settings_are_followed(site: &mut Site) -> Result<(), Error> {
         site.nodes[0].set_bound("graceS", &json!(2))?;
         let seen = async || {
