--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -1,7 +1,7 @@
 //! From a received request to its answer.
 
 use super::attempt::{Place, place};
-use super::head::{number, text};
+use super::head::{text, time_left};
 use super::job::Job;
 use super::refusal::Refusal;
 use super::{plain, stream};
@@ -170,12 +170,6 @@
     left.map_or(route.timeout, |left| left.min(route.timeout))
 }
 
-/// How long a caller waits for the answer, if it tells.
-pub fn time_left(headers: &hyper::HeaderMap) -> Option<Duration> {
-    let left = number(headers, header::TIME_LEFT_MS);
-    left.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok())
-}
-
 async fn read(body: Incoming, most: usize, time: Duration) -> Result<Bytes, Refusal> {
     match timeout(time, Limited::new(body, most).collect()).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
--- a/crates/edge/src/forward/head.rs
+++ b/crates/edge/src/forward/head.rs
@@ -5,6 +5,8 @@
     CONNECTION, CONTENT_LENGTH, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
+use platform::header;
+use std::time::Duration;
 
 /// Headers that concern one connection only.
 const ONE_CONNECTION: [HeaderName; 9] = [
@@ -39,6 +41,12 @@
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
+/// How long a caller waits for the answer, if it tells.
+pub fn time_left(headers: &HeaderMap) -> Option<Duration> {
+    let left = number(headers, header::TIME_LEFT_MS)?;
+    Duration::try_from_secs_f64(left / 1e3).ok()
+}
+
 /// A header as text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/edge/src/forward/job.rs
+++ b/crates/edge/src/forward/job.rs
@@ -1,7 +1,6 @@
 //! A request on its way.
 
-use super::forward::time_left;
-use super::head::{number, strip, text};
+use super::head::{number, strip, text, time_left};
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Uri};
--- a/crates/route/src/pool/law.rs
+++ b/crates/route/src/pool/law.rs
@@ -11,6 +11,17 @@
     pub reading: Line,
 }
 
+/// The speeds of engines, as a law has them at a moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Speeds {
+    /// Milliseconds of a decoding step with no request.
+    pub step: f64,
+    /// Milliseconds that a request of weight one adds to it.
+    pub step_per_weight: f64,
+    /// Prompt tokens that are read in a millisecond.
+    pub read_rate: f64,
+}
+
 impl Law {
     /// What is assumed before any answer.
     ///
@@ -35,9 +46,13 @@
         }
     }
 
-    /// Prompt tokens that an engine reads in a millisecond.
-    pub fn read_rate(&self) -> f64 {
-        1.0 / self.reading.slope()
+    /// The speeds at this moment.
+    pub fn speeds(&self) -> Speeds {
+        Speeds {
+            step: self.step.base(),
+            step_per_weight: self.step.slope(),
+            read_rate: 1.0 / self.reading.slope(),
+        }
     }
 
     /// How many times as long a step takes beside other requests of this weight as alone.
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -16,7 +16,7 @@
 pub use bearing::Bearing;
 pub use cold::Ramp;
 pub use error::Refusal;
-pub use law::Law;
+pub use law::{Law, Speeds};
 pub use line::{Line, Prior};
 pub use load::Load;
 pub use norm::{Norms, Ratio, Stage};
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -1,8 +1,8 @@
 //! All backend servers of a site.
 
 use super::{
-    Bearing, Law, Load, Norms, Outcome, Query, Ratio, Refusal, Server, Settings, Stage, part_id,
-    rank,
+    Bearing, Law, Load, Norms, Outcome, Query, Ratio, Refusal, Server, Settings, Speeds, Stage,
+    part_id, rank,
 };
 use crate::server::Listing;
 use crate::{NodeName, ServerId, ServiceName, Zone};
@@ -170,7 +170,7 @@
         let sample = self.sample(query.service);
         let bearing = self.bearings.get(query.service);
         let bearing = bearing.copied().unwrap_or_default();
-        let law = self.law(query.service);
+        let speeds = self.law(query.service).speeds();
         // The best one, with its cost and whether it was drawn: those that were go first.
         let mut best: Option<(bool, f64, &Server)> = None;
         let mut refusal = Refusal::Absent;
@@ -185,7 +185,7 @@
             if passed_over || !self.has_room(now, server) {
                 continue;
             }
-            let cost = cost(&self.settings, &law, now, server, query, &bearing, first);
+            let cost = cost(&self.settings, &speeds, now, server, query, &bearing, first);
             if best.is_none_or(|(other, least, _)| drawn && !other || cost < least) {
                 best = Some((drawn, cost, server));
             }
@@ -414,7 +414,7 @@
 /// the requests beside it, and what it takes away from others.
 fn cost(
     settings: &Settings,
-    law: &Law,
+    speeds: &Speeds,
     now: Instant,
     server: &Server,
     query: &Query,
@@ -436,9 +436,8 @@
         return cost + work * millis(settings.queue_cost);
     };
     let others = f64::from(load.requests);
-    let per_weight = law.step.slope();
-    let step = law.step.at(load.weight + pace);
-    let read_rate = law.read_rate();
+    let per_weight = speeds.step_per_weight;
+    let step = speeds.step + per_weight * (load.weight + pace);
     cost += query.work.output * step * server.slowness;
     // Each of its steps takes longer for all others too.
     cost += query.work.output * per_weight * pace * server.slowness * others * settings.crowd;
@@ -448,9 +447,9 @@
         let own = query.work.parts.last().map_or(0.0, |(_, tokens)| *tokens);
         missing = missing.min(own);
     }
-    let reading = missing * pace * server.slowness / read_rate;
+    let reading = missing * pace * server.slowness / speeds.read_rate;
     cost += reading * (settings.reading_weight + others * settings.reading_crowd);
-    cost += load.unread * settings.unread_weight * server.slowness / read_rate;
+    cost += load.unread * settings.unread_weight * server.slowness / speeds.read_rate;
     if bearing.memory > 0.0 {
         let used = (load.tokens + load_of(query).tokens) / bearing.memory;
         cost += (used - settings.memory_part).max(0.0) * millis(settings.memory_cost);
--- a/crates/route/tests/law.rs
+++ b/crates/route/tests/law.rs
@@ -1,10 +1,12 @@
 //! Engines whose law no setting knows: placement by what answers tell against placement by the law
 //! itself.
 
+mod fixture;
+
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use route::pool::{Bearing, Load, Pool, Query, Reading, Settings, Stage, Work, part_id, tag};
-use route::server::{Listing, State};
+use route::server::Listing;
 use std::time::{Duration, Instant};
 
 /// How engines take time.
@@ -91,15 +93,8 @@
 
 fn listing(index: usize) -> Listing {
     Listing {
-        id: format!("i-{index}"),
-        service: "models".to_owned(),
-        address: "127.0.0.1:80".parse().unwrap(),
-        zone: "a".to_owned(),
-        version: "v1".to_owned(),
         slots: 64,
-        state: State::Ready,
-        cold: Duration::ZERO,
-        born: 1,
+        ..fixture::listing(&format!("i-{index}"), "a")
     }
 }
 
--- a/crates/route/tests/overload.rs
+++ b/crates/route/tests/overload.rs
@@ -1,10 +1,12 @@
 //! What callers get of a cascade of models while engines are crowded: a played load on engines that
 //! decode in steps, with the decisions of a node.
 
+mod fixture;
+
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use route::pool::{Load, Outcome, Pool, Query, Settings, Work, load_of, part_id};
-use route::server::{Listing, State};
+use route::server::Listing;
 use route::size;
 use std::time::{Duration, Instant};
 
@@ -80,15 +82,8 @@
         let mut pool = Pool::new(Settings::default());
         for index in 0..ENGINES {
             let listing = Listing {
-                id: format!("i-{index}"),
-                service: "models".to_owned(),
-                address: "127.0.0.1:80".parse().unwrap(),
-                zone: "a".to_owned(),
-                version: "v1".to_owned(),
                 slots: 64,
-                state: State::Ready,
-                cold: Duration::ZERO,
-                born: 1,
+                ..fixture::listing(&format!("i-{index}"), "a")
             };
             pool.list(Instant::now(), listing);
         }
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -1,6 +1,9 @@
 //! Placement: where a request goes, and what nodes do alike without a word.
 
+mod fixture;
+
 use contract::Map;
+use fixture::listing;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use route::pool::{
@@ -9,20 +12,6 @@
 use route::server::{Listing, State};
 use std::time::{Duration, Instant};
 
-fn listing(id: &str, zone: &str) -> Listing {
-    Listing {
-        id: id.to_owned(),
-        service: "models".to_owned(),
-        address: "127.0.0.1:80".parse().unwrap(),
-        zone: zone.to_owned(),
-        version: "v1".to_owned(),
-        slots: 8,
-        state: State::Ready,
-        cold: Duration::ZERO,
-        born: 1,
-    }
-}
-
 fn work(subject: &str) -> Work {
     Work {
         parts: vec![
