Log how long a failed store call waited and why a link ended

Cause: the logs couldn't tell a call that failed at its timeout from one whose connection was found dead, nor a link that fell silent from one that was closed. Change: 1706 has waited_ms, 1710 the reason.

--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -90,7 +90,8 @@
                 app.state().record_store_failure(Instant::now());
                 backoff.set_max_delay(max_pause(&app, table));
                 if std::mem::replace(&mut answering, false) {
-                    log::warn!(event = 1706, table = table.name(); "store does not answer: {error}");
+                    log::warn!(event = 1706, table = table.name(), waited_ms = started.elapsed().as_millis() as u64;
+                        "store does not answer: {error}");
                 }
                 tokio::select! {
                     () = backoff.wait() => (),
--- a/crates/edge/src/link/handle.rs
+++ b/crates/edge/src/link/handle.rs
@@ -207,14 +207,14 @@
 
 /// Handles the end of a link: nodes that no other link reaches count as lost until they are heard
 /// from again.
-pub fn close_link(app: &App, peer: &NodeName, id: LinkId) {
+pub fn close_link(app: &App, peer: &NodeName, id: LinkId, reason: &str) {
     let now = Instant::now();
     let mut state = app.state();
     let state = &mut *state;
     let Some(mut gone) = state.relays.remove_link(peer, id) else {
         return;
     };
-    log::info!(event = 1710, peer = peer.as_str(); "link closed");
+    log::info!(event = 1710, peer = peer.as_str(); "link closed: {reason}");
     if !gone.is_empty() {
         // Another relay reports for these nodes from now on.
         for trial in state.trials.values_mut() {
--- a/crates/edge/src/link/run.rs
+++ b/crates/edge/src/link/run.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::broadcast::Receiver;
 use tokio::sync::broadcast::error::RecvError;
 use tokio::time::timeout;
 use tokio_tungstenite::{WebSocketStream, tungstenite};
@@ -69,7 +70,7 @@
     if let Some(own) = Frame::Hello(app.member().into()).encode() {
         link.send(own).await?;
     }
-    let mut batches = app.batches.subscribe();
+    let batches = app.batches.subscribe();
     let first = timeout(HELLO_TIMEOUT, link.next()).await;
     let first = first.map_err(|_| Error::Timeout)?.ok_or(Error::Closed)??;
     let Some(Frame::Hello(hello)) = Frame::decode(&first) else {
@@ -78,26 +79,44 @@
     let member = Member::from(hello);
     let peer = member.node.clone();
     let id = register(app, member, opened).ok_or(Error::Duplicate)?;
-    let guard = Guard {
+    let mut guard = Guard {
         app,
         peer: peer.clone(),
         id,
+        reason: "cancelled".to_owned(),
     };
-    let mut sender = Sender {
+    let sender = Sender {
         outbox: Outbox::new(app, peer.clone()),
         peer,
         list: None,
         unneeded: None,
     };
+    let ended = exchange(app, &mut link, sender, batches, id, opened.is_some()).await;
+    guard.reason = match &ended {
+        Ok(()) => "not needed".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    ended
+}
+
+/// Sends batches and handles frames until the link ends.
+async fn exchange(
+    app: &Arc<App>,
+    link: &mut Link,
+    mut sender: Sender,
+    mut batches: Receiver<Arc<Batch>>,
+    id: LinkId,
+    opened_here: bool,
+) -> Result<(), Error> {
     loop {
         tokio::select! {
             batch = batches.recv() => match batch {
                 Ok(batch) => {
-                    if !app.state().relays.is_current(&sender.peer, guard.id) {
+                    if !app.state().relays.is_current(&sender.peer, id) {
                         return Err(Error::Duplicate);
                     }
-                    send(app, &mut link, &mut sender, &batch).await?;
-                    if opened.is_some() && is_unneeded(app, &mut sender) {
+                    send(app, link, &mut sender, &batch).await?;
+                    if opened_here && is_unneeded(app, &mut sender) {
                         link.close(None).await?;
                         return Ok(());
                     }
@@ -174,10 +193,12 @@
     app: &'a App,
     peer: NodeName,
     id: LinkId,
+    /// Why the link ended, for the log.
+    reason: String,
 }
 
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
-        close_link(self.app, &self.peer, self.id);
+        close_link(self.app, &self.peer, self.id, &self.reason);
     }
 }
