Probe the connections of waiting store calls

Cause: the keepalive interval of store calls was 700 ms. The kernel counts whole seconds, the HTTP client rounds down to zero, the kernel refuses zero, and the client drops that error. So no probe was ever sent, and a call that waits 20 s for changes on a dead connection ended at its timeout of 22 s. A disruption that silences the connections of all nodes without a reset hides every change for as long. Ruled out: the TCP user timeout, which counts unacknowledged bytes only: a waiting call has none. The test failed with EINVAL before. Change: whole seconds, one probe: found dead after 2 s. The timeouts of the client are a type of their own.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -79,7 +79,7 @@
     /// Creates the shared state of a node that has learned nothing yet.
     pub fn new(site: Site, log_counts: Drops) -> Result<Self, platform::Error> {
         Ok(Self {
-            store: store::Client::new(site.store_address)?,
+            store: store::Client::new(site.store_address, &store::Settings::default())?,
             capacity_changed: Notify::new(),
             store_recovered: Notify::new(),
             heartbeat_requested: Notify::new(),
