Close links on which nothing arrives

A node that learns a table from others hears nothing on a link that has fallen silent. Cause: the idle timeout of a link started anew with each batch that the node itself sent, several times a second, so it never ended. Only the kernel's timeout of unacknowledged bytes closed a silent link, and none where the other end acknowledges and says nothing. Evidence: a_silent_link_is_closed_in_time stops the process at the other end; on the code before, the link is open after 3 s. Change: the time counts from the last message, and is 2 s, so that a link is closed and opened anew within the 3 s after which the bounds hold again. It was 3 s, all of that time.

--- a/crates/edge/src/link/run.rs
+++ b/crates/edge/src/link/run.rs
@@ -16,13 +16,13 @@
 use tokio::net::TcpStream;
 use tokio::sync::broadcast::Receiver;
 use tokio::sync::broadcast::error::RecvError;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 use tokio_tungstenite::{WebSocketStream, tungstenite};
 
 /// Timeout for the hello frame of the other node.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time without a frame after which a link is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which a link stays open that this node no longer needs: the other node may need it.
 const UNNEEDED_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -108,6 +108,7 @@
     id: LinkId,
     opened_here: bool,
 ) -> Result<(), Error> {
+    let mut last_message = Instant::now();
     loop {
         tokio::select! {
             batch = batches.recv() => match batch {
@@ -125,8 +126,10 @@
                 Err(RecvError::Lagged(_)) => (),
                 Err(RecvError::Closed) => return Ok(()),
             },
-            message = timeout(IDLE_TIMEOUT, link.next()) => {
+            // Batches end this wait several times a second, so the time counts from the last message.
+            message = timeout_at((last_message + IDLE_TIMEOUT).into(), link.next()) => {
                 let message = message.map_err(|_| Error::Timeout)?.ok_or(Error::Closed)??;
+                last_message = Instant::now();
                 let Some(frame) = Frame::decode(&message) else {
                     continue;
                 };
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -1,6 +1,7 @@
 //! An entry node on the operators' platform, as a process before stand-ins of store and backend
 //! servers.
 
+use nix::sys::signal::Signal;
 use reqwest::header::{HeaderMap, HeaderValue};
 use reqwest::{Client, Response};
 use serde_json::json;
@@ -15,6 +16,9 @@
 /// Time within which a leaving backend server gets nothing more, as the settings say.
 const DRAIN: Duration = Duration::from_millis(2000);
 
+/// Time after a disruption from which the bounds hold again, as the settings say.
+const CONTACT: Duration = Duration::from_millis(3000);
+
 /// Each case is a test by its own name.
 macro_rules! cases {
     ($($name:ident($settings:expr))*) => {$(
@@ -50,6 +54,7 @@
     a_caller_that_leaves_ends_the_work(models())
     a_change_is_in_force_in_time(plain())
     a_change_reaches_a_node_that_the_store_refuses(three_nodes())
+    a_silent_link_is_closed_in_time(three_nodes())
     a_node_that_starts_without_the_store_asks_the_others(three_nodes())
     a_node_that_starts_holds_requests_until_the_store_answers(plain())
     a_forgotten_history_is_read_anew(plain())
@@ -554,6 +559,26 @@
         Ok(())
     }
 
+    /// Guards against links that stay open though nothing arrives on them.
+    pub async fn a_silent_link_is_closed_in_time(site: &mut Site) -> Result<(), Error> {
+        let named = async || {
+            site.nodes[0]
+                .addresses()
+                .await
+                .is_ok_and(|all| all.len() == 3)
+        };
+        assert!(within(CONTACT, named).await);
+        site.nodes[2].signal(Signal::SIGSTOP)?;
+        let closed = async || {
+            let log = site.nodes[0].log().unwrap_or_default();
+            log.contains("\"peer\":\"edge-2\"") && log.contains("link closed: timed out")
+        };
+        let in_time = within(CONTACT, closed).await;
+        site.nodes[2].signal(Signal::SIGCONT)?;
+        assert!(in_time);
+        Ok(())
+    }
+
     pub async fn a_node_that_starts_without_the_store_asks_the_others(
         site: &mut Site,
     ) -> Result<(), Error> {
