Ask the store over another connection when an answer is overdue

Cause: followers wait 20 s for changes, all of them, and nothing tells a node that its own connection is silent while something on the way still answers probes. When the connections of all followers fall silent, no node has the change to tell. Ruled out: shorter waits of all followers (24 calls a second on a small site). Change: the first of the nodes that follow the store waits for 1 s in place of 20 s on the two tables that nodes need to serve; the others learn from it. An answer that is 0.5 s overdue (1791) is asked for over another connection, and the first one counts. Class: a long wait whose health nobody checks.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -280,6 +280,13 @@
         self.store_reachable(now) && self.follow_role(now, Table::Servers) == Role::Follower
     }
 
+    /// Whether no other node that follows the store is ranked before this one.
+    pub fn leads_followers(&self, now: Instant) -> bool {
+        let own = self.weight(&self.node);
+        let mut following = self.members.store_followers(now);
+        following.all(|node| self.weight(node) < own)
+    }
+
     /// Whether this node has read the store and no call failed recently.
     pub fn store_reachable(&self, now: Instant) -> bool {
         !self.outage.is_recent(now) && self.mirror(Table::Intents).position().is_some()
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -6,13 +6,21 @@
 use crate::metrics::Call;
 use platform::Error;
 use platform::store::Page;
+use route::Position;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-/// Time for which a call waits for changes. Keepalive probes detect a broken connection, so a long
-/// wait does no harm and saves calls.
+/// Time for which a call waits for changes. A long wait saves calls; keepalive probes detect a
+/// connection whose peer is gone.
 const WAIT: Duration = Duration::from_secs(20);
+/// Time for which the lead follower's call waits for changes of the tables that nodes need to serve.
+/// It is short, because a connection may fall silent on the way though its peer answers probes. The
+/// other nodes learn from the lead.
+const LEAD_WAIT: Duration = Duration::from_secs(1);
+/// Time after the end of its wait from which a call is overdue and another one, over a connection
+/// of its own, may answer in its place.
+const OVERDUE: Duration = Duration::from_millis(500);
 /// First pause after a failed call; it doubles up to `MAX_PAUSE`.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call. A store that has recovered is found within it, well within
@@ -134,6 +142,7 @@
 async fn next_wait(app: &App, table: Table) -> Option<Duration> {
     match role(app, table) {
         Role::Follower if is_isolated(app) => Some(ISOLATED_WAIT),
+        Role::Follower if is_needed(table) && leads(app) => Some(LEAD_WAIT),
         Role::Follower => Some(WAIT),
         Role::Fallback(pause) => {
             sleep(pause).await;
@@ -154,6 +163,11 @@
     alive.next().is_none() && state.members.all().next().is_some()
 }
 
+/// Whether this node is the first of those that follow the store.
+fn leads(app: &App) -> bool {
+    app.state().leads_followers(Instant::now())
+}
+
 fn role(app: &App, table: Table) -> Role {
     app.state().follow_role(Instant::now(), table)
 }
@@ -182,7 +196,7 @@
     let Some(after) = position else {
         return app.store.rows(table.name()).await.map(|page| (true, page));
     };
-    match app.store.changes(table.name(), after, wait).await {
+    match changes(app, table, after, wait).await {
         Err(Error::Compacted) => {
             log::warn!(event = 1704, table = table.name(), position = after; "change history has been compacted, reading the full table");
             app.store.rows(table.name()).await.map(|page| (true, page))
@@ -191,6 +205,22 @@
     }
 }
 
+/// Waits for changes. When the answer is overdue, a second call asks for them over another
+/// connection, and the first answer counts.
+async fn changes(app: &App, table: Table, after: Position, wait: Duration) -> Result<Page, Error> {
+    let first = app.store.changes(table.name(), after, wait);
+    tokio::pin!(first);
+    if let Ok(answer) = timeout(wait + OVERDUE, &mut first).await {
+        return answer;
+    }
+    log::warn!(event = 1791, table = table.name(), wait_ms = wait.as_millis() as u64;
+        "the answer of the store is overdue, asking over another connection");
+    tokio::select! {
+        answer = first => answer,
+        answer = app.store.changes(table.name(), after, Duration::ZERO) => answer,
+    }
+}
+
 /// Applies the page of a call and wakes the tasks that wait for a change.
 fn apply(app: &App, table: Table, full: bool, page: Page, started: Instant) {
     let now = Instant::now();
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -6,6 +6,7 @@
 use reqwest::{Client, Response};
 use serde_json::json;
 use standin::Error;
+use standin::proxy::{self, Proxy};
 use standin::site::{Run, Settings, Site, StoreFault, Worker, WorkerFault};
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -55,6 +56,7 @@
     a_change_is_in_force_in_time(plain())
     a_change_reaches_a_node_that_the_store_refuses(three_nodes())
     a_silent_link_is_closed_in_time(three_nodes())
+    a_change_passes_store_connections_that_fell_silent(three_nodes())
     a_node_that_starts_without_the_store_asks_the_others(three_nodes())
     a_node_that_starts_holds_requests_until_the_store_answers(plain())
     a_forgotten_history_is_read_anew(plain())
@@ -579,6 +581,39 @@
         Ok(())
     }
 
+    /// Guards against changes that no node hears of while the store's connections are silent.
+    pub async fn a_change_passes_store_connections_that_fell_silent(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let mut proxies = Vec::new();
+        for index in 0..site.nodes.len() {
+            let proxy = Proxy::start(site.doors[index], proxy::Settings::default()).await?;
+            site.restart_node(index, proxy.address()).await?;
+            proxies.push(proxy);
+        }
+        for node in &site.nodes {
+            node.until_ready(true).await?;
+        }
+        sleep(CONTACT).await;
+        proxies.iter().for_each(Proxy::silence_open);
+        let silent = Instant::now();
+        let mut config = standin::site::config(5);
+        config["routes"][0]["prefix"] = json!("/moved/");
+        site.store.put("op", "config", Some(&config));
+        site.list(&site.desks[0], "desk", "v1", "draining");
+        sleep(CONTACT.saturating_sub(silent.elapsed())).await;
+        let before = site.desks[0].runs().len();
+        for node in 0..site.nodes.len() {
+            let answer = request(&Client::new(), site, node, "/moved/a")
+                .send()
+                .await?;
+            assert_eq!(answer.status(), 200, "node {node}");
+        }
+        let runs = site.desks[0].runs().len();
+        assert_eq!(runs, before, "a leaving one gets nothing");
+        Ok(())
+    }
+
     pub async fn a_node_that_starts_without_the_store_asks_the_others(
         site: &mut Site,
     ) -> Result<(), Error> {
