Block parts of prompts that crash backend servers

Cause: crashes were counted by the digest of a whole request. Requests that share only a part of their prompt never reached the three crashes from which a request is refused. Crashes were known only from the list or from a later refused connection, and a request was checked when it was received, not before each send.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -4,6 +4,7 @@
 use crate::inflight;
 use crate::link::Batch;
 use crate::metrics::Metrics;
+use limits::poison::{Part, RequestTag};
 use limits::suspect::Fingerprint;
 use platform::store;
 use route::member::Member;
@@ -41,6 +42,12 @@
     Assignment(Assignment),
     /// A backend server crashed while running a request.
     Crash(Crash),
+    /// A backend server crashed before the answer to a request with a part began.
+    PartCrash(Part, RequestTag, ServerId),
+    /// A part is blocked because it crashes backend servers; with the number of blocks in a row.
+    PartBlock(Part, u32),
+    /// The answer to a request with a part has begun, so the part is sound.
+    PartAnswer(Part),
 }
 
 /// The state and the services that all tasks of a node share. The state is behind the only lock,
--- a/crates/edge/src/app/losses.rs
+++ b/crates/edge/src/app/losses.rs
@@ -1,5 +1,6 @@
 //! Requests that lost their backend servers.
 
+use limits::poison::Part;
 use limits::suspect::Fingerprint;
 use route::ServerId;
 use std::time::{Duration, Instant};
@@ -11,11 +12,18 @@
 const MAX_LOSSES: usize = 512;
 
 /// A request that lost its backend server.
-#[derive(Debug)]
-struct Loss {
-    fingerprint: Fingerprint,
-    server: ServerId,
-    at: Instant,
+#[derive(Clone, Debug)]
+pub struct Loss {
+    /// Digest of the request.
+    pub fingerprint: Fingerprint,
+    /// Parts of its prompt that other requests may share; none if its answer had begun.
+    pub parts: Vec<Part>,
+    /// The backend server.
+    pub server: ServerId,
+    /// Start of the backend server, as a Unix time in milliseconds.
+    pub started_ms: u64,
+    /// When the request was lost.
+    pub at: Instant,
 }
 
 /// Requests that lost their backend servers of late.
@@ -24,22 +32,18 @@
 
 impl Losses {
     /// Records a request that lost its backend server.
-    pub fn record(&mut self, now: Instant, fingerprint: &str, server: &str) {
+    pub fn record(&mut self, loss: Loss) {
+        let now = loss.at;
         self.0.retain(|loss| loss.is_recent(now));
         if self.0.len() < MAX_LOSSES {
-            self.0.push(Loss {
-                fingerprint: fingerprint.to_owned(),
-                server: server.to_owned(),
-                at: now,
-            });
+            self.0.push(loss);
         }
     }
 
     /// Takes the requests that a backend server which has ended just lost.
-    pub fn take(&mut self, now: Instant, server: &str) -> Vec<Fingerprint> {
+    pub fn take(&mut self, now: Instant, server: &str) -> Vec<Loss> {
         let lost = |loss: &mut Loss| loss.server == server && loss.is_recent(now);
-        let taken = self.0.extract_if(.., lost);
-        taken.map(|loss| loss.fingerprint).collect()
+        self.0.extract_if(.., lost).collect()
     }
 }
 
--- a/crates/edge/src/app/mod.rs
+++ b/crates/edge/src/app/mod.rs
@@ -1,6 +1,7 @@
 //! Shared state of a node.
 
 mod app;
+mod crash;
 mod losses;
 mod mirror;
 mod outage;
@@ -8,7 +9,7 @@
 mod table;
 
 pub use app::{Announcement, App, Assignment, Crash, Notice};
-pub use losses::Losses;
+pub use losses::{Loss, Losses};
 pub use mirror::{Mirror, Update};
 pub use outage::Outage;
 pub use state::{State, log_unreadable_row};
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -1,9 +1,10 @@
 //! A node's view of the system.
 
-use super::{Assignment, Crash, Losses, Mirror, Outage, Table, Update};
+use super::{Assignment, Losses, Mirror, Notice, Outage, Table, Update};
 use crate::follow::Role;
 use crate::membership;
 use contract::{Map, Set, stable_hash};
+use limits::poison::Detector;
 use limits::retry::{Allowance, Window};
 use limits::suspect::{self, Suspects};
 use platform::Intent;
@@ -89,8 +90,10 @@
     announce_sessions: bool,
     /// Requests that crash the backend servers which run them.
     pub suspects: Suspects,
-    losses: Losses,
-    crashes: Vec<Crash>,
+    /// Parts of prompts that crash the backend servers which begin to answer.
+    pub poison: Detector,
+    pub(super) losses: Losses,
+    pub(super) pending_notices: Vec<Notice>,
     evacuated_zones: Set<String>,
     mirrors: [Mirror; 4],
     /// Time of the last update of each table.
@@ -116,7 +119,7 @@
     pub bounds: Bounds,
     /// Link addresses of a few nodes, used to join.
     pub seeds: Vec<SocketAddrV4>,
-    node: NodeName,
+    pub(super) node: NodeName,
 }
 
 impl State {
@@ -152,7 +155,8 @@
                 ..suspect::Settings::default()
             }),
             losses: Losses::default(),
-            crashes: Vec::new(),
+            poison: Detector::default(),
+            pending_notices: Vec::new(),
             evacuated_zones: Set::default(),
             mirrors: Default::default(),
             updated: Default::default(),
@@ -505,6 +509,7 @@
         for (id, _) in due {
             self.remove_server(&id);
         }
+        self.poison.sweep(now);
     }
 
     /// Computes this node's share of what all nodes share: retry budgets and the capacity of cold
@@ -588,28 +593,6 @@
         changed && self.rollout_in_progress()
     }
 
-    /// Records that a request lost its backend server, which may have crashed while running it.
-    pub fn record_loss(&mut self, now: Instant, fingerprint: &str, server: &str) {
-        self.losses.record(now, fingerprint, server);
-    }
-
-    /// Records that a backend server has ended: the requests that just lost it become suspects.
-    pub fn record_server_end(&mut self, now: Instant, server: &str) {
-        for fingerprint in self.losses.take(now, server) {
-            if self
-                .suspects
-                .record_crash(now, &fingerprint, server, Duration::ZERO)
-            {
-                self.crashes.push((fingerprint, server.to_owned()));
-            }
-        }
-    }
-
-    /// Takes the crashes that haven't been announced to the other nodes.
-    pub fn take_crashes(&mut self) -> Vec<Crash> {
-        std::mem::take(&mut self.crashes)
-    }
-
     /// Records the duration of a stage of a request.
     pub fn record_time(
         &mut self,
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -1,7 +1,7 @@
 //! One loop per table: reads the full table once, then follows its changes.
 
 use super::Role;
-use crate::app::{App, Notice, Table};
+use crate::app::{App, Table};
 use crate::backoff::Backoff;
 use crate::metrics::Call;
 use platform::Error;
@@ -257,13 +257,13 @@
 pub async fn sweep(app: Arc<App>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
-        let crashes = {
+        let notices = {
             let mut state = app.state();
             state.sweep(Instant::now());
-            state.take_crashes()
+            state.take_notices()
         };
-        for crash in crashes {
-            app.announce(Notice::Crash(crash));
+        for notice in notices {
+            app.announce(notice);
         }
     }
 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::exchange::Exchange;
 use super::headers::text;
-use crate::app::{App, Notice};
+use crate::app::{App, Loss, Notice};
 use crate::metrics;
 use crate::upstream;
 use hyper::StatusCode;
@@ -92,11 +92,33 @@
             Failure::NoResponse(_) | Failure::Truncated => {
                 // A crash ends all requests on the backend server, but counts only once.
                 self.ignored_by_rollout = !state.pool.record_break(now, &self.server.id);
-                state.record_loss(now, &exchange.fingerprint, &self.server.id);
+                state.record_loss(self.loss(now, exchange));
+                drop(state);
+                tokio::spawn(confirm_end(Arc::clone(&self.app), (*self.server).clone()));
+                return self.log_failure(exchange, failure);
             }
             _ => (),
         }
         drop(state);
+        self.log_failure(exchange, failure);
+    }
+
+    /// Describes the loss of the request with its backend server.
+    fn loss(&self, now: Instant, exchange: &Exchange) -> Loss {
+        let begun = self.first_event.is_some() || exchange.last_event_id.is_some();
+        Loss {
+            fingerprint: exchange.fingerprint.clone(),
+            parts: match begun {
+                true => Vec::new(),
+                false => exchange.work.shared_parts().collect(),
+            },
+            server: self.server.id.clone(),
+            started_ms: self.server.started_ms,
+            at: now,
+        }
+    }
+
+    fn log_failure(&self, exchange: &Exchange, failure: &Failure) {
         log::warn!(event = 1731, request = exchange.log_id(), server = self.server.id.as_str(),
             version = self.server.version.as_str(), sends = exchange.attempts,
             waited_ms = self.elapsed().as_millis() as u64, last_event = exchange.last_event_id.unwrap_or(0),
@@ -196,6 +218,13 @@
     }
 }
 
+/// Checks whether a backend server that broke off has ended: it refuses connections then.
+async fn confirm_end(app: Arc<App>, server: Listing) {
+    if upstream::is_refused(server.address).await {
+        app.state().record_server_end(Instant::now(), &server.id);
+    }
+}
+
 /// Result of sending a request to a backend server.
 #[derive(Debug)]
 pub enum Delivery {
@@ -323,7 +352,7 @@
 /// Starts an attempt on a backend server that isn't more loaded than the current one, if the request
 /// may be sent again.
 fn failover(app: &Arc<App>, exchange: &Exchange, current: &Attempt) -> Option<Attempt> {
-    if exchange.attempts >= exchange.route.max_attempts || !exchange.route.kind.is_retryable() {
+    if exchange.attempts >= exchange.max_attempts() || !exchange.route.kind.is_retryable() {
         return None;
     }
     let attempt = start_attempt(app, exchange).ok()?;
--- a/crates/edge/src/forward/buffered.rs
+++ b/crates/edge/src/forward/buffered.rs
@@ -54,6 +54,8 @@
                     }
                 };
                 if !server_error {
+                    app.state()
+                        .record_answer_begin(Instant::now(), &exchange.work);
                     attempt.record_response();
                     attempt.set_outcome(Outcome::Succeeded);
                     return Ok(response);
--- a/crates/edge/src/forward/escalate.rs
+++ b/crates/edge/src/forward/escalate.rs
@@ -71,7 +71,7 @@
     let cascade = state.cascade(&exchange.service);
     let larger = cascade.and_then(|cascade| cascade.next(&sizes, answer, conditions));
     let repeatable =
-        exchange.attempts < exchange.route.max_attempts && exchange.route.kind.is_retryable();
+        exchange.attempts < exchange.max_attempts() && exchange.route.kind.is_retryable();
     let granted = larger.is_some()
         && repeatable
         && state.take_retry_after_answer(Instant::now(), &exchange.service);
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -81,6 +81,8 @@
     pub retry_granted: bool,
     /// Whether a backend server may have run the request.
     pub may_have_run: bool,
+    /// Whether the request finds out if a part of its prompt crashes backend servers: it is sent once.
+    pub is_probe: bool,
     /// Id of the last event that the caller has received.
     pub last_event_id: Option<u64>,
 }
@@ -139,6 +141,7 @@
             attempts: 0,
             retry_granted: false,
             may_have_run: false,
+            is_probe: false,
             last_event_id,
             route,
         }
@@ -163,6 +166,14 @@
         }
     }
 
+    /// Number of backend servers that the request may be sent to.
+    pub fn max_attempts(&self) -> u32 {
+        match self.is_probe {
+            true => 1,
+            false => self.route.max_attempts.max(1),
+        }
+    }
+
     /// Whether the caller leaves the choice of the model to the node.
     pub fn allows_any_model(&self) -> bool {
         text(&self.headers, header::MODEL) == Some(header::ANY_MODEL)
--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response};
-use limits::suspect::Verdict;
+use limits::poison::Admission;
 use platform::header;
 use rand::Rng;
 use route::cascade::Sizes;
@@ -116,14 +116,6 @@
     let time = body_timeout(&parts.headers, route);
     let body = read_body(body, limits.max_body_bytes, time).await?;
     let mut exchange = Exchange::new(received, parts, body, Arc::clone(route), customer);
-    let verdict = app
-        .state()
-        .suspects
-        .verdict(received, &exchange.fingerprint);
-    if let Verdict::Refused(_) = verdict {
-        log::warn!(event = 1745, request = exchange.log_id(); "request blocked: it crashes backend servers");
-        return Err(Refusal::Unavailable);
-    }
     log::info!(event = 1733, request = exchange.log_id(), route = exchange.route.name.as_str(),
         customer = customer.map_or("-", |customer| customer.name.as_str()), session = exchange.session.as_deref().unwrap_or("-"),
         revision = routes.config().revision, left_ms = exchange.remaining().as_millis() as u64; "received");
@@ -215,6 +207,9 @@
     if expired {
         return Err(refusal);
     }
+    if let Some(refusal) = blocked(app, exchange) {
+        return Err(refusal);
+    }
     if let Some(reason) = retry_denial(app, exchange) {
         return Err(give_up(exchange, &reason, refusal));
     }
@@ -241,6 +236,30 @@
     }
 }
 
+/// The refusal of a request that, or a part of which, crashes backend servers.
+fn blocked(app: &App, exchange: &mut Exchange) -> Option<Refusal> {
+    if exchange.is_probe && exchange.attempts == 0 {
+        return None;
+    }
+    let (fingerprint, work) = (&exchange.fingerprint, &exchange.work);
+    match app.state().admit(Instant::now(), fingerprint, work) {
+        Admission::Open => return None,
+        Admission::Probe => {
+            exchange.is_probe = true;
+            log::info!(event = 1794, request = exchange.log_id(); "sent as a probe of a blocked prompt part");
+            return None;
+        }
+        Admission::Blocked(left) => {
+            log::warn!(event = 1745, request = exchange.log_id(), left_ms = left.as_millis() as u64;
+                "request blocked: it crashes backend servers");
+        }
+    }
+    Some(match exchange.may_have_run {
+        true => Refusal::Failed,
+        false => Refusal::Blocked,
+    })
+}
+
 /// Why a request isn't sent again.
 #[derive(Debug, thiserror::Error)]
 enum Denial {
@@ -262,7 +281,7 @@
     if exchange.may_have_run && !exchange.route.kind.is_retryable() {
         return Some(Denial::NotRepeatable);
     }
-    if exchange.attempts >= exchange.route.max_attempts.max(1) {
+    if exchange.attempts >= exchange.max_attempts() {
         return Some(Denial::Attempts);
     }
     if std::mem::take(&mut exchange.retry_granted) {
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -28,6 +28,9 @@
     /// Nothing can serve the request at present. It hasn't run and won't.
     #[error("nothing can serve it now")]
     Unavailable,
+    /// The request, or a part of it, crashes backend servers. It hasn't run and won't.
+    #[error("it crashes backend servers")]
+    Blocked,
     /// A backend server may have run the request, and there is no complete response.
     #[error("no backend server gave a whole answer")]
     Failed,
@@ -39,6 +42,10 @@
 /// Range of factors for the retry delay, so that refused callers don't all retry at the same time.
 const RETRY_JITTER: std::ops::Range<f64> = 0.5..1.5;
 
+/// Time after which a caller may retry a request that crashes backend servers: a block lasts longer
+/// than most callers wait.
+const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(20);
+
 impl Refusal {
     /// Name in metrics.
     pub fn name(self) -> &'static str {
@@ -49,6 +56,7 @@
             Self::NoRoute => "route",
             Self::Unauthenticated => "key",
             Self::Unavailable => "not_now",
+            Self::Blocked => "crash",
             Self::Failed => "failed",
             Self::DeadlineExceeded => "late",
         }
@@ -62,7 +70,7 @@
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthenticated => StatusCode::UNAUTHORIZED,
-            Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unavailable | Self::Blocked => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -81,8 +89,12 @@
         if let Some(id) = request_id {
             headers.insert(HeaderName::from_static(ATTEMPT), id.clone());
         }
-        if self == Self::Unavailable {
-            let delay = retry_after.mul_f64(rand::rng().random_range(RETRY_JITTER));
+        if self.status() == StatusCode::SERVICE_UNAVAILABLE {
+            let delay = match self {
+                Self::Blocked => BLOCKED_RETRY_AFTER,
+                _ => retry_after,
+            };
+            let delay = delay.mul_f64(rand::rng().random_range(RETRY_JITTER));
             let seconds = format!("{:.2}", delay.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 headers.insert(HeaderName::from_static(RETRY_AFTER), value);
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -168,7 +168,12 @@
             continue;
         }
         let deadlines = Deadlines::uniform(failover_at);
-        match next_item(app, exchange, &mut source, deadlines).await {
+        let item = next_item(app, exchange, &mut source, deadlines).await;
+        if let Item::Event(_) = item {
+            app.state()
+                .record_answer_begin(Instant::now(), &exchange.work);
+        }
+        match item {
             Item::Event(event) => match escalate(app, exchange, &source.response.head.headers) {
                 None => return Ok(First::Stream(source, event)),
                 Some(larger) => {
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -5,11 +5,12 @@
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
+use limits::poison::{Part, RequestTag};
 use platform::store::Row;
 use route::member::Member;
 use route::pool::{self, Tag};
 use route::relay::{self, Presence, Scope};
-use route::{NodeName, Position, ServiceName, Version, Zone};
+use route::{NodeName, Position, ServerId, ServiceName, Version, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -103,7 +104,7 @@
 }
 
 /// Notices for all nodes, each sent once.
-#[derive(Debug, Default, Deserialize, Serialize)]
+#[derive(Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
 pub struct Notices {
     /// Sessions with the versions they are assigned to.
@@ -112,6 +113,16 @@
     /// Requests, and backend servers that crashed while running them.
     #[serde(rename = "c", skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<Crash>,
+    /// Parts of prompts, requests with them, and starts of backend servers that crashed before they
+    /// began to answer.
+    #[serde(rename = "p", skip_serializing_if = "Vec::is_empty")]
+    pub part_crashes: Vec<(Part, RequestTag, ServerId)>,
+    /// Parts that are blocked, with the number of blocks in a row.
+    #[serde(rename = "b", skip_serializing_if = "Vec::is_empty")]
+    pub part_blocks: Vec<(Part, u32)>,
+    /// Parts that an answer has shown to be sound.
+    #[serde(rename = "a", skip_serializing_if = "Vec::is_empty")]
+    pub part_answers: Vec<Part>,
 }
 
 /// Role of a link: the scope as a number, and whether the sender is attached and the receiver is
--- a/crates/edge/src/link/handle.rs
+++ b/crates/edge/src/link/handle.rs
@@ -253,6 +253,21 @@
             unknown.push(Notice::Crash(crash));
         }
     }
+    for (part, request, server) in notices.part_crashes {
+        if state.record_part_crash(now, part, request, &server) {
+            unknown.push(Notice::PartCrash(part, request, server));
+        }
+    }
+    for (part, level) in notices.part_blocks {
+        if state.poison.record_block(now, part, level) {
+            unknown.push(Notice::PartBlock(part, level));
+        }
+    }
+    for part in notices.part_answers {
+        if state.poison.record_answer(now, part) {
+            unknown.push(Notice::PartAnswer(part));
+        }
+    }
     drop(state);
     for notice in unknown {
         app.publish(Announcement {
--- a/crates/edge/src/link/outbox.rs
+++ b/crates/edge/src/link/outbox.rs
@@ -49,8 +49,7 @@
             }
             true => self.drain(app, now, direction),
         };
-        let any = !notices.assignments.is_empty() || !notices.crashes.is_empty();
-        any.then_some(Frame::Notices(notices))
+        (notices != Notices::default()).then_some(Frame::Notices(notices))
     }
 
     fn drain(&mut self, app: &App, now: Instant, direction: Direction) -> Notices {
@@ -67,6 +66,11 @@
             match announcement.notice {
                 Notice::Assignment(assignment) => notices.assignments.push(assignment),
                 Notice::Crash(crash) => notices.crashes.push(crash),
+                Notice::PartCrash(part, request, server) => {
+                    notices.part_crashes.push((part, request, server));
+                }
+                Notice::PartBlock(part, level) => notices.part_blocks.push((part, level)),
+                Notice::PartAnswer(part) => notices.part_answers.push(part),
             }
         }
     }
@@ -110,5 +114,7 @@
         crashes: crashes
             .map(|(fingerprint, server, _)| (fingerprint.clone(), server.clone()))
             .collect(),
+        part_blocks: state.poison.blocks(now).collect(),
+        ..Notices::default()
     }
 }
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -86,6 +86,12 @@
     })
 }
 
+/// Whether an address refuses connections: nothing listens there.
+pub async fn is_refused(address: SocketAddrV4) -> bool {
+    let refused = |error: io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+    connect(address).await.is_err_and(refused)
+}
+
 async fn connect(address: SocketAddrV4) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 mod error;
+pub mod poison;
 pub mod quarantine;
 pub mod retry;
 pub mod slot;
--- /dev/null
+++ b/crates/limits/src/poison/admission.rs
@@ -0,0 +1,14 @@
+//! Whether a request may be sent.
+
+use std::time::Duration;
+
+/// Whether a request may be sent to a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// None of its parts is blocked.
+    Open,
+    /// It may be sent once, to find out whether a part still crashes backend servers.
+    Probe,
+    /// One of its parts is blocked for this long.
+    Blocked(Duration),
+}
--- /dev/null
+++ b/crates/limits/src/poison/part.rs
@@ -0,0 +1,143 @@
+//! What is known of one part.
+
+use super::{RequestTag, Settings};
+use contract::BackendId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+/// Largest number of times that the time of a block is doubled.
+const MAX_LEVEL: u32 = 16;
+
+/// A crash that counts against a part.
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    at: Instant,
+    request: RequestTag,
+}
+
+/// Crashes on one part, and its block.
+#[derive(Clone, Debug, Default)]
+pub(super) struct State {
+    /// Crashes by backend server; none once an answer or another part explains them. The entry
+    /// stays, so that a late notice of the same crash counts no more.
+    crashes: BTreeMap<BackendId, Option<Crash>>,
+    /// End of the block.
+    blocked_until: Option<Instant>,
+    /// Number of blocks in a row.
+    pub(super) level: u32,
+    /// When a probe was last admitted, while its outcome isn't known.
+    probed: Option<Instant>,
+    /// When an answer last cleared the part.
+    cleared: Option<Instant>,
+}
+
+impl State {
+    /// Adds a crash; returns whether it is new.
+    pub fn add_crash(&mut self, at: Instant, request: RequestTag, server: &str) -> bool {
+        if self.crashes.contains_key(server) {
+            return false;
+        }
+        let crash = Some(Crash { at, request });
+        self.crashes.insert(server.to_owned(), crash);
+        true
+    }
+
+    /// Numbers of distinct requests and of backend servers in the crashes that count.
+    pub fn evidence(&self, now: Instant, settings: &Settings) -> (usize, usize) {
+        let crashes: Vec<_> = self.recent(now, settings).collect();
+        let requests: BTreeSet<_> = crashes.iter().map(|crash| crash.request).collect();
+        (requests.len(), crashes.len())
+    }
+
+    /// Whether the crashes show that the part causes them.
+    pub fn is_convicted(&self, now: Instant, settings: &Settings) -> bool {
+        let first = self.recent(now, settings).map(|crash| crash.at).min();
+        let last = self.recent(now, settings).map(|crash| crash.at).max();
+        let span = last.zip(first).map(|(last, first)| last - first);
+        let (requests, crashes) = self.evidence(now, settings);
+        requests >= settings.min_requests
+            && crashes >= settings.crash_threshold
+            && span.is_some_and(|span| span >= settings.min_span)
+    }
+
+    fn recent(&self, now: Instant, settings: &Settings) -> impl Iterator<Item = &Crash> {
+        let retention = settings.retention;
+        let crashes = self.crashes.values().flatten();
+        crashes.filter(move |crash| now.saturating_duration_since(crash.at) < retention)
+    }
+
+    /// Backend servers that crashed on the part.
+    pub fn servers(&self) -> impl Iterator<Item = &BackendId> {
+        self.crashes.keys()
+    }
+
+    /// Takes back what another part explains: crashes of these backend servers, and a block that
+    /// the others don't justify.
+    pub fn explain(&mut self, now: Instant, servers: &[BackendId], settings: &Settings) {
+        for server in servers {
+            if let Some(crash) = self.crashes.get_mut(server) {
+                *crash = None;
+            }
+        }
+        if self.level == 1 && !self.is_convicted(now, settings) {
+            self.blocked_until = None;
+            self.level = 0;
+        }
+    }
+
+    /// Blocks the part for the time that belongs to a level.
+    pub fn block(&mut self, now: Instant, level: u32, settings: &Settings) {
+        self.level = level.clamp(1, MAX_LEVEL);
+        let time = settings.min_block * (1 << (self.level - 1));
+        self.blocked_until = Some(now + time.min(settings.max_block));
+        self.probed = None;
+    }
+
+    /// Clears the part after an answer; returns whether anything was held against it.
+    pub fn clear(&mut self, now: Instant) -> bool {
+        let held = self.blocked_until.is_some() || self.crashes.values().any(Option::is_some);
+        self.crashes.values_mut().for_each(|crash| *crash = None);
+        self.blocked_until = None;
+        self.probed = None;
+        self.level = 0;
+        self.cleared = Some(now);
+        held
+    }
+
+    /// Time left of the block; zero when the part may be probed, none when it isn't blocked.
+    pub fn block_left(&self, now: Instant) -> Option<Duration> {
+        let until = self.blocked_until?;
+        Some(until.saturating_duration_since(now))
+    }
+
+    /// Admits a probe unless one is running.
+    pub fn start_probe(&mut self, now: Instant, settings: &Settings) -> bool {
+        let running = self
+            .probed
+            .is_some_and(|at| now.saturating_duration_since(at) < settings.probe_timeout);
+        if !running {
+            self.probed = Some(now);
+        }
+        !running
+    }
+
+    /// Whether an answer has cleared the part within the settle time.
+    pub fn is_settling(&self, now: Instant, settings: &Settings) -> bool {
+        self.cleared
+            .is_some_and(|at| now.saturating_duration_since(at) < settings.settle_time)
+    }
+
+    /// When the last crash was, for eviction.
+    pub fn last_crash(&self) -> Option<Instant> {
+        let crashes = self.crashes.values().flatten();
+        crashes.map(|crash| crash.at).max()
+    }
+
+    /// Whether nothing is held against the part any more.
+    pub fn is_expired(&self, now: Instant, settings: &Settings) -> bool {
+        let recent = |at: Instant| now.saturating_duration_since(at) < settings.retention;
+        self.blocked_until.is_none()
+            && !self.last_crash().is_some_and(recent)
+            && !self.cleared.is_some_and(recent)
+    }
+}
--- a/crates/route/src/pool/query.rs
+++ b/crates/route/src/pool/query.rs
@@ -30,6 +30,19 @@
 }
 
 impl Work {
+    /// Returns the parts that other requests may share: all but the last.
+    ///
+    /// ```
+    /// use route::pool::{Work, name_hash};
+    /// let parts = vec![(name_hash("system"), 9.0), (name_hash("own"), 9.0)];
+    /// let work = Work { parts, ..Work::default() };
+    /// assert!(work.shared_parts().eq([name_hash("system")]));
+    /// ```
+    pub fn shared_parts(&self) -> impl Iterator<Item = NameHash> {
+        let count = self.parts.len().saturating_sub(1);
+        self.parts[..count].iter().map(|(part, _)| *part)
+    }
+
     /// Returns the last part that is shared with other requests, if any.
     ///
     /// ```
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -132,6 +132,9 @@
         }
         _ => (),
     }
+    if shared.crashes_at(request) {
+        return std::future::pending().await;
+    }
     let seal = format!("seal.{}", shared.id);
     let headers = [
         ("request-id", request.header("request-id")),
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -7,7 +7,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
+use tokio::sync::Notify;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::sleep;
 
 /// A request that a backend server began to run.
 #[derive(Clone, Debug)]
@@ -24,6 +26,8 @@
 pub(super) struct Shared {
     pub(super) id: String,
     pub(super) state: Mutex<State>,
+    /// Signals that it crashes.
+    crashed: Notify,
 }
 
 #[derive(Debug)]
@@ -34,9 +38,26 @@
     /// What the answer says of itself, in percent.
     pub(super) confidence: u32,
     pub(super) runs: Vec<Run>,
+    /// Part of prompts at which it crashes, where it begins to answer.
+    pub(super) poison: Option<String>,
+    /// Number of crashes.
+    pub(super) crashes: usize,
 }
 
 impl Shared {
+    /// Crashes if a request holds the poison part; returns whether it does.
+    pub(super) fn crashes_at(&self, request: &Request) -> bool {
+        let mut state = self.state();
+        let prompt = request.header("prompt-prefix");
+        let is_poison = |part: &str| part.split(':').next() == state.poison.as_deref();
+        let crashes = state.poison.is_some() && prompt.split(',').any(is_poison);
+        if crashes {
+            state.crashes += 1;
+            self.crashed.notify_one();
+        }
+        crashes
+    }
+
     pub(super) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -68,7 +89,10 @@
                 pause: Duration::from_millis(10),
                 confidence: 100,
                 runs: Vec::new(),
+                poison: None,
+                crashes: 0,
             }),
+            crashed: Notify::new(),
         });
         let address = listener.local_addr()?;
         let task = tokio::spawn(serve(listener, Arc::clone(&shared)));
@@ -106,16 +130,54 @@
         self.shared.state().confidence = confidence;
     }
 
+    /// Sets the part of prompts at which it crashes.
+    pub fn set_poison(&self, part: &str) {
+        self.shared.state().poison = Some(part.to_owned());
+    }
+
+    /// How often it has crashed.
+    pub fn crashes(&self) -> usize {
+        self.shared.state().crashes
+    }
+
     /// The requests that it began to run.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.state().runs.clone()
     }
 }
 
+/// Time after a crash until it listens again.
+const RESTART_TIME: Duration = Duration::from_millis(1500);
+
 async fn serve(listener: TcpListener, shared: Arc<Shared>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let shared = Arc::clone(&shared);
-        tokio::spawn(async move {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let mut listener = Some(listener);
+    loop {
+        match listener.take() {
+            Some(open) => serve_until_crash(open, &shared).await,
+            None => listener = TcpListener::bind(address).await.ok(),
+        }
+        if listener.is_none() {
+            sleep(RESTART_TIME).await;
+        }
+    }
+}
+
+/// Serves connections until it crashes, which ends all of them.
+async fn serve_until_crash(listener: TcpListener, shared: &Arc<Shared>) {
+    let mut connections = JoinSet::new();
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(_) => return,
+            },
+            () = shared.crashed.notified() => return,
+        };
+        let shared = Arc::clone(shared);
+        connections.spawn(async move {
             if let Err(error) = connection(stream, &shared).await {
                 log::debug!("connection to a backend server ended: {error}");
             }
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -20,6 +20,9 @@
 /// Time after a disruption from which the bounds hold again, as the settings say.
 const CONTACT: Duration = Duration::from_millis(3000);
 
+/// Crashes by requests with a poison part after which none may follow, with the last request's.
+const MAX_POISON_CRASHES: usize = 8;
+
 /// Each case is a test by its own name.
 macro_rules! cases {
     ($($name:ident($settings:expr))*) => {$(
@@ -55,6 +58,7 @@
     a_caller_that_leaves_ends_the_work(models())
     a_change_is_in_force_in_time(plain())
     a_change_reaches_a_node_that_the_store_refuses(three_nodes())
+    requests_with_a_poison_part_are_stopped(Settings { nodes: 3, models: 6, ..models() })
     a_silent_link_is_closed_in_time(three_nodes())
     a_change_passes_store_connections_that_fell_silent(three_nodes())
     a_node_that_starts_without_the_store_asks_the_others(three_nodes())
@@ -561,6 +565,43 @@
         Ok(())
     }
 
+    /// Guards against different requests that share a part and crash backend server after backend
+    /// server.
+    pub async fn requests_with_a_poison_part_are_stopped(site: &mut Site) -> Result<(), Error> {
+        for worker in &site.models {
+            worker.set_poison("dead");
+        }
+        let client = Client::new();
+        let prompt = async |index: usize, part: &str| {
+            let request = request(&client, site, index % 3, "/stream/a")
+                .header("accept", "text/event-stream")
+                .header("model", "small")
+                .header("token-count", "100,50")
+                .header("prompt-prefix", format!("aa:50,{part}:30,{index:x}:20"))
+                .body(index.to_string());
+            request
+                .send()
+                .await
+                .is_ok_and(|answer| answer.status() == 200)
+        };
+        let crashes = || site.models.iter().map(Worker::crashes).sum::<usize>();
+        for index in 0..20 {
+            prompt(2 * index, "bb").await;
+            prompt(2 * index + 1, "dead").await;
+            sleep(Duration::from_millis(300)).await;
+        }
+        let before = crashes();
+        assert!(before <= MAX_POISON_CRASHES, "{before} crashes");
+        let mut sound = 0;
+        for index in 100..112 {
+            sound += usize::from(prompt(index, "bb").await);
+            prompt(index + 100, "dead").await;
+        }
+        assert_eq!(crashes(), before, "no more of them");
+        assert_eq!(sound, 12, "requests with the other parts are served");
+        Ok(())
+    }
+
     /// Guards against links that stay open though nothing arrives on them.
     pub async fn a_silent_link_is_closed_in_time(site: &mut Site) -> Result<(), Error> {
         let named = async || {
