Trust a refusal only if it belongs to the request

Callers saw, at operators of similar systems: 'not run, try again' for requests that had run (REFUSED), or two runs (TWICE). Cause: a response with Not-Executed or status 421 was taken as a promise before its request id was compared. A faulty backend server that writes its refusal of another request made the node send a request again that had run, or refuse it as not run. Evidence: a_refusal_of_another_request_promises_nothing: on the code before, the caller got 503 and the request ran; now 502 and one run. Ruled out: a late response on a connection in use again: each request has a connection of its own. Change: the id is compared first.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -405,14 +405,17 @@
     };
     let status = response.head.status;
     let headers = &response.head.headers;
-    if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_EXECUTED) {
-        attempt.fail(exchange, &Failure::NotRun(status.as_u16()));
-        return Delivery::NotRun;
-    }
+    // A late response to another request says nothing of this one, not even that it hasn't run.
     let id_matches = exchange.request_id.as_ref().is_none_or(|id| {
         let echo = headers.get(header::ATTEMPT);
         echo.is_none_or(|echo| echo == id)
     });
+    let not_run =
+        status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_EXECUTED);
+    if id_matches && not_run {
+        attempt.fail(exchange, &Failure::NotRun(status.as_u16()));
+        return Delivery::NotRun;
+    }
     let signed = !status.is_success() || text(headers, header::SIGNATURE).is_some();
     if !id_matches || !signed || headers.contains_key(CONTENT_ENCODING) {
         attempt.fail(exchange, &Failure::InvalidResponse(status.as_u16()));
--- a/crates/standin/src/site/fault.rs
+++ b/crates/standin/src/site/fault.rs
@@ -36,6 +36,8 @@
     Stall(u64),
     /// It answers with the id of another request.
     Crossed,
+    /// It runs the request and answers with its refusal of another one.
+    CrossedRefusal,
     /// It sends this many events of a stream, and then a byte now and then; a whole answer comes so from
     /// its beginning.
     Drip(u64),
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -92,6 +92,10 @@
             let headers = [("request-id", "another"), ("response-seal", &seal)];
             answer(stream, 200, &headers, body.as_bytes()).await?;
         }
+        WorkerFault::CrossedRefusal => {
+            let headers = [("request-id", "another"), ("not-executed", "1")];
+            answer(stream, 503, &headers, b"").await?;
+        }
         WorkerFault::Fail(status) => {
             answer(stream, status, &headers, b"failed").await?;
             return Ok(true);
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -1,6 +1,7 @@
 //! An entry node on the operators' platform, as a process before stand-ins of store and backend
 //! servers.
 
+use futures::StreamExt;
 use nix::sys::signal::Signal;
 use reqwest::header::{HeaderMap, HeaderValue};
 use reqwest::{Client, Response};
@@ -58,6 +59,8 @@
     a_caller_that_leaves_ends_the_work(models())
     a_change_is_in_force_in_time(plain())
     a_change_reaches_a_node_that_the_store_refuses(three_nodes())
+    a_refusal_of_another_request_promises_nothing(plain())
+    an_error_after_a_broken_stream_stays_out_of_it(models())
     requests_with_a_poison_part_are_stopped(Settings { nodes: 3, models: 6, ..models() })
     a_silent_link_is_closed_in_time(three_nodes())
     a_change_passes_store_connections_that_fell_silent(three_nodes())
@@ -565,6 +568,51 @@
         Ok(())
     }
 
+    /// Guards against a refusal of an earlier request that is taken for one of this request.
+    pub async fn a_refusal_of_another_request_promises_nothing(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        for desk in &site.desks {
+            desk.set_fault(WorkerFault::CrossedRefusal);
+        }
+        let status = send(site, "/once/a").await?.status();
+        assert_eq!(status, 502, "it has run");
+        assert_eq!(runs(&site.desks).len(), 1);
+        Ok(())
+    }
+
+    /// Guards against the error of the next backend server in the middle of a stream.
+    pub async fn an_error_after_a_broken_stream_stays_out_of_it(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let client = Client::new();
+        for first in 0..site.models.len() {
+            for (index, worker) in site.models.iter().enumerate() {
+                worker.set_fault(match index == first {
+                    true => WorkerFault::Break(3),
+                    false => WorkerFault::Fail(500),
+                });
+            }
+            let answer = stream(&client, site, 0, "s").send().await?;
+            if answer.status() != 200 {
+                continue;
+            }
+            let mut body = answer.bytes_stream();
+            let mut text = String::new();
+            let ended = loop {
+                match body.next().await {
+                    Some(Ok(bytes)) => text.push_str(&String::from_utf8_lossy(&bytes)),
+                    Some(Err(_)) => break false,
+                    None => break true,
+                }
+            };
+            assert!(!ended, "it looks complete: {text}");
+            assert_eq!(numbers(&text), [1, 2]);
+            assert!(!text.contains("failed") && !text.contains("HTTP"), "{text}");
+        }
+        Ok(())
+    }
+
     /// Guards against different requests that share a part and crash backend server after backend
     /// server.
     pub async fn requests_with_a_poison_part_are_stopped(site: &mut Site) -> Result<(), Error> {
