Go by what backend servers say of themselves in their answers

Cause: nothing read either header; only the table told that a server leaves. Evidence: four tests of the process before a stand-in that plays both; with the reading switched off all four fail. If all servers pause beyond the time that a request can wait, it is refused at once with the end of the first pause.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -42,6 +42,8 @@
     Assignment(Assignment),
     /// A backend server crashed while running a request.
     Crash(Crash),
+    /// A start of a backend server has said that it is leaving.
+    Departure(ServerId, u64),
     /// A backend server crashed before the answer to a request with a part began.
     PartCrash(Part, RequestTag, ServerId),
     /// A part is blocked because it crashes backend servers; with the number of blocks in a row.
--- a/crates/edge/src/forward/buffered.rs
+++ b/crates/edge/src/forward/buffered.rs
@@ -3,7 +3,7 @@
 use super::attempt::{Deadlines, Delivery, Failure, Wait, send, wait};
 use super::exchange::Exchange;
 use super::forward::next_attempt;
-use super::headers::strip_hop_by_hop;
+use super::headers::strip_response;
 use super::refusal::Refusal;
 use crate::app::App;
 use crate::body::Body;
@@ -96,6 +96,6 @@
         }
     };
     let mut response = Response::from_parts(response.head, Body::full(body));
-    strip_hop_by_hop(response.headers_mut());
+    strip_response(response.headers_mut());
     Some(response)
 }
--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -18,6 +18,7 @@
 use rand::Rng;
 use route::cascade::Sizes;
 use route::config::Route;
+use route::pool;
 use route::table;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -224,6 +225,14 @@
                     .observe(started.elapsed().as_secs_f64());
                 return Ok(attempt);
             }
+            Err(pool::Refusal::Paused(left)) if Instant::now() + left > until => {
+                let reason = pool::Refusal::Paused(left);
+                let refusal = match refusal {
+                    Refusal::Unavailable => Refusal::Paused(left),
+                    refusal => refusal,
+                };
+                return Err(give_up(exchange, &reason, refusal));
+            }
             Err(reason) if has_failed_response || Instant::now() >= until => {
                 return Err(give_up(exchange, &reason, refusal));
             }
@@ -242,22 +251,23 @@
         return None;
     }
     let (fingerprint, work) = (&exchange.fingerprint, &exchange.work);
-    match app.state().admit(Instant::now(), fingerprint, work) {
-        Admission::Open => return None,
+    let admission = app.state().admit(Instant::now(), fingerprint, work);
+    match admission {
+        Admission::Open => None,
         Admission::Probe => {
             exchange.is_probe = true;
             log::info!(event = 1794, request = exchange.log_id(); "sent as a probe of a blocked prompt part");
-            return None;
+            None
         }
         Admission::Blocked(left) => {
             log::warn!(event = 1745, request = exchange.log_id(), left_ms = left.as_millis() as u64;
                 "request blocked: it crashes backend servers");
+            Some(match exchange.may_have_run {
+                true => Refusal::Failed,
+                false => Refusal::Blocked(left),
+            })
         }
     }
-    Some(match exchange.may_have_run {
-        true => Refusal::Failed,
-        false => Refusal::Blocked,
-    })
 }
 
 /// Why a request isn't sent again.
--- a/crates/edge/src/forward/headers.rs
+++ b/crates/edge/src/forward/headers.rs
@@ -35,6 +35,13 @@
     }
 }
 
+/// Removes from a response what concerns the node alone: hop-by-hop headers, and the pause that a
+/// backend server asks for, which is no promise to a caller.
+pub fn strip_response(headers: &mut HeaderMap) {
+    strip_hop_by_hop(headers);
+    headers.remove(header::RETRY_AFTER);
+}
+
 /// Parses a header as a number.
 pub fn number(headers: &HeaderMap, name: &str) -> Option<f64> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -30,7 +30,11 @@
     Unavailable,
     /// The request, or a part of it, crashes backend servers. It hasn't run and won't.
     #[error("it crashes backend servers")]
-    Blocked,
+    Blocked(Duration),
+    /// All backend servers of the service have asked for a pause, the first one for this time. The
+    /// request hasn't run and won't.
+    #[error("all of its backend servers pause")]
+    Paused(Duration),
     /// A backend server may have run the request, and there is no complete response.
     #[error("no backend server gave a whole answer")]
     Failed,
@@ -42,10 +46,6 @@
 /// Range of factors for the retry delay, so that refused callers don't all retry at the same time.
 const RETRY_JITTER: std::ops::Range<f64> = 0.5..1.5;
 
-/// Time after which a caller may retry a request that crashes backend servers: a block lasts longer
-/// than most callers wait.
-const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(20);
-
 impl Refusal {
     /// Name in metrics.
     pub fn name(self) -> &'static str {
@@ -56,7 +56,8 @@
             Self::NoRoute => "route",
             Self::Unauthenticated => "key",
             Self::Unavailable => "not_now",
-            Self::Blocked => "crash",
+            Self::Blocked(_) => "crash",
+            Self::Paused(_) => "paused",
             Self::Failed => "failed",
             Self::DeadlineExceeded => "late",
         }
@@ -70,7 +71,9 @@
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthenticated => StatusCode::UNAUTHORIZED,
-            Self::Unavailable | Self::Blocked => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unavailable | Self::Blocked(_) | Self::Paused(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -90,11 +93,13 @@
             headers.insert(HeaderName::from_static(ATTEMPT), id.clone());
         }
         if self.status() == StatusCode::SERVICE_UNAVAILABLE {
+            let mut rng = rand::rng();
             let delay = match self {
-                Self::Blocked => BLOCKED_RETRY_AFTER,
-                _ => retry_after,
+                Self::Blocked(left) | Self::Paused(left) => {
+                    left + retry_after.mul_f64(rng.random_range(RETRY_JITTER))
+                }
+                _ => retry_after.mul_f64(rng.random_range(RETRY_JITTER)),
             };
-            let delay = delay.mul_f64(rand::rng().random_range(RETRY_JITTER));
             let seconds = format!("{:.2}", delay.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 headers.insert(HeaderName::from_static(RETRY_AFTER), value);
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -5,7 +5,7 @@
 use super::event::{Decoder, Event};
 use super::exchange::Exchange;
 use super::forward::next_attempt;
-use super::headers::strip_hop_by_hop;
+use super::headers::strip_response;
 use super::refusal::Refusal;
 use crate::app::App;
 use crate::body::{Body, Truncated};
@@ -119,7 +119,7 @@
     let mut head = Response::new(());
     *head.status_mut() = source.response.head.status;
     *head.headers_mut() = source.response.head.headers.clone();
-    strip_hop_by_hop(head.headers_mut());
+    strip_response(head.headers_mut());
     let (events, body) = mpsc::channel(MAX_BUFFERED_EVENTS);
     let app = Arc::clone(app);
     tokio::spawn(async move {
@@ -212,7 +212,7 @@
 
 fn complete(head: Parts, body: Bytes) -> Response<Body> {
     let mut response = Response::from_parts(head, Body::full(body));
-    strip_hop_by_hop(response.headers_mut());
+    strip_response(response.headers_mut());
     response
 }
 
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -113,6 +113,9 @@
     /// Requests, and backend servers that crashed while running them.
     #[serde(rename = "c", skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<Crash>,
+    /// Starts of backend servers that have said that they are leaving.
+    #[serde(rename = "d", skip_serializing_if = "Vec::is_empty")]
+    pub departures: Vec<(ServerId, u64)>,
     /// Parts of prompts, requests with them, and starts of backend servers that crashed before they
     /// began to answer.
     #[serde(rename = "p", skip_serializing_if = "Vec::is_empty")]
--- a/crates/edge/src/link/handle.rs
+++ b/crates/edge/src/link/handle.rs
@@ -253,6 +253,12 @@
             unknown.push(Notice::Crash(crash));
         }
     }
+    for (server, started_ms) in notices.departures {
+        if state.pool.record_leaving(&server, started_ms) {
+            log::info!(event = 1795, server = server.as_str(), source = peer.as_str(); "backend server says that it is leaving");
+            unknown.push(Notice::Departure(server, started_ms));
+        }
+    }
     for (part, request, server) in notices.part_crashes {
         if state.record_part_crash(now, part, request, &server) {
             unknown.push(Notice::PartCrash(part, request, server));
--- a/crates/edge/src/link/outbox.rs
+++ b/crates/edge/src/link/outbox.rs
@@ -69,6 +69,9 @@
                 Notice::PartCrash(part, request, server) => {
                     notices.part_crashes.push((part, request, server));
                 }
+                Notice::Departure(server, started_ms) => {
+                    notices.departures.push((server, started_ms));
+                }
                 Notice::PartBlock(part, level) => notices.part_blocks.push((part, level)),
                 Notice::PartAnswer(part) => notices.part_answers.push(part),
             }
@@ -114,6 +117,11 @@
         crashes: crashes
             .map(|(fingerprint, server, _)| (fingerprint.clone(), server.clone()))
             .collect(),
+        departures: state
+            .pool
+            .departures()
+            .map(|(server, started_ms)| (server.clone(), started_ms))
+            .collect(),
         part_blocks: state.poison.blocks(now).collect(),
         ..Notices::default()
     }
--- a/crates/edge/src/metrics/label.rs
+++ b/crates/edge/src/metrics/label.rs
@@ -37,3 +37,10 @@
     /// `valid` or `invalid`; `invalid` also if it is missing.
     pub report: &'static str,
 }
+
+/// Labels of what a backend server says of itself.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Announcement {
+    /// `leaving`, `pause`, or `invalid` for a pause that is left out or shortened.
+    pub kind: &'static str,
+}
--- a/crates/edge/src/metrics/metrics.rs
+++ b/crates/edge/src/metrics/metrics.rs
@@ -1,6 +1,6 @@
 //! The metrics of a node.
 
-use super::{Call, Confidence, Request, Send};
+use super::{Announcement, Call, Confidence, Request, Send};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -23,6 +23,8 @@
     pub store_calls: Family<Call, Counter>,
     /// Answers of models by whether their confidence is valid.
     pub confidences: Family<Confidence, Counter>,
+    /// What backend servers say of themselves, by kind.
+    pub announcements: Family<Announcement, Counter>,
     /// Time to the head of the response, in seconds.
     pub response_seconds: Histogram,
     /// Time for which requests waited for a backend server with free capacity, in seconds.
@@ -30,6 +32,8 @@
     pub(super) revision: Gauge,
     pub(super) members: Gauge,
     pub(super) servers: Gauge,
+    pub(super) leaving_servers: Gauge,
+    pub(super) paused_servers: Gauge,
     pub(super) in_flight: Gauge,
     pub(super) list_age_ms: Gauge,
     pub(super) dropped_lines: Gauge,
@@ -54,11 +58,14 @@
             sends: Family::default(),
             store_calls: Family::default(),
             confidences: Family::default(),
+            announcements: Family::default(),
             response_seconds: histogram(),
             queue_seconds: histogram(),
             revision: Gauge::default(),
             members: Gauge::default(),
             servers: Gauge::default(),
+            leaving_servers: Gauge::default(),
+            paused_servers: Gauge::default(),
             in_flight: Gauge::default(),
             list_age_ms: Gauge::default(),
             dropped_lines: Gauge::default(),
@@ -92,6 +99,11 @@
             "Answers of models by whether they report a valid confidence",
             self.confidences.clone(),
         );
+        registry.register(
+            "announcements",
+            "Answers in which backend servers say that they leave or pause",
+            self.announcements.clone(),
+        );
         let seconds = "Seconds to the head of an answer";
         registry.register("answer_seconds", seconds, self.response_seconds.clone());
         let seconds = "Seconds that requests waited for a place";
@@ -108,6 +120,16 @@
                 "Backend servers that take work",
                 &self.servers,
             ),
+            (
+                "leaving_servers",
+                "Listed backend servers that have said that they leave",
+                &self.leaving_servers,
+            ),
+            (
+                "paused_servers",
+                "Backend servers that have asked for a pause",
+                &self.paused_servers,
+            ),
             ("requests_inside", "Requests under way", &self.in_flight),
             (
                 "list_age_ms",
--- a/crates/edge/src/metrics/serve.rs
+++ b/crates/edge/src/metrics/serve.rs
@@ -41,6 +41,12 @@
     metrics
         .servers
         .set(servers.filter(|server| server.accepts_work()).count() as i64);
+    let servers = state.pool.servers().values();
+    let leaving = servers.filter(|server| server.is_leaving());
+    metrics.leaving_servers.set(leaving.count() as i64);
+    let servers = state.pool.servers().values();
+    let paused = servers.filter(|server| server.pause_left(now).is_some());
+    metrics.paused_servers.set(paused.count() as i64);
     metrics
         .list_age_ms
         .set(state.list_age(now).as_millis() as i64);
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -2,6 +2,7 @@
 
 mod baselines;
 mod capacity;
+mod departures;
 mod estimator;
 mod limiter;
 mod load;
@@ -15,6 +16,7 @@
 
 pub use baselines::{Baselines, Ratio, Stage};
 pub use capacity::Capacity;
+pub use departures::Departures;
 pub use estimator::{Estimator, Speeds};
 pub use limiter::Limiter;
 pub use load::Load;
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -1,8 +1,8 @@
 //! All backend servers of a site.
 
 use super::{
-    Baselines, Capacity, Estimator, Load, Outcome, Query, Ratio, Refusal, Server, Settings, Speeds,
-    Stage, name_hash, rank,
+    Baselines, Capacity, Departures, Estimator, Load, Outcome, Query, Ratio, Refusal, Server,
+    Settings, Speeds, Stage, name_hash, rank,
 };
 use crate::server::Listing;
 use crate::{NodeName, ServerId, ServiceName, Zone};
@@ -47,6 +47,8 @@
     estimators: Map<ServiceName, Estimator>,
     /// Capacities of backend servers, by service.
     capacities: Map<ServiceName, Capacity>,
+    /// Starts of backend servers that have said that they are leaving.
+    departures: Departures,
     /// Hashes of the nodes that share the capacity of cold backend servers, this one first.
     node_hashes: Vec<u64>,
 }
@@ -80,6 +82,7 @@
                     .filter_map(|loads| loads.get(&tag));
                 server.remote_load = loads.fold(Load::default(), |sum, load| sum.plus(*load));
                 server.cold_quota = self.cold_quota(&server);
+                server.is_leaving = self.departures.contains(&listing.id, listing.started_ms);
                 self.tags.insert(tag, listing.id.clone());
                 self.servers.insert(listing.id, server);
             }
@@ -93,6 +96,32 @@
         self.tags.remove(&tag(id));
     }
 
+    /// Records that a start of a backend server has said that it is leaving; returns whether that
+    /// is new. It holds for this start, also if its entry expires and comes back.
+    pub fn record_leaving(&mut self, id: &str, started_ms: u64) -> bool {
+        let is_new = self.departures.insert(id, started_ms);
+        if let Some(server) = self.servers.get_mut(id)
+            && server.listing.started_ms == started_ms
+        {
+            server.is_leaving = true;
+        }
+        is_new
+    }
+
+    /// Returns the starts of backend servers that have said that they are leaving.
+    pub fn departures(&self) -> impl Iterator<Item = (&ServerId, u64)> {
+        self.departures.iter()
+    }
+
+    /// Records that a start of a backend server has asked this node for a pause.
+    pub fn record_pause(&mut self, now: Instant, id: &str, started_ms: u64, pause: Duration) {
+        if let Some(server) = self.servers.get_mut(id)
+            && server.listing.started_ms == started_ms
+        {
+            server.pause(now, pause);
+        }
+    }
+
     /// Sets the availability zones that get no requests. Backend servers of a zone that comes back are
     /// cold.
     pub fn set_zones_out(&mut self, now: Instant, zones: Set<Zone>) {
@@ -187,7 +216,11 @@
             if !self.is_eligible(server, query) || !allows(&server.listing) {
                 continue;
             }
-            refusal = Refusal::Full;
+            refusal = match (server.pause_left(now), refusal) {
+                (None, _) | (_, Refusal::Full) => Refusal::Full,
+                (Some(left), Refusal::Paused(least)) => Refusal::Paused(left.min(least)),
+                (Some(left), Refusal::NoServer) => Refusal::Paused(left),
+            };
             let preferred = preferred == Some(id);
             let sampled = preferred || rank(query.draw, server.hash) <= threshold;
             let skipped = !sampled && best.is_some_and(|(sampled, ..)| sampled);
@@ -238,7 +271,8 @@
 
     /// Whether a backend server has capacity for one more request of this node.
     fn has_capacity(&self, now: Instant, server: &Server) -> bool {
-        if !server.breaker.allows_request(now) || server.is_full(now) {
+        let is_open = server.breaker.allows_request(now) && server.has_resumed(now);
+        if !is_open || server.is_full(now) {
             return false;
         }
         if server.load().requests >= server.listing.slots + self.settings.max_queued {
--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -30,6 +30,11 @@
 /// Time for which a backend server is skipped after it had no capacity.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 
+/// Time after a pause for which a backend server gets few requests at a time.
+const RESUME_TIME: Duration = Duration::from_secs(2);
+/// Time after which it gets one more request at a time.
+const RESUME_STEP: Duration = Duration::from_millis(100);
+
 /// Factor on the baseline latency at which answers are capped.
 const MAX_SLOWNESS: f64 = 10.0;
 
@@ -55,6 +60,10 @@
     /// Requests that this node may send to it per window while it is cold.
     pub(super) cold_quota: usize,
     full_until: Option<Instant>,
+    /// Whether it has said that it is leaving, whatever its entry says.
+    pub(super) is_leaving: bool,
+    /// End of the last pause that it asked this node for.
+    paused_until: Option<Instant>,
     /// When it last sent something in response to a request of this node.
     pub(super) last_activity: Option<Instant>,
     /// When it last broke off an answer.
@@ -83,6 +92,8 @@
             hash: name_hash(&listing.id),
             cold_quota: 0,
             full_until: None,
+            is_leaving: false,
+            paused_until: None,
             last_activity: None,
             last_break: None,
             breaker: Breaker::new(settings),
@@ -99,7 +110,35 @@
 
     /// Whether it accepts new work.
     pub fn accepts_work(&self) -> bool {
-        self.listing.state == State::Ready
+        self.listing.state == State::Ready && !self.is_leaving
+    }
+
+    /// Whether it has said in an answer that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Stops sending to it for a time, as it has asked for.
+    pub fn pause(&mut self, now: Instant, pause: Duration) {
+        self.paused_until = self.paused_until.max(Some(now + pause));
+    }
+
+    /// Time left of its pause, if it has asked for one.
+    pub fn pause_left(&self, now: Instant) -> Option<Duration> {
+        let left = self.paused_until?.checked_duration_since(now)?;
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Whether it accepts one more request of this node after a pause: at first few at a time.
+    pub fn has_resumed(&self, now: Instant) -> bool {
+        let Some(end) = self.paused_until else {
+            return true;
+        };
+        let Some(since) = now.checked_duration_since(end) else {
+            return false;
+        };
+        since >= RESUME_TIME
+            || self.own_load.requests < 1 + (since.as_millis() / RESUME_STEP.as_millis()) as u32
     }
 
     /// Returns its total load, as far as this node knows.
--- a/crates/standin/src/site/fault.rs
+++ b/crates/standin/src/site/fault.rs
@@ -36,6 +36,11 @@
     Stall(u64),
     /// It answers with the id of another request.
     Crossed,
+    /// It answers well and says that it is leaving.
+    Leaving,
+    /// It refuses with the word that the request hasn't run, and asks for a pause of this many
+    /// milliseconds.
+    Pause(u64),
     /// It runs the request and answers with its refusal of another one.
     CrossedRefusal,
     /// It sends this many events of a stream, and then a byte now and then; a whole answer comes so from
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -34,6 +34,13 @@
         answer(stream, 503, &instance, b"").await?;
         return Ok(true);
     }
+    if let WorkerFault::Pause(millis) = fault {
+        shared.state().refusals.push(Instant::now());
+        let seconds = format!("{}", millis as f64 / 1e3);
+        let headers = [instance[0], instance[1], ("retry-after", &seconds)];
+        answer(stream, 503, &headers, b"").await?;
+        return Ok(true);
+    }
     let index = {
         let mut state = shared.state();
         state.runs.push(Run {
@@ -92,6 +99,10 @@
             let headers = [("request-id", "another"), ("response-seal", &seal)];
             answer(stream, 200, &headers, body.as_bytes()).await?;
         }
+        WorkerFault::Leaving => {
+            let headers = [headers[0], headers[1], ("server-leaving", "1")];
+            answer(stream, 200, &headers, body.as_bytes()).await?;
+        }
         WorkerFault::CrossedRefusal => {
             let headers = [("request-id", "another"), ("not-executed", "1")];
             answer(stream, 503, &headers, b"").await?;
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -38,6 +38,8 @@
     /// What the answer says of itself, in percent.
     pub(super) confidence: u32,
     pub(super) runs: Vec<Run>,
+    /// When it refused requests with a pause.
+    pub(super) refusals: Vec<Instant>,
     /// Part of prompts at which it crashes, where it begins to answer.
     pub(super) poison: Option<String>,
     /// Number of crashes.
@@ -89,6 +91,7 @@
                 pause: Duration::from_millis(10),
                 confidence: 100,
                 runs: Vec::new(),
+                refusals: Vec::new(),
                 poison: None,
                 crashes: 0,
             }),
@@ -135,6 +138,11 @@
         self.shared.state().poison = Some(part.to_owned());
     }
 
+    /// When it refused requests with a pause.
+    pub fn refusals(&self) -> Vec<Instant> {
+        self.shared.state().refusals.clone()
+    }
+
     /// How often it has crashed.
     pub fn crashes(&self) -> usize {
         self.shared.state().crashes
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -61,6 +61,10 @@
     a_change_reaches_a_node_that_the_store_refuses(three_nodes())
     a_refusal_of_another_request_promises_nothing(plain())
     an_error_after_a_broken_stream_stays_out_of_it(models())
+    a_server_that_says_it_leaves_gets_nothing_more(three_nodes())
+    a_server_that_asks_for_a_pause_gets_nothing_meanwhile(plain())
+    callers_are_told_when_all_servers_pause(plain())
+    a_pause_that_makes_no_sense_is_left_out(plain())
     requests_with_a_poison_part_are_stopped(Settings { nodes: 3, models: 6, ..models() })
     a_silent_link_is_closed_in_time(three_nodes())
     a_change_passes_store_connections_that_fell_silent(three_nodes())
@@ -613,6 +617,105 @@
         Ok(())
     }
 
+    /// Guards against requests to a backend server that says in its answers that it leaves.
+    pub async fn a_server_that_says_it_leaves_gets_nothing_more(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let leaving = &site.desks[0];
+        leaving.set_fault(WorkerFault::Leaving);
+        let client = Client::new();
+        let heard = async || {
+            let _ = request(&client, site, 0, "/once/a").send().await;
+            !leaving.runs().is_empty()
+        };
+        assert!(within(APPLY, heard).await);
+        // The entry says that it is ready, and comes back after it has expired.
+        site.list(leaving, "desk", "v1", "ready");
+        site.store.put("servers", leaving.id(), None);
+        sleep(Duration::from_millis(300)).await;
+        site.list(leaving, "desk", "v1", "ready");
+        sleep(Duration::from_millis(300)).await;
+        let before = leaving.runs().len();
+        for node in 0..12 {
+            let answer = request(&client, site, node % 3, "/once/a").send().await?;
+            assert_eq!(answer.status(), 200);
+        }
+        assert_eq!(leaving.runs().len(), before);
+        // Another start of it is a server of its own.
+        leaving.set_fault(WorkerFault::None);
+        site.list_at(leaving, leaving.address(), "desk", "v1", "ready", 2);
+        let used = async || {
+            let _ = request(&client, site, 1, "/once/a").send().await;
+            leaving.runs().len() > before
+        };
+        assert!(within(APPLY, used).await);
+        Ok(())
+    }
+
+    /// Guards against requests to a backend server that has asked for a pause.
+    pub async fn a_server_that_asks_for_a_pause_gets_nothing_meanwhile(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let pausing = &site.desks[0];
+        pausing.set_fault(WorkerFault::Pause(2000));
+        let begun = Instant::now();
+        while begun.elapsed() < Duration::from_secs(5) {
+            assert_eq!(send(site, "/once/a").await?.status(), 200);
+            sleep(Duration::from_millis(10)).await;
+        }
+        let refusals = pausing.refusals();
+        assert!(refusals.len() > 1, "it is asked again after a pause");
+        let pairs = refusals.windows(2);
+        let early = pairs.filter(|pair| {
+            let since = pair[1] - pair[0];
+            since > Duration::from_millis(500) && since < Duration::from_millis(1990)
+        });
+        assert_eq!(early.count(), 0, "of {}", refusals.len());
+        assert!(refusals.len() <= 2 * 3, "{} requests", refusals.len());
+        Ok(())
+    }
+
+    /// Guards against requests that wait for backend servers which all want nothing.
+    pub async fn callers_are_told_when_all_servers_pause(site: &mut Site) -> Result<(), Error> {
+        for desk in &site.desks {
+            desk.set_fault(WorkerFault::Pause(3000));
+        }
+        let _ = send(site, "/once/a").await?;
+        let _ = send(site, "/once/a").await?;
+        let begun = Instant::now();
+        let answer = send(site, "/once/a").await?;
+        assert_eq!(answer.status(), 503);
+        assert!(begun.elapsed() < Duration::from_millis(200), "at once");
+        let after = answer.headers().get("retry-after");
+        let seconds: f64 = after
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .unwrap_or(0.0);
+        assert!((2.0..5.0).contains(&seconds), "{seconds} s");
+        assert!(
+            site.nodes[0]
+                .metrics()
+                .await?
+                .contains("sardinebank_paused_servers 2")
+        );
+        Ok(())
+    }
+
+    /// Guards against a pause of no or of endless length.
+    pub async fn a_pause_that_makes_no_sense_is_left_out(site: &mut Site) -> Result<(), Error> {
+        for desk in &site.desks {
+            desk.set_fault(WorkerFault::Pause(0));
+        }
+        let _ = send(site, "/once/a").await?;
+        for desk in &site.desks {
+            desk.set_fault(WorkerFault::None);
+        }
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(send(site, "/once/a").await?.status(), 200);
+        let metrics = site.nodes[0].metrics().await?;
+        assert!(metrics.contains("announcements_total{kind=\"invalid\"}"));
+        Ok(())
+    }
+
     /// Guards against different requests that share a part and crash backend server after backend
     /// server.
     pub async fn requests_with_a_poison_part_are_stopped(site: &mut Site) -> Result<(), Error> {
