Draw the announcements of backend servers in the soak, and lie with them

The soak draws a server that says it leaves (listed as a new start afterwards), pauses, and refusals of other requests. A response to another request that says 'leaving' marks nothing (part of a_server_that_says_it_leaves_gets_nothing_more).

--- /dev/null
+++ b/crates/edge/src/forward/announcement.rs
@@ -0,0 +1,58 @@
+//! What backend servers say of themselves in the headers of their responses.
+
+use super::exchange::Exchange;
+use super::headers::text;
+use crate::app::{App, Notice};
+use crate::metrics;
+use hyper::http::response::Parts;
+use platform::{Announcement, header, parse_announcement};
+use route::server::Listing;
+use std::time::{Duration, Instant};
+
+/// Applies what a backend server says of itself in the headers of its response.
+pub fn record(app: &App, exchange: &Exchange, server: &Listing, head: &Parts) {
+    let value = |name: &str| text(&head.headers, name);
+    let announcement = parse_announcement(head.status.as_u16(), value);
+    if announcement == Announcement::default() {
+        return;
+    }
+    if announcement.is_leaving {
+        record_leaving(app, exchange, server);
+    }
+    if let Some(pause) = announcement.pause {
+        record_pause(app, exchange, server, pause);
+    }
+    if announcement.is_invalid {
+        count(app, "invalid");
+        log::warn!(event = 1797, request = exchange.log_id(), server = server.id.as_str(),
+            value = value(header::RETRY_AFTER).unwrap_or("-"); "backend server asks for a pause that is left out or shortened");
+    }
+}
+
+fn record_leaving(app: &App, exchange: &Exchange, server: &Listing) {
+    count(app, "leaving");
+    let is_new = app
+        .state()
+        .pool
+        .record_leaving(&server.id, server.started_ms);
+    if is_new {
+        log::info!(event = 1795, request = exchange.log_id(), server = server.id.as_str(); "backend server says that it is leaving");
+        app.announce(Notice::Departure(server.id.clone(), server.started_ms));
+    }
+}
+
+fn record_pause(app: &App, exchange: &Exchange, server: &Listing, pause: Duration) {
+    count(app, "pause");
+    let mut state = app.state();
+    state
+        .pool
+        .record_pause(Instant::now(), &server.id, server.started_ms, pause);
+    drop(state);
+    log::info!(event = 1796, request = exchange.log_id(), server = server.id.as_str(),
+        pause_ms = pause.as_millis() as u64; "backend server asks for a pause");
+}
+
+fn count(app: &App, kind: &'static str) {
+    let label = metrics::Announcement { kind };
+    app.metrics.announcements.get_or_create(&label).inc();
+}
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -1,12 +1,13 @@
 //! One attempt to send a request to a backend server, and what its outcome says of the server.
 
+use super::announcement;
 use super::exchange::Exchange;
 use super::headers::text;
 use crate::app::{App, Loss, Notice};
 use crate::metrics;
 use crate::upstream;
+use hyper::StatusCode;
 use hyper::header::CONTENT_ENCODING;
-use hyper::{HeaderMap, StatusCode};
 use platform::header;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -218,43 +219,6 @@
     }
 }
 
-/// Applies what a backend server says of itself in the headers of its response.
-fn record_announcement(
-    app: &App,
-    exchange: &Exchange,
-    attempt: &Attempt,
-    status: StatusCode,
-    headers: &HeaderMap,
-) {
-    let announcement = platform::parse_announcement(status.as_u16(), |name| text(headers, name));
-    if announcement == platform::Announcement::default() {
-        return;
-    }
-    let (id, started_ms) = (attempt.server_id(), attempt.server.started_ms);
-    let count = |kind| {
-        let label = metrics::Announcement { kind };
-        app.metrics.announcements.get_or_create(&label).inc();
-    };
-    if announcement.is_leaving {
-        count("leaving");
-        if app.state().pool.record_leaving(id, started_ms) {
-            log::info!(event = 1795, request = exchange.log_id(), server = id.as_str(), source = "response"; "backend server says that it is leaving");
-            app.announce(Notice::Departure(id.clone(), started_ms));
-        }
-    }
-    if let Some(pause) = announcement.pause {
-        count("pause");
-        let now = Instant::now();
-        app.state().pool.record_pause(now, id, started_ms, pause);
-        log::info!(event = 1796, request = exchange.log_id(), server = id.as_str(), pause_ms = pause.as_millis() as u64; "backend server asks for a pause");
-    }
-    if announcement.is_invalid {
-        count("invalid");
-        log::warn!(event = 1797, request = exchange.log_id(), server = id.as_str(),
-            value = text(headers, header::RETRY_AFTER).unwrap_or("-"); "backend server asks for a pause that is left out or shortened");
-    }
-}
-
 /// Checks whether a backend server that broke off has ended: it refuses connections then.
 async fn confirm_end(app: Arc<App>, server: Listing) {
     if upstream::is_refused(server.address).await {
@@ -450,7 +414,7 @@
     let not_run =
         status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_EXECUTED);
     if id_matches {
-        record_announcement(app, exchange, &attempt, status, headers);
+        announcement::record(app, exchange, &attempt.server, &response.head);
     }
     if id_matches && not_run {
         attempt.fail(exchange, &Failure::NotRun(status.as_u16()));
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -1,5 +1,6 @@
 //! Forwards requests from callers to backend servers.
 
+mod announcement;
 mod attempt;
 mod buffered;
 mod escalate;
--- a/crates/standin/src/site/fault.rs
+++ b/crates/standin/src/site/fault.rs
@@ -38,6 +38,9 @@
     Crossed,
     /// It answers well and says that it is leaving.
     Leaving,
+    /// It runs the request and answers with its response to another one, which says that it is
+    /// leaving.
+    CrossedLeaving,
     /// It refuses with the word that the request hasn't run, and asks for a pause of this many
     /// milliseconds.
     Pause(u64),
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -103,6 +103,14 @@
             let headers = [headers[0], headers[1], ("server-leaving", "1")];
             answer(stream, 200, &headers, body.as_bytes()).await?;
         }
+        WorkerFault::CrossedLeaving => {
+            let headers = [
+                ("request-id", "another"),
+                ("response-seal", &seal),
+                ("server-leaving", "1"),
+            ];
+            answer(stream, 200, &headers, body.as_bytes()).await?;
+        }
         WorkerFault::CrossedRefusal => {
             let headers = [("request-id", "another"), ("not-executed", "1")];
             answer(stream, 503, &headers, b"").await?;
@@ -151,13 +159,16 @@
         return std::future::pending().await;
     }
     let seal = format!("seal.{}", shared.id);
-    let headers = [
+    let mut headers = vec![
         ("request-id", request.header("request-id")),
         ("response-seal", &seal),
         ("confidence", &confidence),
         ("content-type", "text/event-stream"),
         ("transfer-encoding", "chunked"),
     ];
+    if fault == WorkerFault::Leaving {
+        headers.push(("server-leaving", "1"));
+    }
     let mut bytes = head(200, &headers);
     bytes.extend_from_slice(b"\r\n");
     stream.write_all(&bytes).await?;
--- a/crates/standin/src/soak/fault.rs
+++ b/crates/standin/src/soak/fault.rs
@@ -67,7 +67,7 @@
 }
 
 fn draw_worker(rng: &mut SmallRng) -> WorkerFault {
-    match rng.random_range(0..8) {
+    match rng.random_range(0..11) {
         0 => WorkerFault::Full,
         1 => WorkerFault::Reset,
         2 => WorkerFault::Fail(500),
@@ -75,6 +75,9 @@
         4 => WorkerFault::Break(rng.random_range(1..5)),
         5 => WorkerFault::Stall(rng.random_range(0..5)),
         6 => WorkerFault::Crossed,
+        7 => WorkerFault::CrossedRefusal,
+        8 => WorkerFault::Leaving,
+        9 => WorkerFault::Pause(rng.random_range(100..1500)),
         _ => WorkerFault::Slow(Duration::from_millis(rng.random_range(50..400))),
     }
 }
--- a/crates/standin/src/soak/soak.rs
+++ b/crates/standin/src/soak/soak.rs
@@ -66,6 +66,8 @@
     worker_paths: Vec<Proxy>,
     store_paths: Vec<Proxy>,
     revision: u64,
+    /// Number of the last start of a backend server.
+    starts: u64,
 }
 
 /// Runs a seed.
@@ -132,6 +134,7 @@
             worker_paths: Vec::new(),
             store_paths: Vec::new(),
             revision: 1,
+            starts: 1,
         };
         for index in 0..2 * settings.workers {
             let address = world.worker(index).address();
@@ -171,6 +174,12 @@
             .list_at(worker, address, service, "v1", state, born);
     }
 
+    /// Lists a backend server that has left and started again.
+    fn list_new_start(&mut self, index: usize) {
+        self.starts += 1;
+        self.list(index, "ready", self.starts);
+    }
+
     fn runs(&self) -> Vec<Ran> {
         let workers = self.site.desks.iter().chain(&self.site.models);
         let runs = workers.flat_map(|worker| {
@@ -219,7 +228,12 @@
 
     async fn end(&mut self, fault: &Fault) -> Result<(), Error> {
         match fault {
-            Fault::Worker(index, _) => self.worker(*index).set_fault(WorkerFault::None),
+            Fault::Worker(index, fault) => {
+                self.worker(*index).set_fault(WorkerFault::None);
+                if *fault == WorkerFault::Leaving {
+                    self.list_new_start(*index);
+                }
+            }
             Fault::WorkerPath(index, _) => self.worker_paths[*index].heal(),
             Fault::StorePath(index, _) => self.store_paths[*index].heal(),
             Fault::StoreDown | Fault::StoreLost => {
@@ -230,7 +244,7 @@
                 let store = self.store_paths[*index].address();
                 self.site.restart_node(*index, store).await?;
             }
-            Fault::Leave(index) => self.list(*index, "ready", u64::from(std::process::id()) + 2),
+            Fault::Leave(index) => self.list_new_start(*index),
             Fault::ZoneOut => self.site.store.put("op", "evacuate/z-0", None),
             Fault::Silence(_) | Fault::SilenceStore(_) | Fault::Forget | Fault::Configure => (),
         }
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -629,7 +629,9 @@
             !leaving.runs().is_empty()
         };
         assert!(within(APPLY, heard).await);
-        // The entry says that it is ready, and comes back after it has expired.
+        // The next answers say nothing of it, and its entry says that it is ready, and comes back after
+        // it has expired.
+        leaving.set_fault(WorkerFault::None);
         site.list(leaving, "desk", "v1", "ready");
         site.store.put("servers", leaving.id(), None);
         sleep(Duration::from_millis(300)).await;
@@ -642,13 +644,21 @@
         }
         assert_eq!(leaving.runs().len(), before);
         // Another start of it is a server of its own.
-        leaving.set_fault(WorkerFault::None);
         site.list_at(leaving, leaving.address(), "desk", "v1", "ready", 2);
         let used = async || {
             let _ = request(&client, site, 1, "/once/a").send().await;
             leaving.runs().len() > before
         };
         assert!(within(APPLY, used).await);
+        // A response to another request says nothing of it.
+        let (other, client) = (&site.desks[1], Client::new());
+        other.set_fault(WorkerFault::CrossedLeaving);
+        for _ in 0..8 {
+            let _ = request(&client, site, 0, "/once/a").send().await?;
+        }
+        other.set_fault(WorkerFault::None);
+        let metrics = site.nodes[0].metrics().await?;
+        assert!(metrics.contains("sardinebank_leaving_servers 0"));
         Ok(())
     }
 
