Record losses in one place, and look for the probing node without a list

Cause: reading the diff: a failed attempt logged itself in two ways, and each check of a request listed the live nodes while any part was suspected. Change: one way to the log line; the nodes are compared one by one, only where a block has ended.

--- a/crates/edge/src/app/crash.rs
+++ b/crates/edge/src/app/crash.rs
@@ -77,12 +77,12 @@
         if self.poison.is_empty() {
             return Admission::Open;
         }
-        let own = self.node.as_str();
-        let alive: Vec<_> = self.members.alive(now).map(|member| &member.node).collect();
+        let (own, members) = (self.node.as_str(), &self.members);
         let may_probe = |part: Part| {
             let key = part.to_string();
             let weight = |node: &str| stable_hash([key.as_str(), node]);
-            alive.iter().all(|node| weight(node) < weight(own))
+            let mut others = members.alive(now).map(|member| member.node.as_str());
+            others.all(|node| weight(node) < weight(own))
         };
         self.poison.admit(now, work.shared_parts(), may_probe)
     }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -94,14 +94,15 @@
                 // A crash ends all requests on the backend server, but counts only once.
                 self.ignored_by_rollout = !state.pool.record_break(now, &self.server.id);
                 state.record_loss(self.loss(now, exchange));
-                drop(state);
                 tokio::spawn(confirm_end(Arc::clone(&self.app), (*self.server).clone()));
-                return self.log_failure(exchange, failure);
             }
             _ => (),
         }
         drop(state);
-        self.log_failure(exchange, failure);
+        log::warn!(event = 1731, request = exchange.log_id(), server = self.server.id.as_str(),
+            version = self.server.version.as_str(), sends = exchange.attempts,
+            waited_ms = self.elapsed().as_millis() as u64, last_event = exchange.last_event_id.unwrap_or(0),
+            left_ms = exchange.remaining().as_millis() as u64; "attempt failed: {failure}");
     }
 
     /// Describes the loss of the request with its backend server.
@@ -119,13 +120,6 @@
         }
     }
 
-    fn log_failure(&self, exchange: &Exchange, failure: &Failure) {
-        log::warn!(event = 1731, request = exchange.log_id(), server = self.server.id.as_str(),
-            version = self.server.version.as_str(), sends = exchange.attempts,
-            waited_ms = self.elapsed().as_millis() as u64, last_event = exchange.last_event_id.unwrap_or(0),
-            left_ms = exchange.remaining().as_millis() as u64; "attempt failed: {failure}");
-    }
-
     /// Id of the backend server.
     pub fn server_id(&self) -> &ServerId {
         &self.server.id
