Forget blocks of prompt parts that nobody probes

Cause: reading the diff: after a block one node, chosen by rank, sends the probe. In a large fleet that node may never get a request with the part, and a part that was blocked by mistake would be refused for good. Besides, the crashes kept for one part had no bound, and at capacity a new crash of a known part evicted another part, or itself. Evidence: a_block_that_nobody_probes_is_forgotten and memory_is_bounded fail on the code before.

--- a/crates/limits/src/poison/detector.rs
+++ b/crates/limits/src/poison/detector.rs
@@ -100,7 +100,7 @@
         request: RequestTag,
         server: &str,
     ) -> bool {
-        self.evict(now);
+        self.make_room(now, part);
         let state = self.parts.entry(part).or_default();
         let is_new = state.add_crash(now, request, server);
         let is_blocked = state.block_left(now).is_some();
@@ -149,7 +149,7 @@
 
     /// Applies a block that another node reports. Returns whether it is new.
     pub fn record_block(&mut self, now: Instant, part: Part, level: u32) -> bool {
-        self.evict(now);
+        self.make_room(now, part);
         let state = self.parts.entry(part).or_default();
         if state.level >= level || state.is_settling(now, &self.settings) {
             return false;
@@ -213,8 +213,12 @@
             .retain(|_, state| !state.is_expired(now, settings));
     }
 
-    /// At capacity, removes the parts with the oldest crashes, those that aren't blocked first.
-    fn evict(&mut self, now: Instant) {
+    /// At capacity, removes the parts with the oldest crashes to make room for a new one, those that
+    /// aren't blocked first.
+    fn make_room(&mut self, now: Instant, part: Part) {
+        if self.parts.contains_key(&part) {
+            return;
+        }
         while self.parts.len() >= self.settings.capacity {
             let order = |state: &State| (state.block_left(now).is_some(), state.last_crash());
             let oldest = self.parts.iter().min_by_key(|(_, state)| order(state));
--- a/crates/limits/src/poison/part.rs
+++ b/crates/limits/src/poison/part.rs
@@ -8,6 +8,9 @@
 /// Largest number of times that the time of a block is doubled.
 const MAX_LEVEL: u32 = 16;
 
+/// Largest number of crashes kept for a part.
+const MAX_CRASHES: usize = 64;
+
 /// A crash that counts against a part.
 #[derive(Clone, Copy, Debug)]
 struct Crash {
@@ -37,6 +40,12 @@
         if self.crashes.contains_key(server) {
             return false;
         }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.retain(|_, crash| crash.is_some());
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            return false;
+        }
         let crash = Some(Crash { at, request });
         self.crashes.insert(server.to_owned(), crash);
         true
@@ -133,10 +142,11 @@
         crashes.map(|crash| crash.at).max()
     }
 
-    /// Whether nothing is held against the part any more.
+    /// Whether nothing is held against the part any more. A block that has ended without a probe is
+    /// forgotten: the node that is to probe gets too few requests with the part.
     pub fn is_expired(&self, now: Instant, settings: &Settings) -> bool {
         let recent = |at: Instant| now.saturating_duration_since(at) < settings.retention;
-        self.blocked_until.is_none()
+        !self.blocked_until.is_some_and(recent)
             && !self.last_crash().is_some_and(recent)
             && !self.cleared.is_some_and(recent)
     }
--- a/crates/limits/tests/poison.rs
+++ b/crates/limits/tests/poison.rs
@@ -135,6 +135,22 @@
     assert_eq!(world.admit(POISON), Admission::Open);
 }
 
+#[test]
+fn a_block_that_nobody_probes_is_forgotten() {
+    let mut world = World::new();
+    world.crash(&[POISON], 2);
+    world.crash(&[POISON], 2);
+    let settings = Settings::default();
+    world.now += settings.min_block + settings.retention / 2;
+    world.detector.sweep(world.now);
+    let elsewhere = world.detector.admit(world.now, [POISON], |_| false);
+    assert!(matches!(elsewhere, Admission::Blocked(_)));
+    world.now += settings.retention;
+    world.detector.sweep(world.now);
+    let elsewhere = world.detector.admit(world.now, [POISON], |_| false);
+    assert_eq!(elsewhere, Admission::Open);
+}
+
 #[test]
 fn a_probe_that_crashes_doubles_the_block() {
     let mut world = World::new();
@@ -179,6 +195,11 @@
         world.detector.record_crash(world.now, part, part, "e");
     }
     assert!(world.is_blocked(POISON), "blocks go last");
+    for server in 0..1000 {
+        let server = format!("s{server}");
+        world.detector.record_crash(world.now, RARE, 1, &server);
+    }
+    assert!(!world.detector.record_crash(world.now, RARE, 1, "one more"));
     world.now += Settings::default().retention;
     world.answer(POISON);
     world.now += Settings::default().retention;
