Use the usual terms in the detection of poison parts and in announcements

Cause: reading the diff as a newcomer: 'convict', 'held against' and 'what a server says of itself' are pictures. Change: try_block, is_conclusive, discount; announcements; is_lead_follower. Names, comments and two texts of log lines only.

--- a/crates/edge/src/app/crash.rs
+++ b/crates/edge/src/app/crash.rs
@@ -32,7 +32,7 @@
                     let notice = Notice::PartCrash(part, request, start.clone());
                     self.pending_notices.push(notice);
                 }
-                self.convict(now, part);
+                self.try_block(now, part);
             }
         }
     }
@@ -47,13 +47,13 @@
     ) -> bool {
         let is_new = self.poison.record_crash(now, part, request, server);
         if is_new {
-            self.convict(now, part);
+            self.try_block(now, part);
         }
         is_new
     }
 
-    fn convict(&mut self, now: Instant, part: Part) {
-        if let Some(level) = self.poison.convict(now, part) {
+    fn try_block(&mut self, now: Instant, part: Part) {
+        if let Some(level) = self.poison.try_block(now, part) {
             log::warn!(event = 1793, part = format!("{part:016x}").as_str(), level = level;
                 "prompt part blocked: it crashes backend servers");
             self.pending_notices.push(Notice::PartBlock(part, level));
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -285,7 +285,7 @@
     }
 
     /// Whether no other node that follows the store is ranked before this one.
-    pub fn leads_followers(&self, now: Instant) -> bool {
+    pub fn is_lead_follower(&self, now: Instant) -> bool {
         let own = self.weight(&self.node);
         let mut following = self.members.store_followers(now);
         following.all(|node| self.weight(node) < own)
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -142,7 +142,7 @@
 async fn next_wait(app: &App, table: Table) -> Option<Duration> {
     match role(app, table) {
         Role::Follower if is_isolated(app) => Some(ISOLATED_WAIT),
-        Role::Follower if is_needed(table) && leads(app) => Some(LEAD_WAIT),
+        Role::Follower if is_needed(table) && is_lead(app) => Some(LEAD_WAIT),
         Role::Follower => Some(WAIT),
         Role::Fallback(pause) => {
             sleep(pause).await;
@@ -164,8 +164,8 @@
 }
 
 /// Whether this node is the first of those that follow the store.
-fn leads(app: &App) -> bool {
-    app.state().leads_followers(Instant::now())
+fn is_lead(app: &App) -> bool {
+    app.state().is_lead_follower(Instant::now())
 }
 
 fn role(app: &App, table: Table) -> Role {
--- a/crates/edge/src/forward/announcement.rs
+++ b/crates/edge/src/forward/announcement.rs
@@ -1,4 +1,4 @@
-//! What backend servers say of themselves in the headers of their responses.
+//! Headers by which backend servers announce that they leave or want a pause.
 
 use super::exchange::Exchange;
 use super::headers::text;
@@ -9,7 +9,7 @@
 use route::server::Listing;
 use std::time::{Duration, Instant};
 
-/// Applies what a backend server says of itself in the headers of its response.
+/// Applies the announcements in the headers of a response.
 pub fn record(app: &App, exchange: &Exchange, server: &Listing, head: &Parts) {
     let value = |name: &str| text(&head.headers, name);
     let announcement = parse_announcement(head.status.as_u16(), value);
@@ -36,7 +36,7 @@
         .pool
         .record_leaving(&server.id, server.started_ms);
     if is_new {
-        log::info!(event = 1795, request = exchange.log_id(), server = server.id.as_str(); "backend server says that it is leaving");
+        log::info!(event = 1795, request = exchange.log_id(), server = server.id.as_str(); "backend server announces that it is leaving");
         app.announce(Notice::Departure(server.id.clone(), server.started_ms));
     }
 }
--- a/crates/edge/src/link/handle.rs
+++ b/crates/edge/src/link/handle.rs
@@ -255,7 +255,7 @@
     }
     for (server, started_ms) in notices.departures {
         if state.pool.record_leaving(&server, started_ms) {
-            log::info!(event = 1798, server = server.as_str(), peer = peer.as_str(); "another node tells that a backend server is leaving");
+            log::info!(event = 1798, server = server.as_str(), peer = peer.as_str(); "another node reports that a backend server is leaving");
             unknown.push(Notice::Departure(server, started_ms));
         }
     }
--- a/crates/edge/src/metrics/label.rs
+++ b/crates/edge/src/metrics/label.rs
@@ -38,7 +38,7 @@
     pub report: &'static str,
 }
 
-/// Labels of what a backend server says of itself.
+/// Labels of an announcement of a backend server.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Announcement {
     /// `leaving`, `pause`, or `invalid` for a pause that is left out or shortened.
--- a/crates/edge/src/metrics/metrics.rs
+++ b/crates/edge/src/metrics/metrics.rs
@@ -23,7 +23,7 @@
     pub store_calls: Family<Call, Counter>,
     /// Answers of models by whether their confidence is valid.
     pub confidences: Family<Confidence, Counter>,
-    /// What backend servers say of themselves, by kind.
+    /// Announcements of backend servers, by kind.
     pub announcements: Family<Announcement, Counter>,
     /// Time to the head of the response, in seconds.
     pub response_seconds: Histogram,
--- a/crates/limits/src/poison/detector.rs
+++ b/crates/limits/src/poison/detector.rs
@@ -32,8 +32,8 @@
 ///     detector.record_answer(now, 8);
 /// }
 /// let now = start + Duration::from_secs(3);
-/// assert_eq!(detector.convict(now, 8), None);
-/// assert_eq!(detector.convict(now, 7), Some(1));
+/// assert_eq!(detector.try_block(now, 8), None);
+/// assert_eq!(detector.try_block(now, 7), Some(1));
 /// assert!(matches!(detector.admit(now, [8, 7], |_| false), Admission::Blocked(_)));
 /// assert_eq!(detector.admit(now, [8], |_| false), Admission::Open);
 /// ```
@@ -105,45 +105,45 @@
         let is_new = state.add_crash(now, request, server);
         let is_blocked = state.block_left(now).is_some();
         if is_new && is_blocked {
-            self.explain_others(now, part, &[server.to_owned()]);
+            self.discount_others(now, part, &[server.to_owned()]);
         } else if is_new {
-            self.explain(now, part, server);
+            self.discount(now, part, server);
         }
         is_new
     }
 
-    /// Takes a crash back from a part if a blocked part explains it.
-    fn explain(&mut self, now: Instant, part: Part, server: &str) {
+    /// Discounts a crash on a part if a blocked part explains it.
+    fn discount(&mut self, now: Instant, part: Part, server: &str) {
         let explains = |state: &State| {
             state.block_left(now).is_some() && state.servers().any(|known| known == server)
         };
         if self.parts.values().any(explains)
             && let Some(state) = self.parts.get_mut(&part)
         {
-            state.explain(now, &[server.to_owned()], &self.settings);
+            state.discount(now, &[server.to_owned()], &self.settings);
         }
     }
 
     /// Blocks a part if the crashes show that it causes them, or if a probe has crashed a backend
     /// server. Returns the level of a new block, so that other nodes have to be notified.
-    pub fn convict(&mut self, now: Instant, part: Part) -> Option<u32> {
+    pub fn try_block(&mut self, now: Instant, part: Part) -> Option<u32> {
         let state = self.parts.get_mut(&part)?;
         match state.block_left(now) {
             Some(Duration::ZERO) => (),
-            None if state.is_convicted(now, &self.settings) => (),
+            None if state.is_conclusive(now, &self.settings) => (),
             Some(_) | None => return None,
         }
         state.block(now, state.level + 1, &self.settings);
         let (level, servers) = (state.level, state.servers().cloned().collect::<Vec<_>>());
-        self.explain_others(now, part, &servers);
+        self.discount_others(now, part, &servers);
         Some(level)
     }
 
-    /// Takes crashes that a blocked part explains back from all other parts.
-    fn explain_others(&mut self, now: Instant, part: Part, servers: &[BackendId]) {
+    /// Discounts crashes that a blocked part explains on all other parts.
+    fn discount_others(&mut self, now: Instant, part: Part, servers: &[BackendId]) {
         let others = self.parts.iter_mut().filter(|(other, _)| **other != part);
         for (_, state) in others {
-            state.explain(now, servers, &self.settings);
+            state.discount(now, servers, &self.settings);
         }
     }
 
@@ -156,7 +156,7 @@
         }
         state.block(now, level, &self.settings);
         let servers: Vec<_> = state.servers().cloned().collect();
-        self.explain_others(now, part, &servers);
+        self.discount_others(now, part, &servers);
         true
     }
 
@@ -206,7 +206,7 @@
             .map(|(part, state)| (*part, state.level))
     }
 
-    /// Forgets parts against which nothing is held any more.
+    /// Forgets parts that have neither recent crashes nor a block.
     pub fn sweep(&mut self, now: Instant) {
         let settings = &self.settings;
         self.parts
--- a/crates/limits/src/poison/part.rs
+++ b/crates/limits/src/poison/part.rs
@@ -1,4 +1,4 @@
-//! What is known of one part.
+//! Crashes and block of one part.
 
 use super::{RequestTag, Settings};
 use contract::BackendId;
@@ -59,7 +59,7 @@
     }
 
     /// Whether the crashes show that the part causes them.
-    pub fn is_convicted(&self, now: Instant, settings: &Settings) -> bool {
+    pub fn is_conclusive(&self, now: Instant, settings: &Settings) -> bool {
         let first = self.recent(now, settings).map(|crash| crash.at).min();
         let last = self.recent(now, settings).map(|crash| crash.at).max();
         let span = last.zip(first).map(|(last, first)| last - first);
@@ -80,15 +80,15 @@
         self.crashes.keys()
     }
 
-    /// Takes back what another part explains: crashes of these backend servers, and a block that
-    /// the others don't justify.
-    pub fn explain(&mut self, now: Instant, servers: &[BackendId], settings: &Settings) {
+    /// Discounts what another part explains: crashes of these backend servers, and a block that the
+    /// remaining crashes don't justify.
+    pub fn discount(&mut self, now: Instant, servers: &[BackendId], settings: &Settings) {
         for server in servers {
             if let Some(crash) = self.crashes.get_mut(server) {
                 *crash = None;
             }
         }
-        if self.level == 1 && !self.is_convicted(now, settings) {
+        if self.level == 1 && !self.is_conclusive(now, settings) {
             self.blocked_until = None;
             self.level = 0;
         }
@@ -102,7 +102,7 @@
         self.probed = None;
     }
 
-    /// Clears the part after an answer; returns whether anything was held against it.
+    /// Clears the part after an answer; returns whether it had crashes that count, or a block.
     pub fn clear(&mut self, now: Instant) -> bool {
         let held = self.blocked_until.is_some() || self.crashes.values().any(Option::is_some);
         self.crashes.values_mut().for_each(|crash| *crash = None);
@@ -142,7 +142,7 @@
         crashes.map(|crash| crash.at).max()
     }
 
-    /// Whether nothing is held against the part any more. A block that has ended without a probe is
+    /// Whether the part has neither recent crashes nor a block. A block that has ended without a probe is
     /// forgotten: the node that is to probe gets too few requests with the part.
     pub fn is_expired(&self, now: Instant, settings: &Settings) -> bool {
         let recent = |at: Instant| now.saturating_duration_since(at) < settings.retention;
--- a/crates/limits/tests/poison.rs
+++ b/crates/limits/tests/poison.rs
@@ -36,7 +36,7 @@
             for part in self.detector.candidates(self.now, parts.to_vec()) {
                 self.detector
                     .record_crash(self.now, part, self.requests, &server);
-                self.detector.convict(self.now, part);
+                self.detector.try_block(self.now, part);
             }
         }
     }
@@ -90,7 +90,7 @@
         world
             .detector
             .record_crash(world.now, COMMON, request, &server);
-        world.detector.convict(world.now, COMMON);
+        world.detector.try_block(world.now, COMMON);
     }
     assert!(!world.is_blocked(COMMON));
 }
@@ -117,7 +117,7 @@
         let detector = &mut world.detector;
         detector.record_crash(world.now, RARE, request, &server);
         detector.record_crash(world.now, POISON, request + 100, &server);
-        assert_eq!(detector.convict(world.now, RARE), None);
+        assert_eq!(detector.try_block(world.now, RARE), None);
     }
 }
 
@@ -172,7 +172,7 @@
     assert!(world.detector.record_crash(world.now, RARE, 1, "e1"));
     world.answer(RARE);
     assert!(!world.detector.record_crash(world.now, RARE, 1, "e1"));
-    assert!(!world.answer(RARE), "nothing is held against it");
+    assert!(!world.answer(RARE), "it has no crash that counts");
 }
 
 #[test]
