Start tasks again that panic

Cause: a row of the table of backend servers made the task panic that follows the table (Instant plus 1e19 seconds). Nothing restarted or reported it: the node went on serving what it knew, and sent requests to a server that had said it was leaving (DRAIN; the same holds for configurations, CONFIG). The same row ended the links over which other nodes sent it. Before: a_change_passes_an_entry_with_a_number_out_of_range failed, the leaving server got requests 2 s after its entry; after: it passes. Left: the rows behind the one that panicked on the same page.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod run;
 mod shutdown;
 mod status;
+pub mod supervise;
 mod upstream;
 
 pub use error::Error;
--- a/crates/edge/src/metrics/label.rs
+++ b/crates/edge/src/metrics/label.rs
@@ -44,3 +44,10 @@
     /// `leaving`, `pause`, or `invalid` for a pause that is left out or shortened.
     pub kind: &'static str,
 }
+
+/// Labels of a task that runs for as long as the node does.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Task {
+    /// Name of the task.
+    pub name: &'static str,
+}
--- a/crates/edge/src/metrics/metrics.rs
+++ b/crates/edge/src/metrics/metrics.rs
@@ -1,6 +1,6 @@
 //! The metrics of a node.
 
-use super::{Announcement, Call, Confidence, Request, Send};
+use super::{Announcement, Call, Confidence, Request, Send, Task};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -25,6 +25,8 @@
     pub confidences: Family<Confidence, Counter>,
     /// Announcements of backend servers, by kind.
     pub announcements: Family<Announcement, Counter>,
+    /// Tasks that panicked and were started again, by name.
+    pub task_restarts: Family<Task, Counter>,
     /// Time to the head of the response, in seconds.
     pub response_seconds: Histogram,
     /// Time for which requests waited for a backend server with free capacity, in seconds.
@@ -59,6 +61,7 @@
             store_calls: Family::default(),
             confidences: Family::default(),
             announcements: Family::default(),
+            task_restarts: Family::default(),
             response_seconds: histogram(),
             queue_seconds: histogram(),
             revision: Gauge::default(),
@@ -104,6 +107,11 @@
             "Answers in which backend servers say that they leave or pause",
             self.announcements.clone(),
         );
+        registry.register(
+            "task_restarts",
+            "Tasks that panicked and were started again",
+            self.task_restarts.clone(),
+        );
         let seconds = "Seconds to the head of an answer";
         registry.register("answer_seconds", seconds, self.response_seconds.clone());
         let seconds = "Seconds that requests waited for a place";
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::app::{App, Table};
 use crate::shutdown::{self, Shutdown};
+use crate::supervise::supervise;
 use crate::{Error, directory, follow, forward, link, listen, membership, metrics, status};
 use bpaf::{OptionParser, Parser, long};
 use settings::log::{Format, Limits};
@@ -98,15 +99,15 @@
     )
     .await?;
     for table in Table::ALL {
-        tokio::spawn(follow::follow(Arc::clone(&app), table));
+        supervise(&app, table.name(), move |app| follow::follow(app, table));
     }
-    tokio::spawn(follow::sweep(Arc::clone(&app)));
-    tokio::spawn(follow::report_dropped_lines(Arc::clone(&app)));
-    tokio::spawn(membership::register(Arc::clone(&app)));
-    tokio::spawn(link::send_heartbeats(Arc::clone(&app)));
-    tokio::spawn(link::send_announcements(Arc::clone(&app)));
-    tokio::spawn(link::dial(Arc::clone(&app)));
-    tokio::spawn(status::publish(Arc::clone(&app)));
+    supervise(&app, "sweep", follow::sweep);
+    supervise(&app, "dropped_lines", follow::report_dropped_lines);
+    supervise(&app, "register", membership::register);
+    supervise(&app, "heartbeats", link::send_heartbeats);
+    supervise(&app, "announcements", link::send_announcements);
+    supervise(&app, "dial", link::dial);
+    supervise(&app, "status", status::publish);
     let mut current = read(&path)?;
     loop {
         tokio::select! {
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -79,6 +79,7 @@
     requests_with_a_poison_part_are_stopped(Settings { nodes: 3, models: 6, ..models() })
     a_silent_link_is_closed_in_time(three_nodes())
     a_change_passes_store_connections_that_fell_silent(three_nodes())
+    a_change_passes_an_entry_with_a_number_out_of_range(three_nodes())
     a_node_that_starts_without_the_store_asks_the_others(three_nodes())
     a_node_that_starts_holds_requests_until_the_store_answers(plain())
     a_forgotten_history_is_read_anew(plain())
@@ -840,6 +841,30 @@
         Ok(())
     }
 
+    /// Guards against an entry that ends the task which follows the backend servers.
+    pub async fn a_change_passes_an_entry_with_a_number_out_of_range(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let odd = json!({
+            "service": "desk", "address": site.desks[0].address(), "zone": "z-0", "version": "v1",
+            "slots": 16, "state": "ready", "coldRemainingMs": 1e22, "sequence": 1, "born": 1,
+        });
+        site.store.put("servers", "i-odd", Some(&odd));
+        sleep(DRAIN).await;
+        site.list(&site.desks[0], "desk", "v1", "draining");
+        sleep(DRAIN).await;
+        let before = site.desks[0].runs().len();
+        for node in 0..site.nodes.len() {
+            let answer = request(&Client::new(), site, node, "/once/a")
+                .send()
+                .await?;
+            assert_eq!(answer.status(), 200, "node {node}");
+        }
+        let runs = site.desks[0].runs().len();
+        assert_eq!(runs, before, "a leaving one gets nothing");
+        Ok(())
+    }
+
     pub async fn a_node_that_starts_without_the_store_asks_the_others(
         site: &mut Site,
     ) -> Result<(), Error> {
