Bound the numbers that the platform and other nodes send

Cause: an entry of a backend server with coldRemainingMs 1e22 decodes to a time that no clock can hold; adding it panics, in each task that learns the row. An entry with the most slots that fit overflows a sum. Port 0 named a server that nobody can reach. Ruled out: deeply nested entries (the parser stops at 128 levels), ports above 65535, numbers beyond a double (refused by the parser). Sums of slots, loads and roll-out counts saturate, as other nodes send their parts.

--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -30,6 +30,14 @@
     }
 }
 
+/// An entry of a backend server.
+fn entry(port: u64, slots: u64, cold_ms: &str) -> String {
+    format!(
+        r#"{{"service":"s","address":"127.0.0.1:{port}","zone":"a","version":"v1",
+        "slots":{slots},"state":"ready","coldRemainingMs":{cold_ms},"born":1}}"#
+    )
+}
+
 /// Lists a backend server of each version of one service.
 fn list(state: &mut State, versions: &[&str]) {
     for (index, version) in versions.iter().enumerate() {
@@ -311,3 +319,44 @@
     state.replace(now, Table::Members, Page::default());
     assert!(state.take_retry(now, "s"), "there are no other nodes");
 }
+
+/// Guards against an entry that ends the task which follows the table.
+#[test]
+fn an_entry_with_a_number_out_of_range_names_no_server() {
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let odd = [
+        entry(80, 4, "1e22"),
+        entry(80, 4, "1e400"),
+        entry(0, 4, "0"),
+        entry(70_000, 4, "0"),
+        entry(80, u64::MAX, "0"),
+        entry(80, 4, &nested),
+    ];
+    let mut state = State::new(&site());
+    for (index, entry) in odd.iter().enumerate() {
+        let position = index as u64 + 1;
+        put(&mut state, Table::Servers, "i-odd", position, entry);
+        assert!(state.pool.servers().is_empty(), "{:.120}", entry);
+    }
+    put(&mut state, Table::Servers, "i-1", 9, &entry(80, 4, "0"));
+    assert!(state.pool.servers().contains_key("i-1"));
+}
+
+/// Guards against sums that overflow where a backend server names as many slots as fit.
+#[test]
+fn a_server_with_the_most_slots_that_fit_is_chosen() {
+    let mut state = State::new(&site());
+    let slots = u64::from(u32::MAX);
+    put(&mut state, Table::Servers, "i-1", 1, &entry(80, slots, "0"));
+    let work = Work::default();
+    let query = Query {
+        service: "s",
+        model: None,
+        model_hash: 0,
+        work: &work,
+        zone: "a",
+        tried: &[],
+        draw: 0,
+    };
+    assert!(state.pick(Instant::now(), &query, "r", None).is_ok());
+}
--- a/crates/route/src/pool/load.rs
+++ b/crates/route/src/pool/load.rs
@@ -16,7 +16,7 @@
 }
 
 impl Load {
-    /// Returns the sum of two loads.
+    /// Returns the sum of two loads. The number of requests saturates, since other nodes report it.
     ///
     /// ```
     /// use route::pool::Load;
@@ -26,7 +26,7 @@
     /// ```
     pub fn plus(self, other: Self) -> Self {
         Self {
-            requests: self.requests + other.requests,
+            requests: self.requests.saturating_add(other.requests),
             tokens: self.tokens + other.tokens,
             weight: self.weight + other.weight,
             pending_prefill: self.pending_prefill + other.pending_prefill,
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -275,7 +275,11 @@
         if !is_open || server.is_full(now) {
             return false;
         }
-        if server.load().requests >= server.listing.slots + self.settings.max_queued {
+        let places = server
+            .listing
+            .slots
+            .saturating_add(self.settings.max_queued);
+        if server.load().requests >= places {
             return false;
         }
         let cold = now < server.cold_until;
--- a/crates/route/src/rollout/tally.rs
+++ b/crates/route/src/rollout/tally.rs
@@ -111,11 +111,11 @@
     /// Returns the sum of two tallies.
     pub fn plus(self, other: Self) -> Self {
         let sum = |one: Count, two: Count| Count {
-            sent: one.sent + two.sent,
-            known: one.known + two.known,
-            bad: one.bad + two.bad,
-            timed: one.timed + two.timed,
-            slow: one.slow + two.slow,
+            sent: one.sent.saturating_add(two.sent),
+            known: one.known.saturating_add(two.known),
+            bad: one.bad.saturating_add(two.bad),
+            timed: one.timed.saturating_add(two.timed),
+            slow: one.slow.saturating_add(two.slow),
         };
         Self {
             old: sum(self.old, other.old),
--- a/crates/route/src/rollout/trial.rs
+++ b/crates/route/src/rollout/trial.rs
@@ -200,7 +200,7 @@
     /// Whether the new version has had all the requests that it may get on trial.
     fn is_exposure_spent(&self) -> bool {
         let total = self.total();
-        let sent = f64::from(total.old.sent + total.new.sent);
+        let sent = f64::from(total.old.sent) + f64::from(total.new.sent);
         let limit = self.settings.expose_share * sent + self.settings.expose_extra;
         f64::from(total.new.sent) >= limit * self.settings.exposure_fraction
     }
