--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -41,10 +41,7 @@
 /// Lists a backend server of each version of one service.
 fn list(state: &mut State, versions: &[&str]) {
     for (index, version) in versions.iter().enumerate() {
-        let entry = format!(
-            r#"{{"service":"s","address":"127.0.0.1:{index}","zone":"a","version":"{version}",
-            "slots":64,"state":"ready","coldRemainingMs":0,"born":1}}"#
-        );
+        let entry = entry(index as u64 + 1, 64, "0").replace("v1", version);
         put(state, Table::Servers, &format!("i-{version}"), 1, &entry);
     }
 }
