Keep rows out that were removed before a full table was read

Cause: a replica that has read a full table has no tombstones of what was removed before. A late answer of a node that is behind brought such rows back for good: backend servers that had left, or orders that the operator had taken back. After a compacted history, rows that came and went in the gap stayed at nodes that had seen them come: they were sent the changes alone. Change: an unknown row up to the position of the last full read is ignored; a node that is behind that position gets the full table.

--- a/crates/edge/src/app/mirror.rs
+++ b/crates/edge/src/app/mirror.rs
@@ -38,14 +38,16 @@
         self.newest
     }
 
-    /// Applies changes that follow the known position; returns those that are new.
+    /// Applies changes that follow the known position; returns those that are new. A row that was
+    /// removed before the full table was read has no tombstone, so an unknown row up to that position
+    /// comes from an older replica.
     pub fn update(&mut self, page: Page) -> Vec<Row> {
         self.position = self.position.max(Some(page.position));
         let mut changed = Vec::new();
         for row in page.rows {
             self.newest = self.newest.max(row.position);
-            let known = self.rows.get(&row.key).map_or(0, |known| known.position);
-            if row.position > known {
+            let known = self.rows.get(&row.key).map(|known| known.position);
+            if row.position > known.unwrap_or(self.removals_since) {
                 self.rows.insert(row.key.clone(), row.clone());
                 changed.push(row);
             }
@@ -70,10 +72,10 @@
             })
             .collect();
         page.rows.extend(removals);
-        if self.position.is_none() {
-            self.removals_since = page.position;
-        }
-        self.update(page)
+        let position = page.position;
+        let changed = self.update(page);
+        self.removals_since = self.removals_since.max(position);
+        changed
     }
 
     /// Returns the rows that a replica which is complete up to a position lacks; none while this
--- a/crates/edge/tests/mirror.rs
+++ b/crates/edge/tests/mirror.rs
@@ -90,3 +90,31 @@
     other.replace(full.page);
     assert!(other.get("a").is_none() && other.get("z").is_none());
 }
+
+#[test]
+fn a_row_removed_before_the_table_was_read_is_not_restored_by_an_older_replica() {
+    let mut older = Mirror::default();
+    older.replace(page(5, vec![row("a", 4, Some("x"))]));
+    let mut mirror = Mirror::default();
+    mirror.replace(page(9, vec![row("b", 9, Some("x"))]));
+    let late = older.changes_since(0).unwrap();
+    assert!(mirror.update(late.page.clone()).is_empty());
+    assert!(mirror.replace(late.page).is_empty());
+    assert!(mirror.get("a").is_none());
+    assert_eq!(mirror.position(), Some(9));
+}
+
+#[test]
+fn a_row_that_came_and_went_in_a_compacted_history_is_removed_from_older_replicas() {
+    let mut mirror = Mirror::default();
+    mirror.replace(page(1, vec![row("a", 1, Some("x"))]));
+    let mut older = mirror.clone();
+    older.update(page(4, vec![row("b", 4, Some("x"))]));
+    mirror.replace(page(9, vec![row("a", 1, Some("x"))]));
+    let late = mirror.changes_since(4).unwrap();
+    match late.full {
+        true => older.replace(late.page),
+        false => older.update(late.page),
+    };
+    assert!(older.get("b").is_none());
+}
