Let a follower wait no longer than its present role asks for

Cause: how long a call waits for changes was decided when it began: 1 s at the lead follower, 20 s at the others, who learn from the lead. A node that became the lead, or lost all other nodes, kept its call; if that hung, on a silent connection or unanswered since an outage of the store, it learned nothing for up to 20.5 s (CONFIG and DRAIN). Ruled out: keepalive, which finds a dead peer but not one whose probes are answered on the way. Change: a waiting call is overdue by the wait that a call would get now, checked each 250 ms. Before: a_change_reaches_the_last_follower_over_a_silent_connection failed (404 on the moved route 2 s after the change); now it passes.

--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -40,8 +40,8 @@
 const PEER_WAIT: Duration = Duration::from_millis(600);
 /// Interval between checks whether it has learned the table.
 const PEER_WAIT_CHECK: Duration = Duration::from_millis(50);
-/// Interval between checks whether a learner has become a follower: a fraction of the time allowed
-/// for applying a change.
+/// Interval between checks whether the node's role has changed: a fraction of the time allowed for
+/// applying a change.
 const ROLE_CHECK: Duration = Duration::from_millis(250);
 /// Pause after a change so that one call returns the changes that follow it: backend servers come
 /// and go in groups.
@@ -141,9 +141,7 @@
 /// Time for which this node's next call waits for changes; none when other nodes follow the table.
 async fn next_wait(app: &App, table: Table) -> Option<Duration> {
     match role(app, table) {
-        Role::Follower if is_isolated(app) => Some(ISOLATED_WAIT),
-        Role::Follower if is_needed(table) && is_lead(app) => Some(LEAD_WAIT),
-        Role::Follower => Some(WAIT),
+        Role::Follower => Some(follower_wait(app, table)),
         Role::Fallback(pause) => {
             sleep(pause).await;
             let still_fallback = matches!(role(app, table), Role::Fallback(_));
@@ -156,6 +154,17 @@
     }
 }
 
+/// Time for which a follower's call waits for changes.
+fn follower_wait(app: &App, table: Table) -> Duration {
+    if is_isolated(app) {
+        return ISOLATED_WAIT;
+    }
+    match is_needed(table) && is_lead(app) {
+        true => LEAD_WAIT,
+        false => WAIT,
+    }
+}
+
 /// Whether this node knows other nodes but has no contact to any.
 fn is_isolated(app: &App) -> bool {
     let state = app.state();
@@ -206,14 +215,21 @@
 }
 
 /// Waits for changes. When the answer is overdue, a second call asks for them over another
-/// connection, and the first answer counts.
+/// connection, and the first answer counts. A node that becomes the lead or isolated meanwhile waits
+/// no longer than a call that it would begin now.
 async fn changes(app: &App, table: Table, after: Position, wait: Duration) -> Result<Page, Error> {
     let first = app.store.changes(table.name(), after, wait);
     tokio::pin!(first);
-    if let Ok(answer) = timeout(wait + OVERDUE, &mut first).await {
-        return answer;
+    let started = Instant::now();
+    let mut due = wait;
+    while started.elapsed() < due + OVERDUE {
+        let left = (due + OVERDUE).saturating_sub(started.elapsed());
+        if let Ok(answer) = timeout(left.min(ROLE_CHECK), &mut first).await {
+            return answer;
+        }
+        due = wait.min(follower_wait(app, table));
     }
-    log::warn!(event = 1791, table = table.name(), wait_ms = wait.as_millis() as u64;
+    log::warn!(event = 1791, table = table.name(), wait_ms = due.as_millis() as u64;
         "the answer of the store is overdue, asking over another connection");
     tokio::select! {
         answer = first => answer,
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -79,6 +79,7 @@
     requests_with_a_poison_part_are_stopped(Settings { nodes: 3, models: 6, ..models() })
     a_silent_link_is_closed_in_time(three_nodes())
     a_change_passes_store_connections_that_fell_silent(three_nodes())
+    a_change_reaches_the_last_follower_over_a_silent_connection(three_nodes())
     a_change_passes_an_entry_with_a_number_out_of_range(three_nodes())
     a_node_that_starts_without_the_store_asks_the_others(three_nodes())
     a_node_that_starts_holds_requests_until_the_store_answers(plain())
@@ -841,6 +842,33 @@
         Ok(())
     }
 
+    /// Guards against a follower that keeps waiting on its call after it has become the only one.
+    pub async fn a_change_reaches_the_last_follower_over_a_silent_connection(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let mut proxies = Vec::new();
+        for index in 0..site.nodes.len() {
+            let proxy = Proxy::start(site.doors[index], proxy::Settings::default()).await?;
+            site.restart_node(index, proxy.address()).await?;
+            proxies.push(proxy);
+        }
+        for node in &site.nodes {
+            node.until_ready(true).await?;
+        }
+        sleep(CONTACT).await;
+        proxies.iter().for_each(Proxy::silence_open);
+        site.nodes[0].kill().await?;
+        site.nodes[1].kill().await?;
+        sleep(CONTACT).await;
+        let mut config = standin::site::config(5);
+        config["routes"][0]["prefix"] = json!("/moved/");
+        site.store.put("op", "config", Some(&config));
+        sleep(APPLY).await;
+        let answer = request(&Client::new(), site, 2, "/moved/a").send().await?;
+        assert_eq!(answer.status(), 200);
+        Ok(())
+    }
+
     /// Guards against an entry that ends the task which follows the backend servers.
     pub async fn a_change_passes_an_entry_with_a_number_out_of_range(
         site: &mut Site,
