Keep to the limits that backend servers name, with all nodes together

Cause: nothing read Server-Limit. Change: a limit is a property of one start of a backend server. Each node has a fixed share of it as a token bucket, as many nodes as the limit bears; nodes tell each other with the age of the answer; a probe finds out that it has ended. Lies are left out and counted. Where all servers of a service pause or limit, callers are told the earliest known moment at once.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -8,6 +8,7 @@
 use limits::suspect::Fingerprint;
 use platform::store;
 use route::member::Member;
+use route::pool::Naming;
 use route::site::Site;
 use route::{NodeName, ServerId, Version};
 use settings::log::Drops;
@@ -44,6 +45,8 @@
     Crash(Crash),
     /// A start of a backend server has said that it is leaving.
     Departure(ServerId, u64),
+    /// A backend server names a limit on the requests of all nodes, or no longer does.
+    Naming(Naming),
     /// A backend server crashed before the answer to a request with a part began.
     PartCrash(Part, RequestTag, ServerId),
     /// A part is blocked because it crashes backend servers; with the number of blocks in a row.
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -12,7 +12,7 @@
 use route::cascade::{Answer, Cascade};
 use route::config::Config;
 use route::member::Members;
-use route::pool::{self, Capacity, Load, Pool, Query, Refusal, Stage, Tag};
+use route::pool::{self, Capacity, Load, Naming, Pool, Query, Refusal, Stage, Tag};
 use route::relay::{self, Relays};
 use route::rollout::{self, Side, Spec, Status, Tally, Trial};
 use route::server::Listing;
@@ -512,8 +512,25 @@
         self.poison.sweep(now);
     }
 
-    /// Computes this node's share of what all nodes share: retry budgets and the capacity of cold
-    /// backend servers. Until the number of nodes is known, the share is zero.
+    /// Records what an answer, to this node or another one, says of a backend server's limit. Returns
+    /// whether the other nodes are to be told.
+    pub fn record_naming(&mut self, now: Instant, naming: &Naming) -> bool {
+        let limit = |pool: &Pool| {
+            let server = pool.servers().get(&naming.server)?;
+            server.limit().map(|limit| limit.rate())
+        };
+        let before = limit(&self.pool);
+        let is_news = self.pool.record_naming(now, naming);
+        let after = limit(&self.pool);
+        if before != after {
+            log::info!(event = 1760, server = naming.server.as_str(), before = before.unwrap_or(-1.0), rate = after.unwrap_or(-1.0);
+                "limit of a backend server has changed");
+        }
+        is_news
+    }
+
+    /// Computes this node's share of what all nodes share: retry budgets, the capacity of cold
+    /// backend servers and the limits that backend servers name. Until the number of nodes is known, the share is zero.
     fn update_shares(&mut self) {
         let own = std::iter::once(self.node.clone());
         let others = self.members.all().map(|member| member.node.clone());
@@ -549,7 +566,7 @@
                 .or_default()
                 .set_allowance(allowance);
         }
-        self.pool.set_capacities(capacities, &names);
+        self.pool.set_capacities(Instant::now(), capacities, &names);
     }
 
     /// Chooses a backend server for a request.
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -59,6 +59,8 @@
     outcome: Outcome,
     prefill: Prefill,
     load: Load,
+    /// Whether the backend server had named a limit when the request was sent.
+    pub was_limited: bool,
     model: String,
     /// Whether a roll-out ignores the outcome, which says nothing of the version: the backend server
     /// timed out, couldn't be reached, or its crash has been counted already.
@@ -250,11 +252,9 @@
     let server = state.pick(now, &query, exchange.log_id(), exchange.session.as_deref())?;
     let prefill = state.pool.start_request(now, &server.id, &query);
     let announce = state.record_send(now, &server, exchange.session.as_deref());
-    let load = state
-        .pool
-        .servers()
-        .get(&server.id)
-        .map(|server| server.load());
+    let chosen = state.pool.servers().get(&server.id);
+    let was_limited = chosen.is_some_and(|server| server.limit().is_some());
+    let load = chosen.map(|server| server.load());
     let age = state.list_age(now);
     drop(state);
     log::info!(event = 1732, request = exchange.log_id(), server = server.id.as_str(),
@@ -276,6 +276,7 @@
         outcome: Outcome::Unknown,
         prefill,
         load: pool::load_of(&query),
+        was_limited,
         model: model.map_or(String::new(), |model| model.name.clone()),
         ignored_by_rollout: false,
         first_event: None,
@@ -408,7 +409,7 @@
     let not_run =
         status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_EXECUTED);
     if id_matches {
-        announcement::record(app, exchange, &attempt.server, &response.head);
+        announcement::record(app, exchange, &attempt, &response.head);
     }
     if id_matches && not_run {
         attempt.fail(exchange, &Failure::NotRun(status.as_u16()));
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -8,13 +8,14 @@
 use limits::poison::{Part, RequestTag};
 use platform::store::Row;
 use route::member::Member;
-use route::pool::{self, Tag};
+use route::pool::{self, Rate, Tag};
 use route::relay::{self, Presence, Scope};
 use route::{NodeName, Position, ServerId, ServiceName, Version, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
 use tokio_tungstenite::tungstenite::Message;
 
 /// A frame of the protocol between nodes.
@@ -61,6 +62,9 @@
 /// small compared with the memory of a node.
 const MAX_FRAME_BYTES: u64 = 8 << 20;
 
+/// Age from which what an answer has said of a limit is ignored: nodes probe the server long before.
+const MAX_NAMING_AGE: Duration = Duration::from_secs(600);
+
 /// Identity and addresses of a node.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct Hello {
@@ -126,6 +130,44 @@
     /// Parts that an answer has shown to be sound.
     #[serde(rename = "a", skip_serializing_if = "Vec::is_empty")]
     pub part_answers: Vec<Part>,
+    /// What answers of backend servers have said of their limits.
+    #[serde(rename = "q", skip_serializing_if = "Vec::is_empty")]
+    pub namings: Vec<Naming>,
+}
+
+/// What an answer of a backend server has said of its limit: the server, its start, the requests per
+/// second that it takes from all nodes (none if the limit has ended), and the milliseconds since the
+/// answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Naming(ServerId, u64, Option<Rate>, u64);
+
+impl Naming {
+    /// Encodes what an answer has said, with its age.
+    pub fn encode(naming: &pool::Naming, now: Instant) -> Self {
+        let age = now.saturating_duration_since(naming.at);
+        Self(
+            naming.server.clone(),
+            naming.started_ms,
+            naming.rate,
+            age.as_millis() as u64,
+        )
+    }
+
+    /// Decodes what an answer has said; none if the rate is no limit, or the answer too old.
+    pub fn decode(self, now: Instant) -> Option<pool::Naming> {
+        let Self(server, started_ms, rate, age_ms) = self;
+        let age = Duration::from_millis(age_ms);
+        if rate.is_some_and(|rate| !rate.is_finite() || rate < 0.0) || age > MAX_NAMING_AGE {
+            log::warn!(event = 1763, server = server.as_str(), age_ms = age_ms; "ignoring a limit from another node");
+            return None;
+        }
+        Some(pool::Naming {
+            server,
+            started_ms,
+            rate,
+            at: now.checked_sub(age)?,
+        })
+    }
 }
 
 /// Role of a link: the scope as a number, and whether the sender is attached and the receiver is
--- a/crates/edge/src/link/handle.rs
+++ b/crates/edge/src/link/handle.rs
@@ -259,6 +259,12 @@
             unknown.push(Notice::Departure(server, started_ms));
         }
     }
+    let namings = notices.namings.into_iter();
+    for naming in namings.filter_map(|naming| naming.decode(now)) {
+        if state.record_naming(now, &naming) {
+            unknown.push(Notice::Naming(naming));
+        }
+    }
     for (part, request, server) in notices.part_crashes {
         if state.record_part_crash(now, part, request, &server) {
             unknown.push(Notice::PartCrash(part, request, server));
--- a/crates/edge/src/link/outbox.rs
+++ b/crates/edge/src/link/outbox.rs
@@ -1,6 +1,6 @@
 //! Announcements to be sent over a link.
 
-use super::frame::{Frame, Notices};
+use super::frame::{Frame, Naming, Notices};
 use crate::app::{Announcement, App, Notice};
 use route::NodeName;
 use route::relay::{Role, Scope};
@@ -72,6 +72,7 @@
                 Notice::Departure(server, started_ms) => {
                     notices.departures.push((server, started_ms));
                 }
+                Notice::Naming(naming) => notices.namings.push(Naming::encode(&naming, now)),
                 Notice::PartBlock(part, level) => notices.part_blocks.push((part, level)),
                 Notice::PartAnswer(part) => notices.part_answers.push(part),
             }
@@ -123,6 +124,11 @@
             .map(|(server, started_ms)| (server.clone(), started_ms))
             .collect(),
         part_blocks: state.poison.blocks(now).collect(),
+        namings: state
+            .pool
+            .namings()
+            .map(|naming| Naming::encode(&naming, now))
+            .collect(),
         ..Notices::default()
     }
 }
--- a/crates/edge/src/metrics/label.rs
+++ b/crates/edge/src/metrics/label.rs
@@ -41,7 +41,7 @@
 /// Labels of an announcement of a backend server.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Announcement {
-    /// `leaving`, `pause`, or `invalid` for a pause that is left out or shortened.
+    /// `leaving`, `pause`, `limit`, or `invalid` for a pause or limit that is left out or shortened.
     pub kind: &'static str,
 }
 
--- a/crates/edge/src/metrics/metrics.rs
+++ b/crates/edge/src/metrics/metrics.rs
@@ -36,6 +36,7 @@
     pub(super) servers: Gauge,
     pub(super) leaving_servers: Gauge,
     pub(super) paused_servers: Gauge,
+    pub(super) limited_servers: Gauge,
     pub(super) in_flight: Gauge,
     pub(super) list_age_ms: Gauge,
     pub(super) dropped_lines: Gauge,
@@ -69,6 +70,7 @@
             servers: Gauge::default(),
             leaving_servers: Gauge::default(),
             paused_servers: Gauge::default(),
+            limited_servers: Gauge::default(),
             in_flight: Gauge::default(),
             list_age_ms: Gauge::default(),
             dropped_lines: Gauge::default(),
@@ -138,6 +140,11 @@
                 "Backend servers that have asked for a pause",
                 &self.paused_servers,
             ),
+            (
+                "limited_servers",
+                "Backend servers that name a limit",
+                &self.limited_servers,
+            ),
             ("requests_inside", "Requests under way", &self.in_flight),
             (
                 "list_age_ms",
--- a/crates/edge/src/metrics/serve.rs
+++ b/crates/edge/src/metrics/serve.rs
@@ -47,6 +47,9 @@
     let servers = state.pool.servers().values();
     let paused = servers.filter(|server| server.pause_left(now).is_some());
     metrics.paused_servers.set(paused.count() as i64);
+    let servers = state.pool.servers().values();
+    let limited = servers.filter(|server| server.limit().is_some());
+    metrics.limited_servers.set(limited.count() as i64);
     metrics
         .list_age_ms
         .set(state.list_age(now).as_millis() as i64);
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -1,13 +1,15 @@
 //! All backend servers of a site.
 
 use super::{
-    Baselines, Capacity, Departures, Estimator, Load, Outcome, Query, Ratio, Refusal, Server,
-    Settings, Speeds, Stage, name_hash, rank,
+    Baselines, Capacity, Departures, Estimator, Limit, Load, Outcome, Query, Rate, Ratio, Refusal,
+    Server, Settings, Share, Speeds, Stage, name_hash, rank,
 };
 use crate::server::Listing;
 use crate::{NodeName, ServerId, ServiceName, Zone};
 use contract::{Map, Set};
+use lru::LruCache;
 use rand::Rng;
+use rustc_hash::FxBuildHasher;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -33,8 +35,24 @@
     contract::stable_hash([id]) as Tag
 }
 
+/// Maximum number of servers whose limits are remembered after their entries were removed.
+const MAX_UNLISTED_LIMITS: usize = 1024;
+
+/// What an answer of a backend server says of its limit, and when it was received.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Naming {
+    /// The backend server.
+    pub server: ServerId,
+    /// Which start of it.
+    pub started_ms: u64,
+    /// Requests per second that it takes from all nodes; none if the limit has ended.
+    pub rate: Option<Rate>,
+    /// When the answer was received.
+    pub at: Instant,
+}
+
 /// All backend servers of a site, and the choice among them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Pool {
     settings: Settings,
     servers: BTreeMap<ServerId, Server>,
@@ -49,16 +67,33 @@
     capacities: Map<ServiceName, Capacity>,
     /// Starts of backend servers that have said that they are leaving.
     departures: Departures,
+    /// Limits of backend servers whose entries were removed, with their starts.
+    unlisted_limits: LruCache<ServerId, (u64, Limit), FxBuildHasher>,
     /// Hashes of the nodes that share the capacity of cold backend servers, this one first.
     node_hashes: Vec<u64>,
 }
 
+impl Default for Pool {
+    fn default() -> Self {
+        Self::new(Settings::default())
+    }
+}
+
 impl Pool {
     /// Creates an empty pool.
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
-            ..Self::default()
+            servers: BTreeMap::new(),
+            tags: Map::default(),
+            remote_loads: Map::default(),
+            zones_out: Set::default(),
+            baselines: Baselines::default(),
+            estimators: Map::default(),
+            capacities: Map::default(),
+            departures: Departures::default(),
+            unlisted_limits: LruCache::unbounded_with_hasher(FxBuildHasher),
+            node_hashes: Vec::new(),
         }
     }
 
@@ -83,6 +118,11 @@
                 server.remote_load = loads.fold(Load::default(), |sum, load| sum.plus(*load));
                 server.cold_quota = self.cold_quota(&server);
                 server.is_leaving = self.departures.contains(&listing.id, listing.started_ms);
+                server.limit = self
+                    .unlisted_limits
+                    .pop(&listing.id)
+                    .filter(|(started_ms, _)| *started_ms == listing.started_ms)
+                    .map(|(_, limit)| limit);
                 self.tags.insert(tag, listing.id.clone());
                 self.servers.insert(listing.id, server);
             }
@@ -92,7 +132,15 @@
     /// Removes a backend server. Its open requests continue, and the node learns their outcome from
     /// their connections.
     pub fn remove(&mut self, id: &str) {
-        self.servers.remove(id);
+        let removed = self.servers.remove(id);
+        if let Some((started_ms, limit)) =
+            removed.and_then(|server| Some((server.listing.started_ms, server.limit?)))
+        {
+            self.unlisted_limits.put(id.to_owned(), (started_ms, limit));
+            if self.unlisted_limits.len() > MAX_UNLISTED_LIMITS {
+                self.unlisted_limits.pop_lru();
+            }
+        }
         self.tags.remove(&tag(id));
     }
 
@@ -122,6 +170,80 @@
         }
     }
 
+    /// Records what an answer says of a backend server's limit, to this node or another one. Returns
+    /// whether the other nodes are to be told: the limit is new, has changed or has ended, or they
+    /// were last told a while ago.
+    pub fn record_naming(&mut self, now: Instant, naming: &Naming) -> bool {
+        let share = naming
+            .rate
+            .map(|rate| self.limit_share(&naming.server, rate));
+        let Some(server) = self.servers.get_mut(&naming.server) else {
+            return false;
+        };
+        if server.listing.started_ms != naming.started_ms {
+            return false;
+        }
+        let (Some(rate), Some(share)) = (naming.rate, share) else {
+            let ended = server.limit.take_if(|limit| limit.named() < naming.at);
+            return ended.is_some();
+        };
+        match &mut server.limit {
+            Some(limit) => {
+                let is_new = naming.at > limit.named();
+                let before = limit.rate();
+                limit.record_named(naming.at, rate);
+                let changed = limit.rate() != before;
+                limit.set_share(now, share);
+                is_new && limit.take_telling(now, changed)
+            }
+            None => {
+                let mut limit = Limit::new(naming.at, rate, share);
+                limit.take_telling(now, true);
+                server.limit = Some(limit);
+                true
+            }
+        }
+    }
+
+    /// Records an answer to this node that names no limit; returns whether the server's limit has
+    /// ended by it.
+    pub fn record_silent_answer(&mut self, now: Instant, id: &str, started_ms: u64) -> bool {
+        let Some(server) = self.servers.get_mut(id) else {
+            return false;
+        };
+        if server.listing.started_ms != started_ms {
+            return false;
+        }
+        let ended = server
+            .limit
+            .take_if(|limit| limit.record_silent_answer(now));
+        ended.is_some()
+    }
+
+    /// Returns the limits that backend servers name.
+    pub fn namings(&self) -> impl Iterator<Item = Naming> {
+        self.servers.iter().filter_map(|(id, server)| {
+            let limit = server.limit()?;
+            Some(Naming {
+                server: id.clone(),
+                started_ms: server.listing.started_ms,
+                rate: Some(limit.rate()),
+                at: limit.named(),
+            })
+        })
+    }
+
+    /// Returns this node's share of a backend server's limit. Rendezvous hashing ranks the nodes.
+    fn limit_share(&self, id: &str, limit: Rate) -> Share {
+        let server = name_hash(id);
+        let own = self.node_hashes.first().copied().unwrap_or_default();
+        let before = self
+            .node_hashes
+            .iter()
+            .filter(|node| rank(server, **node) > rank(server, own));
+        Share::of(limit, before.count(), self.node_hashes.len())
+    }
+
     /// Sets the availability zones that get no requests. Backend servers of a zone that comes back are
     /// cold.
     pub fn set_zones_out(&mut self, now: Instant, zones: Set<Zone>) {
@@ -136,9 +258,14 @@
         self.zones_out = zones;
     }
 
-    /// Sets the capacities of backend servers, by service, and the nodes that share them, this one
-    /// first.
-    pub fn set_capacities(&mut self, capacities: Map<ServiceName, Capacity>, nodes: &[NodeName]) {
+    /// Sets the capacities of backend servers, by service, and the nodes that share them and the
+    /// servers' limits, this one first.
+    pub fn set_capacities(
+        &mut self,
+        now: Instant,
+        capacities: Map<ServiceName, Capacity>,
+        nodes: &[NodeName],
+    ) {
         self.capacities = capacities;
         self.node_hashes = nodes.iter().map(|node| name_hash(node)).collect();
         let quotas: Vec<_> = self
@@ -149,6 +276,14 @@
         for (server, quota) in self.servers.values_mut().zip(quotas) {
             server.cold_quota = quota;
         }
+        let limits: Vec<_> = self.namings().collect();
+        for naming in limits {
+            let share = self.limit_share(&naming.server, naming.rate.unwrap_or_default());
+            let server = self.servers.get_mut(&naming.server);
+            if let Some(limit) = server.and_then(|server| server.limit.as_mut()) {
+                limit.set_share(now, share);
+            }
+        }
     }
 
     /// Returns the number of requests that this node may send to a cold backend server per window. If
@@ -216,7 +351,7 @@
             if !self.is_eligible(server, query) || !allows(&server.listing) {
                 continue;
             }
-            refusal = match (server.pause_left(now), refusal) {
+            refusal = match (server.wait(now), refusal) {
                 (None, _) | (_, Refusal::Full) => Refusal::Full,
                 (Some(left), Refusal::Paused(least)) => Refusal::Paused(left.min(least)),
                 (Some(left), Refusal::NoServer) => Refusal::Paused(left),
@@ -272,7 +407,7 @@
     /// Whether a backend server has capacity for one more request of this node.
     fn has_capacity(&self, now: Instant, server: &Server) -> bool {
         let is_open = server.breaker.allows_request(now) && server.has_resumed(now);
-        if !is_open || server.is_full(now) {
+        if !is_open || server.is_full(now) || server.wait(now).is_some() {
             return false;
         }
         let places = server
@@ -310,6 +445,9 @@
         if now < server.cold_until {
             server.cold_limiter.record(now, self.settings.cold_window);
         }
+        if let Some(limit) = &mut server.limit {
+            limit.record_send(now);
+        }
         server.own_load = server.own_load.plus(load_of(query));
         let weight = query.model.map_or(0.0, |(_, weight)| weight);
         let own = server.uncached_tokens(now, query, &self.settings) * weight;
--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -1,6 +1,6 @@
 //! State of one backend server as a node sees it.
 
-use super::{Limiter, Load, NameHash, Query, Settings, name_hash};
+use super::{Limit, Limiter, Load, NameHash, Query, Settings, name_hash};
 use crate::server::{Listing, State};
 use limits::quarantine::{self, Breaker};
 use lru::LruCache;
@@ -64,6 +64,8 @@
     pub(super) is_leaving: bool,
     /// End of the last pause that it asked this node for.
     paused_until: Option<Instant>,
+    /// Limit on the requests of all nodes that it names.
+    pub(super) limit: Option<Limit>,
     /// When it last sent something in response to a request of this node.
     pub(super) last_activity: Option<Instant>,
     /// When it last broke off an answer.
@@ -94,6 +96,7 @@
             full_until: None,
             is_leaving: false,
             paused_until: None,
+            limit: None,
             last_activity: None,
             last_break: None,
             breaker: Breaker::new(settings),
@@ -129,6 +132,17 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Limit on the requests of all nodes that it names.
+    pub fn limit(&self) -> Option<&Limit> {
+        self.limit.as_ref()
+    }
+
+    /// Time until it takes a request of this node, by what it has asked for itself.
+    pub fn wait(&self, now: Instant) -> Option<Duration> {
+        let limit = self.limit.as_ref().and_then(|limit| limit.wait(now));
+        self.pause_left(now).max(limit)
+    }
+
     /// Whether it accepts one more request of this node after a pause: at first few at a time.
     pub fn has_resumed(&self, now: Instant) -> bool {
         let Some(end) = self.paused_until else {
--- a/crates/route/tests/law.rs
+++ b/crates/route/tests/law.rs
@@ -50,7 +50,7 @@
             ..Capacity::default()
         };
         let capacities = contract::Map::from_iter([("models".to_owned(), capacity)]);
-        pool.set_capacities(capacities, &["n".to_owned()]);
+        pool.set_capacities(Instant::now(), capacities, &["n".to_owned()]);
         (0..ENGINES).for_each(|index| pool.upsert(now, listing(index)));
         pool
     }
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -89,6 +89,7 @@
         ..Capacity::default()
     };
     pool.set_capacities(
+        Instant::now(),
         Map::from_iter([("models".to_owned(), capacity)]),
         &["n".to_owned()],
     );
@@ -135,7 +136,7 @@
     let now = Instant::now();
     let mut pool = pool(30);
     let names: Vec<_> = (0..nodes).map(|index| format!("n-{index}")).collect();
-    pool.set_capacities(Map::default(), &names);
+    pool.set_capacities(Instant::now(), Map::default(), &names);
     let load = |index: u32| Load {
         requests: 4 + index % 3,
         weight: f64::from(4 + index % 3),
@@ -232,7 +233,11 @@
         let mut names = names.clone();
         names.swap(0, own);
         let mut pool = Pool::new(Settings::default());
-        pool.set_capacities(Map::from_iter([("models".to_owned(), capacity)]), &names);
+        pool.set_capacities(
+            Instant::now(),
+            Map::from_iter([("models".to_owned(), capacity)]),
+            &names,
+        );
         let cold = Duration::from_secs(3);
         pool.upsert(
             now,
@@ -280,6 +285,7 @@
         ..Capacity::default()
     };
     pool.set_capacities(
+        Instant::now(),
         Map::from_iter([("models".to_owned(), capacity)]),
         &["n".to_owned()],
     );
--- a/crates/standin/src/site/fault.rs
+++ b/crates/standin/src/site/fault.rs
@@ -41,6 +41,10 @@
     /// It runs the request and answers with its response to another one, which says that it is
     /// leaving.
     CrossedLeaving,
+    /// It answers well and names this limit on requests a second.
+    Limit(&'static str),
+    /// It answers well and names this limit in each second answer.
+    LimitByTurns(&'static str),
     /// It refuses with the word that the request hasn't run, and asks for a pause of this many
     /// milliseconds.
     Pause(u64),
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -103,6 +103,16 @@
             let headers = [headers[0], headers[1], ("server-leaving", "1")];
             answer(stream, 200, &headers, body.as_bytes()).await?;
         }
+        WorkerFault::Limit(limit) => {
+            let headers = [headers[0], headers[1], ("server-limit", limit)];
+            answer(stream, 200, &headers, body.as_bytes()).await?;
+        }
+        WorkerFault::LimitByTurns(limit) => {
+            let headers = [headers[0], headers[1], ("server-limit", limit)];
+            let named = shared.state().runs.len().is_multiple_of(2);
+            let headers = if named { &headers[..] } else { &headers[..2] };
+            answer(stream, 200, headers, body.as_bytes()).await?;
+        }
         WorkerFault::CrossedLeaving => {
             let headers = [
                 ("request-id", "another"),
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -35,6 +35,12 @@
 /// Time between the refusal as the stand-in notes it and its arrival at the node.
 const CLOCK_MARGIN: Duration = Duration::from_millis(10);
 
+/// Window in which the requests to a backend server that names a limit are counted, as the rules say.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Requests within the window that a limit of one a second allows, as the rules say: one and a half
+/// times the limit, and five.
+const MAX_IN_LIMIT: usize = 11;
+
 /// Each case is a test by its own name.
 macro_rules! cases {
     ($($name:ident($settings:expr))*) => {$(
@@ -75,6 +81,11 @@
     a_server_that_says_it_leaves_gets_nothing_more(three_nodes())
     a_server_that_asks_for_a_pause_gets_nothing_meanwhile(plain())
     callers_are_told_when_all_servers_pause(plain())
+    a_server_that_names_a_limit_gets_no_more_of_all_nodes(three_nodes())
+    a_server_that_names_a_limit_by_turns_gets_no_more(three_nodes())
+    a_server_that_names_no_limit_any_more_is_used_as_before(three_nodes())
+    callers_are_told_when_all_servers_limit(plain())
+    a_limit_that_makes_no_sense_is_left_out(plain())
     a_pause_that_makes_no_sense_is_left_out(plain())
     requests_with_a_poison_part_are_stopped(Settings { nodes: 3, models: 6, ..models() })
     a_silent_link_is_closed_in_time(three_nodes())
@@ -732,6 +743,107 @@
         Ok(())
     }
 
+    /// Sends requests to all nodes in turn for a while.
+    async fn press(site: &Site, time: Duration) -> Result<(), Error> {
+        let client = Client::new();
+        let begun = Instant::now();
+        let mut sent = 0;
+        while begun.elapsed() < time {
+            let node = sent % site.nodes.len();
+            request(&client, site, node, "/once/a").send().await?;
+            sent += 1;
+            sleep(Duration::from_millis(20)).await;
+        }
+        Ok(())
+    }
+
+    /// The most requests that reached a backend server within the window of a limit, from a time on.
+    fn most_in_window(worker: &Worker, from: Instant) -> usize {
+        let runs = worker.runs().into_iter().map(|run| run.at);
+        let times: Vec<_> = runs.filter(|at| *at >= from).collect();
+        let in_window = |first: &Instant| {
+            let within = |at: &&Instant| **at >= *first && **at < *first + LIMIT_WINDOW;
+            times.iter().filter(within).count()
+        };
+        times.iter().map(in_window).max().unwrap_or(0)
+    }
+
+    async fn keeps_limit(site: &Site, fault: WorkerFault) -> Result<(), Error> {
+        site.desks[0].set_fault(fault);
+        let begun = Instant::now();
+        press(site, CONTACT + 3 * LIMIT_WINDOW).await?;
+        let most = most_in_window(&site.desks[0], begun + CONTACT);
+        assert!(most <= MAX_IN_LIMIT, "{most} requests");
+        assert!(most > 0, "it is used within its limit");
+        Ok(())
+    }
+
+    /// Guards against nodes that each keep to a limit which is meant for all.
+    pub async fn a_server_that_names_a_limit_gets_no_more_of_all_nodes(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        keeps_limit(site, WorkerFault::Limit("1")).await
+    }
+
+    /// Guards against a limit that ends with one answer which leaves it out.
+    pub async fn a_server_that_names_a_limit_by_turns_gets_no_more(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        keeps_limit(site, WorkerFault::LimitByTurns("1")).await
+    }
+
+    /// Guards against a limit that nobody finds to have ended.
+    pub async fn a_server_that_names_no_limit_any_more_is_used_as_before(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        site.desks[0].set_fault(WorkerFault::Limit("1"));
+        press(site, LIMIT_WINDOW).await?;
+        site.desks[0].set_fault(WorkerFault::None);
+        press(site, 2 * LIMIT_WINDOW).await?;
+        for node in &site.nodes {
+            let metrics = node.metrics().await?;
+            assert!(metrics.contains("sardinebank_limited_servers 0"));
+        }
+        Ok(())
+    }
+
+    /// Guards against requests that wait for backend servers which take none for now.
+    pub async fn callers_are_told_when_all_servers_limit(site: &mut Site) -> Result<(), Error> {
+        for desk in &site.desks {
+            desk.set_fault(WorkerFault::Limit("0.3"));
+        }
+        let mut answer = send(site, "/once/a").await?;
+        let mut begun = Instant::now();
+        while answer.status() == 200 && site.desks.iter().any(|desk| desk.runs().len() < 2) {
+            begun = Instant::now();
+            answer = send(site, "/once/a").await?;
+        }
+        assert_eq!(answer.status(), 503);
+        assert!(begun.elapsed() < Duration::from_millis(200), "at once");
+        let after = answer.headers().get("retry-after");
+        let seconds: f64 = after
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .unwrap_or(0.0);
+        assert!((1.0..5.0).contains(&seconds), "{seconds} s");
+        let metrics = site.nodes[0].metrics().await?;
+        assert!(metrics.contains("sardinebank_limited_servers 2"));
+        Ok(())
+    }
+
+    /// Guards against a limit that is no number of requests.
+    pub async fn a_limit_that_makes_no_sense_is_left_out(site: &mut Site) -> Result<(), Error> {
+        for (desk, limit) in site.desks.iter().zip(["-1", "NaN"]) {
+            desk.set_fault(WorkerFault::Limit(limit));
+        }
+        for _ in 0..10 {
+            assert_eq!(send(site, "/once/a").await?.status(), 200);
+        }
+        let metrics = site.nodes[0].metrics().await?;
+        assert!(metrics.contains("sardinebank_limited_servers 0"));
+        assert!(metrics.contains("announcements_total{kind=\"invalid\"}"));
+        Ok(())
+    }
+
     /// Guards against a pause of no length that is kept to.
     pub async fn a_pause_that_makes_no_sense_is_left_out(site: &mut Site) -> Result<(), Error> {
         for desk in &site.desks {
