Test that an answer whose head is cut is left

Cause: operators of similar systems saw clients get a 200 with an empty body from a worker that closed in the middle of its head. Ruled out here: the HTTP client reports an incomplete message, for answers and streams, at seven lengths of the head up to its last byte. Left: a body without a length that is closed, not reset, can't be told from a whole one; a reset one ends with an error (by reading).

--- a/crates/standin/src/site/fault.rs
+++ b/crates/standin/src/site/fault.rs
@@ -53,6 +53,8 @@
     /// It sends this many events of a stream, and then a byte now and then; a whole answer comes so from
     /// its beginning.
     Drip(u64),
+    /// It runs the request, sends this many bytes of its answer's head and closes the connection.
+    CutHead(usize),
     /// The head of its answer has no end.
     EndlessHead,
     /// The body of its answer has no end; that of a stream holds no event.
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -99,6 +99,7 @@
             let headers = [("request-id", "another"), ("response-seal", &seal)];
             answer(stream, 200, &headers, body.as_bytes()).await?;
         }
+        WorkerFault::CutHead(size) => cut_head(stream, &headers, size).await?,
         WorkerFault::Leaving => {
             let headers = [headers[0], headers[1], ("server-leaving", "1")];
             answer(stream, 200, &headers, body.as_bytes()).await?;
@@ -159,6 +160,17 @@
         }
         WorkerFault::Mute => silent(stream).await?,
         WorkerFault::EndlessHead => endless_head(stream).await?,
+        WorkerFault::CutHead(size) => {
+            let seal = format!("seal.{}", shared.id);
+            let id = request.header("request-id");
+            cut_head(
+                stream,
+                &[("request-id", id), ("response-seal", &seal)],
+                size,
+            )
+            .await?;
+            return Ok(false);
+        }
         WorkerFault::Fail(status) => {
             answer(stream, status, &[], b"failed").await?;
             return Ok(true);
@@ -222,6 +234,15 @@
     }
 }
 
+/// Sends the first bytes of a head; the caller closes the connection.
+async fn cut_head(stream: &mut TcpStream, headers: &[(&str, &str)], size: usize) -> io::Result<()> {
+    let mut bytes = head(200, headers);
+    bytes.extend_from_slice(b"content-length: 10\r\n\r\n");
+    // The last byte of the head is never sent.
+    let size = size.min(bytes.len() - 1);
+    stream.write_all(&bytes[..size]).await
+}
+
 /// Sends headers until the other side closes.
 async fn endless_head(stream: &mut TcpStream) -> io::Result<()> {
     stream.write_all(b"HTTP/1.1 200 OK\r\n").await?;
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -35,6 +35,8 @@
 /// Time between the refusal as the stand-in notes it and its arrival at the node.
 const CLOCK_MARGIN: Duration = Duration::from_millis(10);
 
+/// Time within which a backend server that has failed is asked again.
+const QUARANTINE: Duration = Duration::from_secs(8);
 /// Window in which the requests to a backend server that names a limit are counted, as the rules say.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Requests within the window that a limit of one a second allows, as the rules say: one and a half
@@ -64,6 +66,7 @@
     })
     a_mixed_answer_is_never_passed_on(plain())
     an_answer_without_an_end_is_left(plain())
+    an_answer_whose_head_is_cut_is_left(Settings { models: 3, ..plain() })
     a_stream_without_events_is_left(models())
     a_broken_stream_goes_on_elsewhere(models())
     a_silent_stream_goes_on_elsewhere(models())
@@ -385,6 +388,32 @@
         Ok(())
     }
 
+    /// Guards against a head that is cut and passed on as a whole answer.
+    pub async fn an_answer_whose_head_is_cut_is_left(site: &mut Site) -> Result<(), Error> {
+        let client = Client::new();
+        for size in [0, 1, 12, 19, 40, 70, usize::MAX] {
+            for workers in [&site.desks, &site.models] {
+                let fault = WorkerFault::CutHead(size);
+                workers.iter().for_each(|worker| worker.set_fault(fault));
+                let (before, begun) = (runs(workers).len(), Instant::now());
+                while runs(workers).len() == before && begun.elapsed() < QUARANTINE {
+                    let asked = match std::ptr::eq(workers, &site.desks) {
+                        true => request(&client, site, 0, "/again/a"),
+                        false => stream(&client, site, 0, "s"),
+                    };
+                    let answer = asked.send().await?;
+                    let status = answer.status();
+                    assert!(
+                        status.is_server_error(),
+                        "{status}, {size} bytes of the head"
+                    );
+                }
+                assert!(runs(workers).len() > before, "one was asked");
+            }
+        }
+        Ok(())
+    }
+
     pub async fn a_stream_without_events_is_left(site: &mut Site) -> Result<(), Error> {
         let client = Client::new();
         for fault in [WorkerFault::EndlessHead, WorkerFault::EndlessBody] {
