Answer requests that the end of the grace period cuts, and refuse late ones unsent

Cause: a node that stops looked at its state before it read a request's body, and not after it: a body that ended late in the grace period was passed on. What was in flight at the end of the grace period was dropped, and its caller got a closed connection (LOST). Change: a request whose body ends after the node stopped taking requests is refused with 503, unsent. At the end of the grace period the requests without an answer get 504, which promises nothing, and the node waits 100 ms for them to be sent. Before: both new tests failed (200 in place of 503, so it ran; 'connection closed before message completed'); now they pass.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -72,6 +72,8 @@
     pub store_recovered: Notify,
     /// Requests a heartbeat before the next one is due.
     pub heartbeat_requested: Notify,
+    /// Signals that the grace period is over: requests without an answer get one now.
+    pub grace_over: Notify,
     /// Signals that announcements are queued for the links.
     pub announcement_queued: Notify,
     /// Batches of frames for all links.
@@ -95,6 +97,7 @@
             capacity_changed: Notify::new(),
             store_recovered: Notify::new(),
             heartbeat_requested: Notify::new(),
+            grace_over: Notify::new(),
             announcement_queued: Notify::new(),
             batches: broadcast::Sender::new(MAX_BATCHES),
             announcements: broadcast::Sender::new(MAX_ANNOUNCEMENTS),
--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -49,7 +49,11 @@
         .unwrap_or("-")
         .to_owned();
     let mut kind = "none";
-    let result = serve(&app, received, request, guard, &mut kind).await;
+    let result = tokio::select! {
+        result = serve(&app, received, request, guard, &mut kind) => result,
+        // It may have been sent.
+        () = app.grace_over.notified() => Err(Refusal::DeadlineExceeded),
+    };
     let took_ms = received.elapsed().as_millis() as u64;
     let (revision, members, stopping, retry_after) = {
         let state = app.state();
@@ -116,6 +120,10 @@
     let limits = &routes.config().limits;
     let time = body_timeout(&parts.headers, route);
     let body = read_body(body, limits.max_body_bytes, time).await?;
+    if app.state().draining {
+        // It would be cut at the end of the grace period. Nothing has been sent.
+        return Err(Refusal::Unavailable);
+    }
     let mut exchange = Exchange::new(received, parts, body, Arc::clone(route), customer);
     log::info!(event = 1733, request = exchange.log_id(), route = exchange.route.name.as_str(),
         customer = customer.map_or("-", |customer| customer.name.as_str()), session = exchange.session.as_deref().unwrap_or("-"),
--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -11,6 +11,8 @@
 const LAME_DUCK_TIME: Duration = Duration::from_millis(2500);
 /// Fraction of the site's grace period that in-flight requests may use to finish.
 const GRACE_RATIO: f64 = 0.97;
+/// Longest time for sending the answers to requests that the end of the grace period has cut.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Interval at which the number of in-flight requests is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -50,7 +52,7 @@
 }
 
 /// Removes the node from the directory, keeps accepting requests for a while, and then waits for
-/// those in flight.
+/// those in flight. At the end of the grace period, those without an answer get one.
 pub async fn drain(app: Arc<App>, phase: watch::Sender<Phase>) {
     let started = Instant::now();
     app.state().stopping = true;
@@ -69,5 +71,10 @@
             break;
         }
     }
-    log::info!(event = 1719, inside = app.in_flight.count(); "stopped");
+    let cut = app.in_flight.count();
+    if cut > 0 {
+        app.grace_over.notify_waiters();
+        sleep(FLUSH_TIME).await;
+    }
+    log::info!(event = 1719, inside = cut; "stopped");
 }
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -105,6 +105,11 @@
     the_directory_names_those_that_live(three_nodes())
     a_stop_finishes_what_is_inside(models())
     a_stopping_node_refuses_late_requests_at_once(models())
+    a_body_that_ends_after_the_port_is_closed_is_refused_unsent(plain())
+    a_request_is_answered_at_the_end_of_the_grace(Settings {
+        bounds: json!({"graceS": 4}),
+        ..plain()
+    })
     sessions_from_before_a_roll_out_stay_on_their_version(Settings { nodes: 3, ..models() })
     a_bad_version_is_rolled_back(models())
     a_good_version_is_completed(models())
@@ -1210,6 +1215,46 @@
         Ok(())
     }
 
+    /// Guards against requests that are read late in the grace, passed on and cut at its end.
+    pub async fn a_body_that_ends_after_the_port_is_closed_is_refused_unsent(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let (sender, body) = futures::channel::mpsc::unbounded();
+        let body = reqwest::Body::wrap_stream(body.map(Ok::<_, std::io::Error>));
+        let asked = request(&Client::new(), site, 0, "/once/a")
+            .body(body)
+            .send();
+        let asked = tokio::spawn(asked);
+        sleep(Duration::from_millis(200)).await;
+        site.nodes[0].terminate()?;
+        sleep(Duration::from_millis(3000)).await;
+        let before = runs(&site.desks).len();
+        sender
+            .unbounded_send("a body")
+            .map_err(std::io::Error::other)?;
+        drop(sender);
+        let answer = asked.await.map_err(std::io::Error::other)??;
+        assert_eq!(answer.status(), 503);
+        assert_eq!(runs(&site.desks).len(), before, "it has not run");
+        Ok(())
+    }
+
+    /// Guards against connections that are closed without an answer when the node stops.
+    pub async fn a_request_is_answered_at_the_end_of_the_grace(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        for desk in &site.desks {
+            desk.set_fault(WorkerFault::Mute);
+        }
+        let asked = request(&Client::new(), site, 0, "/once/a").header("deadline-ms", "5000");
+        let asked = tokio::spawn(asked.send());
+        sleep(Duration::from_millis(200)).await;
+        site.nodes[0].terminate()?;
+        let answer = asked.await.map_err(std::io::Error::other)??;
+        assert_eq!(answer.status(), 504, "it may have run");
+        Ok(())
+    }
+
     /// Lets two backend servers run a new version and sends streams of many sessions until the
     /// outcome is written down.
     async fn roll_out(
