Bound the time until a backend server takes the next request

Change: such a time counts as unknown, so the server is probed as with a limit of zero; very large limits are cut before they are divided. Before: a_limit_near_zero_is_kept_like_zero panicked (time.rs:962); now it passes.

--- a/crates/route/src/pool/limit.rs
+++ b/crates/route/src/pool/limit.rs
@@ -48,6 +48,7 @@
     /// assert_eq!(shares.iter().filter(|share| share.rate > 0.0).count(), 3);
     /// ```
     pub fn of(limit: Rate, rank: usize, nodes: usize) -> Self {
+        let limit = limit.min(MAX_RATE);
         let burst = limit.floor() + EXTRA_BURST;
         let sharing = burst.min(nodes.max(1) as f64);
         match (rank as f64) < sharing {
@@ -150,10 +151,8 @@
         let heard = self.sent.map_or(self.named, |sent| sent.max(self.named));
         let probe_at = heard + PROBE_INTERVAL + PROBE_STEP * self.share.rank as u32;
         let probe = probe_at.saturating_duration_since(now);
-        let wait = match self.share.rate > 0.0 {
-            true => probe.min(Duration::from_secs_f64(missing / self.share.rate)),
-            false => probe,
-        };
+        let refilled = Duration::try_from_secs_f64(missing / self.share.rate);
+        let wait = refilled.map_or(probe, |refilled| refilled.min(probe));
         (!wait.is_zero()).then_some(wait)
     }
 
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -223,6 +223,15 @@
     assert!(pool.servers()["i-1"].limit().is_none());
 }
 
+/// Guards against a time to the next request that no clock holds.
+#[test]
+fn a_limit_near_zero_is_kept_like_zero() {
+    for rate in [f64::MIN_POSITIVE, 1e-300, 1e-20, f64::MAX] {
+        let fleet = Fleet::play(Instant::now(), 6, rate);
+        assert!(rate > 1.0 || fleet.most_in_window(Instant::now()) <= 5);
+    }
+}
+
 #[test]
 fn shares_add_up_to_no_more_than_the_limit() {
     for nodes in [1, 2, 6, 60, 1100] {
