Give shares and namings of limits files of their own

Cause: reading as a newcomer: pool.rs held three types and grew by a hundred lines; a caller of a limited service was told that its servers pause. Change: files of their own, the refusal's text; no rule is different.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -530,7 +530,8 @@
     }
 
     /// Computes this node's share of what all nodes share: retry budgets, the capacity of cold
-    /// backend servers and the limits that backend servers name. Until the number of nodes is known, the share is zero.
+    /// backend servers and the limits that they name. Until the number of nodes is known, its share
+    /// of the first two is zero.
     fn update_shares(&mut self) {
         let own = std::iter::once(self.node.clone());
         let others = self.members.all().map(|member| member.node.clone());
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -31,9 +31,9 @@
     /// The request, or a part of it, crashes backend servers. It hasn't run and won't.
     #[error("it crashes backend servers")]
     Blocked(Duration),
-    /// All backend servers of the service have asked for a pause, the first one for this time. The
-    /// request hasn't run and won't.
-    #[error("all of its backend servers pause")]
+    /// All backend servers of the service have asked for a pause or named a limit; the first one takes
+    /// a request after this time. The request hasn't run and won't.
+    #[error("all of its backend servers pause or limit requests")]
     Paused(Duration),
     /// A backend server may have run the request, and there is no complete response.
     #[error("no backend server gave a whole answer")]
--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -11,7 +11,7 @@
 const LAME_DUCK_TIME: Duration = Duration::from_millis(2500);
 /// Fraction of the site's grace period that in-flight requests may use to finish.
 const GRACE_RATIO: f64 = 0.97;
-/// Longest time for sending the answers to requests that the end of the grace period has cut.
+/// Time for sending the answers to requests that the end of the grace period has cut.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Interval at which the number of in-flight requests is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -1,8 +1,8 @@
 //! All backend servers of a site.
 
 use super::{
-    Baselines, Capacity, Departures, Estimator, Limit, Load, Outcome, Query, Rate, Ratio, Refusal,
-    Server, Settings, Share, Speeds, Stage, name_hash, rank,
+    Baselines, Capacity, Departures, Estimator, Limit, Load, Outcome, Query, Ratio, Refusal,
+    Server, Settings, Speeds, Stage, name_hash, rank,
 };
 use crate::server::Listing;
 use crate::{NodeName, ServerId, ServiceName, Zone};
@@ -38,24 +38,11 @@
 /// Maximum number of servers whose limits are remembered after their entries were removed.
 const MAX_UNLISTED_LIMITS: usize = 1024;
 
-/// What an answer of a backend server says of its limit, and when it was received.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Naming {
-    /// The backend server.
-    pub server: ServerId,
-    /// Which start of it.
-    pub started_ms: u64,
-    /// Requests per second that it takes from all nodes; none if the limit has ended.
-    pub rate: Option<Rate>,
-    /// When the answer was received.
-    pub at: Instant,
-}
-
 /// All backend servers of a site, and the choice among them.
 #[derive(Clone, Debug)]
 pub struct Pool {
     settings: Settings,
-    servers: BTreeMap<ServerId, Server>,
+    pub(super) servers: BTreeMap<ServerId, Server>,
     tags: Map<Tag, ServerId>,
     /// Loads that the other nodes have reported.
     remote_loads: Map<NodeName, Map<Tag, Load>>,
@@ -70,7 +57,7 @@
     /// Limits of backend servers whose entries were removed, with their starts.
     unlisted_limits: LruCache<ServerId, (u64, Limit), FxBuildHasher>,
     /// Hashes of the nodes that share the capacity of cold backend servers, this one first.
-    node_hashes: Vec<u64>,
+    pub(super) node_hashes: Vec<u64>,
 }
 
 impl Default for Pool {
@@ -170,80 +157,6 @@
         }
     }
 
-    /// Records what an answer says of a backend server's limit, to this node or another one. Returns
-    /// whether the other nodes are to be told: the limit is new, has changed or has ended, or they
-    /// were last told a while ago.
-    pub fn record_naming(&mut self, now: Instant, naming: &Naming) -> bool {
-        let share = naming
-            .rate
-            .map(|rate| self.limit_share(&naming.server, rate));
-        let Some(server) = self.servers.get_mut(&naming.server) else {
-            return false;
-        };
-        if server.listing.started_ms != naming.started_ms {
-            return false;
-        }
-        let (Some(rate), Some(share)) = (naming.rate, share) else {
-            let ended = server.limit.take_if(|limit| limit.named() < naming.at);
-            return ended.is_some();
-        };
-        match &mut server.limit {
-            Some(limit) => {
-                let is_new = naming.at > limit.named();
-                let before = limit.rate();
-                limit.record_named(naming.at, rate);
-                let changed = limit.rate() != before;
-                limit.set_share(now, share);
-                is_new && limit.take_telling(now, changed)
-            }
-            None => {
-                let mut limit = Limit::new(naming.at, rate, share);
-                limit.take_telling(now, true);
-                server.limit = Some(limit);
-                true
-            }
-        }
-    }
-
-    /// Records an answer to this node that names no limit; returns whether the server's limit has
-    /// ended by it.
-    pub fn record_silent_answer(&mut self, now: Instant, id: &str, started_ms: u64) -> bool {
-        let Some(server) = self.servers.get_mut(id) else {
-            return false;
-        };
-        if server.listing.started_ms != started_ms {
-            return false;
-        }
-        let ended = server
-            .limit
-            .take_if(|limit| limit.record_silent_answer(now));
-        ended.is_some()
-    }
-
-    /// Returns the limits that backend servers name.
-    pub fn namings(&self) -> impl Iterator<Item = Naming> {
-        self.servers.iter().filter_map(|(id, server)| {
-            let limit = server.limit()?;
-            Some(Naming {
-                server: id.clone(),
-                started_ms: server.listing.started_ms,
-                rate: Some(limit.rate()),
-                at: limit.named(),
-            })
-        })
-    }
-
-    /// Returns this node's share of a backend server's limit. Rendezvous hashing ranks the nodes.
-    fn limit_share(&self, id: &str, limit: Rate) -> Share {
-        let server = name_hash(id);
-        let own = self.node_hashes.first().copied().unwrap_or_default();
-        let before = self
-            .node_hashes
-            .iter()
-            .filter(|node| rank(server, **node) > rank(server, own));
-        Share::of(limit, before.count(), self.node_hashes.len())
-    }
-
     /// Sets the availability zones that get no requests. Backend servers of a zone that comes back are
     /// cold.
     pub fn set_zones_out(&mut self, now: Instant, zones: Set<Zone>) {
@@ -276,14 +189,7 @@
         for (server, quota) in self.servers.values_mut().zip(quotas) {
             server.cold_quota = quota;
         }
-        let limits: Vec<_> = self.namings().collect();
-        for naming in limits {
-            let share = self.limit_share(&naming.server, naming.rate.unwrap_or_default());
-            let server = self.servers.get_mut(&naming.server);
-            if let Some(limit) = server.and_then(|server| server.limit.as_mut()) {
-                limit.set_share(now, share);
-            }
-        }
+        self.update_limit_shares(now);
     }
 
     /// Returns the number of requests that this node may send to a cold backend server per window. If
