Begin a share of a limit empty, also where the limit was named a while ago

Cause: the bucket and the probe counted from the answer that names the limit, which another node may have had a minute ago: a node that started began with a burst. An older word changed the share, though not the limit. Change: both count from the moment at which the node learns the limit; an older word changes nothing. Before: a_node_that_learns_a_limit_begins_without_a_burst and an_older_word_changes_no_newer_limit, extended by these cases, failed; now they pass.

--- a/crates/route/src/pool/limit.rs
+++ b/crates/route/src/pool/limit.rs
@@ -27,8 +27,9 @@
     refilled: Instant,
     /// When an answer last named it, to this node or another one.
     named: Instant,
-    /// When this node last sent a request.
-    sent: Option<Instant>,
+    /// When this node learned the limit, last sent a request, or an answer last named the limit,
+    /// whichever is the latest.
+    quiet_since: Instant,
     /// When the other nodes were last told.
     told: Option<Instant>,
     /// Answers since then that don't name it.
@@ -43,18 +44,18 @@
     /// use route::pool::{Limit, Share};
     /// use std::time::{Duration, Instant};
     /// let now = Instant::now();
-    /// let limit = Limit::new(now, 1.0, Share::of(1.0, 0, 1));
+    /// let limit = Limit::new(now, now, 1.0, Share::of(1.0, 0, 1));
     /// assert!(limit.wait(now).is_some());
     /// assert!(limit.wait(now + Duration::from_secs(2)).is_none());
     /// ```
-    pub fn new(named: Instant, rate: Rate, share: Share) -> Self {
+    pub fn new(now: Instant, named: Instant, rate: Rate, share: Share) -> Self {
         Self {
             rate: rate.min(MAX_RATE),
             share,
             tokens: 0.0,
-            refilled: named,
+            refilled: now,
             named,
-            sent: None,
+            quiet_since: now,
             told: None,
             silent_answers: 0,
         }
@@ -70,13 +71,10 @@
         self.named
     }
 
-    /// Records that an answer names this rate. An observation that is older than a known one changes
-    /// nothing.
+    /// Records that an answer names this rate.
     pub fn record_named(&mut self, at: Instant, rate: Rate) {
-        if at < self.named {
-            return;
-        }
         self.named = at;
+        self.quiet_since = self.quiet_since.max(at);
         self.silent_answers = 0;
         self.rate = rate.min(MAX_RATE);
     }
@@ -101,8 +99,7 @@
         if missing <= 0.0 {
             return None;
         }
-        let heard = self.sent.map_or(self.named, |sent| sent.max(self.named));
-        let probe_at = heard + PROBE_INTERVAL + PROBE_STEP * self.share.rank as u32;
+        let probe_at = self.quiet_since + PROBE_INTERVAL + PROBE_STEP * self.share.rank as u32;
         let probe = probe_at.saturating_duration_since(now);
         let refilled = Duration::try_from_secs_f64(missing / self.share.rate);
         let wait = refilled.map_or(probe, |refilled| refilled.min(probe));
@@ -113,7 +110,7 @@
     pub fn record_send(&mut self, now: Instant) {
         self.refill(now);
         self.tokens = (self.tokens - 1.0).max(0.0);
-        self.sent = Some(now);
+        self.quiet_since = self.quiet_since.max(now);
     }
 
     /// Whether the other nodes are to be told that the limit is named, if `changed` or after a while.
--- a/crates/route/src/pool/naming.rs
+++ b/crates/route/src/pool/naming.rs
@@ -36,16 +36,16 @@
             return ended.is_some();
         };
         match &mut server.limit {
+            Some(limit) if naming.at <= limit.named() => false,
             Some(limit) => {
-                let is_new = naming.at > limit.named();
                 let before = limit.rate();
                 limit.record_named(naming.at, rate);
                 let changed = limit.rate() != before;
                 limit.set_share(now, share);
-                is_new && limit.take_telling(now, changed)
+                limit.take_telling(now, changed)
             }
             None => {
-                let mut limit = Limit::new(naming.at, rate, share);
+                let mut limit = Limit::new(now, naming.at, rate, share);
                 limit.take_telling(now, true);
                 server.limit = Some(limit);
                 true
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -161,8 +161,8 @@
     let now = Instant::now();
     let work = Work::default();
     let mut pool = pool(now, 1, 0);
-    let word = naming(&pool, now, Some(2.0));
-    assert!(pool.record_naming(now, &word));
+    let word = naming(&pool, now.checked_sub(TIME).unwrap(), Some(2.0));
+    assert!(pool.record_naming(now, &word), "named a while ago");
     assert!(pool.pick(now, &query(&work), |_| true).is_err());
     let later = now + Duration::from_secs(1);
     assert!(pool.pick(later, &query(&work), |_| true).is_ok());
@@ -176,8 +176,13 @@
     let limit = |pool: &Pool| pool.servers()["i-1"].limit().map(|limit| limit.rate());
     let word = naming(&pool, new, Some(2.0));
     assert!(pool.record_naming(new, &word));
-    let word = naming(&pool, old, Some(9.0));
+    let word = naming(&pool, old, Some(1e6));
     assert!(!pool.record_naming(new, &word));
+    let work = Work::default();
+    assert!(
+        pool.pick(new + STEP, &query(&work), |_| true).is_err(),
+        "its share is as before"
+    );
     let word = naming(&pool, old, None);
     assert!(!pool.record_naming(new, &word));
     assert_eq!(limit(&pool), Some(2.0));
