--- a/crates/edge/tests/news.rs
+++ b/crates/edge/tests/news.rs
@@ -15,6 +15,16 @@
     App::new(site(), Drops::default()).unwrap()
 }
 
+/// A node that knows one backend server.
+fn app_with_server(now: Instant) -> App {
+    let app = app();
+    let entry = br#"{"service":"s","address":"127.0.0.1:80","zone":"a","version":"v1",
+        "slots":4,"state":"ready","coldRemainingMs":0,"born":1}"#;
+    let listing = platform::parse_listing("i-1", entry).unwrap();
+    app.state().pool.upsert(now, listing);
+    app
+}
+
 fn notices(version: &str) -> Frame {
     Frame::Notices(Notices {
         assignments: vec![("s-1".to_owned(), version.to_owned())],
@@ -74,12 +84,8 @@
 /// Guards against a limit that begins anew with each node that passes it on.
 #[test]
 fn a_limit_is_forwarded_once_and_with_its_age() {
-    let app = app();
-    let entry = br#"{"service":"s","address":"127.0.0.1:80","zone":"a","version":"v1",
-        "slots":4,"state":"ready","coldRemainingMs":0,"born":1}"#;
-    let listing = platform::parse_listing("i-1", entry).unwrap();
     let now = Instant::now();
-    app.state().pool.upsert(now, listing);
+    let app = app_with_server(now);
     let mut forwarded = app.announcements.subscribe();
     let age = Duration::from_secs(2);
     let naming = pool::Naming {
@@ -106,12 +112,7 @@
 
 #[test]
 fn a_rate_that_is_no_limit_is_left_out() {
-    let app = app();
-    let entry = br#"{"service":"s","address":"127.0.0.1:80","zone":"a","version":"v1",
-        "slots":4,"state":"ready","coldRemainingMs":0,"born":1}"#;
-    let listing = platform::parse_listing("i-1", entry).unwrap();
-    let now = Instant::now();
-    app.state().pool.upsert(now, listing);
+    let app = app_with_server(Instant::now());
     for (rate, age_ms) in [
         (f64::NAN, 0),
         (-1.0, 0),
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -30,6 +30,18 @@
     }
 }
 
+fn query(work: &Work) -> Query<'_> {
+    Query {
+        service: "s",
+        model: None,
+        model_hash: 0,
+        work,
+        zone: "a",
+        tried: &[],
+        draw: 0,
+    }
+}
+
 /// An entry of a backend server.
 fn entry(port: u64, slots: u64, cold_ms: &str) -> String {
     format!(
@@ -91,15 +103,7 @@
     put(&mut state, Table::Status, "rollout/s", 3, status);
     order(&mut state, 4, "v3");
     let work = Work::default();
-    let query = Query {
-        service: "s",
-        model: None,
-        model_hash: 0,
-        work: &work,
-        zone: "a",
-        tried: &[],
-        draw: 0,
-    };
+    let query = query(&work);
     for session in 0..50 {
         let name = format!("s-{session}");
         let chosen = state
@@ -346,14 +350,6 @@
     let slots = u64::from(u32::MAX);
     put(&mut state, Table::Servers, "i-1", 1, &entry(80, slots, "0"));
     let work = Work::default();
-    let query = Query {
-        service: "s",
-        model: None,
-        model_hash: 0,
-        work: &work,
-        zone: "a",
-        tried: &[],
-        draw: 0,
-    };
+    let query = query(&work);
     assert!(state.pick(Instant::now(), &query, "r", None).is_ok());
 }
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -955,10 +955,8 @@
         Ok(())
     }
 
-    /// Guards against changes that no node hears of while the store's connections are silent.
-    pub async fn a_change_passes_store_connections_that_fell_silent(
-        site: &mut Site,
-    ) -> Result<(), Error> {
+    /// Restarts all nodes with a proxy each between them and the store.
+    async fn connect_through_proxies(site: &mut Site) -> Result<Vec<Proxy>, Error> {
         let mut proxies = Vec::new();
         for index in 0..site.nodes.len() {
             let proxy = Proxy::start(site.doors[index], proxy::Settings::default()).await?;
@@ -969,6 +967,14 @@
             node.until_ready(true).await?;
         }
         sleep(CONTACT).await;
+        Ok(proxies)
+    }
+
+    /// Guards against changes that no node hears of while the store's connections are silent.
+    pub async fn a_change_passes_store_connections_that_fell_silent(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let proxies = connect_through_proxies(site).await?;
         proxies.iter().for_each(Proxy::silence_open);
         let silent = Instant::now();
         let mut config = standin::site::config(5);
@@ -992,16 +998,7 @@
     pub async fn a_change_reaches_the_last_follower_over_a_silent_connection(
         site: &mut Site,
     ) -> Result<(), Error> {
-        let mut proxies = Vec::new();
-        for index in 0..site.nodes.len() {
-            let proxy = Proxy::start(site.doors[index], proxy::Settings::default()).await?;
-            site.restart_node(index, proxy.address()).await?;
-            proxies.push(proxy);
-        }
-        for node in &site.nodes {
-            node.until_ready(true).await?;
-        }
-        sleep(CONTACT).await;
+        let proxies = connect_through_proxies(site).await?;
         proxies.iter().for_each(Proxy::silence_open);
         site.nodes[0].kill().await?;
         site.nodes[1].kill().await?;
