--- a/review/standins/src/memory.rs
+++ b/review/standins/src/memory.rs
@@ -10,7 +10,7 @@
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-const WORKERS: usize = 4;
+const WORKERS: usize = 5;
 /// Requests a second, and the time that a worker works on one.
 const RATE: f64 = 30.0;
 const WORK: Duration = Duration::from_millis(1500);
@@ -38,7 +38,7 @@
     let trouble = case.trouble;
     let mut workers = Vec::new();
     for index in 0..WORKERS {
-        // Half of the workers of the service.
+        // Three of the five workers of the service.
         let is_bad = trouble && index % 2 == 0;
         let worker = Worker::start(
             &format!("i-{index}"),
