Review cases 1 and 3: stay inside the limits of the site file

Case 3 struck one worker of four, where the site has a share of 0.14: now one of eight, at 64 bookings a second in place of 16.

Case 1 had failures from 12.3 s of 16 on, where the site's roll-outs have gap_s 3.0: now 3.0, in a roll-out of 6 s. The checks are the same.

--- a/review/standins/src/refused.rs
+++ b/review/standins/src/refused.rs
@@ -7,9 +7,9 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-const WORKERS: usize = 4;
+const WORKERS: usize = 8;
 /// Bookings a second.
-const RATE: f64 = 16.0;
+const RATE: f64 = 64.0;
 const LENGTH: Duration = Duration::from_secs(20);
 /// The disruption: from when, for how long, and the share of the requests that fail.
 const TROUBLE_AT: Duration = Duration::from_secs(5);
--- a/review/standins/src/rollout.rs
+++ b/review/standins/src/rollout.rs
@@ -13,13 +13,13 @@
 /// Requests a second.
 const RATE: f64 = 34.0;
 /// Time that the operator sets for the roll-out.
-const ROLLOUT_S: u64 = 16;
+const ROLLOUT_S: u64 = 6;
 /// When the order is written, after the start of traffic.
 const ORDER_AT: Duration = Duration::from_secs(3);
 /// When, after the order, the new version turns bad: each second request then fails.
-const BAD_AT: Duration = Duration::from_millis(12_300);
+const BAD_AT: Duration = Duration::from_millis(3000);
 /// When, after the order, the machine freezes, and for how long.
-const FREEZE_AT: Duration = Duration::from_millis(10_200);
+const FREEZE_AT: Duration = Duration::from_millis(2200);
 const FREEZE_TIME: Duration = Duration::from_millis(4000);
 const LENGTH: Duration = Duration::from_secs(50);
 /// Time after `rolled_back` until the new workers drain, and their time until they end.
