Bound the time and size of failed answers' bodies

`first` in forward/stream.rs awaited the body of a backend server's error response outside of `wait`, which watches the deadline, and without a limit in bytes. A body that comes byte by byte without an end held the request, though it had two attempts left, and the attempt counted as failed only after it. Ruled out: the queue for a free server (an eighth of the target latency at most; two servers were free), the retry budget (a denied retry ends the request at once). Change: forward/collect.rs buffers all responses. The attempt is dropped, and so counted, before its body is read. Whole answers with a failure use the same function. Conclusion: the request ends with its status or another server's answer. What all bodies hold in total is another fault.

--- a/crates/backend/src/engine/client.rs
+++ b/crates/backend/src/engine/client.rs
@@ -1,6 +1,7 @@
 //! Sends chat completion requests and reads the streamed responses.
 
 use crate::{Chat, Chunk, Error, Pool};
+use bytes::{Bytes, BytesMut};
 use eventsource_stream::{EventStreamError, Eventsource};
 use futures::{Stream, StreamExt};
 use std::time::Duration;
@@ -57,26 +58,46 @@
                 return Err(Error::TimedOut(settings.first_byte_timeout));
             }
         };
-        let response = check_status(response).await?;
+        let response = check_status(response, settings.progress_timeout).await?;
         Ok(chunk_stream(response, settings.progress_timeout))
     }
 }
 
 /// Passes a successful response on and turns any other into an error.
-async fn check_status(response: reqwest::Response) -> Result<reqwest::Response, Error> {
+async fn check_status(
+    response: reqwest::Response,
+    body_timeout: Duration,
+) -> Result<reqwest::Response, Error> {
     let status = response.status().as_u16();
     match status {
         200..300 => Ok(response),
         409 | 429 | 503 => Err(Error::Refused { status }),
         400..500 => {
-            let mut body = response.bytes().await.unwrap_or_default();
-            body.truncate(MAX_ERROR_BYTES);
+            let body = read_error(response, body_timeout).await;
             Err(Error::Rejected { status, body })
         }
         _ => Err(Error::Failed { status }),
     }
 }
 
+/// Reads the beginning of an error response. Its status is known already, so what is missing after
+/// the timeout or beyond the size limit is left out.
+async fn read_error(mut response: reqwest::Response, body_timeout: Duration) -> Bytes {
+    let mut body = BytesMut::new();
+    let reading = async {
+        while let Ok(Some(part)) = response.chunk().await {
+            let left = MAX_ERROR_BYTES - body.len();
+            body.extend_from_slice(&part[..part.len().min(left)]);
+            if body.len() == MAX_ERROR_BYTES {
+                return;
+            }
+        }
+    };
+    // After the timeout, what has been read so far is used.
+    let _ = timeout(body_timeout, reading).await;
+    body.freeze()
+}
+
 /// Decodes the events of a response up to the end marker or the first error.
 fn chunk_stream(
     response: reqwest::Response,
--- a/crates/edge/src/forward/buffered.rs
+++ b/crates/edge/src/forward/buffered.rs
@@ -1,24 +1,18 @@
 //! Requests whose response is buffered completely before it is passed on.
 
 use super::attempt::{Deadlines, Delivery, Failure, Wait, send, wait};
+use super::collect::{collect, collect_error};
 use super::exchange::Exchange;
 use super::forward::next_attempt;
-use super::headers::strip_response;
 use super::refusal::Refusal;
 use crate::app::App;
 use crate::body::Body;
-use crate::upstream;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use route::config::Kind;
 use route::pool::Outcome;
 use std::sync::Arc;
 use std::time::Instant;
 
-/// Largest response that is buffered, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
-
 /// Serves a request whose response is buffered.
 pub async fn serve(app: &Arc<App>, exchange: &mut Exchange) -> Result<Response<Body>, Refusal> {
     let mut failed_response = None;
@@ -40,7 +34,18 @@
             }
             Delivery::Response(response, mut attempt) => {
                 exchange.may_have_run = true;
-                let server_error = response.head.status.is_server_error();
+                let status = response.head.status;
+                if status.is_server_error() {
+                    attempt.fail(exchange, &Failure::Status(status.as_u16()));
+                    drop(attempt);
+                    // Callers take this status to mean that the request hasn't run. That of a
+                    // backend server doesn't guarantee it.
+                    if status != StatusCode::SERVICE_UNAVAILABLE {
+                        let response = collect_error(exchange, *response).await;
+                        failed_response = response.or(failed_response);
+                    }
+                    continue;
+                }
                 let deadlines = Deadlines::uniform(failover_at);
                 let collecting = collect(*response);
                 let response = match wait(app, exchange, &attempt, deadlines, collecting).await {
@@ -53,20 +58,11 @@
                         continue;
                     }
                 };
-                if !server_error {
-                    app.state()
-                        .record_answer_begin(Instant::now(), &exchange.work);
-                    attempt.record_response();
-                    attempt.set_outcome(Outcome::Succeeded);
-                    return Ok(response);
-                }
-                let status = response.status().as_u16();
-                attempt.fail(exchange, &Failure::Status(status));
-                // Callers take these statuses to mean that the request hasn't run. Those of a
-                // backend server don't guarantee it.
-                if !matches!(status, 408 | 421 | 429 | 503) {
-                    failed_response = Some(response);
-                }
+                app.state()
+                    .record_answer_begin(Instant::now(), &exchange.work);
+                attempt.record_response();
+                attempt.set_outcome(Outcome::Succeeded);
+                return Ok(response);
             }
         }
     }
@@ -82,20 +78,3 @@
     let remaining = exchange.deadline.saturating_duration_since(now);
     now + (exchange.route.target_latency * 2).min(remaining / 2)
 }
-
-/// Buffers a response; none if it ends early or is too large.
-async fn collect(mut response: upstream::Response) -> Option<Response<Body>> {
-    let collected = Limited::new(&mut response.body, MAX_RESPONSE_BYTES)
-        .collect()
-        .await;
-    let body: Bytes = match collected {
-        Ok(collected) => collected.to_bytes(),
-        Err(error) => {
-            log::debug!(event = 1736; "can't read the response of a backend server: {error}");
-            return None;
-        }
-    };
-    let mut response = Response::from_parts(response.head, Body::full(body));
-    strip_response(response.headers_mut());
-    Some(response)
-}
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -3,6 +3,7 @@
 mod announcement;
 mod attempt;
 mod buffered;
+mod collect;
 mod escalate;
 mod event;
 mod exchange;
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -1,6 +1,7 @@
 //! Requests whose response is a stream of events.
 
 use super::attempt::{Attempt, Deadlines, Delivery, Failure, Wait, send, wait};
+use super::collect::collect_error;
 use super::escalate::escalate;
 use super::event::{Decoder, Event};
 use super::exchange::Exchange;
@@ -140,7 +141,7 @@
             Err(refusal) => return failed_response.map(First::Complete).ok_or(refusal),
         };
         let failover_at = first_event_deadline(app, exchange);
-        let (response, attempt) = match send(app, exchange, attempt, failover_at).await {
+        let (response, mut attempt) = match send(app, exchange, attempt, failover_at).await {
             Delivery::NotRun => continue,
             Delivery::Unknown => {
                 exchange.may_have_run = true;
@@ -155,18 +156,18 @@
         };
         exchange.may_have_run = true;
         let status = response.head.status;
-        let mut source = Source::new(response, attempt);
         if !status.is_success() {
-            source
-                .attempt
-                .fail(exchange, &Failure::Status(status.as_u16()));
+            attempt.fail(exchange, &Failure::Status(status.as_u16()));
+            drop(attempt);
             // Callers take these statuses to mean that the request hasn't run. Those of a backend
             // server don't guarantee it.
             if !matches!(status.as_u16(), 408 | 421 | 429 | 503) {
-                failed_response = collect(source).await.or(failed_response);
+                let response = collect_error(exchange, *response).await;
+                failed_response = response.or(failed_response);
             }
             continue;
         }
+        let mut source = Source::new(response, attempt);
         let deadlines = Deadlines::uniform(failover_at);
         let item = next_item(app, exchange, &mut source, deadlines).await;
         if let Item::Event(_) = item {
@@ -204,12 +205,6 @@
     }
 }
 
-/// Collects the error response of a backend server.
-async fn collect(source: Source) -> Option<Response<Body>> {
-    let body = source.response.body.collect().await.ok()?;
-    Some(complete(source.response.head.clone(), body.to_bytes()))
-}
-
 fn complete(head: Parts, body: Bytes) -> Response<Body> {
     let mut response = Response::from_parts(head, Body::full(body));
     strip_response(response.headers_mut());
--- a/crates/standin/src/site/fault.rs
+++ b/crates/standin/src/site/fault.rs
@@ -28,6 +28,12 @@
     Reset,
     /// It answers with this failure after it has run the request.
     Fail(u16),
+    /// It answers with this failure after it has run the request. The body of the answer comes a byte now
+    /// and then and has no end.
+    FailDrip(u16),
+    /// It answers with this failure after it has run the request. The body of the answer comes as fast as
+    /// it is read and has no end.
+    FailEndless(u16),
     /// It runs the request and never answers.
     Mute,
     /// It breaks its answer off: a whole one halfway, a stream in the middle of this event.
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -78,15 +78,11 @@
         WorkerFault::Mute => silent(stream).await?,
         WorkerFault::EndlessHead => endless_head(stream).await?,
         WorkerFault::Drip(_) => {
-            let mut bytes = head(200, &headers);
-            bytes.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
-            stream.write_all(&bytes).await?;
+            open_chunked(stream, 200, &headers).await?;
             drip(stream).await?;
         }
         WorkerFault::EndlessBody => {
-            let mut bytes = head(200, &headers);
-            bytes.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
-            stream.write_all(&bytes).await?;
+            open_chunked(stream, 200, &headers).await?;
             endless_body(stream).await?;
         }
         WorkerFault::Break(_) => {
@@ -130,6 +126,14 @@
             answer(stream, status, &headers, b"failed").await?;
             return Ok(true);
         }
+        WorkerFault::FailDrip(status) => {
+            open_chunked(stream, status, &headers).await?;
+            drip(stream).await?;
+        }
+        WorkerFault::FailEndless(status) => {
+            open_chunked(stream, status, &headers).await?;
+            endless_body(stream).await?;
+        }
         WorkerFault::Slow(time) => {
             sleep(time).await;
             answer(stream, 200, &headers, body.as_bytes()).await?;
@@ -175,6 +179,14 @@
             answer(stream, status, &[], b"failed").await?;
             return Ok(true);
         }
+        WorkerFault::FailDrip(status) => {
+            open_chunked(stream, status, &[]).await?;
+            drip(stream).await?;
+        }
+        WorkerFault::FailEndless(status) => {
+            open_chunked(stream, status, &[]).await?;
+            endless_body(stream).await?;
+        }
         _ => (),
     }
     if shared.crashes_at(request) {
@@ -215,6 +227,17 @@
     Ok(true)
 }
 
+/// Sends the head of an answer whose body comes in chunks.
+async fn open_chunked(
+    stream: &mut TcpStream,
+    status: u16,
+    headers: &[(&str, &str)],
+) -> io::Result<()> {
+    let mut bytes = head(status, headers);
+    bytes.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
+    stream.write_all(&bytes).await
+}
+
 async fn chunk(stream: &mut TcpStream, text: &str) -> io::Result<()> {
     let bytes = format!("{:x}\r\n{text}\r\n", text.len());
     stream.write_all(bytes.as_bytes()).await
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -68,6 +68,8 @@
     an_answer_without_an_end_is_left(plain())
     an_answer_whose_head_is_cut_is_left(Settings { models: 3, ..plain() })
     a_stream_without_events_is_left(models())
+    a_failed_stream_whose_body_has_no_end_is_answered_in_time(models())
+    a_failed_answer_whose_body_has_no_end_is_answered_in_time(plain())
     a_broken_stream_goes_on_elsewhere(models())
     a_silent_stream_goes_on_elsewhere(models())
     a_stream_that_drips_goes_on_elsewhere(models())
@@ -444,6 +446,76 @@
         Ok(())
     }
 
+    /// Faults of servers whose failures have a body without an end.
+    const ENDLESS_FAILURES: [WorkerFault; 4] = [
+        WorkerFault::FailDrip(500),
+        WorkerFault::FailDrip(400),
+        WorkerFault::FailEndless(500),
+        WorkerFault::FailEndless(400),
+    ];
+
+    /// Guards against a stream that hangs while the body of a failed answer is read.
+    pub async fn a_failed_stream_whose_body_has_no_end_is_answered_in_time(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let client = Client::new();
+        for fault in ENDLESS_FAILURES {
+            let before = resident_bytes(site).await?;
+            site.models
+                .iter()
+                .for_each(|worker| worker.set_fault(fault));
+            let (ran, begun) = (runs(&site.models).len(), Instant::now());
+            let answer = stream(&client, site, 0, "s").timeout(DRIP_TIME).send();
+            let answer = answer.await?;
+            assert!(!answer.status().is_success(), "{fault:?}");
+            assert!(
+                begun.elapsed() < DRIP_TIME,
+                "{fault:?}: {:?}",
+                begun.elapsed()
+            );
+            assert!(runs(&site.models).len() > ran + 1, "it is sent again");
+            site.models[1..]
+                .iter()
+                .for_each(|worker| worker.set_fault(WorkerFault::None));
+            let begun = Instant::now();
+            let answer = stream(&client, site, 0, "s").send().await?;
+            assert_eq!(
+                numbers(&answer.text().await?),
+                [1, 2, 3, 4, 5],
+                "{fault:?}: {:?}",
+                begun.elapsed()
+            );
+            assert!(begun.elapsed() < DRIP_TIME, "{fault:?}");
+            let grown = resident_bytes(site).await? - before;
+            assert!(grown < ENDLESS_MEMORY, "{fault:?}: {grown} bytes");
+            sleep(QUARANTINE).await;
+        }
+        Ok(())
+    }
+
+    /// Guards against a whole request that waits for the body of a failed answer.
+    pub async fn a_failed_answer_whose_body_has_no_end_is_answered_in_time(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        for fault in [WorkerFault::FailDrip(500), WorkerFault::FailEndless(500)] {
+            site.desks[0].set_fault(fault);
+            for path in ["/again/a", "/once/a"] {
+                for _ in 0..4 {
+                    let begun = Instant::now();
+                    let answer = send(site, path).await?;
+                    let served = answer.status() == 200;
+                    assert!(served || path == "/once/a", "{fault:?}, {path}");
+                    assert!(
+                        begun.elapsed() < DRIP_TIME,
+                        "{fault:?}, {path}: {:?}",
+                        begun.elapsed()
+                    );
+                }
+            }
+        }
+        Ok(())
+    }
+
     pub async fn a_broken_stream_goes_on_elsewhere(site: &mut Site) -> Result<(), Error> {
         site.models
             .iter()
