Keep to the first final status of a roll-out

`Trial::evaluate` made a node's own verdict final, also on evidence from before a pause, `Trial::finish` ignored the store's status after that, and the writer took the position of the other's final status as the condition of the write that overturned it. Ruled out: the condition of the write (the woken node's first write fails by it), late reads of the store (the verdict stood after any delay). Change: a final status in the store goes before a node's verdict and is not overwritten. That a version may complete is judged anew at each check and takes effect once the store says so; that it is bad takes effect at once. After a pause, which either clock shows, a node makes six checks before it writes that a version has completed. Log lines 1752 and 1753 tell which node judged otherwise and that it was paused. Conclusion: no node acts as a second writer of a final status.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -363,7 +363,7 @@
         };
         let rejected = self.rejected.entry(spec.service.clone()).or_default();
         if let Some(before) = self.trials.remove(&spec.service)
-            && before.status() != Status::Completed
+            && before.outcome() != Status::Completed
         {
             rejected.insert(before.spec.version);
         }
@@ -405,7 +405,10 @@
             let value = row.and_then(|row| row.value.as_deref());
             match value.map(platform::parse_status) {
                 Some(Ok((version, status))) if version == trial.spec.version => {
-                    trial.finish(status)
+                    if trial.finish(status) {
+                        log::warn!(event = 1752, service = service.as_str(), to = version.as_str(),
+                            outcome = format!("{status:?}").as_str(); "the store has another status of the roll-out than this node");
+                    }
                 }
                 Some(Err(error)) => log_unreadable_row(service, &error),
                 Some(Ok(_)) | None => (),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod listen;
 mod membership;
 mod metrics;
+pub mod pause;
 mod run;
 mod shutdown;
 mod status;
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -2,14 +2,16 @@
 //!
 //! All nodes evaluate a roll-out the same way. The first node in name order writes; each of the
 //! others steps in after a further delay if the row is still missing. The write is conditional on
-//! the row's position, so that only one of them succeeds.
+//! the row's position, so that only one of them succeeds. A final status is never overwritten: the
+//! operator has acted on it.
 
 use crate::app::{App, Table};
+use crate::pause;
 use platform::store::{STATUS, Write};
 use route::Position;
 use route::rollout::{Status, Tally};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 use tokio::time::sleep;
 
 /// Interval at which the status rows are checked.
@@ -17,6 +19,10 @@
 /// Delay that each node adds for every node before it: enough for a write and for its propagation.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(500);
 
+/// Checks that a node makes after a pause, or its start, before it writes that a version has completed.
+/// It hears the other nodes' evidence meanwhile, and what they have written.
+const MIN_CHECKS_TO_COMPLETE: u32 = 6;
+
 /// A status row that has to be written.
 struct Update {
     service: String,
@@ -31,10 +37,18 @@
 /// Writes outdated status rows for as long as the node runs.
 pub async fn publish(app: Arc<App>) {
     let mut outdated_since: Option<Instant> = None;
+    let mut pauses = pause::Detector::new(Instant::now(), SystemTime::now());
     loop {
         sleep(CHECK_INTERVAL).await;
         let now = Instant::now();
-        let (updates, rank) = pending(&app, now);
+        let checks = pauses.check(now, SystemTime::now());
+        if checks == 0 {
+            log::warn!(event = 1753; "the process was paused, or the time of day has jumped");
+        }
+        let (mut updates, rank) = pending(&app, now);
+        updates.retain(|update| {
+            update.status != Status::Completed || checks >= MIN_CHECKS_TO_COMPLETE
+        });
         if updates.is_empty() {
             outdated_since = None;
             continue;
--- a/crates/route/src/rollout/trial.rs
+++ b/crates/route/src/rollout/trial.rs
@@ -14,7 +14,10 @@
     pub spec: Spec,
     settings: Settings,
     started: Instant,
-    status: Status,
+    /// The final status in the store. It goes before this node's own evaluation.
+    recorded: Option<Status>,
+    /// Result of the last evaluation.
+    evaluated: Status,
     own: Tally,
     /// Tallies that other nodes have reported.
     reports: Map<NodeName, Tally>,
@@ -35,15 +38,27 @@
             spec,
             settings,
             started: now,
-            status: Status::Running,
+            recorded: None,
+            evaluated: Status::Running,
             own: Tally::default(),
             reports: Map::default(),
         }
     }
 
-    /// Returns the status as of the last evaluation.
+    /// Returns the status in force: the final one in the store, or that this node has judged the
+    /// version bad. A roll-out is only complete once the store says so, since the old servers stop
+    /// then.
     pub fn status(&self) -> Status {
-        self.status
+        match (self.recorded, self.evaluated) {
+            (Some(recorded), _) => recorded,
+            (None, Status::RolledBack) => Status::RolledBack,
+            (None, _) => Status::Running,
+        }
+    }
+
+    /// Returns the final status in the store or, without one, the result of the last evaluation.
+    pub fn outcome(&self) -> Status {
+        self.recorded.unwrap_or(self.evaluated)
     }
 
     /// Returns the time since the roll-out was requested, as far as this node knows.
@@ -63,11 +78,25 @@
         self.age(now).as_secs_f64() / self.spec.duration.as_secs_f64().max(f64::EPSILON)
     }
 
-    /// Ends the roll-out with this status, unless it has already ended.
-    pub fn finish(&mut self, status: Status) {
-        if self.status == Status::Running {
-            self.status = status;
+    /// Ends the roll-out with the status in the store. Returns whether it differs from what this
+    /// node has judged.
+    ///
+    /// ```
+    /// use route::rollout::{Settings, Spec, Status, Trial};
+    /// let duration = std::time::Duration::from_secs(12);
+    /// let spec = Spec { service: "s".into(), version: "v2".into(), duration };
+    /// let now = std::time::Instant::now();
+    /// let mut trial = Trial::new(spec, Settings::default(), now);
+    /// trial.evaluate(now + duration);
+    /// assert!(trial.finish(Status::RolledBack));
+    /// assert_eq!(trial.evaluate(now + duration), Status::RolledBack);
+    /// ```
+    pub fn finish(&mut self, status: Status) -> bool {
+        if status == Status::Running || self.recorded == Some(status) {
+            return false;
         }
+        self.recorded = Some(status);
+        self.evaluated != Status::Running && self.evaluated != status
     }
 
     /// Counts a request sent to one of the versions.
@@ -116,7 +145,8 @@
         self.tally_with(|_| true)
     }
 
-    /// Updates the status by the evidence so far. Once the roll-out has ended, its status is final.
+    /// Returns the status by the evidence so far. A bad version stays rolled back; that a version may
+    /// complete is judged anew each time, until the store has a final status.
     ///
     /// ```
     /// use route::rollout::{Settings, Side, Spec, Status, Trial};
@@ -128,8 +158,11 @@
     /// assert_eq!(trial.evaluate(now), Status::RolledBack);
     /// ```
     pub fn evaluate(&mut self, now: Instant) -> Status {
-        if self.status != Status::Running {
-            return self.status;
+        if let Some(recorded) = self.recorded {
+            return recorded;
+        }
+        if self.evaluated == Status::RolledBack {
+            return Status::RolledBack;
         }
         let total = self.total();
         let settings = &self.settings;
@@ -142,14 +175,14 @@
                     .latency()
                     .is_significantly_worse(settings.slow_margin, z_threshold)
         {
-            self.status = Status::RolledBack;
+            self.evaluated = Status::RolledBack;
         } else if self.progress(now) >= settings.completion_start {
-            self.status = match self.is_doubtful(&total) {
+            self.evaluated = match self.is_doubtful(&total) {
                 true => Status::RolledBack,
                 false => Status::Completed,
             };
         }
-        self.status
+        self.evaluated
     }
 
     /// Whether there is too much evidence against the new version to let it take over.
@@ -165,7 +198,7 @@
     /// Chooses the version for a request. `draw` is a number between 0 and 1 that is the same for all
     /// requests of a session, and `known` is the version that the session is on.
     pub fn choose_side(&self, now: Instant, draw: f64, known: Option<Side>) -> Side {
-        match self.status {
+        match self.status() {
             Status::Completed => return Side::New,
             Status::RolledBack => return Side::Old,
             Status::Running if known == Some(Side::New) => return Side::New,
--- a/crates/route/tests/rollout.rs
+++ b/crates/route/tests/rollout.rs
@@ -116,6 +116,46 @@
     assert_eq!(trial.evaluate(now), Status::Completed);
 }
 
+/// Guards against a node that keeps a verdict on stale evidence over the status in the store.
+#[test]
+fn the_status_in_the_store_replaces_the_verdict_of_a_node() {
+    let now = Instant::now();
+    for (bad, recorded) in [(false, Status::RolledBack), (true, Status::Completed)] {
+        let mut trial = trial(now);
+        (0..50).for_each(|_| trial.record_answer(Side::New, bad));
+        assert_ne!(trial.evaluate(now + DURATION), recorded);
+        assert!(trial.finish(recorded), "it differs from the verdict");
+        assert!(!trial.finish(recorded), "it has been recorded");
+        assert_eq!(trial.evaluate(now + DURATION), recorded);
+        assert_eq!(trial.status(), recorded);
+    }
+}
+
+/// Guards against a version that takes over at one node while the others roll it back.
+#[test]
+fn a_verdict_to_complete_is_withdrawn_by_new_evidence() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    (0..50).for_each(|_| trial.record_answer(Side::New, false));
+    assert_eq!(trial.evaluate(now + DURATION), Status::Completed);
+    assert_eq!(trial.status(), Status::Running, "the store doesn't say so");
+    let bad = Tally {
+        old: Count::default(),
+        new: Count {
+            sent: 50,
+            known: 50,
+            bad: 40,
+            ..Count::default()
+        },
+    };
+    trial.set_report(&"n2".to_owned(), bad);
+    assert_eq!(trial.evaluate(now + DURATION), Status::RolledBack);
+    assert_eq!(
+        trial.choose_side(now + DURATION, 0.0, Some(Side::New)),
+        Side::Old
+    );
+}
+
 /// Records good answers of both versions; each pair is the number of answers and of slow ones.
 fn record_latencies(trial: &mut Trial, old: (u32, u32), new: (u32, u32)) {
     for (side, (timed, slow)) in [(Side::Old, old), (Side::New, new)] {
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -114,6 +114,7 @@
     })
     sessions_from_before_a_roll_out_stay_on_their_version(Settings { nodes: 3, ..models() })
     a_bad_version_is_rolled_back(models())
+    a_node_that_wakes_leaves_the_final_status(Settings { nodes: 3, ..models() })
     a_good_version_is_completed(models())
     a_version_with_a_backend_server_that_is_away_is_completed(models())
     a_lost_answer_of_the_store_is_settled(models())
@@ -1398,6 +1399,61 @@
         Ok(())
     }
 
+    /// Guards against a node that overturns the others' final status by what it knew before a pause.
+    pub async fn a_node_that_wakes_leaves_the_final_status(site: &mut Site) -> Result<(), Error> {
+        for worker in &site.models[1..] {
+            site.list(worker, "models", "v2", "ready");
+        }
+        sleep(Duration::from_millis(300)).await;
+        let order = json!({"service": "models", "to": "v2", "rolloutS": 6});
+        site.store.put("op", "rollout/models", Some(&order));
+        let begun = Instant::now();
+        let after = |millis| begun + Duration::from_millis(millis);
+        let (frozen_at, bad_from, woken_at, end) =
+            (after(2200), after(3000), after(6500), after(10_000));
+        let (mut frozen, mut bad, mut woken) = (false, false, false);
+        let client = Client::new();
+        let mut states = Vec::new();
+        let mut session = 0;
+        while Instant::now() < end {
+            let now = Instant::now();
+            if now >= frozen_at && !std::mem::replace(&mut frozen, true) {
+                site.nodes[0].signal(Signal::SIGSTOP)?;
+            }
+            if now >= bad_from && !std::mem::replace(&mut bad, true) {
+                let fail = |worker: &Worker| worker.set_fault(WorkerFault::Fail(500));
+                site.models[1..].iter().for_each(fail);
+            }
+            if now >= woken_at && !std::mem::replace(&mut woken, true) {
+                site.nodes[0].signal(Signal::SIGCONT)?;
+            }
+            let asked = (0..4).map(|index| {
+                session += 1;
+                stream(&client, site, 1 + index % 2, &format!("s-{session}")).send()
+            });
+            for answer in futures::future::join_all(asked).await {
+                answer?.bytes().await?;
+            }
+            let status = site.store.get("status", "rollout/models");
+            let state = status.and_then(|status| Some(status["state"].as_str()?.to_owned()));
+            if let Some(state) = state
+                && states.last() != Some(&state)
+            {
+                states.push(state);
+            }
+        }
+        assert_eq!(states, ["in_progress", "rolled_back"]);
+        let before = site.models[1].runs().len() + site.models[2].runs().len();
+        for session in 0..30 {
+            let name = format!("t-{session}");
+            let answer = stream(&client, site, 0, &name).send().await?;
+            answer.bytes().await?;
+        }
+        let after = site.models[1].runs().len() + site.models[2].runs().len();
+        assert_eq!(after, before, "the woken node sends to the bad version");
+        Ok(())
+    }
+
     pub async fn a_good_version_is_completed(site: &mut Site) -> Result<(), Error> {
         let outcome = roll_out(site, 8.0, [WorkerFault::None; 2]).await?;
         assert_eq!(outcome.as_deref(), Some("completed"));
