Limit the memory that all bodies occupy together

`limits.memoryMb` was read and used nowhere. Each connection to a backend server could buffer some 400 KB besides. Ruled out: answers that are kept after their request; memory falls once the requests end. Change: `memory::Budget` gives half of `limits.memoryMb` to bodies of requests and answers together, until they are written to the caller. When it is used up, the largest answer that is still being received is broken off in favour of a smaller body, and its server judged by it; otherwise the body that needs room is given up, a request with 503 before it is sent. Connections to backend servers buffer 64 KiB. An answer that is too large doesn't count as a crash. The stand-in's settings name 110 MB, as the smallest VMs do; the tests check the process's memory against it. Gauge `buffered_bytes`, refusal `memory`. Conclusion: incomplete events and queued events of streams are bounded for each stream, not in the budget; the product's other interface has no budget.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -3,6 +3,7 @@
 use super::State;
 use crate::inflight;
 use crate::link::Batch;
+use crate::memory;
 use crate::metrics::Metrics;
 use limits::poison::{Part, RequestTag};
 use limits::suspect::Fingerprint;
@@ -22,6 +23,10 @@
 /// instead.
 const MAX_ANNOUNCEMENTS: usize = 4096;
 
+/// Fraction of the memory of a process that bodies may occupy. The rest is left to its state, the
+/// buffers of its connections and the allocator.
+const BODY_MEMORY_RATIO: f64 = 0.5;
+
 /// A session and the version it is assigned to.
 pub type Assignment = (String, Version);
 /// Fingerprint of a request, and a backend server that crashed while running it.
@@ -82,6 +87,8 @@
     pub announcements: broadcast::Sender<Announcement>,
     /// Requests in progress.
     pub in_flight: Arc<inflight::Counter>,
+    /// Memory for bodies of requests and responses.
+    pub memory: Arc<memory::Budget>,
     /// Counters and latencies.
     pub metrics: Metrics,
     /// Counts of dropped log lines.
@@ -102,6 +109,7 @@
             batches: broadcast::Sender::new(MAX_BATCHES),
             announcements: broadcast::Sender::new(MAX_ANNOUNCEMENTS),
             in_flight: Arc::default(),
+            memory: memory::Budget::new((site.memory_bytes as f64 * BODY_MEMORY_RATIO) as usize),
             metrics: Metrics::default(),
             log_counts,
             state: Mutex::new(State::new(&site)),
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -1,5 +1,6 @@
 //! Response bodies.
 
+use crate::memory::Charge;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
@@ -16,7 +17,14 @@
 
 /// Body of a response.
 #[derive(Debug)]
-pub enum Body {
+pub struct Body {
+    content: Content,
+    /// Memory of the content, released once it is written.
+    _charge: Option<Charge>,
+}
+
+#[derive(Debug)]
+enum Content {
     /// The complete body.
     Full(Full<Bytes>),
     /// Events, sent as they arrive.
@@ -26,7 +34,26 @@
 impl Body {
     /// Creates a body from its complete bytes.
     pub fn full(bytes: impl Into<Bytes>) -> Self {
-        Self::Full(Full::new(bytes.into()))
+        Self {
+            content: Content::Full(Full::new(bytes.into())),
+            _charge: None,
+        }
+    }
+
+    /// Creates a body from its complete bytes and the memory that they occupy.
+    pub fn charged(bytes: Bytes, charge: Charge) -> Self {
+        Self {
+            _charge: Some(charge),
+            ..Self::full(bytes)
+        }
+    }
+
+    /// Creates a body from events, sent as they arrive.
+    pub fn stream(events: mpsc::Receiver<Result<Bytes, Truncated>>) -> Self {
+        Self {
+            content: Content::Stream(events),
+            _charge: None,
+        }
     }
 }
 
@@ -38,12 +65,12 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        match &mut *self {
-            Self::Full(full) => {
+        match &mut self.content {
+            Content::Full(full) => {
                 let frame = ready!(Pin::new(full).poll_frame(context));
                 Poll::Ready(frame.map(|frame| frame.map_err(|never: Infallible| match never {})))
             }
-            Self::Stream(events) => {
+            Content::Stream(events) => {
                 let event = ready!(events.poll_recv(context));
                 Poll::Ready(event.map(|event| event.map(Frame::data)))
             }
@@ -51,16 +78,16 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Full(full) => full.is_end_stream(),
-            Self::Stream(_) => false,
+        match &self.content {
+            Content::Full(full) => full.is_end_stream(),
+            Content::Stream(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Full(full) => full.size_hint(),
-            Self::Stream(_) => SizeHint::default(),
+        match &self.content {
+            Content::Full(full) => full.size_hint(),
+            Content::Stream(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to send a request to a backend server, and what its outcome says of the server.
 
 use super::announcement;
+use super::buffer;
 use super::exchange::Exchange;
 use super::headers::text;
 use crate::app::{App, Loss, Notice};
@@ -41,6 +42,9 @@
     /// The response belongs to another request, is unsigned or is encoded.
     #[error("invalid response, status {0}")]
     InvalidResponse(u16),
+    /// The response is larger than the limit, or than the memory that is left.
+    #[error("response too large")]
+    Oversized,
     /// The response ended early.
     #[error("response truncated")]
     Truncated,
@@ -49,6 +53,15 @@
     Status(u16),
 }
 
+impl From<buffer::Error> for Failure {
+    fn from(error: buffer::Error) -> Self {
+        match error {
+            buffer::Error::TooLarge(_) | buffer::Error::Exhausted(_) => Self::Oversized,
+            buffer::Error::Truncated(_) => Self::Truncated,
+        }
+    }
+}
+
 /// An attempt on one backend server. It counts as load there until it is dropped.
 #[derive(Debug)]
 pub struct Attempt {
--- a/crates/edge/src/forward/buffered.rs
+++ b/crates/edge/src/forward/buffered.rs
@@ -41,17 +41,22 @@
                     // Callers take this status to mean that the request hasn't run. That of a
                     // backend server doesn't guarantee it.
                     if status != StatusCode::SERVICE_UNAVAILABLE {
-                        let response = collect_error(exchange, *response).await;
+                        let response = collect_error(app, exchange, *response).await;
                         failed_response = response.or(failed_response);
                     }
                     continue;
                 }
                 let deadlines = Deadlines::uniform(failover_at);
-                let collecting = collect(*response);
+                let collecting = collect(app, *response);
                 let response = match wait(app, exchange, &attempt, deadlines, collecting).await {
-                    Wait::Done(Some(response)) => response,
-                    failed => {
-                        if let Wait::Failover(next) = failed {
+                    Wait::Done(Ok(response)) => response,
+                    Wait::Done(Err(error)) => {
+                        log::debug!(event = 1736; "can't read the response of a backend server: {error}");
+                        attempt.fail(exchange, &error.into());
+                        continue;
+                    }
+                    unfinished => {
+                        if let Wait::Failover(next) = unfinished {
                             reserved = Some(next);
                         }
                         attempt.fail(exchange, &Failure::Truncated);
--- a/crates/edge/src/forward/collect.rs
+++ b/crates/edge/src/forward/collect.rs
@@ -1,10 +1,11 @@
 //! Buffers responses of backend servers.
 
+use super::buffer::{self, Error};
 use super::exchange::Exchange;
 use super::headers::strip_response;
+use crate::app::App;
 use crate::body::Body;
 use crate::upstream;
-use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
@@ -16,21 +17,26 @@
 /// Longest time for which the body of an error response is read.
 const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Buffers a response; none if it ends early or is too large.
-pub async fn collect(response: upstream::Response) -> Option<Response<Body>> {
-    collect_within(response, MAX_RESPONSE_BYTES).await
+/// Buffers a response.
+pub async fn collect(app: &App, response: upstream::Response) -> Result<Response<Body>, Error> {
+    collect_within(app, response, MAX_RESPONSE_BYTES).await
 }
 
 /// Buffers an error response; none if it ends early, is too large or takes too long. Its status is
 /// known already, so the request doesn't wait for a body that may have no end.
 pub async fn collect_error(
+    app: &App,
     exchange: &Exchange,
     response: upstream::Response,
 ) -> Option<Response<Body>> {
     let until = (Instant::now() + ERROR_BODY_TIMEOUT).min(exchange.deadline);
-    let collecting = collect_within(response, MAX_ERROR_BYTES);
+    let collecting = collect_within(app, response, MAX_ERROR_BYTES);
     match timeout_at(until.into(), collecting).await {
-        Ok(response) => response,
+        Ok(Ok(response)) => Some(response),
+        Ok(Err(error)) => {
+            log::debug!(event = 1736; "can't read an error response: {error}");
+            None
+        }
         Err(_) => {
             log::debug!(event = 1736; "the body of an error response has no end in time");
             None
@@ -39,18 +45,13 @@
 }
 
 async fn collect_within(
+    app: &App,
     mut response: upstream::Response,
     max_bytes: usize,
-) -> Option<Response<Body>> {
-    let collected = Limited::new(&mut response.body, max_bytes).collect().await;
-    let body = match collected {
-        Ok(collected) => collected.to_bytes(),
-        Err(error) => {
-            log::debug!(event = 1736; "can't read the response of a backend server: {error}");
-            return None;
-        }
-    };
-    let mut response = Response::from_parts(response.head, Body::full(body));
+) -> Result<Response<Body>, Error> {
+    let charge = app.memory.revocable_charge();
+    let (body, charge) = buffer::read(&mut response.body, max_bytes, charge).await?;
+    let mut response = Response::from_parts(response.head, Body::charged(body, charge));
     strip_response(response.headers_mut());
-    Some(response)
+    Ok(response)
 }
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -1,6 +1,7 @@
 //! A request and the state of its forwarding.
 
 use super::headers::{number, remaining_time, strip_hop_by_hop, text};
+use crate::memory::Charge;
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Uri};
@@ -55,6 +56,8 @@
     pub headers: HeaderMap,
     /// Request body.
     pub body: Bytes,
+    /// Memory of the body.
+    _charge: Charge,
     /// The matching route.
     pub route: Arc<Route>,
     /// The service that the request is sent to.
@@ -92,7 +95,7 @@
     pub fn new(
         received: Instant,
         parts: hyper::http::request::Parts,
-        body: Bytes,
+        (body, charge): (Bytes, Charge),
         route: Arc<Route>,
         customer: Option<&Customer>,
     ) -> Self {
@@ -129,6 +132,7 @@
             uri: parts.uri,
             headers,
             body,
+            _charge: charge,
             service: String::new(),
             work,
             model: None,
--- a/crates/edge/src/forward/forward.rs
+++ b/crates/edge/src/forward/forward.rs
@@ -4,12 +4,12 @@
 use super::exchange::{Choice, Exchange};
 use super::headers::{remaining_time, text};
 use super::refusal::Refusal;
-use super::{buffered, stream};
+use super::{buffer, buffered, stream};
 use crate::app::App;
 use crate::body::Body;
+use crate::memory::Charge;
 use crate::{inflight, metrics};
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response};
@@ -119,7 +119,7 @@
     let customer = routes.customer(route, key).map_err(table_refusal)?;
     let limits = &routes.config().limits;
     let time = body_timeout(&parts.headers, route);
-    let body = read_body(body, limits.max_body_bytes, time).await?;
+    let body = read_body(app, body, limits.max_body_bytes, time).await?;
     if app.state().draining {
         // It would be cut at the end of the grace period. Nothing has been sent.
         return Err(Refusal::Unavailable);
@@ -186,11 +186,18 @@
     remaining.map_or(route.timeout, |remaining| remaining.min(route.timeout))
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, time: Duration) -> Result<Bytes, Refusal> {
-    match timeout(time, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(_)) => Err(Refusal::Malformed),
+async fn read_body(
+    app: &App,
+    mut body: Incoming,
+    max_bytes: usize,
+    time: Duration,
+) -> Result<(Bytes, Charge), Refusal> {
+    let reading = buffer::read(&mut body, max_bytes, app.memory.charge());
+    match timeout(time, reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(buffer::Error::TooLarge(_))) => Err(Refusal::BodyTooLarge),
+        Ok(Err(buffer::Error::Exhausted(_))) => Err(Refusal::OutOfMemory),
+        Ok(Err(buffer::Error::Truncated(_))) => Err(Refusal::Malformed),
         Err(_) => Err(Refusal::BodyTimeout),
     }
 }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -2,6 +2,7 @@
 
 mod announcement;
 mod attempt;
+mod buffer;
 mod buffered;
 mod collect;
 mod escalate;
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -28,6 +28,9 @@
     /// Nothing can serve the request at present. It hasn't run and won't.
     #[error("nothing can serve it now")]
     Unavailable,
+    /// Bodies occupy all memory that they may. The request hasn't run and won't.
+    #[error("the node has no memory for its body")]
+    OutOfMemory,
     /// The request, or a part of it, crashes backend servers. It hasn't run and won't.
     #[error("it crashes backend servers")]
     Blocked(Duration),
@@ -56,6 +59,7 @@
             Self::NoRoute => "route",
             Self::Unauthenticated => "key",
             Self::Unavailable => "not_now",
+            Self::OutOfMemory => "memory",
             Self::Blocked(_) => "crash",
             Self::Paused(_) => "paused",
             Self::Failed => "failed",
@@ -71,7 +75,7 @@
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthenticated => StatusCode::UNAUTHORIZED,
-            Self::Unavailable | Self::Blocked(_) | Self::Paused(_) => {
+            Self::Unavailable | Self::OutOfMemory | Self::Blocked(_) | Self::Paused(_) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Failed => StatusCode::BAD_GATEWAY,
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -127,7 +127,7 @@
         let _guard = guard;
         relay(&app, exchange, source, event, events).await;
     });
-    Ok(head.map(|()| Body::Stream(body)))
+    Ok(head.map(|()| Body::stream(body)))
 }
 
 /// Sends the request until a backend server delivers a first event or a complete response.
@@ -162,7 +162,7 @@
             // Callers take these statuses to mean that the request hasn't run. Those of a backend
             // server don't guarantee it.
             if !matches!(status.as_u16(), 408 | 421 | 429 | 503) {
-                let response = collect_error(exchange, *response).await;
+                let response = collect_error(app, exchange, *response).await;
                 failed_response = response.or(failed_response);
             }
             continue;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod link;
 mod listen;
 mod membership;
+pub mod memory;
 mod metrics;
 pub mod pause;
 mod run;
--- a/crates/edge/src/metrics/metrics.rs
+++ b/crates/edge/src/metrics/metrics.rs
@@ -40,6 +40,7 @@
     pub(super) in_flight: Gauge,
     pub(super) list_age_ms: Gauge,
     pub(super) dropped_lines: Gauge,
+    pub(super) buffered_bytes: Gauge,
     pub(super) resident_bytes: Gauge,
 }
 
@@ -74,6 +75,7 @@
             in_flight: Gauge::default(),
             list_age_ms: Gauge::default(),
             dropped_lines: Gauge::default(),
+            buffered_bytes: Gauge::default(),
             resident_bytes: Gauge::default(),
         };
         metrics.register();
@@ -156,6 +158,11 @@
                 "Log lines not written",
                 &self.dropped_lines,
             ),
+            (
+                "buffered_bytes",
+                "Memory of bodies of requests and answers in bytes",
+                &self.buffered_bytes,
+            ),
             (
                 "resident_bytes",
                 "Memory of the process",
--- a/crates/edge/src/metrics/serve.rs
+++ b/crates/edge/src/metrics/serve.rs
@@ -56,6 +56,7 @@
     drop(state);
     metrics.in_flight.set(app.in_flight.count() as i64);
     metrics.dropped_lines.set(app.log_counts.count() as i64);
+    metrics.buffered_bytes.set(app.memory.used() as i64);
     metrics
         .resident_bytes
         .set(resident_pages().unwrap_or(0) * PAGE_BYTES);
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -29,6 +29,9 @@
 /// Longest time for which sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Largest head of a response, and largest part of a body that is read at once, in bytes.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Why a request got no response.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -64,6 +67,7 @@
 pub async fn send(address: SocketAddrV4, request: Request<Full<Bytes>>) -> Result<Response, Error> {
     let stream = connect(address).await.map_err(Error::NotSent)?;
     let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| Error::NotSent(io::Error::other(error)))?;
--- a/crates/standin/src/site/node.rs
+++ b/crates/standin/src/site/node.rs
@@ -51,7 +51,7 @@
             "bind": {"frontend": at(0), "ready": at(1), "directory": at(2), "controlPlane": at(3)},
             "internalPorts": [ports + 4, ports + 8],
             "seedNodes": [format!("127.0.1.1:{}", ports + 3), format!("127.0.1.9:{}", ports + 3)],
-            "limits": {"cpuShare": 1.0, "memoryMb": 256},
+            "limits": {"cpuShare": 1.0, "memoryMb": 110},
             "heartbeatMs": 500, "bounds": settings.bounds(), "platform": {"address": store},
             "fields that came later": true,
         });
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 use standin::Error;
 use standin::proxy::{self, Proxy};
-use standin::site::{Run, Settings, Site, StoreFault, Worker, WorkerFault};
+use standin::site::{self, Run, Settings, Site, StoreFault, Worker, WorkerFault};
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
@@ -68,6 +68,8 @@
     an_answer_without_an_end_is_left(plain())
     an_answer_whose_head_is_cut_is_left(Settings { models: 3, ..plain() })
     a_stream_without_events_is_left(models())
+    answers_without_an_end_leave_the_memory_of_the_process(Settings { desks: 5, ..plain() })
+    bodies_of_requests_leave_the_memory_of_the_process(Settings { desks: 5, ..plain() })
     a_failed_stream_whose_body_has_no_end_is_answered_in_time(models())
     a_failed_answer_whose_body_has_no_end_is_answered_in_time(plain())
     a_broken_stream_goes_on_elsewhere(models())
@@ -186,6 +188,9 @@
 /// Bytes by which a node may grow while it reads answers without an end: a quarter of the smallest VM.
 const ENDLESS_MEMORY: i64 = 22 << 20;
 
+/// Memory of the process that the settings file of the stand-in names.
+const MEMORY: i64 = 110 << 20;
+
 /// Memory of the first node.
 async fn resident_bytes(site: &Site) -> Result<i64, Error> {
     let text = site.nodes[0].metrics().await?;
@@ -447,6 +452,87 @@
         Ok(())
     }
 
+    /// Highest memory of the first node while a task runs.
+    async fn highest_memory(site: &Site, task: impl Future<Output = ()>) -> Result<i64, Error> {
+        tokio::pin!(task);
+        let mut highest = 0;
+        loop {
+            tokio::select! {
+                () = &mut task => return Ok(highest),
+                () = sleep(Duration::from_millis(10)) => {
+                    highest = highest.max(resident_bytes(site).await?);
+                }
+            }
+        }
+    }
+
+    /// Guards against answers without an end that are each within the limit and end the process
+    /// together.
+    pub async fn answers_without_an_end_leave_the_memory_of_the_process(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let client = Client::new();
+        for round in 0..3 {
+            site.desks[..3]
+                .iter()
+                .for_each(|desk| desk.set_fault(WorkerFault::EndlessBody));
+            let asked = (0..60).map(|_| request(&client, site, 0, "/once/a").send());
+            let answering = async {
+                for answer in futures::future::join_all(asked).await {
+                    assert!(answer.is_ok(), "round {round}: no answer");
+                }
+            };
+            let highest = highest_memory(site, answering).await?;
+            assert!(highest < MEMORY, "round {round}: {highest} bytes");
+            site.desks
+                .iter()
+                .for_each(|desk| desk.set_fault(WorkerFault::None));
+            let answer = send(site, "/again/a").await?;
+            assert_eq!(answer.status(), 200, "round {round}");
+        }
+        assert!(site.nodes[0].is_ready().await);
+        Ok(())
+    }
+
+    /// Guards against request bodies that end the process together; those that are refused have not
+    /// run.
+    pub async fn bodies_of_requests_leave_the_memory_of_the_process(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        const REQUESTS: usize = 60;
+        let mut config = site::config(2);
+        config["limits"]["maxBodyBytes"] = json!(4 << 20);
+        site.store.put("op", "config", Some(&config));
+        sleep(Duration::from_millis(500)).await;
+        let slow = WorkerFault::Slow(Duration::from_millis(1500));
+        site.desks.iter().for_each(|desk| desk.set_fault(slow));
+        let client = Client::new();
+        let asked = (0..REQUESTS).map(|_| {
+            request(&client, site, 0, "/once/a")
+                .body(vec![b'x'; 4 << 20])
+                .send()
+        });
+        let mut served = 0;
+        let answering = async {
+            for answer in futures::future::join_all(asked).await {
+                match answer.map(|answer| answer.status().as_u16()) {
+                    Ok(200) => served += 1,
+                    Ok(503) => (),
+                    other => panic!("{other:?}"),
+                }
+            }
+        };
+        let highest = highest_memory(site, answering).await?;
+        assert!(highest < MEMORY, "{highest} bytes");
+        assert_eq!(
+            runs(&site.desks).len(),
+            served,
+            "what is refused has not run"
+        );
+        assert!((5..REQUESTS).contains(&served), "{served} served");
+        Ok(())
+    }
+
     /// Faults of servers whose failures have a body without an end.
     const ENDLESS_FAILURES: [WorkerFault; 4] = [
         WorkerFault::FailDrip(500),
