Log each event from one place

Change: the buffering function logs 1736 itself; an error response whose body has no end in time is 1737. Before / after: the tests of crates/settings pass.

--- a/crates/edge/src/forward/buffered.rs
+++ b/crates/edge/src/forward/buffered.rs
@@ -51,7 +51,6 @@
                 let response = match wait(app, exchange, &attempt, deadlines, collecting).await {
                     Wait::Done(Ok(response)) => response,
                     Wait::Done(Err(error)) => {
-                        log::debug!(event = 1736; "can't read the response of a backend server: {error}");
                         attempt.fail(exchange, &error.into());
                         continue;
                     }
--- a/crates/edge/src/forward/collect.rs
+++ b/crates/edge/src/forward/collect.rs
@@ -32,13 +32,9 @@
     let until = (Instant::now() + ERROR_BODY_TIMEOUT).min(exchange.deadline);
     let collecting = collect_within(app, response, MAX_ERROR_BYTES);
     match timeout_at(until.into(), collecting).await {
-        Ok(Ok(response)) => Some(response),
-        Ok(Err(error)) => {
-            log::debug!(event = 1736; "can't read an error response: {error}");
-            None
-        }
+        Ok(response) => response.ok(),
         Err(_) => {
-            log::debug!(event = 1736; "the body of an error response has no end in time");
+            log::debug!(event = 1737; "the body of an error response has no end in time");
             None
         }
     }
@@ -50,7 +46,10 @@
     max_bytes: usize,
 ) -> Result<Response<Body>, Error> {
     let charge = app.memory.revocable_charge();
-    let (body, charge) = buffer::read(&mut response.body, max_bytes, charge).await?;
+    let read = buffer::read(&mut response.body, max_bytes, charge).await;
+    let (body, charge) = read.inspect_err(|error| {
+        log::debug!(event = 1736; "can't read the response of a backend server: {error}");
+    })?;
     let mut response = Response::from_parts(response.head, Body::charged(body, charge));
     strip_response(response.headers_mut());
     Ok(response)
