Handle signals before anything else at the start

Cause: a reload (SIGHUP) in the first moments ended a process by the signal: its handlers stood after the settings, the state and the first log line, 2.1 to 2.2 ms after the start here, and several times as late on a VM with a part of a core. Ruled out: the store, the settings' contents, descriptors, address space and output, each tried on a real process (one process alone, no store): it runs, or ends with a line that names the field. Change: the runtime and the handlers come first. Signals that arrive while the node starts are acted on once it runs. Conclusion: a signal before the program is loaded still ends it.

--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -6,11 +6,12 @@
 use crate::{Error, directory, follow, forward, link, listen, membership, metrics, status};
 use bpaf::{OptionParser, Parser, long};
 use settings::log::{Format, Limits};
+use std::io;
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::sleep;
 
 /// Command-line options of an entry node.
@@ -46,58 +47,48 @@
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// The signals that a node handles. Until they are registered they end the process.
+struct Signals {
+    terminate: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    fn register() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            reload: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Runs a node until it receives SIGTERM.
 pub fn run(options: &Options) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    // First of all: a slow VM takes its time for the rest.
+    let signals = {
+        let _context = runtime.enter();
+        Signals::register()?
+    };
     let log_counts = settings::log::init_limited(&options.log, Format::Json, Limits::default())?;
     let path = platform::site_path()?;
-    let site = platform::parse_site(&read(&path)?)?;
-    tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?
-        .block_on(serve(
-            App::new(site, log_counts)?,
-            path,
-            options.metrics_port,
-        ))
+    let text = read(&path)?;
+    let site = platform::parse_site(&text)?;
+    let app = Arc::new(App::new(site, log_counts)?);
+    runtime.block_on(serve(app, signals, (path, text), options.metrics_port))
 }
 
-async fn serve(app: App, path: PathBuf, metrics_port: u16) -> Result<(), Error> {
-    let app = Arc::new(app);
+async fn serve(
+    app: Arc<App>,
+    mut signals: Signals,
+    (path, mut current): (PathBuf, String),
+    metrics_port: u16,
+) -> Result<(), Error> {
     log::info!(event = 1701, node = app.site.node.as_str(), zone = app.site.zone.as_str(); "node started");
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut reload = signal(SignalKind::hangup())?;
     let (phase, shutdown) = Shutdown::new();
-    link::listen(Arc::clone(&app)).await?;
-    let site = &app.site;
-    let ready = |app: Arc<App>, request| async move { directory::ready(&app, &request) };
-    listen::listen(
-        Arc::clone(&app),
-        shutdown.clone(),
-        site.ready_address,
-        ready,
-    )
-    .await?;
-    let resolve = |app: Arc<App>, request| async move { directory::resolve(&app, &request) };
-    listen::listen(
-        Arc::clone(&app),
-        shutdown.clone(),
-        site.directory_address,
-        resolve,
-    )
-    .await?;
-    let scrape = |app: Arc<App>, request| async move { metrics::serve(&app, &request) };
-    let address = SocketAddrV4::new(site.ip, metrics_port);
-    let listening = listen::listen(Arc::clone(&app), shutdown.clone(), address, scrape).await;
-    if let Err(error) = listening {
-        log::warn!(event = 1727; "can't serve metrics: {error}");
-    }
-    listen::listen(
-        Arc::clone(&app),
-        shutdown,
-        site.http_address,
-        forward::forward,
-    )
-    .await?;
+    start_listeners(&app, shutdown, metrics_port).await?;
     for table in Table::ALL {
         supervise(&app, table.name(), move |app| follow::follow(app, table));
     }
@@ -108,11 +99,10 @@
     supervise(&app, "announcements", link::send_announcements);
     supervise(&app, "dial", link::dial);
     supervise(&app, "status", status::publish);
-    let mut current = read(&path)?;
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => (),
+            _ = signals.terminate.recv() => break,
+            _ = signals.reload.recv() => (),
             () = sleep(SETTINGS_CHECK_INTERVAL) => (),
         }
         current = reload_settings(&app, &path, current);
@@ -121,6 +111,43 @@
     Ok(())
 }
 
+/// Binds the addresses of the node and serves them.
+async fn start_listeners(
+    app: &Arc<App>,
+    shutdown: Shutdown,
+    metrics_port: u16,
+) -> Result<(), Error> {
+    link::listen(Arc::clone(app)).await?;
+    let site = &app.site;
+    let ready = |app: Arc<App>, request| async move { directory::ready(&app, &request) };
+    listen::listen(Arc::clone(app), shutdown.clone(), site.ready_address, ready).await?;
+    let resolve = |app: Arc<App>, request| async move { directory::resolve(&app, &request) };
+    listen::listen(
+        Arc::clone(app),
+        shutdown.clone(),
+        site.directory_address,
+        resolve,
+    )
+    .await?;
+    let address = SocketAddrV4::new(site.ip, metrics_port);
+    tokio::spawn(serve_metrics(Arc::clone(app), shutdown.clone(), address));
+    listen::listen(
+        Arc::clone(app),
+        shutdown,
+        site.http_address,
+        forward::forward,
+    )
+    .await
+}
+
+/// Serves metrics. The node works without them.
+async fn serve_metrics(app: Arc<App>, shutdown: Shutdown, address: SocketAddrV4) {
+    let scrape = |app: Arc<App>, request| async move { metrics::serve(&app, &request) };
+    if let Err(error) = listen::listen(app, shutdown, address, scrape).await {
+        log::warn!(event = 1727; "can't serve metrics: {error}");
+    }
+}
+
 fn read(path: &Path) -> Result<String, platform::Error> {
     std::fs::read_to_string(path).map_err(platform::Error::Io)
 }
--- a/crates/standin/src/site/node.rs
+++ b/crates/standin/src/site/node.rs
@@ -86,6 +86,11 @@
         format!("{}:{}", self.ip, self.ports)
     }
 
+    /// The addresses that it needs: requests, readiness, directory and links.
+    pub fn addresses_bound(&self) -> [SocketAddr; 4] {
+        [0, 1, 2, 3].map(|port| (self.ip, self.ports + port).into())
+    }
+
     /// Whether it says that it is ready.
     pub async fn is_ready(&self) -> bool {
         let url = format!("http://{}:{}/sardinebank/ready", self.ip, self.ports + 1);
@@ -163,12 +168,17 @@
 
     /// Rewrites its settings file with another bound, as the platform does while it runs.
     pub fn set_bound(&self, name: &str, value: &Value) -> Result<(), Error> {
-        let path = self.folder.join(format!("{}.json", self.name));
+        let path = self.settings_path();
         let mut settings: Value = serde_json::from_str(&fs::read_to_string(&path)?)?;
         settings["bounds"][name] = value.clone();
         Ok(fs::write(path, settings.to_string())?)
     }
 
+    /// Its settings file.
+    pub fn settings_path(&self) -> PathBuf {
+        self.folder.join(format!("{}.json", self.name))
+    }
+
     /// Where it logs to.
     pub fn log_path(&self) -> PathBuf {
         self.folder.join(format!("{}.log", self.name))
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -3,13 +3,17 @@
 
 use futures::StreamExt;
 use nix::sys::signal::Signal;
+use nix::sys::stat::Mode;
+use nix::unistd::Pid;
 use reqwest::header::{HeaderMap, HeaderValue};
 use reqwest::{Client, Response};
 use serde_json::json;
 use standin::Error;
+use standin::fleet::node_binary;
 use standin::proxy::{self, Proxy};
 use standin::site::{self, Run, Settings, Site, StoreFault, Worker, WorkerFault};
 use std::time::{Duration, Instant};
+use tokio::process::Command;
 use tokio::time::sleep;
 
 /// Time within which a change is in force, as the site's settings say.
@@ -122,6 +126,7 @@
     a_lost_answer_of_the_store_is_settled(models())
     changed_settings_are_followed(models())
     metrics_count_what_happens(plain())
+    a_reload_does_not_end_a_node_that_starts(plain())
     a_node_alone_is_quiet(plain())
     a_node_whose_log_nobody_reads_serves_on(Settings { unread_logs: true, ..plain() })
 }
@@ -1598,6 +1603,25 @@
         Ok(())
     }
 
+    /// Guards against processes that a signal ends before they have read their settings.
+    pub async fn a_reload_does_not_end_a_node_that_starts(site: &mut Site) -> Result<(), Error> {
+        let settings = site.nodes[0].settings_path().with_extension("fifo");
+        nix::unistd::mkfifo(&settings, Mode::S_IRWXU).map_err(std::io::Error::from)?;
+        // It waits for what nobody writes.
+        let mut child = Command::new(node_binary()?)
+            .arg("edge")
+            .env("SARDINEBANK_SETTINGS", settings)
+            .kill_on_drop(true)
+            .spawn()?;
+        sleep(Duration::from_millis(500)).await;
+        let id = child.id().expect("it runs");
+        let process = Pid::from_raw(id as i32);
+        nix::sys::signal::kill(process, Signal::SIGHUP).map_err(std::io::Error::from)?;
+        sleep(Duration::from_millis(200)).await;
+        assert_eq!(child.try_wait()?, None, "it has ended");
+        Ok(())
+    }
+
     pub async fn a_node_alone_is_quiet(site: &mut Site) -> Result<(), Error> {
         let before = site.nodes[0].log()?.lines().count();
         sleep(Duration::from_secs(1)).await;
