Wait for addresses that are in use at the start

Cause: a process that starts while one of its addresses is held ended with exit 1 at once, also where the address was free half a second later. The process before it may hold one in its last moments, or an outgoing connection may have it as its local port. The port of the metrics was given up for the life of the process. Ruled out: connections in TIME_WAIT alone do no harm. Change: `bind` tries an address that is in use again for a minute (log line 1754); any other error ends the process as before. A stop meanwhile is obeyed (1755). Metrics don't hold up the rest.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod app;
 mod backoff;
+mod bind;
 mod body;
 mod directory;
 mod error;
--- a/crates/edge/src/link/listen.rs
+++ b/crates/edge/src/link/listen.rs
@@ -3,10 +3,11 @@
 use super::run::run;
 use crate::Error;
 use crate::app::App;
+use crate::bind::bind;
 use crate::upstream::detect_dead_peer;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio_tungstenite::accept_async_with_config;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
@@ -23,8 +24,7 @@
 /// Listens for links, and accepts them for as long as the node runs.
 pub async fn listen(app: Arc<App>) -> Result<(), Error> {
     let address = app.member().link_address;
-    let listener = TcpListener::bind(address).await;
-    let listener = listener.map_err(|source| Error::Listen { address, source })?;
+    let listener = bind(address).await?;
     tokio::spawn(async move {
         loop {
             match listener.accept().await {
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -2,6 +2,7 @@
 
 use crate::Error;
 use crate::app::App;
+use crate::bind::bind;
 use crate::body::Body;
 use crate::shutdown::{Phase, Shutdown};
 use hyper::body::Incoming;
@@ -13,7 +14,7 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
@@ -35,8 +36,7 @@
     S: Fn(Arc<App>, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let listener = TcpListener::bind(address).await;
-    let listener = listener.map_err(|source| Error::Listen { address, source })?;
+    let listener = bind(address).await?;
     tokio::spawn(async move {
         let mut closing = shutdown.clone();
         loop {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -88,7 +88,13 @@
 ) -> Result<(), Error> {
     log::info!(event = 1701, node = app.site.node.as_str(), zone = app.site.zone.as_str(); "node started");
     let (phase, shutdown) = Shutdown::new();
-    start_listeners(&app, shutdown, metrics_port).await?;
+    tokio::select! {
+        listening = start_listeners(&app, shutdown, metrics_port) => listening?,
+        _ = signals.terminate.recv() => {
+            log::info!(event = 1755; "stopped before all addresses were bound");
+            return Ok(());
+        }
+    }
     for table in Table::ALL {
         supervise(&app, table.name(), move |app| follow::follow(app, table));
     }
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -12,6 +12,7 @@
 use standin::fleet::node_binary;
 use standin::proxy::{self, Proxy};
 use standin::site::{self, Run, Settings, Site, StoreFault, Worker, WorkerFault};
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 use tokio::process::Command;
 use tokio::time::sleep;
@@ -126,6 +127,8 @@
     a_lost_answer_of_the_store_is_settled(models())
     changed_settings_are_followed(models())
     metrics_count_what_happens(plain())
+    a_node_waits_for_addresses_that_are_in_use(plain())
+    a_node_that_waits_for_an_address_stops_on_request(plain())
     a_reload_does_not_end_a_node_that_starts(plain())
     a_node_alone_is_quiet(plain())
     a_node_whose_log_nobody_reads_serves_on(Settings { unread_logs: true, ..plain() })
@@ -1603,6 +1606,38 @@
         Ok(())
     }
 
+    /// Starts the node again while another socket holds its address, as the process before it may.
+    async fn restart_at_held(site: &mut Site, index: usize) -> Result<TcpListener, Error> {
+        let address = site.nodes[0].addresses_bound()[index];
+        site.nodes[0].kill().await?;
+        let held = TcpListener::bind(address)?;
+        let door = site.doors[0];
+        site.restart_node(0, door).await?;
+        sleep(Duration::from_millis(500)).await;
+        Ok(held)
+    }
+
+    /// Guards against processes that end because the one before them still holds an address.
+    pub async fn a_node_waits_for_addresses_that_are_in_use(site: &mut Site) -> Result<(), Error> {
+        for index in 0..4 {
+            let held = restart_at_held(site, index).await?;
+            drop(held);
+            site.nodes[0].until_ready(true).await?;
+            assert_eq!(send(site, "/again/a").await?.status(), 200);
+        }
+        Ok(())
+    }
+
+    pub async fn a_node_that_waits_for_an_address_stops_on_request(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let held = restart_at_held(site, 0).await?;
+        site.nodes[0].terminate()?;
+        assert!(site.nodes[0].ended().await?, "it ends well");
+        drop(held);
+        Ok(())
+    }
+
     /// Guards against processes that a signal ends before they have read their settings.
     pub async fn a_reload_does_not_end_a_node_that_starts(site: &mut Site) -> Result<(), Error> {
         let settings = site.nodes[0].settings_path().with_extension("fifo");
