Write the last log lines of a process

Cause: the log of a process that ended lacked its last lines, among them the reason. Lines are written in batches of 20 ms by a thread that nothing waited for at the end. Change: a flush of the logger waits up to 0.1 s until the queue is written, and `sardinebank edge` flushes it when it ends, well or with an error. A stalled reader costs that time and no more. Conclusion: a process that is killed loses its last 20 ms as before.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -49,14 +49,16 @@
             return ExitCode::from(failure.exit_code() as u8);
         }
     };
-    match edge::run(&options) {
+    let code = match edge::run(&options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             // Printed as well, since the logger may be what failed to start.
             eprintln!("sardinebank: {error}");
             log_failure(&error)
         }
-    }
+    };
+    log::logger().flush();
+    code
 }
 
 fn log_failure(error: &dyn std::error::Error) -> ExitCode {
--- a/crates/settings/src/log/log.rs
+++ b/crates/settings/src/log/log.rs
@@ -1,6 +1,6 @@
 //! Logger with numbered events, as text or as JSON lines.
 
-use super::{Drops, Limiter, Limits, Queue};
+use super::{Drops, Flushing, Limiter, Limits, Queue};
 use crate::Error;
 use env_logger::fmt::Formatter;
 use log::Record;
@@ -31,14 +31,16 @@
 }
 
 /// Installs the global logger, which writes to standard output from a thread of its own. Lines over
-/// the rate limits are dropped and counted, and so are lines that find the queue full.
+/// the rate limits are dropped and counted, and so are lines that find the queue full. A flush of
+/// the logger waits for the queued lines.
 pub fn init_limited(filter: &str, format: Format, limits: Limits) -> Result<Drops, Error> {
     let queue = Queue::start(limits.queue_capacity)?;
-    let drops = queue.drops();
+    let (drops, backlog) = (queue.drops(), queue.backlog());
     let mut builder = builder(filter, format);
     builder.target(env_logger::Target::Pipe(Box::new(queue)));
     let logger = builder.build();
     log::set_max_level(logger.filter());
+    let logger = Flushing::new(logger, backlog);
     let limiter = Limiter::new(logger, limits, drops.clone());
     log::set_boxed_logger(Box::new(limiter))?;
     Ok(drops)
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -130,6 +130,7 @@
     a_node_waits_for_addresses_that_are_in_use(plain())
     a_node_that_waits_for_an_address_stops_on_request(plain())
     a_reload_does_not_end_a_node_that_starts(plain())
+    the_last_log_lines_of_a_node_are_written(plain())
     a_node_alone_is_quiet(plain())
     a_node_whose_log_nobody_reads_serves_on(Settings { unread_logs: true, ..plain() })
 }
@@ -1657,6 +1658,16 @@
         Ok(())
     }
 
+    /// Guards against ends of processes that leave no trace in the log.
+    pub async fn the_last_log_lines_of_a_node_are_written(site: &mut Site) -> Result<(), Error> {
+        site.nodes[0].terminate()?;
+        assert!(site.nodes[0].ended().await?);
+        let log = site.nodes[0].log()?;
+        let last = log.lines().last().unwrap_or_default();
+        assert!(last.contains("1719"), "{last}");
+        Ok(())
+    }
+
     pub async fn a_node_alone_is_quiet(site: &mut Site) -> Result<(), Error> {
         let before = site.nodes[0].log()?.lines().count();
         sleep(Duration::from_secs(1)).await;
