Count the memory of an answer until it is written

Cause: the body of an answer gave its memory back to the budget when the HTTP library took it, though its bytes stay in the connection's queue until a slow caller has read them. Found by reading. Change: the charge goes with the bytes and returns with their last reference. Before / after: an_answer_counts_as_memory_until_it_is_written, which asks a caller that doesn't read; it passes with the change.

--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -17,43 +17,37 @@
 
 /// Body of a response.
 #[derive(Debug)]
-pub struct Body {
-    content: Content,
-    /// Memory of the content, released once it is written.
-    _charge: Option<Charge>,
-}
-
-#[derive(Debug)]
-enum Content {
+pub enum Body {
     /// The complete body.
     Full(Full<Bytes>),
     /// Events, sent as they arrive.
     Stream(mpsc::Receiver<Result<Bytes, Truncated>>),
 }
 
+/// Bytes and the memory that they occupy, which is released with their last reference.
+struct Charged {
+    bytes: Bytes,
+    _charge: Charge,
+}
+
+impl AsRef<[u8]> for Charged {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl Body {
     /// Creates a body from its complete bytes.
     pub fn full(bytes: impl Into<Bytes>) -> Self {
-        Self {
-            content: Content::Full(Full::new(bytes.into())),
-            _charge: None,
-        }
+        Self::Full(Full::new(bytes.into()))
     }
 
-    /// Creates a body from its complete bytes and the memory that they occupy.
+    /// Creates a body from its complete bytes and the memory that they occupy until they are written.
     pub fn charged(bytes: Bytes, charge: Charge) -> Self {
-        Self {
-            _charge: Some(charge),
-            ..Self::full(bytes)
-        }
-    }
-
-    /// Creates a body from events, sent as they arrive.
-    pub fn stream(events: mpsc::Receiver<Result<Bytes, Truncated>>) -> Self {
-        Self {
-            content: Content::Stream(events),
-            _charge: None,
-        }
+        Self::full(Bytes::from_owner(Charged {
+            bytes,
+            _charge: charge,
+        }))
     }
 }
 
@@ -65,12 +59,12 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        match &mut self.content {
-            Content::Full(full) => {
+        match &mut *self {
+            Self::Full(full) => {
                 let frame = ready!(Pin::new(full).poll_frame(context));
                 Poll::Ready(frame.map(|frame| frame.map_err(|never: Infallible| match never {})))
             }
-            Content::Stream(events) => {
+            Self::Stream(events) => {
                 let event = ready!(events.poll_recv(context));
                 Poll::Ready(event.map(|event| event.map(Frame::data)))
             }
@@ -78,16 +72,16 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        match &self.content {
-            Content::Full(full) => full.is_end_stream(),
-            Content::Stream(_) => false,
+        match self {
+            Self::Full(full) => full.is_end_stream(),
+            Self::Stream(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match &self.content {
-            Content::Full(full) => full.size_hint(),
-            Content::Stream(_) => SizeHint::default(),
+        match self {
+            Self::Full(full) => full.size_hint(),
+            Self::Stream(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -127,7 +127,7 @@
         let _guard = guard;
         relay(&app, exchange, source, event, events).await;
     });
-    Ok(head.map(|()| Body::stream(body)))
+    Ok(head.map(|()| Body::Stream(body)))
 }
 
 /// Sends the request until a backend server delivers a first event or a complete response.
--- a/crates/standin/src/site/fault.rs
+++ b/crates/standin/src/site/fault.rs
@@ -65,6 +65,8 @@
     EndlessHead,
     /// The body of its answer has no end; that of a stream holds no event.
     EndlessBody,
+    /// It answers well with a body of this many bytes.
+    Large(usize),
     /// It takes this long for an answer or for each event.
     Slow(Duration),
 }
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -134,6 +134,10 @@
             open_chunked(stream, status, &headers).await?;
             endless_body(stream).await?;
         }
+        WorkerFault::Large(bytes) => {
+            answer(stream, 200, &headers, &vec![b'x'; bytes]).await?;
+            return Ok(true);
+        }
         WorkerFault::Slow(time) => {
             sleep(time).await;
             answer(stream, 200, &headers, body.as_bytes()).await?;
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -113,6 +113,7 @@
     entries_that_lapse_in_an_outage_are_kept_a_while(plain())
     the_directory_names_those_that_live(three_nodes())
     a_stop_finishes_what_is_inside(models())
+    an_answer_counts_as_memory_until_it_is_written(plain())
     a_stopping_node_refuses_late_requests_at_once(models())
     a_body_that_ends_after_the_port_is_closed_is_refused_unsent(plain())
     a_request_is_answered_at_the_end_of_the_grace(Settings {
@@ -200,13 +201,20 @@
 /// Memory of the process that the settings file of the stand-in names.
 const MEMORY: i64 = 110 << 20;
 
+/// Bytes of a large answer, more than the system buffers for a caller.
+const LARGE: usize = 15 << 20;
 /// Memory of the first node.
 async fn resident_bytes(site: &Site) -> Result<i64, Error> {
+    gauge(site, "resident_bytes").await
+}
+
+/// A gauge of the first node.
+async fn gauge(site: &Site, name: &str) -> Result<i64, Error> {
     let text = site.nodes[0].metrics().await?;
-    let mut lines = text.lines();
-    let bytes = lines.find_map(|line| line.strip_prefix("sardinebank_resident_bytes "));
-    let bytes = bytes.and_then(|bytes| bytes.parse().ok());
-    Ok(bytes.expect("a node tells its memory"))
+    let prefix = format!("sardinebank_{name} ");
+    let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
+    let value = value.and_then(|value| value.parse().ok());
+    Ok(value.expect("a node has the gauge"))
 }
 
 /// All runs in the order of their times.
@@ -1359,6 +1367,34 @@
         Ok(())
     }
 
+    /// A large answer whose caller has read its head.
+    async fn large_answer(site: &Site) -> Result<Response, Error> {
+        let large = WorkerFault::Large(LARGE);
+        site.desks.iter().for_each(|desk| desk.set_fault(large));
+        let answer = send(site, "/once/a").await?;
+        assert_eq!(answer.status(), 200);
+        Ok(answer)
+    }
+
+    /// Guards against memory that counts as free while slow callers hold it.
+    pub async fn an_answer_counts_as_memory_until_it_is_written(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let answer = large_answer(site).await?;
+        sleep(Duration::from_millis(500)).await;
+        let held = gauge(site, "buffered_bytes").await?;
+        assert!(held >= LARGE as i64, "{held} bytes");
+        drop(answer);
+        let site = &*site;
+        let released = async || {
+            gauge(site, "buffered_bytes")
+                .await
+                .is_ok_and(|held| held == 0)
+        };
+        assert!(within(Duration::from_secs(2), released).await);
+        Ok(())
+    }
+
     pub async fn a_stopping_node_refuses_late_requests_at_once(
         site: &mut Site,
     ) -> Result<(), Error> {
