Let a stop wait until callers have read their answers

A request counted as in flight until its response was handed to the HTTP library; a stream until its last event was queued. Ruled out: the length of the grace period. Change: a connection counts as in use from its first request until it closes, which while stopping is after its response is written. The stop waits for these connections too, to the end of the grace period at most. 1719 says how many were left. Conclusion: short of the grace period's end, no answer is cut by a stop.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -87,6 +87,8 @@
     pub announcements: broadcast::Sender<Announcement>,
     /// Requests in progress.
     pub in_flight: Arc<inflight::Counter>,
+    /// Connections that have carried a request, until all of their responses are written.
+    pub connections: Arc<inflight::Counter>,
     /// Memory for bodies of requests and responses.
     pub memory: Arc<memory::Budget>,
     /// Counters and latencies.
@@ -109,6 +111,7 @@
             batches: broadcast::Sender::new(MAX_BATCHES),
             announcements: broadcast::Sender::new(MAX_ANNOUNCEMENTS),
             in_flight: Arc::default(),
+            connections: Arc::default(),
             memory: memory::Budget::new((site.memory_bytes as f64 * BODY_MEMORY_RATIO) as usize),
             metrics: Metrics::default(),
             log_counts,
--- a/crates/edge/src/inflight.rs
+++ b/crates/edge/src/inflight.rs
@@ -1,24 +1,24 @@
-//! Count of the requests that are in flight.
+//! Counts of requests that are in flight and of the connections that carry them.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// Number of requests that the node is processing.
+/// Number of requests, or of connections, that are in use.
 #[derive(Debug, Default)]
 pub struct Counter(AtomicUsize);
 
-/// Counts one request as in flight until it is dropped.
+/// Counts one of them until it is dropped.
 #[derive(Debug)]
 pub struct Guard(Arc<Counter>);
 
 impl Counter {
-    /// Counts a request for as long as the returned guard lives.
+    /// Counts one for as long as the returned guard lives.
     pub fn track(self: &Arc<Self>) -> Guard {
         self.0.fetch_add(1, Ordering::Relaxed);
         Guard(Arc::clone(self))
     }
 
-    /// Number of requests in flight.
+    /// Number of those in use.
     pub fn count(&self) -> usize {
         self.0.load(Ordering::Relaxed)
     }
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::net::{SocketAddr, SocketAddrV4};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -74,8 +74,10 @@
         return log::debug!(event = 1714; "can't configure a connection: {error}");
     }
     let limits = app.state().routes.config().limits.clone();
+    let in_use = OnceLock::new();
     let service = service_fn(|mut request: Request<Incoming>| {
         request.extensions_mut().insert(peer);
+        in_use.get_or_init(|| app.connections.track());
         let response = serve(Arc::clone(&app), request);
         async move { Ok::<_, Infallible>(response.await) }
     });
--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -51,8 +51,8 @@
     }
 }
 
-/// Removes the node from the directory, keeps accepting requests for a while, and then waits for
-/// those in flight. At the end of the grace period, those without an answer get one.
+/// Removes the node from the directory, keeps accepting requests for a while, and then waits until
+/// those in flight have their responses and callers have read them. At the end of the grace period, those without an answer get one.
 pub async fn drain(app: Arc<App>, phase: watch::Sender<Phase>) {
     let started = Instant::now();
     app.state().stopping = true;
@@ -67,7 +67,9 @@
             app.state().draining = true;
             phase.send_replace(Phase::Draining);
         }
-        if elapsed >= grace || (elapsed >= LAME_DUCK_TIME && app.in_flight.count() == 0) {
+        // Connections close after their current response, so those that are left are still written.
+        let in_use = app.in_flight.count() + app.connections.count();
+        if elapsed >= grace || (elapsed >= LAME_DUCK_TIME && in_use == 0) {
             break;
         }
     }
@@ -76,5 +78,5 @@
         app.grace_over.notify_waiters();
         sleep(FLUSH_TIME).await;
     }
-    log::info!(event = 1719, inside = cut; "stopped");
+    log::info!(event = 1719, inside = cut, unwritten = app.connections.count(); "stopped");
 }
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -114,6 +114,8 @@
     the_directory_names_those_that_live(three_nodes())
     a_stop_finishes_what_is_inside(models())
     an_answer_counts_as_memory_until_it_is_written(plain())
+    a_stop_waits_for_callers_that_read_slowly(plain())
+    a_caller_that_reads_nothing_does_not_hold_a_stop(plain())
     a_stopping_node_refuses_late_requests_at_once(models())
     a_body_that_ends_after_the_port_is_closed_is_refused_unsent(plain())
     a_request_is_answered_at_the_end_of_the_grace(Settings {
@@ -201,8 +203,13 @@
 /// Memory of the process that the settings file of the stand-in names.
 const MEMORY: i64 = 110 << 20;
 
+/// Time from SIGTERM to SIGKILL, as the settings say.
+const GRACE: Duration = Duration::from_secs(8);
 /// Bytes of a large answer, more than the system buffers for a caller.
 const LARGE: usize = 15 << 20;
+/// Time in which a slow caller reads it, within the grace.
+const READ_TIME: Duration = Duration::from_secs(5);
+
 /// Memory of the first node.
 async fn resident_bytes(site: &Site) -> Result<i64, Error> {
     gauge(site, "resident_bytes").await
@@ -1395,6 +1402,34 @@
         Ok(())
     }
 
+    /// Guards against a stop that cuts answers which their callers still read.
+    pub async fn a_stop_waits_for_callers_that_read_slowly(site: &mut Site) -> Result<(), Error> {
+        let mut answer = large_answer(site).await?;
+        site.nodes[0].terminate()?;
+        let begun = Instant::now();
+        let mut length = 0;
+        while let Some(bytes) = answer.chunk().await? {
+            length += bytes.len();
+            let due = READ_TIME.mul_f64(length as f64 / LARGE as f64);
+            sleep(due.saturating_sub(begun.elapsed())).await;
+        }
+        assert_eq!(length, LARGE);
+        assert!(site.nodes[0].ended().await?);
+        Ok(())
+    }
+
+    pub async fn a_caller_that_reads_nothing_does_not_hold_a_stop(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let answer = large_answer(site).await?;
+        site.nodes[0].terminate()?;
+        let begun = Instant::now();
+        assert!(site.nodes[0].ended().await?, "it ends well");
+        assert!(begun.elapsed() < GRACE, "{:?}", begun.elapsed());
+        drop(answer);
+        Ok(())
+    }
+
     pub async fn a_stopping_node_refuses_late_requests_at_once(
         site: &mut Site,
     ) -> Result<(), Error> {
