Pass on no status that falsely says "not run"

The test for the four statuses stood among server errors, where only 503 is one of them. Ruled out: streams, which tested all four. Change: `promises_not_run` names the statuses once, for streams and whole answers; such a status of a server's own is a failed attempt, sent again where that is allowed and answered with 502 otherwise.

--- a/crates/edge/src/forward/buffered.rs
+++ b/crates/edge/src/forward/buffered.rs
@@ -4,10 +4,10 @@
 use super::collect::{collect, collect_error};
 use super::exchange::Exchange;
 use super::forward::next_attempt;
-use super::refusal::Refusal;
+use super::refusal::{Refusal, promises_not_run};
 use crate::app::App;
 use crate::body::Body;
-use hyper::{Response, StatusCode};
+use hyper::Response;
 use route::config::Kind;
 use route::pool::Outcome;
 use std::sync::Arc;
@@ -35,12 +35,10 @@
             Delivery::Response(response, mut attempt) => {
                 exchange.may_have_run = true;
                 let status = response.head.status;
-                if status.is_server_error() {
+                if status.is_server_error() || promises_not_run(status) {
                     attempt.fail(exchange, &Failure::Status(status.as_u16()));
                     drop(attempt);
-                    // Callers take this status to mean that the request hasn't run. That of a
-                    // backend server doesn't guarantee it.
-                    if status != StatusCode::SERVICE_UNAVAILABLE {
+                    if !promises_not_run(status) {
                         let response = collect_error(app, exchange, *response).await;
                         failed_response = response.or(failed_response);
                     }
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -46,6 +46,18 @@
     DeadlineExceeded,
 }
 
+/// Whether callers take a status to mean that the request hasn't run and won't. A backend server that
+/// hasn't run a request says so with a header; its status alone doesn't guarantee it.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Range of factors for the retry delay, so that refused callers don't all retry at the same time.
 const RETRY_JITTER: std::ops::Range<f64> = 0.5..1.5;
 
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -7,7 +7,7 @@
 use super::exchange::Exchange;
 use super::forward::next_attempt;
 use super::headers::strip_response;
-use super::refusal::Refusal;
+use super::refusal::{Refusal, promises_not_run};
 use crate::app::App;
 use crate::body::{Body, Truncated};
 use crate::{inflight, upstream};
@@ -159,9 +159,7 @@
         if !status.is_success() {
             attempt.fail(exchange, &Failure::Status(status.as_u16()));
             drop(attempt);
-            // Callers take these statuses to mean that the request hasn't run. Those of a backend
-            // server don't guarantee it.
-            if !matches!(status.as_u16(), 408 | 421 | 429 | 503) {
+            if !promises_not_run(status) {
                 let response = collect_error(app, exchange, *response).await;
                 failed_response = response.or(failed_response);
             }
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -63,6 +63,7 @@
     a_stream_goes_on_event_by_event(models())
     what_is_not_allowed_is_refused(plain())
     what_may_not_be_repeated_runs_once(plain())
+    a_status_of_a_server_that_has_run_promises_nothing(models())
     what_has_not_run_goes_elsewhere(plain())
     what_may_be_repeated_is_repeated(plain())
     what_was_not_sent_costs_no_further_send(Settings {
@@ -348,6 +349,43 @@
         Ok(())
     }
 
+    /// Guards against bookings that are made twice since a server's status passes as "not run".
+    pub async fn a_status_of_a_server_that_has_run_promises_nothing(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let client = Client::new();
+        for status in [408, 429, 503] {
+            let fault = WorkerFault::Fail(status);
+            let (before, begun) = (runs(&site.desks).len(), Instant::now());
+            site.desks.iter().for_each(|desk| desk.set_fault(fault));
+            while runs(&site.desks).len() == before && begun.elapsed() < QUARANTINE {
+                let answer = send(site, "/once/a").await?;
+                let told = answer.status().as_u16();
+                let ran = runs(&site.desks).len() - before;
+                assert_eq!(
+                    told,
+                    if ran == 0 { 503 } else { 502 },
+                    "{status}, {ran} ran"
+                );
+            }
+            assert_eq!(runs(&site.desks).len(), before + 1, "{status}");
+            let before = runs(&site.models).len();
+            site.models.iter().for_each(|model| model.set_fault(fault));
+            let answer = stream(&client, site, 0, "s").send().await?;
+            let ran = runs(&site.models).len() - before;
+            assert!(
+                ran == 0 || answer.status() == 502,
+                "{status}: {}, {ran} ran",
+                answer.status()
+            );
+            site.desks
+                .iter()
+                .chain(&site.models)
+                .for_each(|worker| worker.set_fault(WorkerFault::None));
+        }
+        Ok(())
+    }
+
     pub async fn what_has_not_run_goes_elsewhere(site: &mut Site) -> Result<(), Error> {
         site.desks[0].set_fault(WorkerFault::Full);
         for _ in 0..6 {
