--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -52,7 +52,8 @@
 }
 
 /// Removes the node from the directory, keeps accepting requests for a while, and then waits until
-/// those in flight have their responses and callers have read them. At the end of the grace period, those without an answer get one.
+/// those in flight have their responses and callers have read them. At the end of the grace period,
+/// those without an answer get one.
 pub async fn drain(app: Arc<App>, phase: watch::Sender<Phase>) {
     let started = Instant::now();
     app.state().stopping = true;
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -7,9 +7,10 @@
 use node::sync::{self, Replica};
 use rand::Rng;
 use settings::{Keyring, Secret};
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -39,11 +40,15 @@
 
 /// Returns an unused address. Its port is below the range that outgoing connections take theirs
 /// from, so that none of them occupies it before the node listens.
+/// An address at which nothing listens, and that no other test of this process is given.
 fn free_address() -> SocketAddr {
+    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
     loop {
         let port = rand::rng().random_range(10_000..32_000);
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
+        let mut given = GIVEN.lock().unwrap();
+        if !given.contains(&port) && TcpListener::bind(address).is_ok() {
+            given.insert(port);
             return address;
         }
     }
