Block prompt parts together that explain the same crashes

A sound part that came with the part that crashes backend servers, and was as new, had the same crashes to its name. The part that stood first in the prompt was blocked, which discounted the crashes of the other one. Log lines 1792 name both parts for each of four crashes; 1793 follows between the two lines of the fourth one. Sound requests with the first part got 503 for 20 s.

Ruled out: other requests that spoke against the sound part (none is named in 1792), and an answer that was forgotten (there was none).

Change: parts that explain the same crashes are blocked together, so that only requests with all of them are refused. A request with some of them is sent once as a trial, one at a time on each node. Its answer clears its parts, and two crashes more on one part leave that one blocked alone. All parts of a lost request are recorded before a block is decided, on the node that lost it and on those that are told of it. Groups have a field of their own in the notices between nodes (`g`), which nodes of the version before ignore.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -5,7 +5,7 @@
 use crate::link::Batch;
 use crate::memory;
 use crate::metrics::{self, Metrics};
-use limits::poison::{Part, RequestTag};
+use limits::poison::{Block, Part, RequestTag};
 use limits::retry::Purpose;
 use limits::suspect::Fingerprint;
 use platform::store;
@@ -53,10 +53,10 @@
     Departure(ServerId, u64),
     /// A backend server names a limit on the requests of all nodes, or no longer does.
     Naming(Naming),
-    /// A backend server crashed before the answer to a request with a part began.
-    PartCrash(Part, RequestTag, ServerId),
-    /// A part is blocked because it crashes backend servers; with the number of blocks in a row.
-    PartBlock(Part, u32),
+    /// A backend server crashed before the answer to a request with these parts began.
+    PartCrash(Vec<Part>, RequestTag, ServerId),
+    /// Requests with certain parts are blocked because they crash backend servers.
+    PartBlock(Block),
     /// The answer to a request with a part has begun, so the part is sound.
     PartAnswer(Part),
 }
--- a/crates/edge/src/app/crash.rs
+++ b/crates/edge/src/app/crash.rs
@@ -2,7 +2,7 @@
 
 use super::{Loss, Notice, State};
 use contract::stable_hash;
-use limits::poison::{Admission, Part, RequestTag};
+use limits::poison::{Admission, Block, Part, RequestTag};
 use limits::suspect::Verdict;
 use route::pool::{Work, name_hash};
 use std::time::{Duration, Instant};
@@ -25,45 +25,70 @@
             }
             let start = format!("{server}@{}", loss.started_ms);
             let request = name_hash(&loss.fingerprint);
-            for part in self.poison.candidates(now, loss.parts) {
-                if self.poison.record_crash(now, part, request, &start) {
-                    log::info!(event = 1792, part = format!("{part:016x}").as_str(), server = server;
-                        "backend server crashed before it began to answer a request with this prompt part");
-                    let notice = Notice::PartCrash(part, request, start.clone());
-                    self.pending_notices.push(notice);
-                }
-                self.try_block(now, part);
+            let new = self.record_part_crash(now, loss.parts, request, &start);
+            if !new.is_empty() {
+                self.pending_notices
+                    .push(Notice::PartCrash(new, request, start));
             }
         }
     }
 
-    /// Records a crash on a part that another node reports; returns whether it is new.
+    /// Records that a backend server crashed before the answer to a request with these parts began, as
+    /// observed here or reported by another node. Returns the parts for which that is new.
     pub fn record_part_crash(
         &mut self,
         now: Instant,
-        part: Part,
+        parts: Vec<Part>,
         request: RequestTag,
         server: &str,
-    ) -> bool {
-        let is_new = self.poison.record_crash(now, part, request, server);
-        if is_new {
-            self.try_block(now, part);
+    ) -> Vec<Part> {
+        let mut parts = self.poison.candidates(now, parts);
+        parts.retain(|part| self.poison.record_crash(now, *part, request, server));
+        for part in &parts {
+            log::info!(event = 1792, part = part_id(*part).as_str(), server = server;
+                "backend server crashed before it began to answer a request with this prompt part");
         }
-        is_new
+        for part in &parts {
+            if let Some(block) = self.poison.try_block(now, *part) {
+                self.announce_block(block);
+            }
+        }
+        parts
     }
 
-    fn try_block(&mut self, now: Instant, part: Part) {
-        if let Some(level) = self.poison.try_block(now, part) {
-            log::warn!(event = 1793, part = format!("{part:016x}").as_str(), level = level;
-                "prompt part blocked: it crashes backend servers");
-            self.pending_notices.push(Notice::PartBlock(part, level));
+    /// Applies a block that another node reports. Returns the block if it is new, so that it is
+    /// forwarded.
+    pub fn record_part_block(&mut self, now: Instant, block: &Block) -> Option<Block> {
+        let applied = self.poison.record_block(now, block)?;
+        if applied == *block {
+            return Some(applied);
         }
+        // This node knows more, which is new for the node that reported the block as well.
+        self.announce_block(applied);
+        None
+    }
+
+    fn announce_block(&mut self, block: Block) {
+        let parts: Vec<_> = block.parts.iter().copied().map(part_id).collect();
+        match parts.as_slice() {
+            [part] => {
+                log::warn!(event = 1793, part = part.as_str(), level = block.level;
+                    "prompt part blocked: it crashes backend servers");
+            }
+            parts => {
+                log::warn!(event = 1766, parts = parts.join(",").as_str(), level = block.level;
+                    "requests with all of these prompt parts blocked: one of the parts crashes backend servers");
+            }
+        }
+        self.pending_notices.push(Notice::PartBlock(block));
     }
 
     /// Records that the answer to a request has begun: none of its parts crashes backend servers.
     pub fn record_answer_begin(&mut self, now: Instant, work: &Work) {
         for part in work.shared_parts() {
             if self.poison.record_answer(now, part) {
+                log::info!(event = 1767, part = part_id(part).as_str();
+                    "an answer shows that a suspected prompt part doesn't crash backend servers");
                 self.pending_notices.push(Notice::PartAnswer(part));
             }
         }
@@ -92,3 +117,8 @@
         std::mem::take(&mut self.pending_notices)
     }
 }
+
+/// The hash of a prompt part, for logs.
+fn part_id(part: Part) -> String {
+    format!("{part:016x}")
+}
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -5,7 +5,7 @@
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
-use limits::poison::{Part, RequestTag};
+use limits::poison::{Block, Part, RequestTag};
 use platform::store::Row;
 use route::member::Member;
 use route::pool::{self, Rate, Tag};
@@ -127,6 +127,10 @@
     /// Parts that are blocked, with the number of blocks in a row.
     #[serde(rename = "b", skip_serializing_if = "Vec::is_empty")]
     pub part_blocks: Vec<(Part, u32)>,
+    /// Groups of parts that are blocked together, with the number of blocks in a row. Nodes of earlier
+    /// versions ignore them.
+    #[serde(rename = "g", skip_serializing_if = "Vec::is_empty")]
+    pub group_blocks: Vec<(Vec<Part>, u32)>,
     /// Parts that an answer has shown to be sound.
     #[serde(rename = "a", skip_serializing_if = "Vec::is_empty")]
     pub part_answers: Vec<Part>,
@@ -135,6 +139,25 @@
     pub namings: Vec<Naming>,
 }
 
+impl Notices {
+    /// Adds a block.
+    pub fn push_block(&mut self, block: Block) {
+        match block.parts[..] {
+            [part] => self.part_blocks.push((part, block.level)),
+            _ => self.group_blocks.push((block.parts, block.level)),
+        }
+    }
+
+    /// Takes the blocks.
+    pub fn take_blocks(&mut self) -> impl Iterator<Item = Block> + use<> {
+        let single = std::mem::take(&mut self.part_blocks).into_iter();
+        let single = single.map(|(part, level)| (vec![part], level));
+        let groups = std::mem::take(&mut self.group_blocks);
+        let blocks = single.chain(groups);
+        blocks.map(|(parts, level)| Block { parts, level })
+    }
+}
+
 /// What an answer of a backend server has said of its limit: the server, its start, the requests per
 /// second that it takes from all nodes (none if the limit has ended), and the milliseconds since the
 /// answer.
--- a/crates/edge/src/link/handle.rs
+++ b/crates/edge/src/link/handle.rs
@@ -233,7 +233,8 @@
 
 /// Applies notices and forwards those that are new: duplicates would multiply if they were
 /// forwarded.
-fn handle_notices(app: &App, peer: &NodeName, notices: Notices) {
+fn handle_notices(app: &App, peer: &NodeName, mut notices: Notices) {
+    let blocks = notices.take_blocks();
     let now = Instant::now();
     let mut state = app.state();
     let mut unknown = Vec::new();
@@ -265,14 +266,21 @@
             unknown.push(Notice::Naming(naming));
         }
     }
-    for (part, request, server) in notices.part_crashes {
-        if state.record_part_crash(now, part, request, &server) {
-            unknown.push(Notice::PartCrash(part, request, server));
+    // Crashes on the parts of one request arrive together.
+    let crashes = notices
+        .part_crashes
+        .chunk_by(|one, next| one.1 == next.1 && one.2 == next.2);
+    for crash in crashes {
+        let (request, server) = (crash[0].1, &crash[0].2);
+        let parts = crash.iter().map(|(part, ..)| *part).collect();
+        let new = state.record_part_crash(now, parts, request, server);
+        if !new.is_empty() {
+            unknown.push(Notice::PartCrash(new, request, server.clone()));
         }
     }
-    for (part, level) in notices.part_blocks {
-        if state.poison.record_block(now, part, level) {
-            unknown.push(Notice::PartBlock(part, level));
+    for block in blocks {
+        if let Some(block) = state.record_part_block(now, &block) {
+            unknown.push(Notice::PartBlock(block));
         }
     }
     for part in notices.part_answers {
--- a/crates/edge/src/link/outbox.rs
+++ b/crates/edge/src/link/outbox.rs
@@ -66,14 +66,17 @@
             match announcement.notice {
                 Notice::Assignment(assignment) => notices.assignments.push(assignment),
                 Notice::Crash(crash) => notices.crashes.push(crash),
-                Notice::PartCrash(part, request, server) => {
-                    notices.part_crashes.push((part, request, server));
+                Notice::PartCrash(parts, request, server) => {
+                    let crashes = parts
+                        .into_iter()
+                        .map(|part| (part, request, server.clone()));
+                    notices.part_crashes.extend(crashes);
                 }
                 Notice::Departure(server, started_ms) => {
                     notices.departures.push((server, started_ms));
                 }
                 Notice::Naming(naming) => notices.namings.push(Naming::encode(&naming, now)),
-                Notice::PartBlock(part, level) => notices.part_blocks.push((part, level)),
+                Notice::PartBlock(block) => notices.push_block(block),
                 Notice::PartAnswer(part) => notices.part_answers.push(part),
             }
         }
@@ -113,7 +116,7 @@
 fn all_known(app: &App, now: Instant, direction: Direction) -> Notices {
     let state = app.state();
     let crashes = state.suspects.crashes(now);
-    Notices {
+    let mut notices = Notices {
         assignments: state.sessions_for_peer(now, direction != Direction::Up),
         crashes: crashes
             .map(|(fingerprint, server, _)| (fingerprint.clone(), server.clone()))
@@ -123,12 +126,15 @@
             .departures()
             .map(|(server, started_ms)| (server.clone(), started_ms))
             .collect(),
-        part_blocks: state.poison.blocks(now).collect(),
         namings: state
             .pool
             .namings()
             .map(|naming| Naming::encode(&naming, now))
             .collect(),
         ..Notices::default()
+    };
+    for block in state.poison.blocks(now) {
+        notices.push_block(block);
     }
+    notices
 }
--- a/crates/edge/tests/news.rs
+++ b/crates/edge/tests/news.rs
@@ -47,6 +47,10 @@
             part_blocks: vec![(7, 1)],
             ..Notices::default()
         },
+        Notices {
+            group_blocks: vec![(vec![8, 9], 1)],
+            ..Notices::default()
+        },
         Notices {
             part_answers: vec![7],
             ..Notices::default()
--- a/crates/limits/src/poison/admission.rs
+++ b/crates/limits/src/poison/admission.rs
@@ -7,7 +7,8 @@
 pub enum Admission {
     /// None of its parts is blocked.
     Open,
-    /// It may be sent once, to find out whether a part still crashes backend servers.
+    /// It may be sent once, to find out whether a part still crashes backend servers, or which one of
+    /// several does.
     Probe,
     /// One of its parts is blocked for this long.
     Blocked(Duration),
--- a/crates/limits/src/poison/mod.rs
+++ b/crates/limits/src/poison/mod.rs
@@ -2,10 +2,12 @@
 //! requests with them, whatever else the requests hold.
 
 mod admission;
+mod block;
 mod detector;
 mod part;
 mod settings;
 
 pub use admission::Admission;
+pub use block::Block;
 pub use detector::{Detector, Part, RequestTag};
 pub use settings::Settings;
--- a/crates/limits/src/poison/part.rs
+++ b/crates/limits/src/poison/part.rs
@@ -1,6 +1,6 @@
 //! Crashes and block of one part.
 
-use super::{RequestTag, Settings};
+use super::{Part, RequestTag, Settings};
 use contract::BackendId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -28,7 +28,9 @@
     blocked_until: Option<Instant>,
     /// Number of blocks in a row.
     pub(super) level: u32,
-    /// When a probe was last admitted, while its outcome isn't known.
+    /// Other parts that explain the crashes as well: only requests with all of them are blocked.
+    pub(super) tied: Vec<Part>,
+    /// When a probe or a trial was last admitted, while its outcome isn't known.
     probed: Option<Instant>,
     /// When an answer last cleared the part.
     cleared: Option<Instant>,
@@ -48,6 +50,7 @@
         }
         let crash = Some(Crash { at, request });
         self.crashes.insert(server.to_owned(), crash);
+        self.probed = None;
         true
     }
 
@@ -75,6 +78,17 @@
         crashes.filter(move |crash| now.saturating_duration_since(crash.at) < retention)
     }
 
+    /// Number of crashes that count and aren't crashes on another part as well.
+    pub fn crashes_without(&self, now: Instant, other: &Self, settings: &Settings) -> usize {
+        let counts = |crash: &Option<Crash>| {
+            let at = crash.map(|crash| crash.at);
+            at.is_some_and(|at| now.saturating_duration_since(at) < settings.retention)
+        };
+        let own = self.crashes.iter().filter(|(_, crash)| counts(crash));
+        own.filter(|(server, _)| !other.crashes.get(*server).is_some_and(counts))
+            .count()
+    }
+
     /// Backend servers that crashed on the part.
     pub fn servers(&self) -> impl Iterator<Item = &BackendId> {
         self.crashes.keys()
@@ -89,13 +103,21 @@
             }
         }
         if self.level == 1 && !self.is_conclusive(now, settings) {
-            self.blocked_until = None;
-            self.level = 0;
+            self.release();
         }
     }
 
-    /// Blocks the part for the time that belongs to a level.
-    pub fn block(&mut self, now: Instant, level: u32, settings: &Settings) {
+    /// Ends the block.
+    pub fn release(&mut self) {
+        self.blocked_until = None;
+        self.probed = None;
+        self.level = 0;
+        self.tied.clear();
+    }
+
+    /// Blocks requests with the part and all that it is tied to, for the time that belongs to a level.
+    pub fn block(&mut self, now: Instant, level: u32, tied: Vec<Part>, settings: &Settings) {
+        self.tied = tied;
         self.level = level.clamp(1, MAX_LEVEL);
         let time = settings.min_block * (1 << (self.level - 1));
         self.blocked_until = Some(now + time.min(settings.max_block));
@@ -106,9 +128,7 @@
     pub fn clear(&mut self, now: Instant) -> bool {
         let held = self.blocked_until.is_some() || self.crashes.values().any(Option::is_some);
         self.crashes.values_mut().for_each(|crash| *crash = None);
-        self.blocked_until = None;
-        self.probed = None;
-        self.level = 0;
+        self.release();
         self.cleared = Some(now);
         held
     }
@@ -119,15 +139,15 @@
         Some(until.saturating_duration_since(now))
     }
 
-    /// Admits a probe unless one is running.
-    pub fn start_probe(&mut self, now: Instant, settings: &Settings) -> bool {
-        let running = self
-            .probed
-            .is_some_and(|at| now.saturating_duration_since(at) < settings.probe_timeout);
-        if !running {
-            self.probed = Some(now);
-        }
-        !running
+    /// Time until a further probe may be admitted, if one is running that began within its time-out.
+    pub fn probe_left(&self, now: Instant, timeout: Duration) -> Option<Duration> {
+        let end = self.probed? + timeout;
+        (now < end).then(|| end - now)
+    }
+
+    /// Records that a probe is admitted.
+    pub fn start_probe(&mut self, now: Instant) {
+        self.probed = Some(now);
     }
 
     /// Whether an answer has cleared the part within the settle time.
--- a/crates/limits/src/poison/settings.rs
+++ b/crates/limits/src/poison/settings.rs
@@ -15,6 +15,9 @@
     /// Shortest time from the first of these crashes to the last one. Backend servers that end
     /// together, as in a loss of power, say nothing about what they were running.
     pub min_span: Duration,
+    /// Number of crashes by which a part must explain more than another one, so that it is blocked and the
+    /// other one isn't. A single crash may have another cause.
+    pub min_lead: usize,
     /// Time for which a part is first blocked; it doubles with each crash of a probe up to
     /// `max_block`.
     pub min_block: Duration,
@@ -22,6 +25,9 @@
     pub max_block: Duration,
     /// Time after which a probe without an outcome no longer holds back the next one.
     pub probe_timeout: Duration,
+    /// The same for a request that finds out which of several parts crashes backend servers. It is shorter,
+    /// since sound requests wait for its outcome.
+    pub trial_timeout: Duration,
     /// Time after an answer during which notices of a block are ignored: they may be older.
     pub settle_time: Duration,
     /// Maximum number of suspected parts kept; the one with the oldest last crash is evicted first.
@@ -37,9 +43,11 @@
             crash_threshold: 3,
             min_requests: 2,
             min_span: Duration::from_millis(400),
+            min_lead: 2,
             min_block: Duration::from_secs(20),
             max_block: Duration::from_secs(3600),
             probe_timeout: Duration::from_secs(10),
+            trial_timeout: Duration::from_secs(2),
             settle_time: Duration::from_secs(1),
             capacity: 1024,
             max_answered: 4096,
--- a/crates/limits/tests/poison.rs
+++ b/crates/limits/tests/poison.rs
@@ -1,6 +1,6 @@
 //! Parts of prompts that crash backend servers, among parts that are sound.
 
-use limits::poison::{Admission, Detector, Part, Settings};
+use limits::poison::{Admission, Block, Detector, Part, Settings};
 use std::time::{Duration, Instant};
 
 const POISON: Part = 1;
@@ -33,9 +33,12 @@
             self.now += Duration::from_millis(200);
             self.servers += 1;
             let server = format!("e{}", self.servers);
-            for part in self.detector.candidates(self.now, parts.to_vec()) {
+            let candidates = self.detector.candidates(self.now, parts.to_vec());
+            for part in &candidates {
                 self.detector
-                    .record_crash(self.now, part, self.requests, &server);
+                    .record_crash(self.now, *part, self.requests, &server);
+            }
+            for part in candidates {
                 self.detector.try_block(self.now, part);
             }
         }
@@ -49,11 +52,99 @@
         self.detector.admit(self.now, [part], |_| true)
     }
 
+    fn admit_all(&mut self, parts: &[Part]) -> Admission {
+        let parts = parts.iter().copied();
+        self.detector.admit(self.now, parts, |_| true)
+    }
+
     fn is_blocked(&mut self, part: Part) -> bool {
         matches!(self.admit(part), Admission::Blocked(_))
     }
 }
 
+fn block(parts: &[Part]) -> Block {
+    Block {
+        parts: parts.to_vec(),
+        level: 1,
+    }
+}
+
+/// Two requests with a part that nobody has answered crash four servers.
+fn tied() -> World {
+    let mut world = World::new();
+    world.crash(&[RARE, POISON], 2);
+    world.crash(&[RARE, POISON], 2);
+    let blocked = world.admit_all(&[RARE, POISON]);
+    assert!(matches!(blocked, Admission::Blocked(_)));
+    world
+}
+
+/// Guards against the block of a sound part in place of one that shares all of its crashes.
+#[test]
+fn parts_that_share_all_crashes_are_blocked_only_together() {
+    let mut world = tied();
+    assert_eq!(world.admit(RARE), Admission::Probe);
+    assert!(world.is_blocked(RARE), "one trial at a time");
+    assert!(world.answer(RARE));
+    assert_eq!(world.admit(RARE), Admission::Open);
+    assert!(world.is_blocked(POISON), "no other part is left");
+}
+
+/// Guards against a trial whose server crashes for another reason: that alone must not free the poison
+/// part.
+#[test]
+fn two_crashes_of_trials_show_which_part_causes_them() {
+    let mut world = tied();
+    assert_eq!(world.admit_all(&[OTHER, POISON]), Admission::Probe);
+    world.crash(&[OTHER, POISON], 1);
+    assert_eq!(world.admit(RARE), Admission::Probe);
+    world.crash(&[OTHER, POISON], 1);
+    assert!(world.is_blocked(POISON));
+    assert_eq!(world.admit_all(&[RARE, OTHER]), Admission::Open);
+}
+
+/// Guards against trials that wait for one whose outcome never comes.
+#[test]
+fn a_trial_without_an_outcome_makes_way_for_the_next() {
+    let mut world = tied();
+    assert_eq!(world.admit(RARE), Admission::Probe);
+    world.now += Settings::default().trial_timeout;
+    assert_eq!(world.admit(RARE), Admission::Probe);
+}
+
+/// Guards against a probe that no node may send, since each part of a block has another one.
+#[test]
+fn parts_that_are_blocked_together_are_probed_by_one_node() {
+    for first in [POISON, RARE] {
+        let mut world = tied();
+        world.now += Settings::default().min_block;
+        let parts = [RARE, POISON];
+        let admission = world.detector.admit(world.now, parts, |part| part == first);
+        assert_eq!(admission == Admission::Probe, first == POISON.min(RARE));
+    }
+}
+
+/// Guards against nodes that know less and loosen a block, or lose what they could learn.
+#[test]
+fn nodes_take_over_the_strictest_block() {
+    let mut world = World::new();
+    let group = block(&[POISON, RARE]);
+    assert_eq!(
+        world.detector.record_block(world.now, &group),
+        Some(group.clone())
+    );
+    assert_eq!(world.admit(RARE), Admission::Probe);
+    assert!(world.detector.blocks(world.now).eq([group.clone()]));
+    let single = block(&[POISON]);
+    assert!(world.detector.record_block(world.now, &single).is_some());
+    assert_eq!(world.admit(RARE), Admission::Open);
+    assert!(world.detector.record_block(world.now, &group).is_none());
+    let mut informed = World::new();
+    informed.answer(RARE);
+    let applied = informed.detector.record_block(informed.now, &group);
+    assert_eq!(applied, Some(single));
+}
+
 #[test]
 fn a_part_that_crashes_three_servers_is_blocked() {
     let mut world = World::new();
@@ -178,10 +269,11 @@
 #[test]
 fn a_late_notice_of_a_block_does_not_undo_an_answer() {
     let mut world = World::new();
-    assert!(world.detector.record_block(world.now, RARE, 1));
-    assert!(!world.detector.record_block(world.now, RARE, 1));
+    let block = block(&[RARE]);
+    assert!(world.detector.record_block(world.now, &block).is_some());
+    assert!(world.detector.record_block(world.now, &block).is_none());
     assert!(world.answer(RARE));
-    assert!(!world.detector.record_block(world.now, RARE, 1));
+    assert!(world.detector.record_block(world.now, &block).is_none());
     assert!(!world.is_blocked(RARE));
 }
 
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -30,6 +30,8 @@
 const MAX_CRASHES: usize = 5;
 /// Backend servers that a request already sent may still reach: the attempts of its route.
 const MAX_ATTEMPTS: usize = 3;
+/// Requests with a poison part that may reach backend servers later on, as the rules say.
+const MAX_LATE: usize = 3;
 /// Probes that follow a first block, which may end during the test.
 const MAX_PROBES: usize = 1;
 /// Requests that may reach a pausing backend server at the beginning of its pause, as the rules say.
@@ -108,6 +110,7 @@
     a_limit_that_makes_no_sense_is_left_out(plain())
     a_pause_that_makes_no_sense_is_left_out(plain())
     requests_with_a_poison_part_are_stopped(Settings { nodes: 3, models: 6, ..models() })
+    a_sound_part_is_served_beside_a_poison_part_as_new(Settings { nodes: 3, models: 6, ..models() })
     a_silent_link_is_closed_in_time(three_nodes())
     a_change_passes_store_connections_that_fell_silent(three_nodes())
     a_change_reaches_the_last_follower_over_a_silent_connection(three_nodes())
@@ -1238,6 +1241,24 @@
         Ok(())
     }
 
+    /// Sends a request with these prompt parts and one of its own to one of three nodes by turns;
+    /// returns whether it is served.
+    async fn is_served(client: &Client, site: &Site, index: usize, parts: &str) -> bool {
+        let request = request(client, site, index % 3, "/stream/a")
+            .header("accept", "text/event-stream")
+            .header("model", "small")
+            .header("token-count", "100,50")
+            .header("prompt-prefix", format!("{parts},{index:x}:20"))
+            .body(index.to_string());
+        let answer = request.send().await;
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Number of crashes of all engines.
+    fn crashes(site: &Site) -> usize {
+        site.models.iter().map(Worker::crashes).sum()
+    }
+
     /// Guards against different requests that share a part and crash backend server after backend
     /// server.
     pub async fn requests_with_a_poison_part_are_stopped(site: &mut Site) -> Result<(), Error> {
@@ -1246,36 +1267,59 @@
         }
         let client = Client::new();
         let prompt = async |index: usize, part: &str| {
-            let request = request(&client, site, index % 3, "/stream/a")
-                .header("accept", "text/event-stream")
-                .header("model", "small")
-                .header("token-count", "100,50")
-                .header("prompt-prefix", format!("aa:50,{part}:30,{index:x}:20"))
-                .body(index.to_string());
-            request
-                .send()
-                .await
-                .is_ok_and(|answer| answer.status() == 200)
+            is_served(&client, site, index, &format!("aa:50,{part}:30")).await
         };
-        let crashes = || site.models.iter().map(Worker::crashes).sum::<usize>();
         for index in 0..20 {
             prompt(2 * index, "bb").await;
             prompt(2 * index + 1, "dead").await;
             sleep(Duration::from_millis(300)).await;
         }
-        let before = crashes();
+        let before = crashes(site);
         assert!(before <= MAX_CRASHES + MAX_ATTEMPTS, "{before} crashes");
         let mut sound = 0;
         for index in 100..112 {
             sound += usize::from(prompt(index, "bb").await);
             prompt(index + 100, "dead").await;
         }
-        let late = crashes() - before;
+        let late = crashes(site) - before;
         assert!(late <= MAX_PROBES, "{late} more crashes");
         assert_eq!(sound, 12, "requests with the other parts are served");
         Ok(())
     }
 
+    /// Guards against a sound first part that is blocked in place of the poison part which came with it
+    /// in all requests before.
+    pub async fn a_sound_part_is_served_beside_a_poison_part_as_new(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        for worker in &site.models {
+            worker.set_poison("dead");
+        }
+        let client = Client::new();
+        for index in 0..6 {
+            is_served(&client, site, index, "aa:50,dead:30").await;
+            sleep(Duration::from_millis(300)).await;
+        }
+        let before = crashes(site);
+        assert!(before <= MAX_CRASHES + MAX_ATTEMPTS, "{before} crashes");
+        sleep(CONTACT * 2).await;
+        let (mut sound, mut others) = (0, 0);
+        for index in 100..120 {
+            sound += usize::from(is_served(&client, site, index, "aa:50,bb:30").await);
+            is_served(&client, site, index + 100, "aa:50,dead:30").await;
+            others += usize::from(is_served(&client, site, index + 200, "cc:50,bb:30").await);
+            is_served(&client, site, index + 300, "cc:50,dead:30").await;
+        }
+        assert!(others > 0, "the engines are back");
+        assert!(
+            sound * 2 >= others,
+            "{sound} served, {others} with other first parts"
+        );
+        let late = crashes(site) - before;
+        assert!(late <= MAX_LATE, "{late} more crashes");
+        Ok(())
+    }
+
     /// Guards against links that stay open though nothing arrives on them.
     pub async fn a_silent_link_is_closed_in_time(site: &mut Site) -> Result<(), Error> {
         let named = async || {
