End streams at their deadline while events come, or their caller reads nothing

Streams were open for as long as bytes came or their callers stayed: the deadline of a request was looked at only where the wait for the next event wasn't over at once. The wait for the caller, once 16 events were queued, had no limit at all.

Evidence: two tests tell the two apart, and both failed on the code before (the test target run there as it is here): a_stream_without_an_end_is_cut_in_time, whose callers read all that comes, had no end after 11 s; in a_stream_that_its_caller_does_not_read_is_cut_in_time the engine still sent after 5.5 s, with a route of 5 s.

Change: an event that comes after the deadline isn't passed on, and the wait for the caller ends at the deadline. The attempt counts as failed only if bytes still came (Failure::Unfinished).

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -47,6 +47,9 @@
     /// The response ended early.
     #[error("response truncated")]
     Truncated,
+    /// The response had no end by the deadline, though bytes of it still came.
+    #[error("response without an end in time")]
+    Unfinished,
     /// The backend server responded with an error status.
     #[error("failed with status {0}")]
     Status(u16),
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -1,6 +1,7 @@
 //! A request and the state of its forwarding.
 
 use super::headers::{number, remaining_time, strip_hop_by_hop, text};
+use crate::closer::Closer;
 use crate::memory::Charge;
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
@@ -88,6 +89,8 @@
     pub is_probe: bool,
     /// Id of the last event that the caller has received.
     pub last_event_id: Option<u64>,
+    /// Closes the connection of the caller.
+    pub closer: Closer,
 }
 
 impl Exchange {
@@ -100,6 +103,7 @@
         customer: Option<&Customer>,
     ) -> Self {
         let mut headers = parts.headers;
+        let closer = parts.extensions.get::<Closer>().cloned();
         let time = remaining_time(&headers).map_or(route.timeout, |left| left.min(route.timeout));
         let work = work(&headers, body.len());
         let session = text(&headers, header::SESSION).map(str::to_owned);
@@ -147,6 +151,7 @@
             may_have_run: false,
             is_probe: false,
             last_event_id,
+            closer: closer.unwrap_or_default(),
             route,
         }
     }
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -20,6 +20,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::mpsc;
+use tokio::time::timeout_at;
 
 /// Events that are buffered for a caller that reads slowly.
 const MAX_BUFFERED_EVENTS: usize = 16;
@@ -231,14 +232,29 @@
     let mut item = Item::Event(first);
     loop {
         match item {
+            // The wait for an event doesn't end while events are always there.
+            Item::Event(_) if Instant::now() >= exchange.deadline => {
+                source.attempt.fail(&exchange, &Failure::Unfinished);
+                drop(source);
+                return cut(&exchange, events).await;
+            }
             Item::Event(event) => {
                 source.attempt.record_event();
                 let duplicate = event.id.is_some() && event.id <= exchange.last_event_id;
                 if event.id.is_some() && !duplicate {
                     exchange.last_event_id = event.id;
                 }
-                if !duplicate && events.send(Ok(event.bytes)).await.is_err() {
-                    return log_disconnect(&exchange);
+                if !duplicate {
+                    let sending = events.send(Ok(event.bytes));
+                    match timeout_at(exchange.deadline.into(), sending).await {
+                        Ok(Ok(())) => (),
+                        Ok(Err(_)) => return log_disconnect(&exchange),
+                        Err(_) => {
+                            // The caller reads too slowly, which says nothing of the backend server.
+                            drop(source);
+                            return cut(&exchange, events).await;
+                        }
+                    }
                 }
             }
             Item::End => {
@@ -257,9 +273,7 @@
                 };
                 let Some(resumed) = resumed else {
                     log::warn!(event = 1743, request = exchange.log_id(), sends = exchange.attempts; "stream aborted: can't be resumed");
-                    // Sending fails only if the caller has disconnected.
-                    let _ = events.send(Err(Truncated)).await;
-                    return;
+                    return truncate(&exchange, events).await;
                 };
                 source = resumed;
             }
@@ -272,6 +286,24 @@
     }
 }
 
+/// Ends a stream at the deadline of its request.
+async fn cut(exchange: &Exchange, events: mpsc::Sender<Result<Bytes, Truncated>>) {
+    log::warn!(event = 1768, request = exchange.log_id(), sends = exchange.attempts,
+        last_event = exchange.last_event_id.unwrap_or(0); "stream cut: it has no end by its deadline");
+    truncate(exchange, events).await;
+}
+
+/// Ends a stream so that its caller notices that it is incomplete. The events are dropped only with their
+/// receiver, since the body would look complete otherwise.
+async fn truncate(exchange: &Exchange, events: mpsc::Sender<Result<Bytes, Truncated>>) {
+    let ending = async {
+        // Sending fails only if the caller has disconnected.
+        let _ = events.send(Err(Truncated)).await;
+        events.closed().await;
+    };
+    exchange.closer.close_after(ending).await;
+}
+
 fn log_disconnect(exchange: &Exchange) {
     log::info!(event = 1744, request = exchange.log_id(), last_event = exchange.last_event_id.unwrap_or(0); "caller disconnected");
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 mod backoff;
 mod bind;
 mod body;
+mod closer;
 mod directory;
 mod error;
 mod explain;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -4,6 +4,7 @@
 use crate::app::App;
 use crate::bind::bind;
 use crate::body::Body;
+use crate::closer::Closer;
 use crate::shutdown::{Phase, Shutdown};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -75,8 +76,10 @@
     }
     let limits = app.state().routes.config().limits.clone();
     let in_use = OnceLock::new();
+    let closer = Closer::default();
     let service = service_fn(|mut request: Request<Incoming>| {
         request.extensions_mut().insert(peer);
+        request.extensions_mut().insert(closer.clone());
         in_use.get_or_init(|| app.connections.track());
         let response = serve(Arc::clone(&app), request);
         async move { Ok::<_, Infallible>(response.await) }
@@ -91,12 +94,21 @@
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let serving = async {
+        tokio::select! {
+            result = connection.as_mut() => result,
+            () = shutdown.wait(Phase::LameDuck), if !lame_duck => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        }
+    };
     let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = shutdown.wait(Phase::LameDuck), if !lame_duck => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        biased;
+        () = closer.requested() => {
+            return log::info!(event = 1769; "connection closed: its caller doesn't read a response that is cut");
         }
+        result = serving => result,
     };
     if let Err(error) = result {
         log::debug!(event = 1708; "connection ended: {error}");
--- a/crates/standin/src/site/fault.rs
+++ b/crates/standin/src/site/fault.rs
@@ -65,6 +65,8 @@
     EndlessHead,
     /// The body of its answer has no end; that of a stream holds no event.
     EndlessBody,
+    /// It sends a stream of empty lines without an end, as fast as they are read.
+    Unending,
     /// It answers well with a body of this many bytes.
     Large(usize),
     /// It announces an answer of so many bytes and ends after so many.
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -219,6 +219,12 @@
     if fault == WorkerFault::EndlessBody {
         endless_body(stream).await?;
     }
+    if fault == WorkerFault::Unending {
+        let lines = "\n".repeat(EMPTY_LINES);
+        loop {
+            chunk(stream, &lines).await?;
+        }
+    }
     let done: u64 = request.header("last-event-id").parse().unwrap_or(0);
     for number in done + 1..=count {
         match fault {
@@ -253,6 +259,9 @@
     stream.write_all(bytes.as_bytes()).await
 }
 
+/// Empty lines that are sent at once.
+const EMPTY_LINES: usize = 64 << 10;
+
 /// Bytes of one line of an endless head, and of one chunk of an endless body.
 const ENDLESS_BYTES: usize = 1 << 10;
 
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -14,6 +14,8 @@
 use standin::site::{self, Run, Settings, Site, StoreFault, Worker, WorkerFault};
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::process::Command;
 use tokio::time::{sleep, timeout};
 
@@ -85,6 +87,8 @@
     large_answers_reach_all_callers_that_read_slowly(Settings { desks: 5, ..plain() })
     callers_that_read_nothing_leave_room_for_others(Settings { desks: 5, ..plain() })
     large_answers_that_break_off_never_look_complete(Settings { desks: 5, ..plain() })
+    a_stream_without_an_end_is_cut_in_time(models())
+    a_stream_that_its_caller_does_not_read_is_cut_in_time(models())
     a_failed_stream_whose_body_has_no_end_is_answered_in_time(models())
     a_failed_answer_whose_body_has_no_end_is_answered_in_time(plain())
     a_broken_stream_goes_on_elsewhere(models())
@@ -213,6 +217,10 @@
 /// Bytes by which a node may grow while it reads answers without an end: a quarter of the smallest VM.
 const ENDLESS_MEMORY: i64 = 22 << 20;
 
+/// Time within which a request has its final answer: its route's time-out and half a second, as the rules
+/// say.
+const FINAL_TIME: Duration = Duration::from_millis(5500);
+
 /// Memory of the process that the settings file of the stand-in names.
 const MEMORY: i64 = 110 << 20;
 
@@ -721,6 +729,78 @@
         Ok(())
     }
 
+    /// Opens a stream over a connection of its own, whose caller takes bytes as they are.
+    async fn open_stream(site: &Site) -> Result<TcpStream, Error> {
+        let mut connection = TcpStream::connect(site.nodes[0].requests()).await?;
+        let request = "POST /stream/a HTTP/1.1\r\nhost: shop.example\r\nrequest-id: r\r\n\
+            deadline-ms: 20000\r\nkey: key-1\r\naccept: text/event-stream\r\nmodel: *\r\n\
+            token-count: 100,50\r\nprompt-prefix: aa:50,bb:50\r\ncontent-length: 0\r\n\r\n";
+        connection.write_all(request.as_bytes()).await?;
+        Ok(connection)
+    }
+
+    /// Reads to the end of a connection; returns whether the last answer looks complete.
+    async fn looks_complete(mut connection: TcpStream) -> bool {
+        const END: &[u8] = b"0\r\n\r\n";
+        let mut tail = Vec::new();
+        let mut buffer = vec![0; 64 << 10];
+        while let Ok(length @ 1..) = connection.read(&mut buffer).await {
+            tail.extend_from_slice(&buffer[..length]);
+            tail.drain(..tail.len().saturating_sub(END.len()));
+        }
+        tail == END
+    }
+
+    /// Guards against streams that go on past their route's time for as long as bytes come.
+    pub async fn a_stream_without_an_end_is_cut_in_time(site: &mut Site) -> Result<(), Error> {
+        let unending = WorkerFault::Unending;
+        site.models
+            .iter()
+            .for_each(|model| model.set_fault(unending));
+        let reading = (0..8).map(|_| async {
+            let begun = Instant::now();
+            let connection = open_stream(site).await.expect("the node listens");
+            let complete = timeout(FINAL_TIME * 2, looks_complete(connection)).await;
+            (complete.ok(), begun.elapsed())
+        });
+        for (complete, took) in futures::future::join_all(reading).await {
+            assert_eq!(complete, Some(false), "it has an end, or looks complete");
+            assert!(took < FINAL_TIME, "{took:?}");
+        }
+        Ok(())
+    }
+
+    /// Guards against a stream that holds its engine and its connection for as long as its caller reads
+    /// nothing.
+    pub async fn a_stream_that_its_caller_does_not_read_is_cut_in_time(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let unending = WorkerFault::Unending;
+        site.models
+            .iter()
+            .for_each(|model| model.set_fault(unending));
+        let begun = Instant::now();
+        let unread = open_stream(site).await?;
+        let runs_to = |cut: bool| {
+            let runs = runs(&site.models);
+            !runs.is_empty() && runs.iter().all(|run| run.cut == cut)
+        };
+        assert!(within(FINAL_TIME, || async { runs_to(false) }).await);
+        let left = FINAL_TIME.saturating_sub(begun.elapsed());
+        assert!(
+            within(left, || async { runs_to(true) }).await,
+            "an engine still sends"
+        );
+        sleep(FINAL_TIME.saturating_sub(begun.elapsed())).await;
+        let complete = timeout(DRIP_TIME, looks_complete(unread)).await;
+        assert_eq!(
+            complete.ok(),
+            Some(false),
+            "it has an end, or looks complete"
+        );
+        Ok(())
+    }
+
     /// Faults of servers whose failures have a body without an end.
     const ENDLESS_FAILURES: [WorkerFault; 4] = [
         WorkerFault::FailDrip(500),
