End streams of chat completions at the deadline of their task

The time between two chunks was bounded, and the time of a stream whose first chunk had arrived was not, though `deadline_ms` is the longest time for an answer.

Change: a stream that has no end by its deadline ends with an error event (code `deadline`) and without [DONE], and its run is ended, also while chunks are always there.

Before: stream_ends_at_the_deadline_of_its_task failed: 4.0 s with a deadline of 1 s. After: it passes. The test fleet has one more task, `quick`; the test that lists all models and tasks names it.

Conclusion: a caller there that reads nothing is not covered; nothing shows that it holds its engine.

--- a/crates/node/src/dispatch/stream.rs
+++ b/crates/node/src/dispatch/stream.rs
@@ -16,6 +16,8 @@
 use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::fmt;
+use std::time::Instant;
+use tokio::time::timeout_at;
 
 /// Last event of every complete stream.
 const DONE: &[u8] = b"data: [DONE]\n\n";
@@ -122,14 +124,19 @@
             let Some(run) = &mut self.run else {
                 return Some(self.finish().await);
             };
-            match run.rest.next().await {
-                Some(Ok(chunk)) => self.buffered.push_back(chunk),
-                Some(Err(source)) => return Some(self.fail(source)),
-                None => {
+            let deadline = self.job.deadline();
+            let chunk = timeout_at(deadline.into(), run.rest.next()).await;
+            match chunk {
+                // The wait for a chunk doesn't end while chunks are always there.
+                Ok(Some(Ok(_))) if Instant::now() >= deadline => return Some(self.expire()),
+                Ok(Some(Ok(chunk))) => self.buffered.push_back(chunk),
+                Ok(Some(Err(source))) => return Some(self.fail(source)),
+                Ok(None) => {
                     if let Some(assignment) = self.close_run() {
                         assignment.complete();
                     }
                 }
+                Err(_) => return Some(self.expire()),
             }
         }
     }
@@ -183,6 +190,17 @@
         data(Failure(error).json().as_bytes())
     }
 
+    /// Ends the stream at the deadline of its request, and its run with it.
+    fn expire(&mut self) -> Bytes {
+        self.ended = true;
+        drop(self.close_run());
+        let error = Error::Deadline {
+            limit: self.job.limit,
+            ran: Ran::Yes,
+        };
+        data(Failure(error).json().as_bytes())
+    }
+
     fn stage(&self) -> Stage<'_> {
         Stage {
             job: &self.job,
--- a/crates/standin/src/fleet/config.rs
+++ b/crates/standin/src/fleet/config.rs
@@ -61,7 +61,12 @@
         max_tokens: 64,
         quality,
     };
-    let tasks = [("tag", task(0.6)), ("draft", task(0.9))];
+    let quick = Task {
+        cascade: false,
+        deadline_ms: 1_000,
+        ..task(0.6)
+    };
+    let tasks = [("tag", task(0.6)), ("draft", task(0.9)), ("quick", quick)];
     Contract {
         customer: name.to_owned(),
         keys: vec![Key::new("k1", &format!("{name}-key"))],
--- a/crates/standin/tests/callers.rs
+++ b/crates/standin/tests/callers.rs
@@ -6,7 +6,7 @@
 use standin::fleet::{Fleet, Settings};
 use standin::launch::EngineSpec;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -15,6 +15,10 @@
 const BODY_LIMIT: usize = 65_536;
 const SLOW_LIMIT_MS: u64 = 700;
 const TEST_LIMIT: Duration = Duration::from_secs(60);
+/// Deadline of the task `quick`.
+const DEADLINE: Duration = Duration::from_secs(1);
+/// Time after a deadline within which its request ends.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
 /// Pause between two requests on a connection.
 const REQUEST_PAUSE: Duration = Duration::from_millis(20);
 /// Start of a body. The HTTP library itself waits for the first 14 bytes, without a limit.
@@ -42,6 +46,7 @@
     whole_answer_has_the_openai_shape,
     streamed_answer_ends_in_done,
     stream_with_usage_ends_in_counts,
+    stream_ends_at_the_deadline_of_its_task,
     malformed_bodies_are_refused,
     unknown_model_is_refused,
     forbidden_version_is_refused,
@@ -191,6 +196,23 @@
         Ok(())
     }
 
+    /// Guards against streams that go on past the deadline of their task for as long as tokens come.
+    pub async fn stream_ends_at_the_deadline_of_its_task(fleet: &mut Fleet) -> Result<(), Error> {
+        // An answer takes several seconds, and each token comes in time.
+        let engines = fleet.backends.iter();
+        let engines = engines.filter_map(|backend| backend.engine.as_ref());
+        engines.for_each(|engine| engine.order(Order::Slow(50.0)));
+        let begun = Instant::now();
+        let request = chat(fleet, ask("quick", json!({ "stream": true })));
+        let text = request.send().await?.text().await?;
+        let took = begun.elapsed();
+        assert!(text.contains("data: {\"choices\""), "it began: {text}");
+        assert!(took < DEADLINE + DEADLINE_MARGIN, "{took:?}: {text}");
+        assert!(text.contains("\"code\":\"deadline\""), "{text}");
+        assert!(!text.contains("[DONE]"), "it looks complete: {text}");
+        Ok(())
+    }
+
     pub async fn malformed_bodies_are_refused(fleet: &mut Fleet) -> Result<(), Error> {
         let bodies = [
             "",
@@ -318,7 +340,9 @@
             .collect();
         assert_eq!(
             ids,
-            ["draft", "tag", "large", "large@1", "small", "small@1"]
+            [
+                "draft", "quick", "tag", "large", "large@1", "small", "small@1"
+            ]
         );
         Ok(())
     }
