Take an answer for broken off that ends before its request is written

A server answers a long upload at once with a 200 that has no length, sends a part and ends its side of the connection before it resets it. The HTTP library takes the end of the connection for the end of such an answer, whatever has become of the request, and callers got the part as a whole answer.

Ruled out: that a reset is taken for an end. A reset alone never was.

Change: the socket of a request counts what is written of it. An end of the connection before the whole request is written, or one that a reset has already followed, is an error to all who read the answer.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod pause;
 mod run;
 mod shutdown;
+mod socket;
 mod status;
 pub mod supervise;
 mod upstream;
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -4,10 +4,11 @@
 //! request is being sent, which leaves it unknown whether the request ran. A new connection has
 //! none of these problems, and opening it costs a backend server about a millisecond.
 
+use crate::socket::Socket;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1;
 use hyper::http::response::Parts;
 use hyper_util::rt::TokioIo;
@@ -66,9 +67,11 @@
 /// Sends a request and waits for the head of the response.
 pub async fn send(address: SocketAddrV4, request: Request<Full<Bytes>>) -> Result<Response, Error> {
     let stream = connect(address).await.map_err(Error::NotSent)?;
+    let body_bytes = request.body().size_hint().lower() as usize;
+    let socket = Socket::new(stream, body_bytes).map_err(Error::NotSent)?;
     let (mut sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(socket))
         .await
         .map_err(|error| Error::NotSent(io::Error::other(error)))?;
     let connection = Connection(tokio::spawn(async move {
--- a/crates/standin/src/site/fault.rs
+++ b/crates/standin/src/site/fault.rs
@@ -61,6 +61,14 @@
     Drip(u64),
     /// It runs the request, sends this many bytes of its answer's head and closes the connection.
     CutHead(usize),
+    /// It answers well, without a length: the answer ends with the connection.
+    NoLength,
+    /// It answers well, with this status.
+    Status(u16),
+    /// It answers before it has read more than these bytes of the request's body, without a length, and
+    /// sends a part of the answer. Then it ends its side of the connection and resets the connection after
+    /// this time, or it resets the connection without that.
+    EarlyEnd(usize, Option<Duration>),
     /// The head of its answer has no end.
     EndlessHead,
     /// The body of its answer has no end; that of a stream holds no event.
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -85,6 +85,17 @@
             open_chunked(stream, 200, &headers).await?;
             endless_body(stream).await?;
         }
+        WorkerFault::EarlyEnd(_, pause) => early_end(stream, &headers, pause).await?,
+        WorkerFault::NoLength => {
+            let mut bytes = head(200, &headers);
+            bytes.extend_from_slice(b"\r\n");
+            bytes.extend_from_slice(body.as_bytes());
+            stream.write_all(&bytes).await?;
+        }
+        WorkerFault::Status(status) => {
+            answer(stream, status, &headers, body.as_bytes()).await?;
+            return Ok(true);
+        }
         WorkerFault::Unending => {
             open_chunked(stream, 200, &headers).await?;
             let block = "x".repeat(PACED_BYTES);
@@ -221,6 +232,24 @@
         return std::future::pending().await;
     }
     let seal = format!("seal.{}", shared.id);
+    if let WorkerFault::EarlyEnd(_, pause) = fault {
+        let id = request.header("request-id");
+        early_end(
+            stream,
+            &[
+                ("request-id", id),
+                ("response-seal", &seal),
+                ("content-type", "text/event-stream"),
+            ],
+            pause,
+        )
+        .await?;
+        return Ok(false);
+    }
+    let status = match fault {
+        WorkerFault::Status(status) => status,
+        _ => 200,
+    };
     let mut headers = vec![
         ("request-id", request.header("request-id")),
         ("response-seal", &seal),
@@ -231,7 +260,7 @@
     if fault == WorkerFault::Leaving {
         headers.push(("server-leaving", "1"));
     }
-    let mut bytes = head(200, &headers);
+    let mut bytes = head(status, &headers);
     bytes.extend_from_slice(b"\r\n");
     stream.write_all(&bytes).await?;
     if fault == WorkerFault::EndlessBody {
@@ -261,6 +290,26 @@
     Ok(true)
 }
 
+/// Part of an answer: whole events, where it is a stream.
+const PART_OF_ANSWER: &str = "id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\n";
+
+/// Sends a part of an answer without a length, and breaks off.
+async fn early_end(
+    stream: &mut TcpStream,
+    headers: &[(&str, &str)],
+    pause: Option<Duration>,
+) -> io::Result<()> {
+    let mut bytes = head(200, headers);
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(PART_OF_ANSWER.as_bytes());
+    stream.write_all(&bytes).await?;
+    if let Some(pause) = pause {
+        stream.shutdown().await?;
+        sleep(pause).await;
+    }
+    reset(stream)
+}
+
 /// Sends the head of an answer whose body comes in chunks.
 async fn open_chunked(
     stream: &mut TcpStream,
--- a/crates/standin/src/site/wire.rs
+++ b/crates/standin/src/site/wire.rs
@@ -62,8 +62,8 @@
     String::from_utf8_lossy(&out).into_owned()
 }
 
-/// Reads a request; none when the other side has closed.
-pub async fn read(stream: &mut TcpStream) -> io::Result<Option<Request>> {
+/// Reads the head of a request and what has come of its body; none when the other side has closed.
+pub async fn read_head(stream: &mut TcpStream) -> io::Result<Option<Request>> {
     let mut bytes = Vec::new();
     let head = loop {
         if let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
@@ -88,14 +88,32 @@
         let name = name.to_ascii_lowercase();
         request.headers.insert(name, value.trim().to_owned());
     }
+    request.body = bytes.split_off(head + 4);
+    Ok(Some(request))
+}
+
+/// Reads the rest of a request's body, up to a number of bytes.
+pub async fn read_body(
+    stream: &mut TcpStream,
+    request: &mut Request,
+    most: usize,
+) -> io::Result<()> {
     let length: usize = request.header("content-length").parse().unwrap_or(0);
-    let mut body = bytes.split_off(head + 4);
-    while body.len() < length {
-        if stream.read_buf(&mut body).await? == 0 {
+    let length = length.min(most);
+    while request.body.len() < length {
+        if stream.read_buf(&mut request.body).await? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
-    request.body = body;
+    Ok(())
+}
+
+/// Reads a request; none when the other side has closed.
+pub async fn read(stream: &mut TcpStream) -> io::Result<Option<Request>> {
+    let Some(mut request) = read_head(stream).await? else {
+        return Ok(None);
+    };
+    read_body(stream, &mut request, usize::MAX).await?;
     Ok(Some(request))
 }
 
@@ -114,7 +132,7 @@
 
 /// The head of an answer without its last line.
 pub fn head(status: u16, headers: &[(&str, &str)]) -> Vec<u8> {
-    let mut text = format!("HTTP/1.1 {status} Status\r\n");
+    let mut text = format!("HTTP/1.1 {status:03} Status\r\n");
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -2,7 +2,7 @@
 
 use super::fault::WorkerFault;
 use super::plain;
-use super::wire::{Request, read};
+use super::wire::{Request, read_body, read_head};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -194,7 +194,12 @@
 }
 
 async fn connection(mut stream: TcpStream, shared: &Shared) -> std::io::Result<()> {
-    while let Some(request) = read(&mut stream).await? {
+    while let Some(mut request) = read_head(&mut stream).await? {
+        let most = match shared.state().fault {
+            WorkerFault::EarlyEnd(bytes, _) => bytes,
+            _ => usize::MAX,
+        };
+        read_body(&mut stream, &mut request, most).await?;
         if !plain::run(&mut stream, shared, request).await? {
             return Ok(());
         }
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -79,6 +79,8 @@
         ..plain()
     })
     a_mixed_answer_is_never_passed_on(plain())
+    an_answer_that_ends_during_the_upload_never_looks_complete(many())
+    an_answer_without_a_length_to_a_long_upload_is_complete(plain())
     an_answer_without_an_end_is_left(plain())
     an_answer_whose_head_is_cut_is_left(Settings { models: 3, ..plain() })
     a_stream_without_events_is_left(models())
@@ -169,6 +171,15 @@
     }
 }
 
+/// So many backend servers that some aren't in quarantine while others fail.
+fn many() -> Settings {
+    Settings {
+        desks: 8,
+        models: 8,
+        ..Settings::default()
+    }
+}
+
 fn one_model() -> Settings {
     Settings {
         desks: 0,
@@ -231,6 +242,9 @@
 /// say.
 const FINAL_TIME: Duration = Duration::from_millis(5500);
 
+/// Bytes of a long upload, more than the system buffers for a server that doesn't read it.
+const UPLOAD: usize = 3 << 20;
+
 /// Memory of the process that the settings file of the stand-in names.
 const MEMORY: i64 = 110 << 20;
 
@@ -492,6 +506,89 @@
         Ok(())
     }
 
+    /// Sets a fault of all backend servers and sends requests with a body to a path until some have run,
+    /// which takes a while after a quarantine. Returns the statuses, and the texts of complete answers.
+    async fn ask_until_run(
+        site: &Site,
+        fault: WorkerFault,
+        path: &str,
+        body: &[u8],
+    ) -> Result<Vec<(u16, Option<String>)>, Error> {
+        const RUNS: usize = 2;
+        let client = Client::new();
+        let workers = site.desks.iter().chain(&site.models);
+        workers.for_each(|worker| worker.set_fault(fault));
+        let count = || runs(&site.desks).len() + runs(&site.models).len();
+        let (ran, begun) = (count(), Instant::now());
+        let mut answers = Vec::new();
+        while count() < ran + RUNS && begun.elapsed() < QUARANTINE {
+            let request = match path {
+                "/stream/a" => stream(&client, site, 0, "s"),
+                _ => request(&client, site, 0, path),
+            };
+            let answer = request.body(body.to_vec()).send().await?;
+            let status = answer.status().as_u16();
+            answers.push((status, answer.text().await.ok()));
+        }
+        assert!(count() > ran, "{path}: {fault:?} was not met");
+        Ok(answers)
+    }
+
+    /// Routes that may not and may be repeated, and one with streams.
+    const PATHS: [&str; 3] = ["/once/a", "/again/a", "/stream/a"];
+
+    /// Guards against a part of an answer that passes for the whole since its server, which has not read
+    /// the request, ends the connection before it resets it.
+    pub async fn an_answer_that_ends_during_the_upload_never_looks_complete(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        allow_uploads(site).await;
+        let at_once = Some(Duration::ZERO);
+        let later = Some(Duration::from_millis(100));
+        let cases = [
+            (UPLOAD, 0, None),
+            (UPLOAD, 0, later),
+            (UPLOAD / 6, 0, at_once),
+            (UPLOAD, UPLOAD / 6, at_once),
+        ];
+        for (size, read, pause) in cases {
+            let upload = vec![b'x'; size];
+            for path in PATHS {
+                let fault = WorkerFault::EarlyEnd(read, pause);
+                for (status, text) in ask_until_run(site, fault, path, &upload).await? {
+                    let is_complete = (200..300).contains(&status) && text.is_some();
+                    assert!(!is_complete, "{path}, {size} bytes, {fault:?}: {text:?}");
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Allows long uploads.
+    async fn allow_uploads(site: &Site) {
+        let mut config = site::config(2);
+        config["limits"]["maxBodyBytes"] = json!(UPLOAD);
+        site.store.put("op", "config", Some(&config));
+        sleep(APPLY).await;
+    }
+
+    /// Guards against a sound answer that is given up since it ends with its connection.
+    pub async fn an_answer_without_a_length_to_a_long_upload_is_complete(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        allow_uploads(site).await;
+        for path in ["/once/a", "/again/a"] {
+            for (status, text) in
+                ask_until_run(site, WorkerFault::NoLength, path, &vec![b'x'; UPLOAD]).await?
+            {
+                assert_eq!(status, 200, "{path}");
+                let text = text.expect("a complete answer");
+                assert!(text.starts_with("answer of"), "{path}: {text}");
+            }
+        }
+        Ok(())
+    }
+
     pub async fn an_answer_without_an_end_is_left(site: &mut Site) -> Result<(), Error> {
         for fault in [WorkerFault::EndlessHead, WorkerFault::EndlessBody] {
             site.desks[0].set_fault(fault);
