Take a response for invalid whose status HTTP doesn't know

The HTTP library refuses the status 000 (and 020, 099, 1000: 502 to the caller), but takes all numbers of three digits from 100 on. The status was not checked after it, in both interfaces.

Change: a final response has a status from 200 to 599. Any other one is invalid: the request may have run.

--- a/crates/backend/src/service/client.rs
+++ b/crates/backend/src/service/client.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
+/// Statuses of final responses. The HTTP library passes on all numbers of three digits.
+const VALID_STATUSES: std::ops::Range<u16> = 200..600;
+
 /// Client of plain services.
 #[derive(Clone, Copy, Debug)]
 pub struct Service<'a> {
@@ -58,6 +61,9 @@
         if status == 503 || status == 429 {
             return Err(Error::Refused { status });
         }
+        if !VALID_STATUSES.contains(&status) {
+            return Err(Error::Failed { status });
+        }
         let content_type = response
             .headers()
             .get("content-type")
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -20,6 +20,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Statuses of final responses. The HTTP library passes on all numbers of three digits, and a switch of
+/// protocols that nobody has asked for.
+const VALID_STATUSES: std::ops::Range<u16> = 200..600;
+
 /// Events after which the pace of a stream is measured.
 const PACE_EVENTS: u32 = 3;
 
@@ -38,7 +42,7 @@
     /// The backend server reports that it hasn't run the request.
     #[error("not run, status {0}")]
     NotRun(u16),
-    /// The response belongs to another request, is unsigned or is encoded.
+    /// The response belongs to another request, is unsigned or encoded, or its status is none of a response.
     #[error("invalid response, status {0}")]
     InvalidResponse(u16),
     /// The response is larger than the limit, or than the memory that is left.
@@ -390,6 +394,10 @@
         let echo = headers.get(header::ATTEMPT);
         echo.is_none_or(|echo| echo == id)
     });
+    if !VALID_STATUSES.contains(&status.as_u16()) {
+        attempt.fail(exchange, &Failure::InvalidResponse(status.as_u16()));
+        return Delivery::Unknown;
+    }
     let not_run =
         status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_EXECUTED);
     if id_matches {
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -81,6 +81,7 @@
     a_mixed_answer_is_never_passed_on(plain())
     an_answer_that_ends_during_the_upload_never_looks_complete(many())
     an_answer_without_a_length_to_a_long_upload_is_complete(plain())
+    an_answer_with_an_invalid_status_is_never_passed_on(many())
     an_answer_without_an_end_is_left(plain())
     an_answer_whose_head_is_cut_is_left(Settings { models: 3, ..plain() })
     a_stream_without_events_is_left(models())
@@ -589,6 +590,24 @@
         Ok(())
     }
 
+    /// Guards against an answer whose status is none that HTTP knows.
+    pub async fn an_answer_with_an_invalid_status_is_never_passed_on(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        for status in [0, 20, 99, 101, 600, 999, 1000] {
+            for path in PATHS {
+                let fault = WorkerFault::Status(status);
+                for (answer, _) in ask_until_run(site, fault, path, b"a body").await? {
+                    assert!(
+                        matches!(answer, 502..=504),
+                        "{path}: {status} is answered with {answer}"
+                    );
+                }
+            }
+        }
+        Ok(())
+    }
+
     pub async fn an_answer_without_an_end_is_left(site: &mut Site) -> Result<(), Error> {
         for fault in [WorkerFault::EndlessHead, WorkerFault::EndlessBody] {
             site.desks[0].set_fault(fault);
