Give up responses without a length to long requests of plain services

Ruled out: counting what is written, as the entry nodes do: the HTTP library of this interface doesn't show its socket.

Change: a response to a request of over 64 KiB needs a length or chunks; otherwise the request counts as one that may have run. Responses to shorter ones may end with their connection, as before, and refusals are read as before.

Before: an_early_end_during_an_upload_is_no_answer failed: 200 with the part. After: it passes, as does an_answer_without_a_length_to_a_short_request_is_complete.

--- a/crates/backend/src/error.rs
+++ b/crates/backend/src/error.rs
@@ -47,6 +47,10 @@
     /// The stream ended before the response was complete.
     #[error("stream ended early")]
     Truncated,
+    /// The response to a long request has neither a length nor chunks, so its end doesn't tell whether the
+    /// backend server got the whole request.
+    #[error("the response to a long request has no length")]
+    Unframed,
     /// Nothing was received within the time limit.
     #[error("silent for {0:?}")]
     TimedOut(Duration),
@@ -73,9 +77,11 @@
         match self {
             Self::Connect(_) | Self::Refused { .. } | Self::Rejected { .. } => Ran::No,
             Self::Malformed(_) | Self::Oversized { .. } => Ran::Yes,
-            Self::Failed { .. } | Self::ConnectionLost(_) | Self::Truncated | Self::TimedOut(_) => {
-                Ran::Unknown
-            }
+            Self::Failed { .. }
+            | Self::ConnectionLost(_)
+            | Self::Truncated
+            | Self::TimedOut(_)
+            | Self::Unframed => Ran::Unknown,
         }
     }
 
--- a/crates/backend/src/service/client.rs
+++ b/crates/backend/src/service/client.rs
@@ -8,6 +8,10 @@
 /// Statuses of final responses. The HTTP library passes on all numbers of three digits.
 const VALID_STATUSES: std::ops::Range<u16> = 200..600;
 
+/// Largest request, in bytes, whose response may end with its connection. Of a longer one the service may
+/// have got a part when it ends the connection, which the HTTP library doesn't tell.
+const MAX_UNFRAMED_REQUEST_BYTES: usize = 64 << 10;
+
 /// Client of plain services.
 #[derive(Clone, Copy, Debug)]
 pub struct Service<'a> {
@@ -38,6 +42,7 @@
     }
 
     async fn send(&self, backend: &str, call: Call) -> Result<Reply, Error> {
+        let is_long = call.body.len() > MAX_UNFRAMED_REQUEST_BYTES;
         let method = reqwest::Method::from_bytes(call.method.as_bytes()).unwrap_or_default();
         let mut request = self
             .pool
@@ -53,10 +58,14 @@
             request = request.header("idempotency-key", key);
         }
         let response = request.send().await.map_err(Error::from_send)?;
-        self.read_reply(response).await
+        self.read_reply(response, is_long).await
     }
 
-    async fn read_reply(&self, mut response: reqwest::Response) -> Result<Reply, Error> {
+    async fn read_reply(
+        &self,
+        mut response: reqwest::Response,
+        is_long: bool,
+    ) -> Result<Reply, Error> {
         let status = response.status().as_u16();
         if status == 503 || status == 429 {
             return Err(Error::Refused { status });
@@ -64,6 +73,11 @@
         if !VALID_STATUSES.contains(&status) {
             return Err(Error::Failed { status });
         }
+        let is_framed = response.content_length().is_some()
+            || response.headers().contains_key("transfer-encoding");
+        if is_long && !is_framed {
+            return Err(Error::Unframed);
+        }
         let content_type = response
             .headers()
             .get("content-type")
--- a/crates/node/src/dispatch/assignment.rs
+++ b/crates/node/src/dispatch/assignment.rs
@@ -72,6 +72,6 @@
         Error::Refused { .. } => Outcome::Refused,
         Error::TimedOut(_) => Outcome::Stalled,
         Error::Failed { .. } | Error::Malformed(_) => Outcome::Failed,
-        Error::Rejected { .. } | Error::Oversized { .. } => Outcome::Cancelled,
+        Error::Rejected { .. } | Error::Oversized { .. } | Error::Unframed => Outcome::Cancelled,
     }
 }
