Resume streams that were sent as a probe once their answer has begun

Cause: a request that is sent as a probe or a trial is sent once. That held for the whole stream, so a sound one whose engine broke off later was cut, and no larger model was asked. Trials made it more likely to be met: they are sound requests that come before it is known which part crashes engines.

Change: once the answer has begun, which shows that the parts are sound, the request is sent again like any other.

Before: a_trial_that_has_begun_is_resumed failed: the connection ended inside the stream. After: it passes, three times.

--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -85,7 +85,8 @@
     pub retry_granted: bool,
     /// Whether a backend server may have run the request.
     pub may_have_run: bool,
-    /// Whether the request finds out if a part of its prompt crashes backend servers: it is sent once.
+    /// Whether the request finds out if a part of its prompt crashes backend servers: it is sent once, as
+    /// long as its answer hasn't begun.
     pub is_probe: bool,
     /// Id of the last event that the caller has received.
     pub last_event_id: Option<u64>,
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -173,6 +173,8 @@
         if let Item::Event(_) = item {
             app.state()
                 .record_answer_begin(Instant::now(), &exchange.work);
+            // The outcome of a probe is known, so the request may be sent again like any other.
+            exchange.is_probe = false;
         }
         match item {
             Item::Event(event) => match escalate(app, exchange, &source.response.head.headers) {
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -119,6 +119,7 @@
     a_limit_that_makes_no_sense_is_left_out(plain())
     a_pause_that_makes_no_sense_is_left_out(plain())
     requests_with_a_poison_part_are_stopped(Settings { nodes: 3, models: 6, ..models() })
+    a_trial_that_has_begun_is_resumed(Settings { nodes: 3, models: 6, ..models() })
     a_sound_part_is_served_beside_a_poison_part_as_new(Settings { nodes: 3, models: 6, ..models() })
     a_silent_link_is_closed_in_time(three_nodes())
     a_change_passes_store_connections_that_fell_silent(three_nodes())
@@ -1509,16 +1510,19 @@
         Ok(())
     }
 
-    /// Sends a request with these prompt parts and one of its own to one of three nodes by turns;
-    /// returns whether it is served.
-    async fn is_served(client: &Client, site: &Site, index: usize, parts: &str) -> bool {
-        let request = request(client, site, index % 3, "/stream/a")
+    /// A request with these prompt parts and one of its own to one of three nodes by turns.
+    fn prompt(client: &Client, site: &Site, index: usize, parts: &str) -> reqwest::RequestBuilder {
+        request(client, site, index % 3, "/stream/a")
             .header("accept", "text/event-stream")
             .header("model", "small")
             .header("token-count", "100,50")
             .header("prompt-prefix", format!("{parts},{index:x}:20"))
-            .body(index.to_string());
-        let answer = request.send().await;
+            .body(index.to_string())
+    }
+
+    /// Sends such a request; returns whether it is served.
+    async fn is_served(client: &Client, site: &Site, index: usize, parts: &str) -> bool {
+        let answer = prompt(client, site, index, parts).send().await;
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
@@ -1555,22 +1559,50 @@
         Ok(())
     }
 
-    /// Guards against a sound first part that is blocked in place of the poison part which came with it
-    /// in all requests before.
-    pub async fn a_sound_part_is_served_beside_a_poison_part_as_new(
-        site: &mut Site,
-    ) -> Result<(), Error> {
+    /// Crashes engines with a part that comes together with a sound one, neither of which was answered
+    /// before, and waits until the engines are back. Returns the number of crashes.
+    async fn crash_with_new_parts(client: &Client, site: &Site) -> usize {
         for worker in &site.models {
             worker.set_poison("dead");
         }
-        let client = Client::new();
         for index in 0..6 {
-            is_served(&client, site, index, "aa:50,dead:30").await;
+            is_served(client, site, index, "aa:50,dead:30").await;
             sleep(Duration::from_millis(300)).await;
         }
-        let before = crashes(site);
-        assert!(before <= MAX_CRASHES + MAX_ATTEMPTS, "{before} crashes");
+        let crashes = crashes(site);
+        assert!(crashes <= MAX_CRASHES + MAX_ATTEMPTS, "{crashes} crashes");
         sleep(CONTACT * 2).await;
+        crashes
+    }
+
+    /// Guards against a trial that isn't resumed when its engine breaks off, though its answer has begun
+    /// and shows that its parts are sound.
+    pub async fn a_trial_that_has_begun_is_resumed(site: &mut Site) -> Result<(), Error> {
+        let client = Client::new();
+        crash_with_new_parts(&client, site).await;
+        for worker in &site.models {
+            worker.set_events(5, Duration::from_millis(100));
+            worker.set_fault(WorkerFault::Break(3));
+        }
+        let ran = runs(&site.models).len();
+        let sound_again = async {
+            within(CONTACT, || async { runs(&site.models).len() > ran }).await;
+            let models = site.models.iter();
+            models.for_each(|worker| worker.set_fault(WorkerFault::None));
+        };
+        let asked = prompt(&client, site, 100, "aa:50,bb:30").send();
+        let (answer, ()) = tokio::join!(asked, sound_again);
+        assert_eq!(numbers(&answer?.text().await?), [1, 2, 3, 4, 5]);
+        Ok(())
+    }
+
+    /// Guards against a sound first part that is blocked in place of the poison part which came with it
+    /// in all requests before.
+    pub async fn a_sound_part_is_served_beside_a_poison_part_as_new(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let client = Client::new();
+        let before = crash_with_new_parts(&client, site).await;
         let (mut sound, mut others) = (0, 0);
         for index in 100..120 {
             sound += usize::from(is_served(&client, site, index, "aa:50,bb:30").await);
