Bound blocks that other nodes report, and leave slow callers their time

A block of more parts than the detector keeps would have been taken over from another node; log line 1792 was written for crashes that other nodes report too; a stream or an answer that breaks off long before its deadline closed the connection of a caller that reads slowly after 0.1 s.

Change: such a block is left out, groups are sorted when they are read, each part of a lost request is decided on once, 1792 is written by the node that lost the request, as before, and a caller has until the deadline to read what is buffered for it.

--- a/crates/edge/src/app/crash.rs
+++ b/crates/edge/src/app/crash.rs
@@ -26,9 +26,13 @@
             let start = format!("{server}@{}", loss.started_ms);
             let request = name_hash(&loss.fingerprint);
             let new = self.record_part_crash(now, loss.parts, request, &start);
+            for part in &new {
+                log::info!(event = 1792, part = part_id(*part).as_str(), server = server;
+                    "backend server crashed before it began to answer a request with this prompt part");
+            }
             if !new.is_empty() {
-                self.pending_notices
-                    .push(Notice::PartCrash(new, request, start));
+                let notice = Notice::PartCrash(new, request, start);
+                self.pending_notices.push(notice);
             }
         }
     }
@@ -44,12 +48,14 @@
     ) -> Vec<Part> {
         let mut parts = self.poison.candidates(now, parts);
         parts.retain(|part| self.poison.record_crash(now, *part, request, server));
+        // A block also decides on the parts that are blocked with the first one.
+        let mut decided = Vec::new();
         for part in &parts {
-            log::info!(event = 1792, part = part_id(*part).as_str(), server = server;
-                "backend server crashed before it began to answer a request with this prompt part");
-        }
-        for part in &parts {
+            if decided.contains(part) {
+                continue;
+            }
             if let Some(block) = self.poison.try_block(now, *part) {
+                decided.extend(&block.parts);
                 self.announce_block(block);
             }
         }
--- a/crates/edge/src/closer.rs
+++ b/crates/edge/src/closer.rs
@@ -1,12 +1,12 @@
 //! Closes the connection of a caller whose response can't be completed in time.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 
-/// Time in which a caller may read what is buffered for it before its connection is closed.
-const READ_TIMEOUT: Duration = Duration::from_millis(100);
+/// Shortest time in which a caller may read what is buffered for it before its connection is closed.
+const READ_TIME: Duration = Duration::from_millis(100);
 
 /// Closes the connection of a caller.
 #[derive(Clone, Debug, Default)]
@@ -18,11 +18,12 @@
         self.0.notified().await;
     }
 
-    /// Waits until the body of a truncated response is dropped. A caller that doesn't read it in time
-    /// never learns from the body that it is truncated, so its connection is closed.
-    pub async fn close_after(&self, dropped: impl Future<Output = ()>) {
+    /// Waits until the body of a truncated response is dropped. A caller that hasn't read it by the
+    /// deadline never learns from the body that it is truncated, so its connection is closed.
+    pub async fn close_after(&self, deadline: Instant, dropped: impl Future<Output = ()>) {
         tokio::pin!(dropped);
-        if timeout(READ_TIMEOUT, dropped.as_mut()).await.is_err() {
+        let until = deadline.max(Instant::now() + READ_TIME);
+        if timeout_at(until.into(), dropped.as_mut()).await.is_err() {
             self.0.notify_one();
             dropped.await;
         }
--- a/crates/edge/src/forward/passthrough.rs
+++ b/crates/edge/src/forward/passthrough.rs
@@ -103,7 +103,8 @@
         drop(self.response);
         // Sending fails only if the caller has disconnected.
         let _ = self.sender.send(Err(Truncated));
-        exchange.closer.close_after(self.sender.closed()).await;
+        let closed = self.sender.closed();
+        exchange.closer.close_after(self.deadline, closed).await;
     }
 
     async fn relay(&mut self, mut data: Bytes) -> End {
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -303,7 +303,8 @@
         let _ = events.send(Err(Truncated)).await;
         events.closed().await;
     };
-    exchange.closer.close_after(ending).await;
+    let closer = &exchange.closer;
+    closer.close_after(exchange.deadline, ending).await;
 }
 
 fn log_disconnect(exchange: &Exchange) {
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -154,7 +154,11 @@
         let single = single.map(|(part, level)| (vec![part], level));
         let groups = std::mem::take(&mut self.group_blocks);
         let blocks = single.chain(groups);
-        blocks.map(|(parts, level)| Block { parts, level })
+        blocks.map(|(mut parts, level)| {
+            parts.sort_unstable();
+            parts.dedup();
+            Block { parts, level }
+        })
     }
 }
 
--- a/crates/limits/src/poison/detector.rs
+++ b/crates/limits/src/poison/detector.rs
@@ -142,15 +142,16 @@
         if left.is_none() && !state.is_conclusive(now, &self.settings) {
             return None;
         }
+        let is_running = left.is_some_and(|left| !left.is_zero());
+        if is_running && state.tied.is_empty() {
+            return None;
+        }
         let parts = self.explanations(now, part, state)?;
         let mut level = state.level;
-        if left.is_none_or(|left| left.is_zero()) {
+        let is_tied = |other: &Part| *other == part || state.tied.contains(other);
+        if !is_running {
             level += 1;
-        } else if parts.len() > state.tied.len()
-            || parts
-                .iter()
-                .any(|other| *other != part && !state.tied.contains(other))
-        {
+        } else if parts.len() > state.tied.len() || !parts.iter().all(is_tied) {
             return None;
         }
         let block = Block { parts, level };
@@ -209,9 +210,12 @@
     }
 
     /// Applies a block that another node reports. Parts that this node knows to be sound are left out of
-    /// it. Returns what is new of it.
+    /// it. Returns the block as it is in force, if it is new.
     pub fn record_block(&mut self, now: Instant, block: &Block) -> Option<Block> {
         let mut parts = block.parts.clone();
+        if parts.len() > self.settings.capacity {
+            return None;
+        }
         if parts.len() > 1 {
             self.retain_unsound(now, &mut parts);
         }
