--- a/crates/backend/src/error.rs
+++ b/crates/backend/src/error.rs
@@ -47,8 +47,8 @@
     /// The stream ended before the response was complete.
     #[error("stream ended early")]
     Truncated,
-    /// The response to a long request has neither a length nor chunks, so its end doesn't tell whether the
-    /// backend server got the whole request.
+    /// The response to a long request has neither a length nor chunks, so it can't be told apart from one
+    /// that was aborted.
     #[error("the response to a long request has no length")]
     Unframed,
     /// Nothing was received within the time limit.
--- a/crates/backend/src/service/client.rs
+++ b/crates/backend/src/service/client.rs
@@ -8,8 +8,8 @@
 /// Statuses of final responses. The HTTP library passes on all numbers of three digits.
 const VALID_STATUSES: std::ops::Range<u16> = 200..600;
 
-/// Largest request, in bytes, whose response may end with its connection. Of a longer one the service may
-/// have got a part when it ends the connection, which the HTTP library doesn't tell.
+/// Largest request, in bytes, whose response may end with its connection. A service may close the
+/// connection before it has received a longer one, and the HTTP library doesn't report that.
 const MAX_UNFRAMED_REQUEST_BYTES: usize = 64 << 10;
 
 /// Client of plain services.
--- a/crates/edge/src/app/crash.rs
+++ b/crates/edge/src/app/crash.rs
@@ -48,7 +48,7 @@
     ) -> Vec<Part> {
         let mut parts = self.poison.candidates(now, parts);
         parts.retain(|part| self.poison.record_crash(now, *part, request, server));
-        // A block also decides on the parts that are blocked with the first one.
+        // Parts that are blocked together with an earlier one need no decision of their own.
         let mut decided = Vec::new();
         for part in &parts {
             if decided.contains(part) {
@@ -69,7 +69,7 @@
         if applied == *block {
             return Some(applied);
         }
-        // This node knows more, which is new for the node that reported the block as well.
+        // This node has narrowed the block down, so all nodes are notified, including the sender.
         self.announce_block(applied);
         None
     }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -42,7 +42,7 @@
     /// The backend server reports that it hasn't run the request.
     #[error("not run, status {0}")]
     NotRun(u16),
-    /// The response belongs to another request, is unsigned or encoded, or its status is none of a response.
+    /// The response belongs to another request, is unsigned or encoded, or has an invalid status.
     #[error("invalid response, status {0}")]
     InvalidResponse(u16),
     /// The response is larger than the limit, or than the memory that is left.
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -234,7 +234,7 @@
     let mut item = Item::Event(first);
     loop {
         match item {
-            // The wait for an event doesn't end while events are always there.
+            // `wait` never reaches the deadline while events arrive without a pause.
             Item::Event(_) if Instant::now() >= exchange.deadline => {
                 source.attempt.fail(&exchange, &Failure::Unfinished);
                 drop(source);
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -7,8 +7,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Bytes of a long request that the system buffers for a backend server at most, and from which on a
-/// request is long. What it buffers counts as written, though nobody may have got it.
+/// Send buffer of requests whose body is larger than this. Buffered bytes count as written although the
+/// backend server may never receive them, and the default buffer holds several megabytes.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
 /// End of the head of a request.
@@ -16,13 +16,13 @@
 
 /// Socket that carries one request, and reports an early end of its response as an error.
 ///
-/// A response without a length ends with its connection. A backend server that hasn't got the whole
-/// request can't have finished: it has broken off, though it may end its side of the connection before it
-/// resets it.
+/// A response without a length ends with its connection. A backend server that closes the connection before
+/// it has received the whole request has aborted the response, even if it closes its side in an orderly way
+/// before it resets the connection.
 #[derive(Debug)]
 pub struct Socket {
     stream: TcpStream,
-    /// Bytes of the end of the request's head that have been written.
+    /// Number of bytes of `HEAD_END` that the written bytes end with, until the head is complete.
     head_end: usize,
     /// Bytes of the request's body that haven't been written.
     unwritten: usize,
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Checks the end of the connection: it is sound if the backend server has got the whole request.
+    /// Checks the end of the connection, which is regular only after the whole request was written.
     fn check_end(&self) -> io::Result<()> {
         if let Some(error) = SockRef::from(&self.stream).take_error()? {
             return Err(error);
--- a/crates/node/src/dispatch/stream.rs
+++ b/crates/node/src/dispatch/stream.rs
@@ -127,7 +127,7 @@
             let deadline = self.job.deadline();
             let chunk = timeout_at(deadline.into(), run.rest.next()).await;
             match chunk {
-                // The wait for a chunk doesn't end while chunks are always there.
+                // `timeout_at` returns a chunk that is ready even after the deadline.
                 Ok(Some(Ok(_))) if Instant::now() >= deadline => return Some(self.expire()),
                 Ok(Some(Ok(chunk))) => self.buffered.push_back(chunk),
                 Ok(Some(Err(source))) => return Some(self.fail(source)),
