--- a/crates/edge/src/forward/passthrough.rs
+++ b/crates/edge/src/forward/passthrough.rs
@@ -27,8 +27,8 @@
 /// its caller still reads is not cut.
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest time, in all, for which the backend server of a response of announced length is waited for
-/// after the deadline. A request that is held for a quarter of a second beyond its route's time-out counts as
-/// held too long, and the end has to reach the caller by then.
+/// after the deadline. Callers are to have the end of a response within a quarter of a second after the
+/// route's timeout, which includes its delivery.
 const LATE_TIME: Duration = Duration::from_millis(100);
 
 /// How the rest of a response ends.
--- a/crates/limits/src/poison/detector.rs
+++ b/crates/limits/src/poison/detector.rs
@@ -178,7 +178,8 @@
         Some(parts)
     }
 
-    /// Puts a block in force: ends looser blocks that it replaces, and discounts what it explains.
+    /// Starts a block, ends the blocks of more parts that it replaces, and discounts crashes that it
+    /// explains.
     fn apply(&mut self, now: Instant, block: &Block) {
         let mut servers = Vec::new();
         let mut replaced = Vec::new();
--- a/crates/limits/src/poison/settings.rs
+++ b/crates/limits/src/poison/settings.rs
@@ -25,8 +25,8 @@
     pub max_block: Duration,
     /// Time after which a probe without an outcome no longer holds back the next one.
     pub probe_timeout: Duration,
-    /// The same for a request that finds out which of several parts crashes backend servers. It is shorter,
-    /// since sound requests wait for its outcome.
+    /// Time after which a trial without an outcome no longer holds back the next one. It is shorter than
+    /// that of a probe, since sound requests are refused in the meantime.
     pub trial_timeout: Duration,
     /// Time after an answer during which notices of a block are ignored: they may be older.
     pub settle_time: Duration,
