Add review case 12: relays go on naming a node that was killed

Cause: a relay keeps the last list of a node that is no relay any more, and counts it as heard with each of that node's heartbeats. Tried: 20 nodes; the largest is stopped and started again, then one of the smallest is killed, three times.

--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -2,9 +2,9 @@
 
 #![allow(dead_code)]
 
-mod flooded;
 mod http;
 mod json;
+mod departed;
 mod restored;
 mod site;
 mod store;
@@ -22,7 +22,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
-        "flooded" => flooded::run(folder, trouble),
+        "departed" => departed::run(folder, trouble),
         "restored" => restored::run(folder, trouble),
         _ => Err(std::io::Error::other("unknown case")),
     };
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -1,6 +1,7 @@
 //! A small deployment: settings files and node processes.
 
-use crate::http::{call, request};
+use crate::http::{call, request, Outcome};
+use crate::json::Json;
 use crate::store::Store;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
@@ -18,6 +19,8 @@
     pub frontend: SocketAddr,
     /// Where it says whether it is ready.
     pub ready: SocketAddr,
+    /// Where callers ask for addresses.
+    pub directory: SocketAddr,
     /// Its process.
     pub child: Child,
     settings: PathBuf,
@@ -62,9 +65,21 @@
         Ok(())
     }
 
+    /// Addresses that it names to callers; none if it doesn't answer.
+    pub fn names(&self) -> Option<Vec<String>> {
+        let target = "/sardinebank/resolve?name=shop.example&region=r&zone=z-a";
+        let bytes = request("GET", target, &[("host", "x"), ("connection", "close")], b"");
+        let Outcome::Answer(answer) = call(self.directory, &bytes, Duration::from_secs(1)) else {
+            return None;
+        };
+        let body = Json::parse(&String::from_utf8_lossy(&answer.body))?;
+        Some(body.get("addresses").list().iter().map(|address| address.text().to_owned()).collect())
+    }
+
     /// Sends a signal to its process.
     pub fn signal(&self, name: &str) -> io::Result<()> {
-        let status = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status()?;
+        let command = format!("kill -{name} {}", self.child.id());
+        let status = Command::new("sh").args(["-c", &command]).status()?;
         status.success().then_some(()).ok_or(io::Error::other("no signal was sent"))
     }
 
@@ -114,11 +129,16 @@
 
 /// Starts nodes, each at a loopback address of its own with the same ports.
 pub fn start_nodes(folder: &Folder, store: &Store, count: u8) -> io::Result<Vec<Node>> {
+    start_nodes_with(folder, store, &vec![0.25; usize::from(count)])
+}
+
+/// Starts nodes with these shares of a core.
+pub fn start_nodes_with(folder: &Folder, store: &Store, shares: &[f64]) -> io::Result<Vec<Node>> {
     let id = std::process::id();
     let net = format!("127.{}.{}", 64 + id % 128, id / 128 % 250);
     let port = free_ports(&net)?;
     let mut nodes = Vec::new();
-    for index in 1..=count {
+    for (index, share) in (1u8..).zip(shares) {
         let ip = format!("{net}.{index}");
         let name = format!("edge-z-a-{index}");
         let at = |offset: u16| format!("{ip}:{}", port + offset);
@@ -127,7 +147,7 @@
 "ip":"{ip}","zone":"z-a","region":"r","zones":{{"z-a":"r"}},
 "bind":{{"frontend":"{}","ready":"{}","controlPlane":"{}","directory":"{}"}},
 "internalPorts":[{},{}],"seedNodes":["{net}.1:{}","{net}.2:{}","{net}.3:{}"],"firstStart":true,"lossCounted":false,
-"limits":{{"cpuShare":0.25,"cpuCores":1,"memoryMb":110,"maxFds":4100,"linkSpeedMbps":1000.0,"diskMb":0}},
+"limits":{{"cpuShare":{share},"cpuCores":1,"memoryMb":110,"maxFds":4100,"linkSpeedMbps":1000.0,"diskMb":0}},
 "dataDir":null,"discovery":"platform","entry":"directory","heartbeatMs":1200,
 "bounds":{{"seedLagS":3,"addrReuseS":2,"contactMs":3000,"ackMs":4000,"syncS":4,"drainMs":2000,"graceS":8,"lossSlackMs":200,
 "configApplyMs":2000,"backMs":250,"maxSkewMs":5000,"enforceRevocation":false,"revokeMs":5000,"retryBudgetRatio":0.9,
@@ -146,6 +166,7 @@
             name,
             frontend: address(0)?,
             ready: address(1)?,
+            directory: address(3)?,
             settings,
             log,
         });
