Add review case 13: a restarted node ignores an evacuation after the store's drill

Cause: a full read in the seconds that the store loses sets a version below which unknown rows are dropped; the store gives these versions out again. Tried: one node stopped and started again within the seconds that the copy lacks, then the drill, then an evacuation.

--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod json;
 mod departed;
+mod evacuated;
 mod restored;
 mod site;
 mod store;
@@ -23,6 +24,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
         "departed" => departed::run(folder, trouble),
+        "evacuated" => evacuated::run(folder, trouble),
         "restored" => restored::run(folder, trouble),
         _ => Err(std::io::Error::other("unknown case")),
     };
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -144,7 +144,7 @@
         let at = |offset: u16| format!("{ip}:{}", port + offset);
         let text = format!(
             r#"{{"nodeName":"{name}","role":"entry","machineClass":"edge","serves":["edge","control","directory"],
-"ip":"{ip}","zone":"z-a","region":"r","zones":{{"z-a":"r"}},
+"ip":"{ip}","zone":"z-a","region":"r","zones":{{"z-a":"r","z-b":"r","z-c":"r"}},
 "bind":{{"frontend":"{}","ready":"{}","controlPlane":"{}","directory":"{}"}},
 "internalPorts":[{},{}],"seedNodes":["{net}.1:{}","{net}.2:{}","{net}.3:{}"],"firstStart":true,"lossCounted":false,
 "limits":{{"cpuShare":{share},"cpuCores":1,"memoryMb":110,"maxFds":4100,"linkSpeedMbps":1000.0,"diskMb":0}},
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -40,6 +40,7 @@
     pub address: SocketAddr,
     version: String,
     slots: u32,
+    zone: String,
     born: u128,
     alive: Arc<AtomicBool>,
     store: Store,
@@ -48,18 +49,19 @@
 impl Worker {
     /// Starts a worker that lists itself.
     pub fn start(store: &Store, runs: &Runs, id: &str, service: &str, script: Script) -> io::Result<Self> {
-        Self::start_with(store, runs, id, service, 16, script)
+        Self::start_in("z-a", store, runs, id, service, script)
     }
 
-    /// Starts a worker with this many slots that lists itself.
-    pub fn start_with(store: &Store, runs: &Runs, id: &str, service: &str, slots: u32, script: Script) -> io::Result<Self> {
+    /// Starts a worker of a zone that lists itself.
+    pub fn start_in(zone: &str, store: &Store, runs: &Runs, id: &str, service: &str, script: Script) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let worker = Self {
             id: id.to_owned(),
             service: service.to_owned(),
             address: listener.local_addr()?,
             version: "v1".to_owned(),
-            slots,
+            slots: 16,
+            zone: zone.to_owned(),
             born: SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis(),
             alive: Arc::new(AtomicBool::new(true)),
             store: store.clone(),
@@ -88,8 +90,8 @@
 
     fn entry(&self, state: &str) -> String {
         format!(
-            r#"{{"service":"{}","address":"{}","zone":"z-a","version":"{}","slots":{},"state":"{state}","coldRemainingMs":0,"phase":"both","models":[],"sequence":1,"born":{}}}"#,
-            self.service, self.address, self.version, self.slots, self.born
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"{}","slots":{},"state":"{state}","coldRemainingMs":0,"phase":"both","models":[],"sequence":1,"born":{}}}"#,
+            self.service, self.address, self.zone, self.version, self.slots, self.born
         )
     }
 
