Log the position and the era of a full read after a compacted history

Cause: the log of the incident can't tell a store whose versions have gone back from one whose reads are behind: event 1704 names the position that was asked for, but not what the full read gave. Change: event 1780 names both positions, the store's era and the number of rows. No decision depends on the era.

--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -208,7 +208,10 @@
     match changes(app, table, after, wait).await {
         Err(Error::Compacted) => {
             log::warn!(event = 1704, table = table.name(), position = after; "change history has been compacted, reading the full table");
-            app.store.rows(table.name()).await.map(|page| (true, page))
+            let page = app.store.rows(table.name()).await?;
+            log::warn!(event = 1780, table = table.name(), before = after, position = page.position,
+                era = page.era.unwrap_or(0), rows = page.rows.len(); "full table read after a compacted history");
+            Ok((true, page))
         }
         answer => answer.map(|page| (false, page)),
     }
