Show that changes are lost after the store was restored, by tests that fail

Change: the stand-in store takes copies, is restored from one and names its era. Five tests: a configuration, a departure and an evacuation after the restore, no order or departure taken back, and one read of each table.

--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -11,6 +11,6 @@
 pub use fault::{StoreFault, WorkerFault};
 pub use node::Node;
 pub use site::{Settings, Site, config};
-pub use store::Store;
+pub use store::{Copy, Store};
 pub use wire::Request;
 pub use worker::{Run, Worker};
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -17,6 +17,15 @@
 /// A row by table and key.
 type Key = (String, String);
 
+/// Rows as of one moment.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    rows: BTreeMap<Key, (Value, u64)>,
+    removed: BTreeMap<Key, u64>,
+    position: u64,
+    forgotten: u64,
+}
+
 #[derive(Debug, Default)]
 struct Rows {
     rows: BTreeMap<Key, (Value, u64)>,
@@ -24,6 +33,8 @@
     position: u64,
     /// Changes up to here are forgotten.
     forgotten: u64,
+    /// Number of times that the store came back from a copy, counted from one.
+    era: u64,
     fault: StoreFault,
     /// Doors at which alone the fault holds; empty for all.
     struck: Vec<SocketAddr>,
@@ -67,7 +78,10 @@
     /// A store without rows, and without a door.
     pub fn new() -> Self {
         let shared = Arc::new(Shared {
-            rows: Mutex::default(),
+            rows: Mutex::new(Rows {
+                era: 1,
+                ..Rows::default()
+            }),
             changed: Notify::new(),
             started: Instant::now(),
         });
@@ -136,6 +150,29 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Takes a copy of all rows.
+    pub fn copy(&self) -> Copy {
+        let rows = self.shared.rows();
+        Copy {
+            rows: rows.rows.clone(),
+            removed: rows.removed.clone(),
+            position: rows.position,
+            forgotten: rows.forgotten,
+        }
+    }
+
+    /// Comes back from an older copy: what was written since is gone, and positions are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut rows = self.shared.rows();
+        rows.rows = copy.rows.clone();
+        rows.removed = copy.removed.clone();
+        rows.position = copy.position;
+        rows.forgotten = copy.forgotten;
+        rows.era += 1;
+        drop(rows);
+        self.shared.changed.notify_waiters();
+    }
+
     /// Calls so far, by name.
     pub fn calls(&self) -> BTreeMap<String, u64> {
         self.shared.rows().calls.clone()
@@ -243,25 +280,30 @@
             StoreFault::Silent => std::future::pending::<()>().await,
             StoreFault::None | StoreFault::LoseAnswers => (),
         }
-        let (status, body) = call(shared, &request, door).await;
+        let (status, body, era) = call(shared, &request, door).await;
         if fault == StoreFault::LoseAnswers && request.method == "POST" {
             return reset(&stream);
         }
         let body = body.to_string();
-        let json = [("content-type", "application/json")];
-        answer(&mut stream, status, &json, body.as_bytes()).await?;
+        let era = era.to_string();
+        let headers = [("content-type", "application/json"), ("store-era", &*era)];
+        answer(&mut stream, status, &headers, body.as_bytes()).await?;
     }
     Ok(())
 }
 
-async fn call(shared: &Shared, request: &Request, door: SocketAddr) -> (u16, Value) {
+/// Executes a call; returns the status, the body and the era that they are of.
+async fn call(shared: &Shared, request: &Request, door: SocketAddr) -> (u16, Value, u64) {
     let table = request.parameter("table").unwrap_or_default();
-    let (status, mut body) = match request.path.split('?').next() {
+    let (status, mut body, era) = match request.path.split('?').next() {
         Some("/sardinebank/rows-tx") => {
             let body = serde_json::from_slice(&request.body).unwrap_or_default();
-            let done = shared.rows().transact(&body);
+            let mut rows = shared.rows();
+            let (status, body) = rows.transact(&body);
+            let era = rows.era;
+            drop(rows);
             shared.changed.notify_waiters();
-            done
+            (status, body, era)
         }
         Some("/sardinebank/rows-get") => {
             let rows = shared.rows();
@@ -269,16 +311,22 @@
             (
                 200,
                 json!({"rows": list, "hasMore": false, "ver": rows.position}),
+                rows.era,
             )
         }
         Some("/sardinebank/rows-feed") => feed(shared, request, &table, door).await,
-        _ => (404, json!({})),
+        _ => (404, json!({}), shared.rows().era),
     };
     body["nowMs"] = json!(shared.started.elapsed().as_millis() as u64);
-    (status, body)
+    (status, body, era)
 }
 
-async fn feed(shared: &Shared, request: &Request, table: &str, door: SocketAddr) -> (u16, Value) {
+async fn feed(
+    shared: &Shared,
+    request: &Request,
+    table: &str,
+    door: SocketAddr,
+) -> (u16, Value, u64) {
     let number = |name| request.parameter(name).and_then(|text| text.parse().ok());
     let after: u64 = number("sinceRev").unwrap_or(0);
     let end = Instant::now() + Duration::from_millis(number("waitMs").unwrap_or(0));
@@ -290,14 +338,14 @@
             let rows = shared.rows();
             let struck = rows.struck.is_empty() || rows.struck.contains(&door);
             if let (StoreFault::Refuse(status), true) = (rows.fault, struck) {
-                return (status, json!({}));
+                return (status, json!({}), rows.era);
             }
-            if after < rows.forgotten {
-                return (410, json!({}));
+            if after < rows.forgotten || after > rows.position {
+                return (410, json!({}), rows.era);
             }
             let list = rows.list(table, after);
             if !list.is_empty() || Instant::now() >= end {
-                return (200, json!({"rows": list, "ver": rows.position}));
+                return (200, json!({"rows": list, "ver": rows.position}), rows.era);
             }
         }
         // At the end of the wait the answer has no rows.
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -52,6 +52,9 @@
 /// times the limit, and five.
 const MAX_IN_LIMIT: usize = 11;
 
+/// Tables of the store that a node follows.
+const TABLES: u64 = 4;
+
 /// Each case is a test by its own name.
 macro_rules! cases {
     ($($name:ident($settings:expr))*) => {$(
@@ -128,6 +131,11 @@
     a_node_that_starts_without_the_store_asks_the_others(three_nodes())
     a_node_that_starts_holds_requests_until_the_store_answers(plain())
     a_forgotten_history_is_read_anew(plain())
+    a_change_after_the_store_was_restored_is_in_force(three_nodes())
+    a_server_that_leaves_after_the_store_was_restored_gets_nothing(three_nodes())
+    an_evacuation_after_the_store_was_restored_is_obeyed(three_nodes())
+    a_restored_store_reverts_nothing(three_nodes())
+    a_restored_store_is_read_once(plain())
     a_leaving_backend_server_gets_nothing(plain())
     a_zone_that_is_out_gets_nothing(plain())
     rows_that_cannot_be_read_change_nothing(plain())
@@ -1778,6 +1786,133 @@
         Ok(())
     }
 
+    /// The configuration as of a version, with one route at another prefix.
+    fn moved(version: u64) -> serde_json::Value {
+        let mut config = standin::site::config(version);
+        config["routes"][0]["prefix"] = json!("/moved/");
+        config
+    }
+
+    /// Statuses of one request to each node.
+    async fn statuses(site: &Site, path: &str) -> Result<Vec<u16>, Error> {
+        let mut statuses = Vec::new();
+        for node in 0..site.nodes.len() {
+            let answer = request(&Client::new(), site, node, path).send().await?;
+            statuses.push(answer.status().as_u16());
+        }
+        Ok(statuses)
+    }
+
+    /// Changes acknowledged between the copy and the restore of the store.
+    const LOST_CHANGES: u64 = 12;
+
+    /// Restores the store from a copy that lacks the last changes of the operator and of the backend
+    /// servers, which write their rows again.
+    async fn lose_changes(site: &Site) {
+        let copy = site.store.copy();
+        for version in 2..2 + LOST_CHANGES {
+            site.configure(version);
+            for desk in &site.desks {
+                site.list(desk, "desk", "v1", "ready");
+            }
+        }
+        sleep(Duration::from_millis(500)).await;
+        site.store.restore(&copy);
+        sleep(Duration::from_millis(200)).await;
+        site.configure(1 + LOST_CHANGES);
+        for desk in &site.desks {
+            site.list(desk, "desk", "v1", "ready");
+        }
+    }
+
+    /// Guards against changes that are dropped because the restored store gives out lower versions.
+    pub async fn a_change_after_the_store_was_restored_is_in_force(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        lose_changes(site).await;
+        sleep(CONTACT).await;
+        site.store
+            .put("op", "config", Some(&moved(LOST_CHANGES + 2)));
+        sleep(APPLY).await;
+        assert_eq!(statuses(site, "/moved/a").await?, [200; 3]);
+        assert_eq!(statuses(site, "/once/a").await?, [404; 3]);
+        Ok(())
+    }
+
+    /// Guards against a departure that is dropped because the restored store gives out lower versions.
+    pub async fn a_server_that_leaves_after_the_store_was_restored_gets_nothing(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        lose_changes(site).await;
+        sleep(CONTACT).await;
+        let desk = &site.desks[0];
+        site.list(desk, "desk", "v1", "draining");
+        sleep(DRAIN).await;
+        let before = desk.runs().len();
+        for _ in 0..4 {
+            assert_eq!(statuses(site, "/once/a").await?, [200; 3]);
+        }
+        assert_eq!(desk.runs().len(), before);
+        Ok(())
+    }
+
+    /// Guards against a row that is new to the restored store and is taken for one that was removed.
+    pub async fn an_evacuation_after_the_store_was_restored_is_obeyed(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let copy = site.store.copy();
+        for _ in 0..LOST_CHANGES {
+            site.store.put("op", "unused", Some(&json!({})));
+        }
+        let door = site.doors[0];
+        site.restart_node(0, door).await?;
+        site.nodes[0].until_ready(true).await?;
+        sleep(Duration::from_millis(500)).await;
+        site.store.restore(&copy);
+        sleep(CONTACT).await;
+        site.store.put("op", "evacuate/z-0", Some(&json!({})));
+        sleep(APPLY).await;
+        assert_eq!(statuses(site, "/once/a").await?, [503; 3]);
+        Ok(())
+    }
+
+    /// Guards against orders and departures that are taken back because the store has lost them.
+    pub async fn a_restored_store_reverts_nothing(site: &mut Site) -> Result<(), Error> {
+        let copy = site.store.copy();
+        site.store.put("op", "config", Some(&moved(5)));
+        site.list(&site.desks[0], "desk", "v1", "draining");
+        sleep(Duration::from_millis(500)).await;
+        assert_eq!(statuses(site, "/moved/a").await?, [200; 3]);
+        site.store.restore(&copy);
+        let before = site.desks[0].runs().len();
+        let restored = Instant::now();
+        while restored.elapsed() < CONTACT {
+            assert_eq!(statuses(site, "/moved/a").await?, [200; 3]);
+            sleep(Duration::from_millis(100)).await;
+        }
+        assert_eq!(site.desks[0].runs().len(), before, "it has left");
+        Ok(())
+    }
+
+    /// Guards against reads of full tables without a pause while versions are lower than before.
+    pub async fn a_restored_store_is_read_once(site: &mut Site) -> Result<(), Error> {
+        let reads = |site: &Site| {
+            let calls = site.store.calls();
+            calls.get("/sardinebank/rows-get").copied().unwrap_or(0)
+        };
+        let copy = site.store.copy();
+        for _ in 0..LOST_CHANGES {
+            site.store.put("op", "unused", Some(&json!({})));
+        }
+        sleep(Duration::from_millis(500)).await;
+        let before = reads(site);
+        site.store.restore(&copy);
+        sleep(CONTACT).await;
+        let read = reads(site) - before;
+        assert!(read <= TABLES, "{read} reads of full tables");
+        Ok(())
+    }
+
     pub async fn a_leaving_backend_server_gets_nothing(site: &mut Site) -> Result<(), Error> {
         site.list(&site.desks[0], "desk", "v1", "draining");
         sleep(Duration::from_millis(300)).await;
