Hold positions in the store by era, so that a restored store loses no change

Callers saw: after the store came back from an older copy, an acknowledged configuration was not in force, and servers that had said that they leave got requests; nodes read the full tables without a pause. Cause: versions of the store were one order for all time. A restored store gives lower numbers out again; rows under them were taken for old ones, and the position that a node asked from never went back. Change: route::Position is a pair of era and number. A later era leads to one full read, whose rows take the place of those before; what may be an older state is withheld for the time in which its writer writes it again. A full read that brings nothing newer is followed by a growing pause.

--- a/crates/edge/src/app/mirror.rs
+++ b/crates/edge/src/app/mirror.rs
@@ -2,7 +2,7 @@
 
 use platform::store::{Page, Row};
 use route::Position;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A node's replica of a table. It accepts changes from the store and from other nodes in any order
 /// and keeps the latest change of each row. Removed rows are kept as tombstones, so that an older
@@ -27,6 +27,16 @@
     pub page: Page,
 }
 
+/// Rows that a full table changes in a replica.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Changes {
+    /// Rows that are newer than those that were known.
+    pub newer: Vec<Row>,
+    /// Rows in which a restored store differs and may hold an older state, because it was restored from
+    /// an older copy. Their writers write them again.
+    pub doubtful: Vec<Row>,
+}
+
 impl Mirror {
     /// Position up to which all changes are known; none until the table has been read.
     pub fn position(&self) -> Option<Position> {
@@ -40,8 +50,13 @@
 
     /// Applies changes that follow the known position; returns those that are new. A row that was
     /// removed before the full table was read has no tombstone, so an unknown row up to that position
-    /// comes from an older replica.
+    /// comes from an older replica. Changes of another era of the store don't follow the known position
+    /// and are ignored.
     pub fn update(&mut self, page: Page) -> Vec<Row> {
+        let known = self.position.unwrap_or_default();
+        if !known.is_continued_in(page.position.era) {
+            return Vec::new();
+        }
         self.position = self.position.max(Some(page.position));
         let mut changed = Vec::new();
         for row in page.rows {
@@ -56,10 +71,13 @@
     }
 
     /// Applies the full table; returns the changes that are new. Rows that the page lacks have been
-    /// removed.
-    pub fn replace(&mut self, mut page: Page) -> Vec<Row> {
-        let listed: std::collections::BTreeSet<_> =
-            page.rows.iter().map(|row| row.key.clone()).collect();
+    /// removed. A page of an older era of the store is ignored.
+    pub fn replace(&mut self, mut page: Page) -> Changes {
+        let known = self.position.unwrap_or_default();
+        if known.era > page.position.era {
+            return Changes::default();
+        }
+        let listed: BTreeSet<_> = page.rows.iter().map(|row| row.key.clone()).collect();
         let missing = self.rows.values().filter(|row| {
             !row.removed && row.position <= page.position && !listed.contains(&row.key)
         });
@@ -73,16 +91,41 @@
             .collect();
         page.rows.extend(removals);
         let position = page.position;
-        let changed = self.update(page);
+        let changes = match known.is_continued_in(position.era) {
+            true => Changes {
+                newer: self.update(page),
+                ..Changes::default()
+            },
+            false => self.restore(page),
+        };
         self.removals_since = self.removals_since.max(position);
-        changed
+        changes
+    }
+
+    /// Applies the full table of a store that was restored: its rows take the place of those of the
+    /// earlier era. Numbers up to that of the copy stand for the same change in both eras.
+    fn restore(&mut self, page: Page) -> Changes {
+        self.position = Some(page.position);
+        self.newest = page.position;
+        let mut changes = Changes::default();
+        for row in page.rows {
+            let known = self.rows.insert(row.key.clone(), row.clone());
+            match known {
+                Some(known) if known.value == row.value && known.removed == row.removed => (),
+                Some(known) if row.removed || row.position.number <= known.position.number => {
+                    changes.doubtful.push(row);
+                }
+                _ => changes.newer.push(row),
+            }
+        }
+        changes
     }
 
     /// Returns the rows that a replica which is complete up to a position lacks; none while this
     /// replica itself isn't complete.
     pub fn changes_since(&self, after: Position) -> Option<Update> {
         let position = self.position?;
-        let full = after < self.removals_since;
+        let full = after < self.removals_since || !after.is_continued_in(position.era);
         let rows = self.rows.values().filter(|row| match full {
             true => !row.removed,
             false => row.position > after,
@@ -97,6 +140,11 @@
 
     /// Returns the row with a key, unless it was removed.
     pub fn get(&self, key: &str) -> Option<&Row> {
-        self.rows.get(key).filter(|row| !row.removed)
+        self.last_change(key).filter(|row| !row.removed)
+    }
+
+    /// Returns the last change of a row, which may have removed it.
+    pub fn last_change(&self, key: &str) -> Option<&Row> {
+        self.rows.get(key)
     }
 }
--- a/crates/edge/src/app/mod.rs
+++ b/crates/edge/src/app/mod.rs
@@ -10,7 +10,7 @@
 
 pub use app::{Announcement, App, Assignment, Crash, Notice};
 pub use losses::{Loss, Losses};
-pub use mirror::{Mirror, Update};
+pub use mirror::{Changes, Mirror, Update};
 pub use outage::Outage;
 pub use state::{State, log_unreadable_row};
 pub use table::Table;
--- a/crates/edge/src/app/outage.rs
+++ b/crates/edge/src/app/outage.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-/// Time after an outage of the store during which backend servers whose entries expired meanwhile
+/// Time after an outage or a restore of the store during which backend servers whose entries are gone
 /// are kept: they list themselves again. Two seconds, less the time until the next sweep.
-const ENTRY_GRACE: Duration = Duration::from_millis(1940);
+pub const ENTRY_GRACE: Duration = Duration::from_millis(1940);
 /// Time from which an answered call has waited for changes at the store, which was reachable
 /// meanwhile. Longer than a connection takes to open.
 const MIN_HELD_TIME: Duration = Duration::from_secs(1);
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -1,5 +1,6 @@
 //! A node's view of the system.
 
+use super::outage::ENTRY_GRACE;
 use super::{Assignment, Losses, Mirror, Notice, Outage, Table, Update};
 use crate::follow::Role;
 use crate::membership;
@@ -12,7 +13,7 @@
 use route::cascade::{Answer, Cascade};
 use route::config::Config;
 use route::member::Members;
-use route::pool::{self, Capacity, Load, Naming, Pool, Query, Refusal, Stage, Tag};
+use route::pool::{self, Capacity, Load, Naming, Pool, Query, Refusal, Server, Stage, Tag};
 use route::relay::{self, Relays};
 use route::rollout::{self, Side, Spec, Status, Tally, Trial};
 use route::server::Listing;
@@ -57,6 +58,17 @@
     log::warn!(event = 1720, row = row; "ignoring an unusable row: {why}");
 }
 
+/// What becomes of a row in which a restored store may hold an older state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fate {
+    /// It takes effect at once.
+    Applied,
+    /// It takes effect unless it is written again within the grace.
+    Withheld,
+    /// It never takes effect.
+    Ignored,
+}
+
 /// A node's view of the system.
 #[derive(Debug)]
 pub struct State {
@@ -109,6 +121,8 @@
     fallback_active: bool,
     /// Backend servers whose entries expired during an outage, and until when they are kept.
     expired: Vec<(ServerId, Instant)>,
+    /// Rows of a restored store that may hold an older state, and until when they are withheld.
+    withheld: Vec<(Table, String, Instant)>,
     budgets: Map<ServiceName, Window>,
     /// Choice of the models that answer, by service.
     cascades: Map<ServiceName, Cascade>,
@@ -163,6 +177,7 @@
             outage: Outage::default(),
             fallback_active: false,
             expired: Vec::new(),
+            withheld: Vec::new(),
             budgets: Map::default(),
             cascades: Map::default(),
             bounds: site.bounds.clone(),
@@ -228,7 +243,7 @@
         table: Table,
         newest: Position,
     ) -> Option<Position> {
-        let position = self.mirror(table).position().unwrap_or(0);
+        let position = self.mirror(table).position().unwrap_or_default();
         let started = self.fetching[table as usize];
         let running = started.is_some_and(|at| now.saturating_duration_since(at) < FETCH_TIMEOUT);
         if newest <= position || running {
@@ -295,14 +310,76 @@
 
     /// Applies a full table.
     pub fn replace(&mut self, now: Instant, table: Table, page: Page) {
+        let before = self.mirror(table).position().unwrap_or_default();
         let changes = self.mirrors[table as usize].replace(page);
-        self.apply(now, table, changes);
+        let after = self.mirror(table).position().unwrap_or_default();
+        if !before.is_continued_in(after.era) {
+            log::warn!(event = 1782, table = table.name(), before = before.era, era = after.era,
+                newer = changes.newer.len(), doubtful = changes.doubtful.len();
+                "the store was restored from an older copy");
+        }
+        self.apply(now, table, changes.newer);
+        self.apply_doubtful(now, table, changes.doubtful);
         self.listed |= table == Table::Servers;
     }
 
+    /// Keeps what a restored store may have lost until those who wrote it have had the time to write it
+    /// again. What can't take back anything in force is applied at once.
+    fn apply_doubtful(&mut self, now: Instant, table: Table, rows: Vec<Row>) {
+        let until = now + ENTRY_GRACE;
+        for row in rows {
+            match (table, self.fate(table, &row)) {
+                (_, Fate::Applied) => self.apply(now, table, vec![row]),
+                (Table::Servers, Fate::Withheld) if row.removed => {
+                    self.expired.push((row.key, until));
+                }
+                (_, Fate::Withheld) => self.withheld.push((table, row.key, until)),
+                (_, Fate::Ignored) => (),
+            }
+        }
+    }
+
+    /// What becomes of a doubtful row of a restored store.
+    fn fate(&self, table: Table, row: &Row) -> Fate {
+        match table {
+            // Configurations are compared by their revision.
+            Table::Intents if platform::parse_key(&row.key) == Intent::Config => Fate::Applied,
+            Table::Intents => Fate::Withheld,
+            Table::Servers => {
+                let value = row.value.as_deref().unwrap_or_default();
+                let listing = platform::parse_listing(&row.key, value).ok();
+                let known = self.pool.servers().get(&row.key);
+                let is_same_start = known.is_some_and(|known| {
+                    listing.is_some_and(|listing| listing.started_ms == known.listing.started_ms)
+                });
+                match known.is_some_and(Server::accepts_work) {
+                    _ if !is_same_start => Fate::Withheld,
+                    true => Fate::Applied,
+                    // A start of a backend server that leaves doesn't become ready again.
+                    false => Fate::Ignored,
+                }
+            }
+            Table::Members | Table::Status => Fate::Applied,
+        }
+    }
+
+    /// Applies rows that were withheld after the store had been restored and that it still holds.
+    fn apply_withheld(&mut self, now: Instant) {
+        let due: Vec<_> = self
+            .withheld
+            .extract_if(.., |(.., until)| now >= *until)
+            .collect();
+        for (table, key, _) in due {
+            let row = self.mirror(table).last_change(&key).cloned();
+            self.apply(now, table, row.into_iter().collect());
+        }
+    }
+
     fn apply(&mut self, now: Instant, table: Table, changes: Vec<Row>) {
         self.updated[table as usize] = Some(now);
         for row in &changes {
+            self.withheld
+                .retain(|(other, key, _)| (*other, key) != (table, &row.key));
             match table {
                 Table::Intents => self.apply_intent(now, row),
                 Table::Servers => self.apply_server(now, row),
@@ -509,6 +586,7 @@
         for (id, _) in due {
             self.remove_server(&id);
         }
+        self.apply_withheld(now);
         self.poison.sweep(now);
     }
 
--- a/crates/edge/src/follow/follow.rs
+++ b/crates/edge/src/follow/follow.rs
@@ -6,7 +6,7 @@
 use crate::metrics::Call;
 use platform::Error;
 use platform::store::Page;
-use route::Position;
+use route::{Era, Position};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
@@ -72,7 +72,11 @@
         };
         let started = Instant::now();
         let answer = call(&app, table, wait).await;
-        let outcome = if answer.is_ok() { "answered" } else { "failed" };
+        let outcome = match &answer {
+            Ok(_) => "answered",
+            Err(Error::Outdated { .. }) => "outdated",
+            Err(_) => "failed",
+        };
         let label = Call {
             table: table.name(),
             outcome,
@@ -87,9 +91,16 @@
                 if wait.is_zero() {
                     app.state().become_fallback();
                 }
-                backoff.reset();
                 let changes = !page.rows.is_empty();
+                let before = app.state().mirror(table).position();
                 apply(&app, table, full, page, started);
+                if full && app.state().mirror(table).position() <= before {
+                    // The next call would find the same gap in the change history.
+                    backoff.set_max_delay(MAX_PAUSE);
+                    backoff.wait().await;
+                    continue;
+                }
+                backoff.reset();
                 if changes && table != Table::Intents {
                     sleep(COALESCE_TIME).await;
                 }
@@ -206,38 +217,62 @@
         return app.store.rows(table.name()).await.map(|page| (true, page));
     };
     match changes(app, table, after, wait).await {
+        Ok(page) => return Ok((false, page)),
+        Err(Error::Restored(era)) => {
+            log::warn!(event = 1781, table = table.name(), position = after.number, before = after.era,
+                era = era; "the store was restored, reading the full table");
+        }
         Err(Error::Compacted) => {
-            log::warn!(event = 1704, table = table.name(), position = after; "change history has been compacted, reading the full table");
-            let page = app.store.rows(table.name()).await?;
-            log::warn!(event = 1780, table = table.name(), before = after, position = page.position,
-                era = page.era.unwrap_or(0), rows = page.rows.len(); "full table read after a compacted history");
-            Ok((true, page))
+            log::warn!(event = 1704, table = table.name(), position = after.number, era = after.era;
+                "change history has been compacted, reading the full table");
         }
-        answer => answer.map(|page| (false, page)),
+        Err(error) => return Err(error),
     }
+    let page = app.store.rows(table.name()).await?;
+    log::warn!(event = 1780, table = table.name(), before = after.number, position = page.position.number,
+        era = page.position.era, rows = page.rows.len(); "full table read after a gap in the change history");
+    Ok((true, page))
 }
 
 /// Waits for changes. When the answer is overdue, a second call asks for them over another
 /// connection, and the first answer counts. A node that becomes the lead or isolated meanwhile waits
-/// no longer than a call that it would begin now.
+/// no longer than a call that it would begin now. A position of an earlier era of the store is an error,
+/// also when the answer to another call has named the later era.
 async fn changes(app: &App, table: Table, after: Position, wait: Duration) -> Result<Page, Error> {
     let first = app.store.changes(table.name(), after, wait);
     tokio::pin!(first);
     let started = Instant::now();
     let mut due = wait;
     while started.elapsed() < due + OVERDUE {
+        check_era(after, app.store.era().max(after.era))?;
         let left = (due + OVERDUE).saturating_sub(started.elapsed());
         if let Ok(answer) = timeout(left.min(ROLE_CHECK), &mut first).await {
-            return answer;
+            return answer.and_then(|page| check_era(after, page.position.era).map(|()| page));
         }
         due = wait.min(follower_wait(app, table));
     }
     log::warn!(event = 1791, table = table.name(), wait_ms = due.as_millis() as u64;
         "the answer of the store is overdue, asking over another connection");
-    tokio::select! {
+    let page = tokio::select! {
         answer = first => answer,
         answer = app.store.changes(table.name(), after, Duration::ZERO) => answer,
+    }?;
+    check_era(after, page.position.era).map(|()| page)
+}
+
+/// Checks that changes of an era of the store follow a position. The position may be of a later era, of
+/// which another node has told.
+fn check_era(after: Position, era: Era) -> Result<(), Error> {
+    if after.is_continued_in(era) {
+        return Ok(());
     }
+    Err(match era > after.era {
+        true => Error::Restored(era),
+        false => Error::Outdated {
+            found: Some(era),
+            known: after.era,
+        },
+    })
 }
 
 /// Applies the page of a call and wakes the tasks that wait for a change.
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -1,6 +1,6 @@
 //! Frames of the protocol between nodes.
 
-use crate::app::{Assignment, Crash, Update};
+use crate::app::{Assignment, Crash, Table, Update};
 use bytes::Bytes;
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
@@ -10,7 +10,7 @@
 use route::member::Member;
 use route::pool::{self, Rate, Tag};
 use route::relay::{self, Presence, Scope};
-use route::{NodeName, Position, ServerId, ServiceName, Version, Zone};
+use route::{Era, NodeName, Position, ServerId, ServiceName, Version, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -35,8 +35,11 @@
     Fetch {
         /// Index of the table.
         table: u8,
-        /// The position.
-        after: Position,
+        /// Number of the position.
+        after: u64,
+        /// Era of the position. Nodes of earlier versions name none.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        era: Era,
     },
     /// Changes of a table.
     Rows {
@@ -45,8 +48,11 @@
         /// Whether they are the full table.
         #[serde(rename = "whole")]
         full: bool,
-        /// Position up to which the changes are complete.
-        position: Position,
+        /// Number of the position up to which the changes are complete.
+        position: u64,
+        /// Era of that position and of all changes.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        era: Era,
         /// The changes.
         rows: Vec<Change>,
     },
@@ -96,9 +102,12 @@
     /// Whether the sender follows the store and can reach it.
     #[serde(rename = "f")]
     pub follows_store: bool,
-    /// Latest change of each table that the sender knows.
+    /// Number of the latest change of each table that the sender knows.
     #[serde(rename = "n")]
-    pub newest: [Position; 4],
+    newest: [u64; 4],
+    /// Eras of these changes. Nodes of earlier versions name none.
+    #[serde(rename = "e", skip_serializing_if = "are_zero")]
+    eras: [Era; 4],
     /// Load on backend servers from the sender and the nodes that it reports for.
     #[serde(rename = "l", skip_serializing_if = "BTreeMap::is_empty")]
     pub loads: BTreeMap<Tag, Load>,
@@ -107,6 +116,30 @@
     pub trials: Vec<Trial>,
 }
 
+fn is_zero(era: &Era) -> bool {
+    *era == 0
+}
+
+fn are_zero(eras: &[Era; 4]) -> bool {
+    eras.iter().all(is_zero)
+}
+
+impl Heartbeat {
+    /// Latest change of a table that the sender knows.
+    pub fn newest(&self, table: Table) -> Position {
+        Position {
+            era: self.eras[table as usize],
+            number: self.newest[table as usize],
+        }
+    }
+
+    /// Sets the latest change of each table, in the order of their indexes.
+    pub fn set_newest(&mut self, newest: [Position; 4]) {
+        self.newest = newest.map(|position| position.number);
+        self.eras = newest.map(|position| position.era);
+    }
+}
+
 /// Notices for all nodes, each sent once.
 #[derive(Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
@@ -323,7 +356,8 @@
 pub struct Change {
     key: String,
     value: Option<Bytes>,
-    position: Position,
+    /// Number of its position.
+    position: u64,
     removed: bool,
 }
 
@@ -332,19 +366,23 @@
         Self {
             key: row.key,
             value: row.value.map(Bytes::from),
-            position: row.position,
+            position: row.position.number,
             removed: row.removed,
         }
     }
 }
 
-impl From<Change> for Row {
-    fn from(change: Change) -> Self {
-        Self {
-            key: change.key,
-            value: change.value.map(Vec::from),
-            position: change.position,
-            removed: change.removed,
+impl Change {
+    /// The row, with its position in an era of the store.
+    pub fn into_row(self, era: Era) -> Row {
+        Row {
+            key: self.key,
+            value: self.value.map(Vec::from),
+            position: Position {
+                era,
+                number: self.position,
+            },
+            removed: self.removed,
         }
     }
 }
@@ -355,7 +393,8 @@
         Self::Rows {
             table,
             full: update.full,
-            position: update.page.position,
+            position: update.page.position.number,
+            era: update.page.position.era,
             rows: update.page.rows.into_iter().map(Change::from).collect(),
         }
     }
--- a/crates/edge/src/link/handle.rs
+++ b/crates/edge/src/link/handle.rs
@@ -3,7 +3,7 @@
 use super::frame::{self, Frame, Heartbeat, Notices, decode_presence};
 use crate::app::{Announcement, App, Notice, State, Table, Update};
 use contract::Map;
-use platform::store::{Page, Row};
+use platform::store::Page;
 use route::pool::Load;
 use route::relay::{LinkId, Presence, Role, Scope};
 use route::rollout::{Count, Tally, Trial};
@@ -29,7 +29,8 @@
             handle_notices(app, peer, notices);
             Vec::new()
         }
-        Frame::Fetch { table, after } => {
+        Frame::Fetch { table, after, era } => {
+            let after = Position { era, number: after };
             return table_at(table)
                 .and_then(|table| encode_rows(app, table, after))
                 .into_iter()
@@ -39,12 +40,17 @@
             table,
             full,
             position,
+            era,
             rows,
         } => {
             if let Some(table) = table_at(table) {
+                let rows = rows.into_iter().map(|change| change.into_row(era));
                 let page = Page {
-                    rows: rows.into_iter().map(Row::from).collect(),
-                    position,
+                    rows: rows.collect(),
+                    position: Position {
+                        era,
+                        number: position,
+                    },
                     ..Page::default()
                 };
                 handle_rows(app, table, Update { full, page });
@@ -113,9 +119,13 @@
     merge_work(state, now, peer, &heartbeat);
     let mut fetches = Vec::new();
     for table in Table::ALL {
-        if let Some(after) = state.start_fetch(now, table, heartbeat.newest[table as usize]) {
+        if let Some(after) = state.start_fetch(now, table, heartbeat.newest(table)) {
             let table = table as u8;
-            fetches.push(Frame::Fetch { table, after });
+            fetches.push(Frame::Fetch {
+                table,
+                after: after.number,
+                era: after.era,
+            });
         }
     }
     fetches
@@ -312,13 +322,11 @@
 pub fn heartbeat(app: &App, now: Instant, role: Role) -> Frame {
     let mut state = app.state();
     let state = &mut *state;
-    let mut heartbeat = Heartbeat {
-        role: role.into(),
-        ready: state.ready(),
-        follows_store: state.follows_store(now),
-        newest: Table::ALL.map(|table| state.mirror(table).newest()),
-        ..Heartbeat::default()
-    };
+    let mut heartbeat = Heartbeat::default();
+    heartbeat.role = role.into();
+    heartbeat.ready = state.ready();
+    heartbeat.follows_store = state.follows_store(now);
+    heartbeat.set_newest(Table::ALL.map(|table| state.mirror(table).newest()));
     if role.attached && !role.primary {
         // The primary relay reports this node's load.
         return Frame::Heartbeat(heartbeat);
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -3,6 +3,7 @@
 use crate::app::{App, Table, log_unreadable_row};
 use crate::backoff::Backoff;
 use platform::store::{Row, Write};
+use route::Era;
 use route::member::Member;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -56,31 +57,36 @@
     serde_json::to_vec(&record).unwrap_or_default()
 }
 
-/// Writes this node's row unless it is up to date.
+/// Writes this node's row unless it is up to date, for as long as the node runs: a store that was
+/// restored from a copy may have lost the row.
 pub async fn register(app: Arc<App>) {
     let member = app.member();
     let value = encode(&member);
     let mut backoff = Backoff::new(INITIAL_DELAY, MAX_DELAY);
+    let mut registered: Option<Era> = None;
     loop {
-        let is_current = {
+        let (era, is_current) = {
             let state = app.state();
             let mirror = state.mirror(Table::Members);
             let row = mirror.get(&member.node).and_then(|row| row.value.as_ref());
-            mirror.position().map(|_| row == Some(&value))
+            let era = mirror.position().map(|position| position.era);
+            (era, row == Some(&value))
         };
-        match is_current {
-            Some(true) => return,
-            Some(false) => {
-                let write = Write::new(TABLE).put(&member.node, value.clone());
-                match app.store.write(&write).await {
-                    Ok(_) => return,
-                    Err(error) => {
-                        log::warn!(event = 1703; "can't write this node's row: {error}")
-                    }
-                }
+        if era.is_none() || registered >= era {
+            backoff.wait().await;
+            continue;
+        }
+        if is_current {
+            registered = era;
+            continue;
+        }
+        let write = Write::new(TABLE).put(&member.node, value.clone());
+        match app.store.write(&write).await {
+            Ok(page) => registered = Some(page.position.era),
+            Err(error) => {
+                log::warn!(event = 1703; "can't write this node's row: {error}");
+                backoff.wait().await;
             }
-            None => (),
         }
-        backoff.wait().await;
     }
 }
--- a/crates/edge/src/metrics/metrics.rs
+++ b/crates/edge/src/metrics/metrics.rs
@@ -40,6 +40,7 @@
     /// Time for which requests waited for a backend server with free capacity, in seconds.
     pub queue_seconds: Histogram,
     pub(super) revision: Gauge,
+    pub(super) store_era: Gauge,
     pub(super) members: Gauge,
     pub(super) servers: Gauge,
     pub(super) leaving_servers: Gauge,
@@ -79,6 +80,7 @@
             response_seconds: histogram(),
             queue_seconds: histogram(),
             revision: Gauge::default(),
+            store_era: Gauge::default(),
             members: Gauge::default(),
             servers: Gauge::default(),
             leaving_servers: Gauge::default(),
@@ -154,6 +156,11 @@
         registry.register("place_wait_seconds", seconds, self.queue_seconds.clone());
         let gauges = [
             ("config_revision", "Revision in force", &self.revision),
+            (
+                "store_era",
+                "Era of the store, 0 if it names none",
+                &self.store_era,
+            ),
             (
                 "members_alive",
                 "Other nodes heard of of late",
--- a/crates/edge/src/metrics/serve.rs
+++ b/crates/edge/src/metrics/serve.rs
@@ -36,6 +36,7 @@
     let now = Instant::now();
     let state = app.state();
     metrics.revision.set(state.routes.config().revision as i64);
+    metrics.store_era.set(app.store.era() as i64);
     metrics.members.set(state.members.alive(now).count() as i64);
     let servers = state.pool.servers().values();
     metrics
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -86,7 +86,7 @@
                 service: spec.service,
                 to: spec.version,
                 status,
-                position: row.map_or(0, |row| row.position),
+                position: row.map_or(Position::START, |row| row.position),
                 tally,
             });
         }
--- a/crates/edge/tests/mirror.rs
+++ b/crates/edge/tests/mirror.rs
@@ -1,13 +1,18 @@
 //! A node's replica of a table: changes in any order, removals, compacted histories.
 
-use edge::app::Mirror;
+use edge::app::{Changes, Mirror};
 use platform::store::{Page, Row};
+use route::{Era, Position};
+
+fn at(number: u64) -> Position {
+    Position { era: 1, number }
+}
 
 fn row(key: &str, position: u64, value: Option<&str>) -> Row {
     Row {
         key: key.to_owned(),
         value: value.map(|value| value.as_bytes().to_vec()),
-        position,
+        position: at(position),
         removed: value.is_none(),
     }
 }
@@ -15,7 +20,7 @@
 fn page(position: u64, rows: Vec<Row>) -> Page {
     Page {
         rows,
-        position,
+        position: at(position),
         ..Page::default()
     }
 }
@@ -33,7 +38,7 @@
         mirror.get("a").unwrap().value.as_deref(),
         Some(b"new".as_slice())
     );
-    assert_eq!(mirror.position(), Some(5));
+    assert_eq!(mirror.position(), Some(at(5)));
 }
 
 #[test]
@@ -57,14 +62,11 @@
         vec![row("a", 1, Some("x")), row("b", 2, Some("x"))],
     ));
     let changes = mirror.replace(page(9, vec![row("b", 2, Some("x"))]));
-    assert_eq!(changes, [row("a", 9, None)]);
+    assert_eq!(changes.newer, [row("a", 9, None)]);
     // A row written after the table was read is kept.
     mirror.update(page(12, vec![row("c", 12, Some("x"))]));
-    assert!(
-        mirror
-            .replace(page(11, vec![row("b", 2, Some("x"))]))
-            .is_empty()
-    );
+    let changes = mirror.replace(page(11, vec![row("b", 2, Some("x"))]));
+    assert_eq!(changes, Changes::default());
     assert!(mirror.get("c").is_some());
 }
 
@@ -72,14 +74,14 @@
 fn a_replica_older_than_known_removals_gets_the_full_table() {
     let mut mirror = Mirror::default();
     assert!(
-        mirror.changes_since(0).is_none(),
+        mirror.changes_since(at(0)).is_none(),
         "the table has not been read"
     );
     mirror.replace(page(10, vec![row("a", 3, Some("x"))]));
     mirror.update(page(12, vec![row("a", 12, None)]));
-    let full = mirror.changes_since(9).unwrap();
+    let full = mirror.changes_since(at(9)).unwrap();
     assert!(full.full && full.page.rows.is_empty());
-    let changes = mirror.changes_since(10).unwrap();
+    let changes = mirror.changes_since(at(10)).unwrap();
     assert!(!changes.full);
     assert_eq!(changes.page.rows, [row("a", 12, None)]);
     let mut other = Mirror::default();
@@ -97,11 +99,11 @@
     older.replace(page(5, vec![row("a", 4, Some("x"))]));
     let mut mirror = Mirror::default();
     mirror.replace(page(9, vec![row("b", 9, Some("x"))]));
-    let late = older.changes_since(0).unwrap();
+    let late = older.changes_since(at(0)).unwrap();
     assert!(mirror.update(late.page.clone()).is_empty());
-    assert!(mirror.replace(late.page).is_empty());
+    assert_eq!(mirror.replace(late.page), Changes::default());
     assert!(mirror.get("a").is_none());
-    assert_eq!(mirror.position(), Some(9));
+    assert_eq!(mirror.position(), Some(at(9)));
 }
 
 #[test]
@@ -111,10 +113,85 @@
     let mut older = mirror.clone();
     older.update(page(4, vec![row("b", 4, Some("x"))]));
     mirror.replace(page(9, vec![row("a", 1, Some("x"))]));
-    let late = mirror.changes_since(4).unwrap();
+    let late = mirror.changes_since(at(4)).unwrap();
     match late.full {
-        true => older.replace(late.page),
+        true => older.replace(late.page).newer,
         false => older.update(late.page),
     };
     assert!(older.get("b").is_none());
 }
+
+/// The same page in another era of the store.
+fn in_era(era: Era, mut page: Page) -> Page {
+    page.position.era = era;
+    for row in &mut page.rows {
+        row.position.era = era;
+    }
+    page
+}
+
+/// Guards against rows that are dropped because the restored store gives out lower numbers.
+#[test]
+fn a_change_of_a_later_era_is_newer_whatever_its_number() {
+    let mut mirror = Mirror::default();
+    mirror.replace(page(230, vec![row("a", 228, Some("lost"))]));
+    mirror.replace(in_era(2, page(140, vec![row("a", 120, Some("copy"))])));
+    let changes = mirror.update(in_era(2, page(141, vec![row("a", 141, Some("new"))])));
+    assert_eq!(changes.len(), 1);
+    let unknown = in_era(2, page(142, vec![row("b", 142, Some("new"))]));
+    assert_eq!(mirror.update(unknown).len(), 1);
+    let position = mirror.position().unwrap();
+    assert_eq!((position.era, position.number), (2, 142));
+}
+
+/// Guards against late answers, and nodes that are behind, from before the restore.
+#[test]
+fn a_page_of_an_earlier_era_changes_nothing() {
+    let mut mirror = Mirror::default();
+    mirror.replace(in_era(2, page(140, vec![row("a", 120, Some("x"))])));
+    let late = page(230, vec![row("a", 228, Some("lost"))]);
+    assert!(mirror.update(late.clone()).is_empty());
+    assert_eq!(mirror.replace(late), Changes::default());
+    let kept = mirror.get("a").unwrap();
+    assert_eq!(kept.value.as_deref(), Some(b"x".as_slice()));
+}
+
+/// Guards against changes of a later era that are taken for those after a position of an earlier one.
+#[test]
+fn changes_of_a_later_era_do_not_continue_an_earlier_one() {
+    let mut mirror = Mirror::default();
+    mirror.replace(page(10, vec![row("a", 9, Some("x"))]));
+    let later = in_era(2, page(30, vec![row("b", 30, Some("x"))]));
+    assert!(mirror.update(later).is_empty());
+    assert_eq!(mirror.position(), Some(at(10)));
+}
+
+/// Guards against an older state that a restored store holds and that is taken for a change.
+#[test]
+fn rows_that_a_restored_store_may_have_lost_are_doubtful() {
+    let mut mirror = Mirror::default();
+    let rows = [("kept", 5), ("changed", 20), ("added", 21), ("old", 6)];
+    let rows = rows.map(|(key, number)| row(key, number, Some("x")));
+    mirror.replace(page(21, rows.to_vec()));
+    mirror.update(page(22, vec![row("old", 22, None)]));
+    let copy = vec![
+        row("kept", 5, Some("x")),
+        row("changed", 7, Some("before")),
+        row("old", 6, Some("x")),
+        row("written", 12, Some("x")),
+    ];
+    let changes = mirror.replace(in_era(2, page(12, copy)));
+    let keys = |rows: &[Row]| rows.iter().map(|row| row.key.clone()).collect::<Vec<_>>();
+    assert_eq!(keys(&changes.newer), ["written"]);
+    assert_eq!(keys(&changes.doubtful), ["changed", "old", "added"]);
+}
+
+/// Guards against replicas of an earlier era that are sent a part of the table.
+#[test]
+fn a_replica_of_an_earlier_era_gets_the_full_table() {
+    let mut mirror = Mirror::default();
+    mirror.replace(Page::default());
+    mirror.update(in_era(2, page(3, vec![row("a", 3, Some("x"))])));
+    assert!(mirror.changes_since(at(10)).unwrap().full);
+    assert!(!mirror.changes_since(Position::START).unwrap().full);
+}
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -7,6 +7,7 @@
 use fixture::site;
 use limits::retry::Purpose;
 use platform::store::{Page, Row};
+use route::Position;
 use route::member::Member;
 use route::pool::{Query, Stage, Work};
 use route::rollout::Status;
@@ -16,17 +17,21 @@
     state.update(Instant::now(), table, change(key, position, Some(value)));
 }
 
+fn at(number: u64) -> Position {
+    Position { era: 1, number }
+}
+
 /// A change of one row; without a value the row is removed.
 fn change(key: &str, position: u64, value: Option<&str>) -> Page {
     let row = Row {
         key: key.to_owned(),
         value: value.map(|value| value.as_bytes().to_vec()),
-        position,
+        position: at(position),
         removed: value.is_none(),
     };
     Page {
         rows: vec![row],
-        position,
+        position: at(position),
         ..Page::default()
     }
 }
@@ -211,7 +216,10 @@
     let mut site = site();
     site.first_start = true;
     let mut state = State::new(&site);
-    assert_eq!(state.mirror(Table::Intents).position(), Some(0));
+    assert_eq!(
+        state.mirror(Table::Intents).position(),
+        Some(Position::START)
+    );
     assert!(!state.ready());
     list(&mut state, &["v1"]);
     assert!(!state.ready(), "there is no configuration yet");
@@ -357,3 +365,86 @@
     let query = query(&work);
     assert!(state.pick(Instant::now(), &query, "r", None).is_ok());
 }
+
+/// A full table of a store that was restored from a copy, with these rows.
+fn restored(rows: &[(&str, u64, &str)]) -> Page {
+    let position = |number| Position { era: 2, number };
+    let rows = rows.iter().map(|(key, number, value)| Row {
+        key: (*key).to_owned(),
+        value: Some(value.as_bytes().to_vec()),
+        position: position(*number),
+        removed: false,
+    });
+    Page {
+        rows: rows.collect(),
+        position: position(10),
+        ..Page::default()
+    }
+}
+
+/// Time within which what a restored store has lost is written again.
+const GRACE: Duration = Duration::from_secs(2);
+
+/// Guards against an evacuation that ends because the store has lost it, and against one that never
+/// ends.
+#[test]
+fn a_lost_evacuation_stays_in_force_until_the_grace_is_over() {
+    let mut state = State::new(&site());
+    list(&mut state, &["v1"]);
+    put(&mut state, Table::Intents, "evacuate/a", 20, "{}");
+    let work = Work::default();
+    let now = Instant::now();
+    state.replace(now, Table::Intents, restored(&[]));
+    state.sweep(now + GRACE / 2);
+    assert!(state.pick(now, &query(&work), "r", None).is_err());
+    state.sweep(now + GRACE);
+    assert!(state.pick(now, &query(&work), "r", None).is_ok());
+}
+
+/// Guards against a roll-out that starts anew because the store has lost the order.
+#[test]
+fn a_lost_roll_out_goes_on_when_it_is_ordered_again() {
+    let mut state = State::new(&site());
+    list(&mut state, &["v1", "v2"]);
+    order(&mut state, 20, "v2");
+    let listing = state.pool.servers()["i-v2"].listing.clone();
+    state.record_answer(&listing, true);
+    let now = Instant::now();
+    state.replace(now, Table::Intents, restored(&[]));
+    let again = r#"{"service":"s","to":"v2","rolloutS":16}"#;
+    state.replace(now, Table::Intents, restored(&[("rollout/s", 11, again)]));
+    state.sweep(now + GRACE);
+    assert_eq!(state.trials["s"].total().new.bad, 1);
+}
+
+/// Guards against a roll-out to an earlier version that a restored store still holds.
+#[test]
+fn an_older_roll_out_of_a_restored_store_is_withheld() {
+    let mut state = State::new(&site());
+    list(&mut state, &["v1", "v2", "v3"]);
+    order(&mut state, 5, "v2");
+    order(&mut state, 20, "v3");
+    let older = r#"{"service":"s","to":"v2","rolloutS":16}"#;
+    let now = Instant::now();
+    state.replace(now, Table::Intents, restored(&[("rollout/s", 5, older)]));
+    state.sweep(now + GRACE / 2);
+    assert_eq!(state.trials["s"].spec.version, "v3");
+}
+
+/// Guards against entries that are dropped, or come back, because the store was restored.
+#[test]
+fn entries_that_a_restored_store_differs_in_are_settled_after_the_grace() {
+    let mut state = State::new(&site());
+    let entry = entry(1, 64, "0");
+    put(&mut state, Table::Servers, "i-old", 4, &entry);
+    put(&mut state, Table::Servers, "i-new", 20, &entry);
+    let removal = change("i-old", 21, None);
+    state.update(Instant::now(), Table::Servers, removal);
+    let now = Instant::now();
+    state.replace(now, Table::Servers, restored(&[("i-old", 4, &entry)]));
+    let listed = |state: &State| state.pool.servers().keys().cloned().collect::<Vec<_>>();
+    state.sweep(now + GRACE / 2);
+    assert_eq!(listed(&state), ["i-new"]);
+    state.sweep(now + GRACE);
+    assert_eq!(listed(&state), ["i-old"]);
+}
--- a/crates/route/src/ids.rs
+++ b/crates/route/src/ids.rs
@@ -14,5 +14,3 @@
 pub type Model = String;
 /// Revision of the site's configuration; a greater one is newer.
 pub type Revision = u64;
-/// Position in the history of the platform's store; a greater one is newer.
-pub type Position = u64;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod ids;
 pub mod member;
 pub mod pool;
+mod position;
 pub mod relay;
 pub mod rollout;
 pub mod server;
@@ -18,3 +19,4 @@
 pub mod zone;
 
 pub use ids::*;
+pub use position::{Era, Position};
