Keep a row removed that was written and removed again unseen

Cause: a replica compared a listed row with the tombstone that it knew, though it had read the full table since: a late full table from before that read brought the row back. Change: the position of the last full read counts for tombstones as it does for unknown rows.

--- a/crates/edge/src/app/mirror.rs
+++ b/crates/edge/src/app/mirror.rs
@@ -61,8 +61,13 @@
         let mut changed = Vec::new();
         for row in page.rows {
             self.newest = self.newest.max(row.position);
-            let known = self.rows.get(&row.key).map(|known| known.position);
-            if row.position > known.unwrap_or(self.removals_since) {
+            let known = match self.rows.get(&row.key) {
+                Some(known) if !known.removed => known.position,
+                // It may have been written and removed again before the full table was read.
+                Some(known) => known.position.max(self.removals_since),
+                None => self.removals_since,
+            };
+            if row.position > known {
                 self.rows.insert(row.key.clone(), row.clone());
                 changed.push(row);
             }
--- a/crates/edge/tests/mirror.rs
+++ b/crates/edge/tests/mirror.rs
@@ -195,3 +195,14 @@
     assert!(mirror.changes_since(at(10)).unwrap().full);
     assert!(!mirror.changes_since(Position::START).unwrap().full);
 }
+
+/// Guards against a late answer that lists a row which was written and removed again unseen.
+#[test]
+fn a_row_that_came_back_and_went_unseen_is_not_restored_by_a_late_full_table() {
+    let mut mirror = Mirror::default();
+    mirror.replace(page(1, vec![row("a", 1, Some("x"))]));
+    mirror.update(page(2, vec![row("a", 2, None)]));
+    mirror.replace(page(9, vec![]));
+    mirror.replace(page(5, vec![row("a", 4, Some("x"))]));
+    assert!(mirror.get("a").is_none());
+}
