--- a/crates/edge/tests/eras.rs
+++ b/crates/edge/tests/eras.rs
@@ -128,7 +128,7 @@
         ..Store::default()
     };
     let mut mirrors = vec![Mirror::default(); NODES];
-    if seed % 3 == 0 {
+    if seed.is_multiple_of(3) {
         for mirror in &mut mirrors {
             mirror.replace(Page::default());
         }
