Begin the grace of unsettled rows anew when the store is restored again

Shown: a_second_restore_begins_the_grace_anew failed before the change (with restores 1.5 s apart the only server of a service was removed 0.5 s after the second one, and callers got 503); it passes now, as do the other tests of state.rs. Change: a restore extends what is withheld or kept of that table.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -317,6 +317,7 @@
             log::warn!(event = 1782, table = table.name(), before = before.era, era = after.era,
                 newer = changes.newer.len(), doubtful = changes.doubtful.len();
                 "the store was restored from an older copy");
+            self.extend_grace(now, table);
         }
         self.apply(now, table, changes.newer);
         self.apply_doubtful(now, table, changes.doubtful);
@@ -339,6 +340,20 @@
         }
     }
 
+    /// Begins the grace of rows anew that an earlier restore of the store or an outage has left
+    /// unsettled: their writers couldn't know before that the store has lost them once more.
+    fn extend_grace(&mut self, now: Instant, table: Table) {
+        let until = now + ENTRY_GRACE;
+        for (_, _, end) in self.withheld.iter_mut().filter(|row| row.0 == table) {
+            *end = until;
+        }
+        if table == Table::Servers {
+            for (_, end) in &mut self.expired {
+                *end = until;
+            }
+        }
+    }
+
     /// What becomes of a doubtful row of a restored store.
     fn fate(&self, table: Table, row: &Row) -> Fate {
         match table {
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -448,3 +448,30 @@
     state.sweep(now + GRACE);
     assert_eq!(listed(&state), ["i-old"]);
 }
+
+/// A full table of a store that was restored once more.
+fn restored_again(rows: &[(&str, u64, &str)]) -> Page {
+    let mut page = restored(rows);
+    page.position.era += 1;
+    for row in &mut page.rows {
+        row.position.era += 1;
+    }
+    page
+}
+
+/// Guards against rows that are dropped before those who wrote them could write them into a store that
+/// was restored twice.
+#[test]
+fn a_second_restore_begins_the_grace_anew() {
+    let mut state = State::new(&site());
+    list(&mut state, &["v1"]);
+    let now = Instant::now();
+    state.replace(now, Table::Servers, restored(&[]));
+    let second = now + GRACE * 3 / 4;
+    state.sweep(second);
+    state.replace(second, Table::Servers, restored_again(&[]));
+    state.sweep(now + GRACE);
+    assert!(state.pool.servers().contains_key("i-v1"));
+    state.sweep(second + GRACE);
+    assert!(!state.pool.servers().contains_key("i-v1"));
+}
