Keep a start that was draining before its removal out of use

Cause: a node forgot that a start was draining once its entry was removed. Shown: a_start_that_was_draining_before_its_removal_stays_unused failed before the change (the start was picked); it passes now, as do the other tests of state.rs and those of route. Change: Pool::remove remembers a start that was leaving among the departures. Left: a start whose entry was removed without a report is used again after the grace; nothing tells it from one that lapsed.

--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -475,3 +475,20 @@
     state.sweep(second + GRACE);
     assert!(!state.pool.servers().contains_key("i-v1"));
 }
+
+/// Guards against a start that has left and gets requests again because its removal is lost.
+#[test]
+fn a_start_that_was_draining_before_its_removal_stays_unused() {
+    let mut state = State::new(&site());
+    let ready = entry(1, 64, "0");
+    put(&mut state, Table::Servers, "i-1", 4, &ready);
+    let draining = ready.replace("\"ready\"", "\"draining\"");
+    put(&mut state, Table::Servers, "i-1", 20, &draining);
+    let removal = change("i-1", 21, None);
+    state.update(Instant::now(), Table::Servers, removal);
+    let now = Instant::now();
+    state.replace(now, Table::Servers, restored(&[("i-1", 4, &ready)]));
+    state.sweep(now + GRACE);
+    let work = Work::default();
+    assert!(state.pick(now + GRACE, &query(&work), "r", None).is_err());
+}
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -125,9 +125,12 @@
     }
 
     /// Removes a backend server. Its open requests continue, and the node learns their outcome from
-    /// their connections.
+    /// their connections. A start that was leaving stays so if a restored store lists it again.
     pub fn remove(&mut self, id: &str) {
         let removed = self.servers.remove(id);
+        if let Some(server) = removed.as_ref().filter(|server| !server.accepts_work()) {
+            self.departures.insert(id, server.listing.started_ms);
+        }
         if let Some((started_ms, limit)) =
             removed.and_then(|server| Some((server.listing.started_ms, server.limit?)))
         {
