Reject a version that was rolled back while its order is missing

Cause: the removal of a roll-out's order dropped the node's verdict on the version. A restored store that has lost the order, which isn't written again within the grace, gave the bad version requests again while its servers still ran: EXPOSURE. Shown: a_version_that_was_rolled_back_gets_nothing_while_its_order_is_lost failed before the change (v2 was picked); it passes now, as do the other tests of state.rs. Change: the version stays rejected, as it does when the next roll-out is ordered. Left: the same order written again after the grace begins a trial anew.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -423,7 +423,14 @@
                 }
             }
             (Intent::Rollout(service), _) => {
-                self.trials.remove(service);
+                // A version that was rolled back stays rejected: a restored store may have lost its
+                // order, and its servers may still be there.
+                if let Some(trial) = self.trials.remove(service)
+                    && trial.outcome() == Status::RolledBack
+                {
+                    let rejected = self.rejected.entry(trial.spec.service).or_default();
+                    rejected.insert(trial.spec.version);
+                }
             }
             (Intent::Evacuation(zone), _) => {
                 let out = !row.removed;
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -492,3 +492,26 @@
     let work = Work::default();
     assert!(state.pick(now + GRACE, &query(&work), "r", None).is_err());
 }
+
+/// Guards against a bad version that gets requests again because the store has lost the order.
+#[test]
+fn a_version_that_was_rolled_back_gets_nothing_while_its_order_is_lost() {
+    let mut state = State::new(&site());
+    list(&mut state, &["v1", "v2"]);
+    order(&mut state, 20, "v2");
+    let status = r#"{"state":"rolled_back","to":"v2"}"#;
+    put(&mut state, Table::Status, "rollout/s", 21, status);
+    let now = Instant::now();
+    state.replace(now, Table::Intents, restored(&[]));
+    state.replace(now, Table::Status, restored(&[]));
+    state.sweep(now + GRACE);
+    let work = Work::default();
+    let query = query(&work);
+    for session in 0..50 {
+        let name = format!("s-{session}");
+        let chosen = state.pick(now + GRACE, &query, "r", Some(&name));
+        let chosen = chosen.unwrap();
+        assert_ne!(chosen.version, "v2");
+        state.pool.start_request(now + GRACE, &chosen.id, &query);
+    }
+}
