Doubt rows of a restored store that were gone when the node read the table

Cause: a node that started in the lost seconds has no tombstone of what was removed before it read the table. Such a row of the copy was taken for a new one and took effect at once: a server that had left got requests (DRAIN), an evacuation that had been lifted began again, while the other nodes withheld the same row. Shown: an_entry_that_was_gone_when_the_node_started_is_not_used_at_once failed before the change (the server was in the pool); it passes now, as do the other tests of state.rs and mirror.rs. Change: an unknown row whose number is not above the position up to which the replica was complete is doubtful. Tests: rows_that_a_restored_store_may_have_lost_are_doubtful took such a row for one written after the restore, which its number can't tell. It now has one of each kind: the row at 12 is doubtful, one at 23, above the known 22, is newer.

--- a/crates/edge/src/app/mirror.rs
+++ b/crates/edge/src/app/mirror.rs
@@ -105,6 +105,7 @@
     /// Applies the full table of a store that was restored: its rows take the place of those of the
     /// earlier era. Numbers up to that of the copy stand for the same change in both eras.
     fn restore(&mut self, page: Page) -> Changes {
+        let complete = self.position.unwrap_or_default().number;
         self.position = Some(page.position);
         self.newest = page.position;
         let mut changes = Changes::default();
@@ -115,6 +116,8 @@
                 Some(known) if row.removed || row.position.number <= known.position.number => {
                     changes.doubtful.push(row);
                 }
+                // It may have been removed before this node read the table.
+                None if row.position.number <= complete => changes.doubtful.push(row),
                 _ => changes.newer.push(row),
             }
         }
--- a/crates/edge/tests/mirror.rs
+++ b/crates/edge/tests/mirror.rs
@@ -178,12 +178,16 @@
         row("kept", 5, Some("x")),
         row("changed", 7, Some("before")),
         row("old", 6, Some("x")),
-        row("written", 12, Some("x")),
+        row("unknown", 12, Some("x")),
+        row("written", 23, Some("x")),
     ];
-    let changes = mirror.replace(in_era(2, page(12, copy)));
+    let changes = mirror.replace(in_era(2, page(23, copy)));
     let keys = |rows: &[Row]| rows.iter().map(|row| row.key.clone()).collect::<Vec<_>>();
     assert_eq!(keys(&changes.newer), ["written"]);
-    assert_eq!(keys(&changes.doubtful), ["changed", "old", "added"]);
+    assert_eq!(
+        keys(&changes.doubtful),
+        ["changed", "old", "unknown", "added"]
+    );
 }
 
 /// Guards against replicas of an earlier era that are sent a part of the table.
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -515,3 +515,17 @@
         state.pool.start_request(now + GRACE, &chosen.id, &query);
     }
 }
+
+/// Guards against a server that gets requests again because the restored store holds its entry from
+/// before it left. A node keeps no removal of a row that was gone when it read the table.
+#[test]
+fn an_entry_that_was_gone_when_the_node_started_is_not_used_at_once() {
+    let mut state = State::new(&site());
+    let mut page = change("i-other", 5, Some(&entry(2, 64, "0")));
+    page.position = at(20);
+    state.replace(Instant::now(), Table::Servers, page);
+    let now = Instant::now();
+    let old = entry(1, 64, "0");
+    state.replace(now, Table::Servers, restored(&[("i-old", 4, &old)]));
+    assert!(!state.pool.servers().contains_key("i-old"));
+}
