--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -475,3 +475,57 @@
     state.sweep(second + GRACE);
     assert!(!state.pool.servers().contains_key("i-v1"));
 }
+
+/// Guards against a start that has left and gets requests again because its removal is lost.
+#[test]
+fn a_start_that_was_draining_before_its_removal_stays_unused() {
+    let mut state = State::new(&site());
+    let ready = entry(1, 64, "0");
+    put(&mut state, Table::Servers, "i-1", 4, &ready);
+    let draining = ready.replace("\"ready\"", "\"draining\"");
+    put(&mut state, Table::Servers, "i-1", 20, &draining);
+    let removal = change("i-1", 21, None);
+    state.update(Instant::now(), Table::Servers, removal);
+    let now = Instant::now();
+    state.replace(now, Table::Servers, restored(&[("i-1", 4, &ready)]));
+    state.sweep(now + GRACE);
+    let work = Work::default();
+    assert!(state.pick(now + GRACE, &query(&work), "r", None).is_err());
+}
+
+/// Guards against a bad version that gets requests again because the store has lost the order.
+#[test]
+fn a_version_that_was_rolled_back_gets_nothing_while_its_order_is_lost() {
+    let mut state = State::new(&site());
+    list(&mut state, &["v1", "v2"]);
+    order(&mut state, 20, "v2");
+    let status = r#"{"state":"rolled_back","to":"v2"}"#;
+    put(&mut state, Table::Status, "rollout/s", 21, status);
+    let now = Instant::now();
+    state.replace(now, Table::Intents, restored(&[]));
+    state.replace(now, Table::Status, restored(&[]));
+    state.sweep(now + GRACE);
+    let work = Work::default();
+    let query = query(&work);
+    for session in 0..50 {
+        let name = format!("s-{session}");
+        let chosen = state.pick(now + GRACE, &query, "r", Some(&name));
+        let chosen = chosen.unwrap();
+        assert_ne!(chosen.version, "v2");
+        state.pool.start_request(now + GRACE, &chosen.id, &query);
+    }
+}
+
+/// Guards against a server that gets requests again because the restored store holds its entry from
+/// before it left. A node keeps no removal of a row that was gone when it read the table.
+#[test]
+fn an_entry_that_was_gone_when_the_node_started_is_not_used_at_once() {
+    let mut state = State::new(&site());
+    let mut page = change("i-other", 5, Some(&entry(2, 64, "0")));
+    page.position = at(20);
+    state.replace(Instant::now(), Table::Servers, page);
+    let now = Instant::now();
+    let old = entry(1, 64, "0");
+    state.replace(now, Table::Servers, restored(&[("i-old", 4, &old)]));
+    assert!(!state.pool.servers().contains_key("i-old"));
+}
