Continue a roll-out whose lost order is written again after the grace

Shown: a_lost_roll_out_keeps_its_verdict_when_it_is_ordered_late failed before the change (Running after RolledBack); it passes now, as do the other tests of state.rs. Change: the trial is kept aside and goes on when an order for the service is written; one for another version replaces it, as ever. Left: between the grace and the order a version on trial isn't held to its share; a longer grace for orders would close this.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -90,6 +90,9 @@
     pub draining: bool,
     /// Roll-outs that the operator has ordered, by service.
     pub trials: Map<ServiceName, Trial>,
+    /// Roll-outs whose orders a restored store has lost and nobody has written again within the grace, by
+    /// service. They go on if the same order is written later.
+    lost_trials: Map<ServiceName, Trial>,
     /// Versions that did not complete their roll-out, by service: they get no more requests.
     rejected: Map<ServiceName, Set<Version>>,
     /// Versions that sessions are assigned to.
@@ -157,6 +160,7 @@
             stopping: false,
             draining: false,
             trials: Map::default(),
+            lost_trials: Map::default(),
             rejected: Map::default(),
             sessions: Sessions::default(),
             announce_sessions: false,
@@ -386,6 +390,12 @@
             .collect();
         for (table, key, _) in due {
             let row = self.mirror(table).last_change(&key).cloned();
+            if let (Table::Intents, Intent::Rollout(service)) = (table, platform::parse_key(&key))
+                && row.as_ref().is_some_and(|row| row.removed)
+                && let Some(trial) = self.trials.get(service)
+            {
+                self.lost_trials.insert(service.to_owned(), trial.clone());
+            }
             self.apply(now, table, row.into_iter().collect());
         }
     }
@@ -447,6 +457,9 @@
     }
 
     fn apply_rollout(&mut self, now: Instant, spec: Spec) {
+        if let Some(lost) = self.lost_trials.remove(&spec.service) {
+            self.trials.entry(spec.service.clone()).or_insert(lost);
+        }
         let known = self.trials.get(&spec.service);
         if known.is_some_and(|trial| trial.spec == spec) {
             return;
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -529,3 +529,23 @@
     state.replace(now, Table::Servers, restored(&[("i-old", 4, &old)]));
     assert!(!state.pool.servers().contains_key("i-old"));
 }
+
+/// Guards against a trial that begins anew, and gives a bad version requests again, because the operator
+/// writes a lost order again after the grace.
+#[test]
+fn a_lost_roll_out_keeps_its_verdict_when_it_is_ordered_late() {
+    let mut state = State::new(&site());
+    list(&mut state, &["v1", "v2"]);
+    order(&mut state, 20, "v2");
+    let status = r#"{"state":"rolled_back","to":"v2"}"#;
+    put(&mut state, Table::Status, "rollout/s", 21, status);
+    let now = Instant::now();
+    state.replace(now, Table::Intents, restored(&[]));
+    state.replace(now, Table::Status, restored(&[]));
+    state.sweep(now + GRACE);
+    let again = r#"{"service":"s","to":"v2","rolloutS":16}"#;
+    let mut page = restored(&[("rollout/s", 11, again)]);
+    page.position.number = 11;
+    state.update(now + GRACE, Table::Intents, page);
+    assert_eq!(state.trials["s"].status(), Status::RolledBack);
+}
