Keep a later start of a backend server over an earlier one of a restored store

Cause: after the grace the entry of a restored store took effect also if it was of an earlier start than the known one. Starts are only replaced by later ones, so such an entry is an older state for sure. Shown: an_earlier_start_of_a_restored_store_takes_no_effect failed before the change (start 1 in place of the cold start 2); it passes now, as do the other tests of state.rs. Change: such a row is ignored, like that of a start which leaves. If the server is gone, the removal of the entry takes effect.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -13,13 +13,14 @@
 use route::cascade::{Answer, Cascade};
 use route::config::Config;
 use route::member::Members;
-use route::pool::{self, Capacity, Load, Naming, Pool, Query, Refusal, Server, Stage, Tag};
+use route::pool::{self, Capacity, Load, Naming, Pool, Query, Refusal, Stage, Tag};
 use route::relay::{self, Relays};
 use route::rollout::{self, Side, Spec, Status, Tally, Trial};
 use route::server::Listing;
 use route::session::Sessions;
 use route::site::{Bounds, Site};
 use route::{NodeName, Position, ServerId, ServiceName, Version, table};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -367,15 +368,16 @@
             Table::Servers => {
                 let value = row.value.as_deref().unwrap_or_default();
                 let listing = platform::parse_listing(&row.key, value).ok();
-                let known = self.pool.servers().get(&row.key);
-                let is_same_start = known.is_some_and(|known| {
-                    listing.is_some_and(|listing| listing.started_ms == known.listing.started_ms)
-                });
-                match known.is_some_and(Server::accepts_work) {
-                    _ if !is_same_start => Fate::Withheld,
-                    true => Fate::Applied,
-                    // A start of a backend server that leaves doesn't become ready again.
-                    false => Fate::Ignored,
+                let (Some(listing), Some(known)) = (listing, self.pool.servers().get(&row.key))
+                else {
+                    return Fate::Withheld;
+                };
+                match listing.started_ms.cmp(&known.listing.started_ms) {
+                    Ordering::Greater => Fate::Withheld,
+                    Ordering::Equal if known.accepts_work() => Fate::Applied,
+                    // A start that leaves doesn't become ready again, and a start that is over doesn't
+                    // come back.
+                    Ordering::Equal | Ordering::Less => Fate::Ignored,
                 }
             }
             Table::Members | Table::Status => Fate::Applied,
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -549,3 +549,18 @@
     state.update(now + GRACE, Table::Intents, page);
     assert_eq!(state.trials["s"].status(), Status::RolledBack);
 }
+
+/// Guards against a backend server that is taken for its earlier start, and no longer for a cold one,
+/// because the restored store holds that start's entry.
+#[test]
+fn an_earlier_start_of_a_restored_store_takes_no_effect() {
+    let mut state = State::new(&site());
+    let earlier = entry(1, 64, "0");
+    put(&mut state, Table::Servers, "i-1", 4, &earlier);
+    let later = entry(1, 64, "5000").replace(r#""born":1"#, r#""born":2"#);
+    put(&mut state, Table::Servers, "i-1", 20, &later);
+    let now = Instant::now();
+    state.replace(now, Table::Servers, restored(&[("i-1", 4, &earlier)]));
+    state.sweep(now + GRACE);
+    assert_eq!(state.pool.servers()["i-1"].listing.started_ms, 2);
+}
