Add tunnels: connections to backend servers through another node

Change: Tunnel is a byte stream to a backend server through the link address of another node, over a WebSocket with the path /tunnel. Bytes are sent within a window of 32 KiB in each direction, so both sides can always read and notice the end of the other at once; a TCP_USER_TIMEOUT also ends connections whose peer doesn't read, so flow control can't be left to TCP. The end names the number of bytes taken, so an end with an unread request is an error. Nothing opens tunnels yet.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -90,6 +90,8 @@
     pub in_flight: Arc<inflight::Counter>,
     /// Connections that have carried a request, until all of their responses are written.
     pub connections: Arc<inflight::Counter>,
+    /// Tunnels of other nodes that this node serves.
+    pub tunnels: Arc<inflight::Counter>,
     /// Memory for bodies of requests and responses.
     pub memory: Arc<memory::Budget>,
     /// Counters and latencies.
@@ -113,6 +115,7 @@
             announcements: broadcast::Sender::new(MAX_ANNOUNCEMENTS),
             in_flight: Arc::default(),
             connections: Arc::default(),
+            tunnels: Arc::default(),
             memory: memory::Budget::new((site.memory_bytes as f64 * BODY_MEMORY_RATIO) as usize),
             metrics: Metrics::default(),
             log_counts,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,7 +22,9 @@
 mod shutdown;
 mod socket;
 mod status;
+mod stream;
 pub mod supervise;
+pub mod tunnel;
 mod upstream;
 
 pub use error::Error;
--- a/crates/edge/src/metrics/label.rs
+++ b/crates/edge/src/metrics/label.rs
@@ -70,6 +70,13 @@
     pub kind: &'static str,
 }
 
+/// Labels of a tunnel that another node has asked for.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Tunnel {
+    /// `served`, or the name of the refusal.
+    pub outcome: &'static str,
+}
+
 /// Labels of a task that runs for as long as the node does.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Task {
--- a/crates/edge/src/metrics/metrics.rs
+++ b/crates/edge/src/metrics/metrics.rs
@@ -1,6 +1,8 @@
 //! The metrics of a node.
 
-use super::{Announcement, Call, Confidence, Request, Retry, Send, Service, Task, ZoneSend};
+use super::{
+    Announcement, Call, Confidence, Request, Retry, Send, Service, Task, Tunnel, ZoneSend,
+};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -27,6 +29,8 @@
     pub announcements: Family<Announcement, Counter>,
     /// Tasks that panicked and were started again, by name.
     pub task_restarts: Family<Task, Counter>,
+    /// Tunnels that other nodes have asked for, by outcome.
+    pub tunnels: Family<Tunnel, Counter>,
     /// Further sends of requests by purpose and outcome.
     pub retries: Family<Retry, Counter>,
     /// Sends to backend servers of the own and of other zones.
@@ -46,6 +50,7 @@
     pub(super) paused_servers: Gauge,
     pub(super) limited_servers: Gauge,
     pub(super) in_flight: Gauge,
+    pub(super) open_tunnels: Gauge,
     pub(super) list_age_ms: Gauge,
     pub(super) dropped_lines: Gauge,
     pub(super) buffered_bytes: Gauge,
@@ -72,6 +77,7 @@
             confidences: Family::default(),
             announcements: Family::default(),
             task_restarts: Family::default(),
+            tunnels: Family::default(),
             retries: Family::default(),
             zone_sends: Family::default(),
             zone_share: Family::default(),
@@ -85,6 +91,7 @@
             paused_servers: Gauge::default(),
             limited_servers: Gauge::default(),
             in_flight: Gauge::default(),
+            open_tunnels: Gauge::default(),
             list_age_ms: Gauge::default(),
             dropped_lines: Gauge::default(),
             buffered_bytes: Gauge::default(),
@@ -128,6 +135,11 @@
             "Tasks that panicked and were started again",
             self.task_restarts.clone(),
         );
+        registry.register(
+            "tunnels",
+            "Tunnels to backend servers that other nodes have asked for, by outcome",
+            self.tunnels.clone(),
+        );
         registry.register(
             "retries",
             "Further sends of requests by purpose and whether the budget allowed them",
@@ -180,6 +192,11 @@
                 &self.limited_servers,
             ),
             ("requests_inside", "Requests under way", &self.in_flight),
+            (
+                "open_tunnels",
+                "Tunnels that this node serves",
+                &self.open_tunnels,
+            ),
             (
                 "list_age_ms",
                 "Age of the list of backend servers",
--- a/crates/edge/src/metrics/mod.rs
+++ b/crates/edge/src/metrics/mod.rs
@@ -4,6 +4,8 @@
 mod metrics;
 mod serve;
 
-pub use label::{Announcement, Call, Confidence, Request, Retry, Send, Service, Task, ZoneSend};
+pub use label::{
+    Announcement, Call, Confidence, Request, Retry, Send, Service, Task, Tunnel, ZoneSend,
+};
 pub use metrics::Metrics;
 pub use serve::serve;
--- a/crates/edge/src/metrics/serve.rs
+++ b/crates/edge/src/metrics/serve.rs
@@ -55,6 +55,7 @@
         .set(state.list_age(now).as_millis() as i64);
     drop(state);
     metrics.in_flight.set(app.in_flight.count() as i64);
+    metrics.open_tunnels.set(app.tunnels.count() as i64);
     metrics.dropped_lines.set(app.log_counts.count() as i64);
     metrics.buffered_bytes.set(app.memory.used() as i64);
     metrics
--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -68,8 +68,9 @@
             app.state().draining = true;
             phase.send_replace(Phase::Draining);
         }
-        // Connections close after their current response, so those that are left are still written.
-        let in_use = app.in_flight.count() + app.connections.count();
+        // Connections close after their current response, so those that are left are still written. Tunnels
+        // carry requests of other nodes.
+        let in_use = app.in_flight.count() + app.connections.count() + app.tunnels.count();
         if elapsed >= grace || (elapsed >= LAME_DUCK_TIME && in_use == 0) {
             break;
         }
@@ -79,5 +80,5 @@
         app.grace_over.notify_waiters();
         sleep(FLUSH_TIME).await;
     }
-    log::info!(event = 1719, inside = cut, unwritten = app.connections.count(); "stopped");
+    log::info!(event = 1719, inside = cut, unwritten = app.connections.count(), tunnels = app.tunnels.count(); "stopped");
 }
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -1,11 +1,11 @@
 //! Socket of a request to a backend server.
 
+use crate::stream::Stream;
 use socket2::SockRef;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Send buffer of requests whose body is larger than this. Buffered bytes count as written although the
 /// backend server may never receive them, and the default buffer holds several megabytes.
@@ -21,7 +21,7 @@
 /// before it resets the connection.
 #[derive(Debug)]
 pub struct Socket {
-    stream: TcpStream,
+    stream: Stream,
     /// Number of bytes of `HEAD_END` that the written bytes end with, until the head is complete.
     head_end: usize,
     /// Bytes of the request's body that haven't been written.
@@ -30,9 +30,13 @@
 
 impl Socket {
     /// Creates the socket of a request with a body of this many bytes.
-    pub fn new(stream: TcpStream, body_bytes: usize) -> io::Result<Self> {
-        if body_bytes > MAX_BUFFERED_BYTES {
-            SockRef::from(&stream).set_send_buffer_size(MAX_BUFFERED_BYTES)?;
+    pub fn new(stream: impl Into<Stream>, body_bytes: usize) -> io::Result<Self> {
+        let stream = stream.into();
+        // A tunnel bounds the bytes on their way by itself.
+        if let Stream::Direct(stream) = &stream
+            && body_bytes > MAX_BUFFERED_BYTES
+        {
+            SockRef::from(stream).set_send_buffer_size(MAX_BUFFERED_BYTES)?;
         }
         Ok(Self {
             stream,
@@ -63,7 +67,10 @@
 
     /// Checks the end of the connection, which is regular only after the whole request was written.
     fn check_end(&self) -> io::Result<()> {
-        if let Some(error) = SockRef::from(&self.stream).take_error()? {
+        // A tunnel reports a reset as an error of the read.
+        if let Stream::Direct(stream) = &self.stream
+            && let Some(error) = SockRef::from(stream).take_error()?
+        {
             return Err(error);
         }
         match self.is_unfinished() {
--- /dev/null
+++ b/crates/edge/src/tunnel/refusal.rs
@@ -0,0 +1,40 @@
+//! Why a node refuses to serve a tunnel.
+
+use serde::{Deserialize, Serialize};
+
+/// Why a node refuses to serve a tunnel. Nothing was sent to the backend server.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize, thiserror::Error)]
+pub enum Refusal {
+    /// The node knows no backend server of that id.
+    #[error("unknown backend server")]
+    UnknownServer,
+    /// The node can't reach the backend server either.
+    #[error("backend server unreachable")]
+    Unreachable,
+    /// The backend server refuses connections.
+    #[error("connection refused by the backend server")]
+    ConnectionRefused,
+    /// The node serves as many tunnels as it can.
+    #[error("too many tunnels")]
+    TooMany,
+    /// The node is stopping and only finishes what it has begun.
+    #[error("stopping")]
+    Stopping,
+}
+
+impl Refusal {
+    /// Name of the refusal in metrics.
+    ///
+    /// ```
+    /// assert_eq!(edge::tunnel::Refusal::TooMany.name(), "too_many");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::UnknownServer => "unknown_server",
+            Self::Unreachable => "unreachable",
+            Self::ConnectionRefused => "connection_refused",
+            Self::TooMany => "too_many",
+            Self::Stopping => "stopping",
+        }
+    }
+}
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -99,7 +99,8 @@
     connect(address).await.is_err_and(refused)
 }
 
-async fn connect(address: SocketAddrV4) -> io::Result<TcpStream> {
+/// Opens a connection to a backend server.
+pub(crate) async fn connect(address: SocketAddrV4) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     detect_dead_peer(&stream)?;
