--- a/crates/edge/src/tunnel/serve.rs
+++ b/crates/edge/src/tunnel/serve.rs
@@ -52,14 +52,14 @@
             .map_or_else(|refusal| refusal.name(), |_| "served"),
     };
     app.metrics.tunnels.get_or_create(&label).inc();
-    let (reply, server) = match connected {
-        Ok(server) => (Reply::Connected, Ok(server)),
-        Err(refusal) => (Reply::Refused(refusal), Err(refusal)),
+    let reply = match &connected {
+        Ok(_) => Reply::Connected,
+        Err(refusal) => Reply::Refused(*refusal),
     };
     if let Some(message) = reply.encode() {
         link.send(message).await?;
     }
-    match server {
+    match connected {
         Ok(server) => {
             log::debug!(event = 1770, peer = hello.node.as_str(), server = hello.server.as_str(); "serving a tunnel");
             Served::new(link, server).run().await
--- a/crates/edge/src/tunnel/tunnel.rs
+++ b/crates/edge/src/tunnel/tunnel.rs
@@ -159,6 +159,10 @@
         while self.credit == 0 && self.end.is_none() {
             ready!(self.poll_message());
         }
+        if self.end.is_some() && !self.inbox.is_empty() {
+            // A failed write would end the connection before the rest of the answer is read.
+            return Poll::Pending;
+        }
         if self.end.is_some() || self.finished {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
@@ -225,6 +229,9 @@
         let count = buffer.remaining().min(self.inbox.bytes().len());
         buffer.put_slice(&self.inbox.bytes()[..count]);
         self.inbox.consume(count);
+        if self.end.is_some() && self.inbox.is_empty() {
+            self.wakers.writer.wake();
+        }
         self.send_credit();
         Poll::Ready(Ok(()))
     }
