--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,9 +20,11 @@
 pub mod pause;
 mod run;
 mod shutdown;
-mod socket;
+pub mod socket;
 mod status;
+pub mod stream;
 pub mod supervise;
+pub mod tunnel;
 mod upstream;
 
 pub use error::Error;
