Show that a node cut off from all servers serves nobody, by tests that fail

Change: a node of the stand-in site can get a path of its own to the backend servers: a proxy before each, whose address only this node's door of the store names. The path is cut in three ways: it loses all packets (new connections are not established, as the proxy's queue of connections is full), it resets all connections, or it refuses new ones and keeps the open ones. Three tests send first tries to all three nodes from CONTACT after the cut began, for 6 s.

--- a/crates/standin/src/proxy/faults.rs
+++ b/crates/standin/src/proxy/faults.rs
@@ -28,6 +28,10 @@
     pub down: Impairment,
     /// The proxy closes its port, so that connections are refused.
     pub refuse: bool,
+    /// The proxy closes its port, and open connections live on.
+    pub refuse_new: bool,
+    /// New connections are neither accepted nor refused, as if their packets were lost.
+    pub hang_new: bool,
 }
 
 impl Faults {
@@ -44,7 +48,36 @@
         Self {
             up: silent,
             down: silent,
-            refuse: false,
+            ..Self::default()
+        }
+    }
+
+    /// Loses all packets: open connections are silent, and new ones are never established.
+    pub fn lose_packets() -> Self {
+        Self {
+            hang_new: true,
+            ..Self::black_hole()
+        }
+    }
+
+    /// Resets each connection instead of forwarding the next chunk in either direction.
+    pub fn reset() -> Self {
+        let cut = Impairment {
+            cut: true,
+            ..Impairment::default()
+        };
+        Self {
+            up: cut,
+            down: cut,
+            ..Self::default()
+        }
+    }
+
+    /// Refuses new connections; open ones live on.
+    pub fn refused_new() -> Self {
+        Self {
+            refuse_new: true,
+            ..Self::default()
         }
     }
 
@@ -69,7 +102,7 @@
         Self {
             up: impairment,
             down: impairment,
-            refuse: false,
+            ..Self::default()
         }
     }
 
--- a/crates/standin/src/proxy/server.rs
+++ b/crates/standin/src/proxy/server.rs
@@ -4,6 +4,8 @@
 use super::forwarder::{Direction, Forwarder};
 use crate::Error;
 use crate::serve::loopback;
+use socket2::SockRef;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -11,8 +13,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 const REBIND_PAUSE: Duration = Duration::from_millis(20);
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1024;
+/// Time for the connection that fills the queue. It isn't established if the queue is full already.
+const FILL_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Settings of a proxy.
 #[derive(Clone, Debug)]
@@ -50,6 +57,8 @@
     frozen_senders: Mutex<Vec<watch::Sender<bool>>>,
     cut: watch::Sender<u64>,
     connections: AtomicU64,
+    /// Local addresses of the connections to the target.
+    outgoing: Mutex<HashSet<SocketAddr>>,
     seed: u64,
 }
 
@@ -80,6 +89,7 @@
             frozen_senders: Mutex::default(),
             cut: watch::Sender::new(0),
             connections: AtomicU64::new(0),
+            outgoing: Mutex::default(),
             seed: settings.seed,
         });
         let accept = tokio::spawn(Arc::clone(&shared).accept(listener, address));
@@ -137,6 +147,11 @@
     pub fn connections(&self) -> u64 {
         self.shared.connections.load(Ordering::Relaxed)
     }
+
+    /// Whether a connection that the target accepted from an address is one of this proxy.
+    pub fn has_opened(&self, from: SocketAddr) -> bool {
+        lock(&self.shared.outgoing).contains(&from)
+    }
 }
 
 impl Drop for Proxy {
@@ -150,8 +165,10 @@
     async fn accept(self: Arc<Self>, listener: TcpListener, address: SocketAddr) {
         let mut listener = Some(listener);
         let mut faults = self.faults.subscribe();
+        let mut filler = None;
         loop {
-            if faults.borrow_and_update().refuse {
+            let current = *faults.borrow_and_update();
+            if current.refuse || current.refuse_new {
                 listener = None;
                 let _ = faults.changed().await;
                 continue;
@@ -161,12 +178,22 @@
                 tokio::time::sleep(REBIND_PAUSE).await;
                 continue;
             };
+            if current.hang_new {
+                let connection = fill_queue(open, address).await;
+                let _ = faults.changed().await;
+                let _ = SockRef::from(open).listen(BACKLOG);
+                let local = connection.and_then(|stream| stream.local_addr().ok());
+                filler = local.or(filler);
+                continue;
+            }
             tokio::select! {
-                accepted = open.accept() => {
-                    if let Ok((stream, _)) = accepted {
+                accepted = open.accept() => match accepted {
+                    Ok((_, peer)) if Some(peer) == filler => filler = None,
+                    Ok((stream, _)) => {
                         tokio::spawn(Arc::clone(&self).relay(stream));
                     }
-                }
+                    Err(_) => (),
+                },
                 _ = faults.changed() => {}
             }
         }
@@ -181,6 +208,9 @@
             reset(&client);
             return;
         };
+        if let Ok(local) = server.local_addr() {
+            lock(&self.outgoing).insert(local);
+        }
         let _ = client.set_nodelay(true);
         let _ = server.set_nodelay(true);
         let (mut client, mut server) = (client, server);
@@ -218,6 +248,14 @@
     let _ = stream.set_zero_linger();
 }
 
+/// Fills the queue of connections that wait to be accepted. The kernel then drops the packets that
+/// would establish further ones.
+async fn fill_queue(listener: &TcpListener, address: SocketAddr) -> Option<TcpStream> {
+    SockRef::from(listener).listen(0).ok()?;
+    let connection = timeout(FILL_TIMEOUT, TcpStream::connect(address)).await;
+    connection.ok()?.ok()
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address)
         .await
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -2,6 +2,7 @@
 
 mod fault;
 mod node;
+mod path;
 mod plain;
 mod site;
 mod store;
@@ -10,6 +11,7 @@
 
 pub use fault::{StoreFault, WorkerFault};
 pub use node::Node;
+pub use path::{Cut, Path};
 pub use site::{Settings, Site, config};
 pub use store::{Copy, Store};
 pub use wire::Request;
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -41,11 +41,13 @@
         answer(stream, 503, &headers, b"").await?;
         return Ok(true);
     }
+    let peer = stream.peer_addr().ok();
     let index = {
         let mut state = shared.state();
         state.runs.push(Run {
             request: request.clone(),
             at: Instant::now(),
+            peer,
             cut: false,
         });
         state.runs.len() - 1
--- a/crates/standin/src/site/site.rs
+++ b/crates/standin/src/site/site.rs
@@ -1,6 +1,6 @@
 //! A whole site: a store, backend servers, an operator and nodes.
 
-use super::{Node, Store, Worker};
+use super::{Node, Path, Store, Worker};
 use crate::Error;
 use rand::Rng;
 use serde_json::{Value, json};
@@ -161,6 +161,17 @@
         Ok(())
     }
 
+    /// Starts a node again with a path of its own to the backend servers that there are, which its
+    /// address of the store names from then on.
+    pub async fn separate(&mut self, index: usize) -> Result<Path, Error> {
+        let servers = self.desks.iter().chain(&self.models);
+        let path = Path::start(servers.map(Worker::address)).await?;
+        let door = self.doors[index];
+        self.store.set_path(door, path.addresses());
+        self.restart_node(index, door).await?;
+        Ok(path)
+    }
+
     /// Writes a backend server's entry.
     pub fn list(&self, worker: &Worker, service: &str, version: &str, state: &str) {
         self.list_at(worker, worker.address(), service, version, state, 1);
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -38,6 +38,8 @@
     fault: StoreFault,
     /// Doors at which alone the fault holds; empty for all.
     struck: Vec<SocketAddr>,
+    /// By door, the addresses that it names in place of those of backend servers.
+    paths: BTreeMap<SocketAddr, BTreeMap<SocketAddr, SocketAddr>>,
     calls: BTreeMap<String, u64>,
 }
 
@@ -140,6 +142,11 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Makes a door name other addresses in place of those of backend servers.
+    pub fn set_path(&self, door: SocketAddr, path: BTreeMap<SocketAddr, SocketAddr>) {
+        self.shared.rows().paths.insert(door, path);
+    }
+
     /// Forgets the history; calls that wait for changes end.
     pub fn forget(&self) {
         let mut rows = self.shared.rows();
@@ -317,10 +324,33 @@
         Some("/sardinebank/rows-feed") => feed(shared, request, &table, door).await,
         _ => (404, json!({}), shared.rows().era),
     };
+    if let (Some(path), "servers") = (shared.rows().paths.get(&door), &*table) {
+        replace_addresses(&mut body["rows"], path);
+    }
     body["nowMs"] = json!(shared.started.elapsed().as_millis() as u64);
     (status, body, era)
 }
 
+/// Replaces the addresses of backend servers in rows.
+fn replace_addresses(rows: &mut Value, path: &BTreeMap<SocketAddr, SocketAddr>) {
+    for row in rows.as_array_mut().into_iter().flatten() {
+        if let Some(value) = row["value"]
+            .as_str()
+            .and_then(|value| replaced(value, path))
+        {
+            row["value"] = json!(value);
+        }
+    }
+}
+
+/// The entry of a backend server with its address replaced; none if it stays as it is.
+fn replaced(value: &str, path: &BTreeMap<SocketAddr, SocketAddr>) -> Option<String> {
+    let mut entry: Value = serde_json::from_slice(&STANDARD.decode(value).ok()?).ok()?;
+    let address: SocketAddr = entry["address"].as_str()?.parse().ok()?;
+    entry["address"] = json!(path.get(&address)?);
+    Some(STANDARD.encode(entry.to_string()))
+}
+
 async fn feed(
     shared: &Shared,
     request: &Request,
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -18,6 +18,8 @@
     pub request: Request,
     /// When it began.
     pub at: Instant,
+    /// The other end of its connection, if it was still open.
+    pub peer: Option<SocketAddr>,
     /// Whether the connection ended before the answer did.
     pub cut: bool,
 }
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -11,7 +11,7 @@
 use standin::Error;
 use standin::fleet::node_binary;
 use standin::proxy::{self, Proxy};
-use standin::site::{self, Run, Settings, Site, StoreFault, Worker, WorkerFault};
+use standin::site::{self, Cut, Path, Run, Settings, Site, StoreFault, Worker, WorkerFault};
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -136,6 +136,11 @@
     an_evacuation_after_the_store_was_restored_is_obeyed(three_nodes())
     a_restored_store_reverts_nothing(three_nodes())
     a_restored_store_is_read_once(plain())
+    callers_of_a_node_whose_connections_to_servers_hang_are_served(three_nodes_with_models())
+    callers_of_a_node_whose_connections_to_servers_are_reset_are_served(three_nodes_with_models())
+    callers_of_a_node_whose_new_connections_to_servers_are_refused_are_served(
+        three_nodes_with_models()
+    )
     a_leaving_backend_server_gets_nothing(plain())
     a_zone_that_is_out_gets_nothing(plain())
     rows_that_cannot_be_read_change_nothing(plain())
@@ -205,6 +210,15 @@
     }
 }
 
+fn three_nodes_with_models() -> Settings {
+    Settings {
+        nodes: 3,
+        desks: 3,
+        models: 3,
+        ..Settings::default()
+    }
+}
+
 /// A request to a path of a node, as the platform's callers send it.
 fn request(client: &Client, site: &Site, node: usize, path: &str) -> reqwest::RequestBuilder {
     client
@@ -294,6 +308,29 @@
     ids.filter_map(|id| id.parse().ok()).collect()
 }
 
+/// Pause between two first tries.
+const TRY_PAUSE: Duration = Duration::from_millis(20);
+/// Time for which first tries at a cut node and at others are counted.
+const COUNTED_TIME: Duration = Duration::from_secs(6);
+/// Time that a caller allows for a connection.
+const CALLER_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a caller gives up.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Starts of a node after which its connections run over its own path.
+const MAX_STARTS: usize = 3;
+
+/// A request that its caller doesn't send again.
+#[derive(Debug)]
+struct FirstTry {
+    node: usize,
+    path: &'static str,
+    id: String,
+    /// None without an answer.
+    status: Option<u16>,
+    /// Whether the answer is a whole success.
+    is_served: bool,
+}
+
 /// Waits until something holds; false when it doesn't in time.
 async fn within<F>(time: Duration, mut holds: impl FnMut() -> F) -> bool
 where
@@ -1913,6 +1950,175 @@
         Ok(())
     }
 
+    /// Sends a first try of a kind over a connection of its own.
+    async fn first_try(site: &Site, node: usize, path: &'static str) -> FirstTry {
+        let builder = Client::builder().connect_timeout(CALLER_CONNECT_TIMEOUT);
+        let client = builder.build().expect("a client");
+        let id = format!("{:016x}", rand::random::<u64>());
+        let request = match path {
+            "/stream/a" => stream(&client, site, node, &id),
+            _ => request(&client, site, node, path),
+        };
+        let mut request = request.build().expect("a request");
+        let value = id.parse().expect("a value of a header");
+        request.headers_mut().insert("request-id", value);
+        let mut tried = FirstTry {
+            node,
+            path,
+            id,
+            status: None,
+            is_served: false,
+        };
+        let ended = timeout(CALLER_TIMEOUT, async {
+            let answer = client.execute(request).await?;
+            tried.status = Some(answer.status().as_u16());
+            let text = answer.text().await?;
+            let is_whole = match path {
+                "/stream/a" => numbers(&text) == [1, 2, 3, 4, 5],
+                _ => text.starts_with("answer of "),
+            };
+            tried.is_served = tried.status == Some(200) && is_whole;
+            Ok::<_, Error>(())
+        });
+        // A failure and an answer that comes too late are both not served.
+        let _ = ended.await;
+        tried
+    }
+
+    /// Sends first tries of all kinds to all nodes in turn at a steady pace, and waits for their ends.
+    async fn first_tries(site: &Site, time: Duration) -> Vec<FirstTry> {
+        let nodes = site.nodes.len();
+        let count = time.as_millis() / TRY_PAUSE.as_millis();
+        let tries = (0..count as usize).map(async |number| {
+            sleep(TRY_PAUSE * number as u32).await;
+            first_try(site, number % nodes, PATHS[number / nodes % PATHS.len()]).await
+        });
+        futures::future::join_all(tries).await
+    }
+
+    /// All runs of all backend servers.
+    fn all_runs(site: &Site) -> Vec<Run> {
+        let mut all = runs(&site.desks);
+        all.extend(runs(&site.models));
+        all
+    }
+
+    /// Whether a run's request came over a path.
+    fn came_over(path: &Path, run: &Run) -> bool {
+        run.peer.is_some_and(|peer| path.has_opened(peer))
+    }
+
+    /// The runs of first tries of all kinds at a node.
+    async fn probe(site: &Site, node: usize) -> Vec<Run> {
+        const ROUNDS: usize = 4;
+        let mut ids = Vec::new();
+        for path in PATHS.repeat(ROUNDS) {
+            ids.push(first_try(site, node, path).await.id);
+        }
+        let mut all = all_runs(site);
+        all.retain(|run| ids.iter().any(|id| id == run.request.header("request-id")));
+        all
+    }
+
+    /// Gives a node a path of its own to the backend servers. It is started again if it has learned their
+    /// addresses from another node before it read them.
+    async fn separate(site: &mut Site, node: usize) -> Result<Path, Error> {
+        for _ in 0..MAX_STARTS {
+            let path = site.separate(node).await?;
+            site.nodes[node].until_ready(true).await?;
+            sleep(CONTACT).await;
+            let own = probe(site, node).await;
+            if !own.is_empty() && own.iter().all(|run| came_over(&path, run)) {
+                let other = probe(site, (node + 1) % site.nodes.len()).await;
+                // A local port may be one that the path had before.
+                let strays = other.iter().filter(|run| came_over(&path, run)).count();
+                assert!(
+                    site.nodes.len() == 1 || strays < other.len() / 2,
+                    "another node uses the path of node {node}"
+                );
+                return Ok(path);
+            }
+        }
+        panic!("node {node} doesn't use its path");
+    }
+
+    /// Checks that requests which may not be repeated ran once at most, and those refused not at all.
+    fn check_runs(site: &Site, tries: &[FirstTry]) {
+        let all = all_runs(site);
+        for tried in tries {
+            let of_it = |run: &&Run| run.request.header("request-id") == tried.id;
+            let count = all.iter().filter(of_it).count();
+            let promised = matches!(tried.status, Some(408 | 421 | 429 | 503));
+            let most = if promised { 0 } else { 1 };
+            assert!(
+                tried.path != "/once/a" || count <= most,
+                "ran {count} times: {tried:?}"
+            );
+        }
+    }
+
+    /// Checks that the first tries at cut nodes are served as the rules say.
+    fn check_served(tries: &[FirstTry], cut: &[usize]) {
+        let share = |is_cut: bool, path: Option<&str>| {
+            let those = tries.iter().filter(|tried| {
+                cut.contains(&tried.node) == is_cut && path.is_none_or(|path| path == tried.path)
+            });
+            let served = those.clone().filter(|tried| tried.is_served).count();
+            (served, those.count())
+        };
+        let by_path = PATHS.map(|path| (path, share(true, Some(path))));
+        let (at_cut, at_others) = (share(true, None), share(false, None));
+        let failed = at_cut.1 - at_cut.0;
+        let rate = |(served, count): (usize, usize)| served as f64 / count as f64;
+        assert!(
+            rate(at_cut) * 3.0 >= rate(at_others) * 2.0 && failed <= 10 + tries.len() / 50,
+            "served at cut nodes {at_cut:?}, at others {at_others:?}; at cut nodes {by_path:?}"
+        );
+    }
+
+    /// The first tries of the time after a cut began in which nothing is asked, and of the time that counts.
+    async fn tries_of_cut(site: &Site) -> (Vec<FirstTry>, Vec<FirstTry>) {
+        let counted = async {
+            sleep(CONTACT).await;
+            first_tries(site, COUNTED_TIME).await
+        };
+        futures::join!(first_tries(site, CONTACT), counted)
+    }
+
+    /// Cuts a node's path and checks that its callers are served from `CONTACT` on.
+    async fn callers_are_served(site: &mut Site, cut: Cut) -> Result<(), Error> {
+        let path = separate(site, 2).await?;
+        path.cut(cut);
+        let (early, tries) = tries_of_cut(site).await;
+        path.heal();
+        sleep(CONTACT).await;
+        check_runs(site, &early);
+        check_runs(site, &tries);
+        check_served(&tries, &[2]);
+        Ok(())
+    }
+
+    /// Guards against a node that nobody helps while its connections to all backend servers hang.
+    pub async fn callers_of_a_node_whose_connections_to_servers_hang_are_served(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        callers_are_served(site, Cut::Hang).await
+    }
+
+    /// Guards against a node that nobody helps while its connections to all backend servers are reset.
+    pub async fn callers_of_a_node_whose_connections_to_servers_are_reset_are_served(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        callers_are_served(site, Cut::Reset).await
+    }
+
+    /// Guards against a node that nobody helps while all backend servers refuse its connections.
+    pub async fn callers_of_a_node_whose_new_connections_to_servers_are_refused_are_served(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        callers_are_served(site, Cut::RefuseNew).await
+    }
+
     pub async fn a_leaving_backend_server_gets_nothing(site: &mut Site) -> Result<(), Error> {
         site.list(&site.desks[0], "desk", "v1", "draining");
         sleep(Duration::from_millis(300)).await;
--- a/crates/standin/tests/standins.rs
+++ b/crates/standin/tests/standins.rs
@@ -9,6 +9,7 @@
 use standin::serve::free_address;
 use standin::{engine, fault, objects, rating, table};
 use std::collections::HashSet;
+use std::io::ErrorKind;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -41,6 +42,9 @@
     rating_follows_the_quality => rating_quality();
     proxy_silences_open_connections_only => proxy_silence();
     proxy_cuts_and_refuses => proxy_refuses();
+    proxy_loses_packets_of_new_connections_too => proxy_loses_packets();
+    proxy_refuses_new_connections_only => proxy_refuses_new();
+    proxy_resets_open_and_new_connections => proxy_resets();
     proxy_splits_without_loss => proxy_splits();
     free_addresses_are_distinct => free_addresses();
 }
@@ -358,6 +362,76 @@
     Ok(())
 }
 
+/// Sends a request on a connection and reads the beginning of the answer.
+async fn ask(open: &mut TcpStream) -> std::io::Result<usize> {
+    open.write_all(b"GET /stats HTTP/1.1\r\nhost: table\r\n\r\n")
+        .await?;
+    open.read(&mut [0; 4096]).await
+}
+
+/// A proxy before a table, and an open connection that has carried an answer.
+async fn open_connection() -> Result<(table::Server, Proxy, TcpStream), Box<dyn std::error::Error>>
+{
+    let server = table::Server::start(table::Settings::default()).await?;
+    let proxy = Proxy::start(server.address(), Default::default()).await?;
+    let mut open = TcpStream::connect(proxy.address()).await?;
+    assert!(ask(&mut open).await? > 0);
+    Ok((server, proxy, open))
+}
+
+/// Time within which the proxy has closed or opened its port.
+const PORT_TIME: Duration = Duration::from_millis(200);
+
+/// Guards against new connections that are accepted while all packets are to be lost.
+async fn proxy_loses_packets() -> Outcome {
+    let (_server, proxy, mut open) = open_connection().await?;
+    proxy.set(Faults::lose_packets());
+    tokio::time::sleep(PORT_TIME).await;
+    for _ in 0..3 {
+        let new = timeout(SILENCE, TcpStream::connect(proxy.address())).await;
+        assert!(new.is_err(), "{new:?}");
+    }
+    assert!(timeout(SILENCE, ask(&mut open)).await.is_err());
+    proxy.heal();
+    tokio::time::sleep(PORT_TIME).await;
+    let mut new = TcpStream::connect(proxy.address()).await?;
+    assert!(ask(&mut new).await? > 0);
+    assert!(
+        open.read(&mut [0; 4096]).await? > 0,
+        "the answer comes late"
+    );
+    assert_eq!(proxy.connections(), 2, "its own one doesn't count");
+    Ok(())
+}
+
+/// Guards against open connections that end where only new ones are to be refused.
+async fn proxy_refuses_new() -> Outcome {
+    let (_server, proxy, mut open) = open_connection().await?;
+    proxy.set(Faults::refused_new());
+    tokio::time::sleep(PORT_TIME).await;
+    let new = TcpStream::connect(proxy.address()).await;
+    let refused = |error: std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
+    assert!(new.is_err_and(refused));
+    assert!(ask(&mut open).await? > 0);
+    proxy.heal();
+    tokio::time::sleep(PORT_TIME).await;
+    assert!(ask(&mut TcpStream::connect(proxy.address()).await?).await? > 0);
+    Ok(())
+}
+
+/// Guards against resets that look like an orderly end of the connection.
+async fn proxy_resets() -> Outcome {
+    let (_server, proxy, mut open) = open_connection().await?;
+    proxy.set(Faults::reset());
+    let reset = |error: std::io::Error| error.kind() == ErrorKind::ConnectionReset;
+    assert!(ask(&mut open).await.is_err_and(reset));
+    let mut new = TcpStream::connect(proxy.address()).await?;
+    assert!(ask(&mut new).await.is_err_and(reset));
+    proxy.heal();
+    assert!(ask(&mut TcpStream::connect(proxy.address()).await?).await? > 0);
+    Ok(())
+}
+
 async fn proxy_splits() -> Outcome {
     let server = table::Server::start(table::Settings::default()).await?;
     let proxy = Proxy::start(server.address(), Default::default()).await?;
