Guard a cut node's requests against faults on the way through another node

Cause: a cut node is to reach backend servers through other nodes, and what holds on a direct connection must hold on that way too. Change: tests of a node that is cut while idle, of two cut nodes of three, of the way after the cut has healed, of a caller that leaves, of answers that are reset or end during the upload, of a sound answer without a length, of leaving servers, of a stream on an open connection, of a cut node alone and of a site whose nodes are all cut.

--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -141,6 +141,20 @@
     callers_of_a_node_whose_new_connections_to_servers_are_refused_are_served(
         three_nodes_with_models()
     )
+    callers_of_a_node_that_is_cut_while_idle_are_served(three_nodes_with_models())
+    callers_of_two_cut_nodes_are_served_through_the_third(three_nodes_with_models())
+    requests_go_straight_after_a_cut_has_healed(three_nodes_with_models())
+    a_caller_that_leaves_a_cut_node_ends_the_work(three_nodes_with_models())
+    an_answer_that_is_reset_never_looks_complete_at_a_cut_node(Settings { nodes: 3, ..many() })
+    an_answer_that_ends_during_the_upload_never_looks_complete_at_a_cut_node(Settings {
+        nodes: 3,
+        ..many()
+    })
+    an_answer_without_a_length_is_complete_at_a_cut_node(three_nodes_with_models())
+    a_leaving_backend_server_gets_nothing_of_a_cut_node(three_nodes_with_models())
+    a_stream_of_a_cut_node_stays_on_its_open_connection(three_nodes_with_models())
+    a_cut_node_alone_refuses_at_once(Settings { nodes: 1, ..three_nodes_with_models() })
+    nodes_that_are_all_cut_refuse_at_once(three_nodes_with_models())
     a_leaving_backend_server_gets_nothing(plain())
     a_zone_that_is_out_gets_nothing(plain())
     rows_that_cannot_be_read_change_nothing(plain())
@@ -316,6 +330,14 @@
 const CALLER_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which a caller gives up.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(5);
+/// First tries, of all kinds, that show which way a node's requests go.
+const PROBES: usize = 12;
+/// Time after which a caller leaves.
+const LEAVE_TIME: Duration = Duration::from_millis(300);
+/// Time within which work for a caller that has left ends, as the rules say.
+const GONE_TIME: Duration = Duration::from_millis(500);
+/// Time within which a node that reaches no server refuses a request: a third of its deadline.
+const REFUSAL_TIME: Duration = Duration::from_millis(1600);
 /// Starts of a node after which its connections run over its own path.
 const MAX_STARTS: usize = 3;
 
@@ -327,6 +349,8 @@
     id: String,
     /// None without an answer.
     status: Option<u16>,
+    /// Time until its end.
+    time: Duration,
     /// Whether the answer is a whole success.
     is_served: bool,
 }
@@ -1967,8 +1991,10 @@
             path,
             id,
             status: None,
+            time: Duration::ZERO,
             is_served: false,
         };
+        let begun = Instant::now();
         let ended = timeout(CALLER_TIMEOUT, async {
             let answer = client.execute(request).await?;
             tried.status = Some(answer.status().as_u16());
@@ -1982,6 +2008,7 @@
         });
         // A failure and an answer that comes too late are both not served.
         let _ = ended.await;
+        tried.time = begun.elapsed();
         tried
     }
 
@@ -2010,9 +2037,8 @@
 
     /// The runs of first tries of all kinds at a node.
     async fn probe(site: &Site, node: usize) -> Vec<Run> {
-        const ROUNDS: usize = 4;
         let mut ids = Vec::new();
-        for path in PATHS.repeat(ROUNDS) {
+        for path in PATHS.into_iter().cycle().take(PROBES) {
             ids.push(first_try(site, node, path).await.id);
         }
         let mut all = all_runs(site);
@@ -2119,6 +2145,235 @@
         callers_are_served(site, Cut::RefuseNew).await
     }
 
+    /// Guards against a node that has to lose many requests before it notices the cut.
+    pub async fn callers_of_a_node_that_is_cut_while_idle_are_served(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let path = separate(site, 2).await?;
+        path.cut(Cut::Hang);
+        sleep(CONTACT).await;
+        let tries = first_tries(site, COUNTED_TIME).await;
+        path.heal();
+        sleep(CONTACT).await;
+        check_runs(site, &tries);
+        check_served(&tries, &[2]);
+        Ok(())
+    }
+
+    /// Guards against cut nodes that ask each other for help.
+    pub async fn callers_of_two_cut_nodes_are_served_through_the_third(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let paths = [separate(site, 1).await?, separate(site, 2).await?];
+        paths.iter().for_each(|path| path.cut(Cut::Hang));
+        let (early, tries) = tries_of_cut(site).await;
+        paths.iter().for_each(Path::heal);
+        sleep(CONTACT).await;
+        check_runs(site, &early);
+        check_runs(site, &tries);
+        check_served(&tries, &[1, 2]);
+        Ok(())
+    }
+
+    /// Gives a node a path of its own and cuts it; returns when the callers of the node are to be served.
+    async fn cut_off(site: &mut Site, node: usize, cut: Cut) -> Result<Path, Error> {
+        let path = separate(site, node).await?;
+        path.cut(cut);
+        first_tries(site, CONTACT).await;
+        Ok(path)
+    }
+
+    /// Guards against a node that goes on sending through others after it reaches the servers again.
+    pub async fn requests_go_straight_after_a_cut_has_healed(site: &mut Site) -> Result<(), Error> {
+        let path = separate(site, 2).await?;
+        for cut in [Cut::Hang, Cut::Reset, Cut::RefuseNew] {
+            path.cut(cut);
+            first_tries(site, CONTACT).await;
+            path.heal();
+            first_tries(site, CONTACT).await;
+            let own = probe(site, 2).await;
+            let straight = own.iter().filter(|run| came_over(&path, run)).count();
+            assert_eq!((straight, own.len()), (PROBES, PROBES), "{cut:?}");
+        }
+        Ok(())
+    }
+
+    /// Guards against work that goes on behind another node after the caller of the cut node has left.
+    pub async fn a_caller_that_leaves_a_cut_node_ends_the_work(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let _path = cut_off(site, 2, Cut::Hang).await?;
+        let client = Client::new();
+        for model in &site.models {
+            model.set_events(100, Duration::from_millis(50));
+        }
+        for desk in &site.desks {
+            desk.set_fault(WorkerFault::Mute);
+        }
+        let before = all_runs(site).len();
+        let mut answer = stream(&client, site, 2, "left").send().await?;
+        assert_eq!(answer.status(), 200);
+        answer.chunk().await?;
+        drop(answer);
+        for path in ["/again/a", "/once/a"] {
+            let left = timeout(LEAVE_TIME, request(&client, site, 2, path).send()).await;
+            assert!(left.is_err(), "{path} was answered: {left:?}");
+        }
+        sleep(GONE_TIME).await;
+        let mut all = all_runs(site);
+        all.sort_by_key(|run| run.at);
+        let late: Vec<_> = all[before..]
+            .iter()
+            .map(|run| (run.request.path.as_str(), run.cut))
+            .collect();
+        for path in PATHS {
+            assert!(late.contains(&(path, true)), "{path} hasn't run: {late:?}");
+        }
+        assert!(late.iter().all(|(_, cut)| *cut), "{late:?}");
+        Ok(())
+    }
+
+    /// Guards against a reset that becomes an orderly end, and so a whole answer, on its way through another
+    /// node.
+    pub async fn an_answer_that_is_reset_never_looks_complete_at_a_cut_node(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let _path = cut_off(site, 0, Cut::RefuseNew).await?;
+        never_complete(site, usize::MAX, None, b"a body").await
+    }
+
+    /// Guards against the part of an answer that passes for the whole since another node has read the
+    /// rest of the upload in place of the server.
+    pub async fn an_answer_that_ends_during_the_upload_never_looks_complete_at_a_cut_node(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        allow_uploads(site).await;
+        let _path = cut_off(site, 0, Cut::RefuseNew).await?;
+        let cases = [
+            (UPLOAD, None),
+            (UPLOAD, Some(Duration::from_millis(100))),
+            (UPLOAD / 6, Some(Duration::ZERO)),
+        ];
+        for (size, pause) in cases {
+            never_complete(site, 0, pause, &vec![b'x'; size]).await?;
+        }
+        Ok(())
+    }
+
+    /// Checks that no answer looks complete whose server breaks it off after it has read so much of the
+    /// request.
+    async fn never_complete(
+        site: &Site,
+        read: usize,
+        pause: Option<Duration>,
+        body: &[u8],
+    ) -> Result<(), Error> {
+        let fault = WorkerFault::EarlyEnd(read, pause);
+        for path in PATHS {
+            for (status, text) in ask_until_run(site, fault, path, body).await? {
+                let is_complete = (200..300).contains(&status) && text.is_some();
+                let size = body.len();
+                assert!(!is_complete, "{path}, {size} bytes, {fault:?}: {text:?}");
+            }
+        }
+        Ok(())
+    }
+
+    /// Guards against a sound answer that is given up since it ends with its connection to another node.
+    pub async fn an_answer_without_a_length_is_complete_at_a_cut_node(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let _path = cut_off(site, 2, Cut::Reset).await?;
+        for desk in &site.desks {
+            desk.set_fault(WorkerFault::NoLength);
+        }
+        for path in ["/once/a", "/again/a"].repeat(4) {
+            let tried = first_try(site, 2, path).await;
+            assert!(tried.is_served, "{tried:?}");
+        }
+        Ok(())
+    }
+
+    /// Guards against requests of a cut node that reach a leaving server through another node.
+    pub async fn a_leaving_backend_server_gets_nothing_of_a_cut_node(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let _path = cut_off(site, 2, Cut::Hang).await?;
+        site.list(&site.desks[0], "desk", "v1", "draining");
+        site.store.put("servers", site.desks[1].id(), None);
+        first_tries(site, DRAIN).await;
+        let gone = || {
+            site.desks[..2]
+                .iter()
+                .map(|desk| desk.runs().len())
+                .sum::<usize>()
+        };
+        let before = gone();
+        let tries = first_tries(site, DRAIN).await;
+        assert_eq!(gone() - before, 0, "requests at leaving servers");
+        check_served(&tries, &[2]);
+        Ok(())
+    }
+
+    /// Guards against a node that drops its open connections once new ones are refused.
+    pub async fn a_stream_of_a_cut_node_stays_on_its_open_connection(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        const EVENTS: u64 = 40;
+        let path = separate(site, 2).await?;
+        let set_events = |count, pause| {
+            let models = site.models.iter();
+            models.for_each(|model| model.set_events(count, Duration::from_millis(pause)));
+        };
+        set_events(EVENTS, 100);
+        let answer = stream(&Client::new(), site, 2, "open").send().await?;
+        assert_eq!(answer.status(), 200);
+        set_events(5, 10);
+        path.cut(Cut::RefuseNew);
+        let (text, _) = futures::join!(answer.text(), first_tries(site, CONTACT));
+        assert_eq!(numbers(&text?), (1..=EVENTS).collect::<Vec<_>>());
+        let mut own = all_runs(site);
+        own.retain(|run| run.request.header("session") == "open");
+        assert_eq!(own.len(), 1, "it ran once");
+        assert!(!own[0].cut);
+        Ok(())
+    }
+
+    /// Guards against callers that wait for servers which no node reaches.
+    pub async fn a_cut_node_alone_refuses_at_once(site: &mut Site) -> Result<(), Error> {
+        for cut in [Cut::Hang, Cut::RefuseNew] {
+            let _path = cut_off(site, 0, cut).await?;
+            let tries = first_tries(site, CONTACT).await;
+            check_refused(site, &tries);
+        }
+        Ok(())
+    }
+
+    /// Guards against requests that go round among nodes of which none reaches a server.
+    pub async fn nodes_that_are_all_cut_refuse_at_once(site: &mut Site) -> Result<(), Error> {
+        let mut paths = Vec::new();
+        for node in 0..site.nodes.len() {
+            paths.push(separate(site, node).await?);
+        }
+        paths.iter().for_each(|path| path.cut(Cut::Hang));
+        first_tries(site, CONTACT).await;
+        let tries = first_tries(site, CONTACT).await;
+        check_refused(site, &tries);
+        Ok(())
+    }
+
+    /// Checks that first tries are refused unsent and at once.
+    fn check_refused(site: &Site, tries: &[FirstTry]) {
+        let slowest = tries.iter().max_by_key(|tried| tried.time);
+        let refused = tries.iter().filter(|tried| tried.status == Some(503));
+        assert_eq!(refused.count(), tries.len());
+        assert!(
+            slowest.is_some_and(|tried| tried.time < REFUSAL_TIME),
+            "{slowest:?}"
+        );
+        check_runs(site, tries);
+    }
+
     pub async fn a_leaving_backend_server_gets_nothing(site: &mut Site) -> Result<(), Error> {
         site.list(&site.desks[0], "desk", "v1", "draining");
         sleep(Duration::from_millis(300)).await;
