Judge a node's direct path to backend servers from its connects

Change: route::reach finds the path lost once connects to four backend servers (all, if fewer are listed) and a probe have failed without a success in between. A probe at most every half second goes to a server unlike those that failed. Bytes on open connections don't count, since these may live on while new ones are refused. Ruled out: a count of successes as the end.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod ids;
 pub mod member;
 pub mod pool;
+pub mod reach;
 pub mod relay;
 pub mod rollout;
 pub mod server;
