Tell other nodes whether a node reaches backend servers

Cause: a node that carries connections for others must not be cut itself, and nothing told so. Change: the heartbeat and the lists of live nodes carry the flag. It is set on nodes that are cut, so nodes of earlier versions count as reaching backend servers. Nothing uses it yet.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -13,6 +13,7 @@
 use route::config::Config;
 use route::member::Members;
 use route::pool::{self, Capacity, Load, Naming, Pool, Query, Refusal, Stage, Tag};
+use route::reach::Reach;
 use route::relay::{self, Relays};
 use route::rollout::{self, Side, Spec, Status, Tally, Trial};
 use route::server::Listing;
@@ -72,6 +73,8 @@
     pub reported_loads: BTreeMap<Tag, Load>,
     /// Roll-out counts in the last report to this node's primary relay, by service.
     pub reported_tallies: Map<ServiceName, Tally>,
+    /// Evidence of this node's direct path to backend servers.
+    pub reach: Reach,
     /// Whether the node is shutting down.
     pub stopping: bool,
     /// Whether the node accepts no more requests.
@@ -140,6 +143,7 @@
             relays: Relays::new(relay::Settings::default()),
             reported_loads: BTreeMap::new(),
             reported_tallies: Map::default(),
+            reach: Reach::default(),
             stopping: false,
             draining: false,
             trials: Map::default(),
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -96,6 +96,9 @@
     /// Whether the sender follows the store and can reach it.
     #[serde(rename = "f")]
     pub follows_store: bool,
+    /// Whether the sender doesn't reach backend servers itself. Nodes of earlier versions leave it out.
+    #[serde(rename = "u", skip_serializing_if = "std::ops::Not::not")]
+    pub is_cut: bool,
     /// Latest change of each table that the sender knows.
     #[serde(rename = "n")]
     pub newest: [Position; 4],
@@ -231,13 +234,17 @@
 /// Bits of the flags in a presence.
 const READY: u8 = 1;
 const FOLLOWS: u8 = 2;
+/// Set if it doesn't reach backend servers, since nodes of earlier versions leave it out.
+const CUT: u8 = 4;
 
 /// Encodes the presence of a node.
 pub fn encode_presence(presence: &Presence) -> (u32, u8) {
     let flag = |is: bool, bit: u8| if is { bit } else { 0 };
     (
         presence.tag,
-        flag(presence.ready, READY) | flag(presence.follows_store, FOLLOWS),
+        flag(presence.ready, READY)
+            | flag(presence.follows_store, FOLLOWS)
+            | flag(!presence.reaches_servers, CUT),
     )
 }
 
@@ -247,6 +254,7 @@
         tag,
         ready: flags & READY != 0,
         follows_store: flags & FOLLOWS != 0,
+        reaches_servers: flags & CUT == 0,
     }
 }
 
--- a/crates/edge/src/link/handle.rs
+++ b/crates/edge/src/link/handle.rs
@@ -5,6 +5,7 @@
 use contract::Map;
 use platform::store::{Page, Row};
 use route::pool::Load;
+use route::reach::Path;
 use route::relay::{LinkId, Presence, Role, Scope};
 use route::rollout::{Count, Tally, Trial};
 use route::{NodeName, Position};
@@ -100,10 +101,13 @@
     state
         .relays
         .record_heartbeat(now, peer, heartbeat.role.into());
-    let mut changed =
-        state
-            .members
-            .record_heartbeat(now, peer, heartbeat.ready, heartbeat.follows_store);
+    let presence = Presence {
+        tag: Presence::tag(peer),
+        ready: heartbeat.ready,
+        follows_store: heartbeat.follows_store,
+        reaches_servers: !heartbeat.is_cut,
+    };
+    let mut changed = state.members.record_heartbeat(now, peer, presence);
     changed |= state
         .members
         .merge_presences(now, state.relays.presences(peer));
@@ -225,6 +229,7 @@
         tag: Presence::tag(peer),
         ready: false,
         follows_store: false,
+        reaches_servers: true,
     });
     state.pool.set_remote_loads(peer, Map::default());
     drop_unreachable(state, now, &gone);
@@ -316,6 +321,7 @@
         role: role.into(),
         ready: state.ready(),
         follows_store: state.follows_store(now),
+        is_cut: state.reach.path() == Path::Lost,
         newest: Table::ALL.map(|table| state.mirror(table).newest()),
         ..Heartbeat::default()
     };
--- a/crates/edge/tests/frames.rs
+++ b/crates/edge/tests/frames.rs
@@ -104,3 +104,12 @@
         prop_assert!(Frame::decode(&Message::Binary(bytes.into())).is_none());
     }
 }
+
+/// Nodes of earlier versions don't say whether they reach backend servers, and get tunnels nevertheless.
+#[test]
+fn a_heartbeat_says_whether_the_sender_is_cut() {
+    for (heartbeat, cut) in [(json!({"r": true}), false), (json!({"u": true}), true)] {
+        let frame = decode(&json!({ "Beat": heartbeat }));
+        assert!(matches!(frame, Some(Frame::Heartbeat(heartbeat)) if heartbeat.is_cut == cut));
+    }
+}
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -9,6 +9,7 @@
 use platform::store::{Page, Row};
 use route::member::Member;
 use route::pool::{Query, Stage, Work};
+use route::relay::Presence;
 use route::rollout::Status;
 use std::time::{Duration, Instant};
 
@@ -51,6 +52,16 @@
     )
 }
 
+/// State of a ready node that reaches backend servers.
+fn presence(node: &str, follows_store: bool) -> Presence {
+    Presence {
+        tag: Presence::tag(node),
+        ready: true,
+        follows_store,
+        reaches_servers: true,
+    }
+}
+
 /// Lists a backend server of each version of one service.
 fn list(state: &mut State, versions: &[&str]) {
     for (index, version) in versions.iter().enumerate() {
@@ -141,7 +152,9 @@
             link_address: address,
             capacity: 250,
         });
-        state.members.record_heartbeat(now, &node, true, followed);
+        state
+            .members
+            .record_heartbeat(now, &node, presence(&node, followed));
     }
     state
 }
@@ -196,11 +209,11 @@
     assert_eq!(state.follow_role(now, Table::Servers), Role::Follower);
     state
         .members
-        .record_heartbeat(now, &name(follower), true, true);
+        .record_heartbeat(now, &name(follower), presence(&name(follower), true));
     assert_eq!(state.follow_role(now, Table::Servers), Role::Learner);
     state
         .members
-        .record_heartbeat(now, &name(follower), true, false);
+        .record_heartbeat(now, &name(follower), presence(&name(follower), false));
     assert_eq!(state.follow_role(now, Table::Servers), Role::Follower);
     state.record_store_failure(now);
     assert_ne!(state.follow_role(now, Table::Servers), Role::Follower);
--- a/crates/route/src/member/members.rs
+++ b/crates/route/src/member/members.rs
@@ -32,6 +32,8 @@
     ready: bool,
     /// Whether it follows the store and the store responds to it.
     follows_store: bool,
+    /// Whether it reaches backend servers itself.
+    reaches_servers: bool,
     /// Whether `take_expired` has returned it since it was last alive.
     expiry_reported: bool,
 }
@@ -69,6 +71,7 @@
                     last_heartbeat: None,
                     ready: false,
                     follows_store: false,
+                    reaches_servers: true,
                     expiry_reported: true,
                 };
                 let tag = Presence::tag(&member.node);
@@ -79,20 +82,15 @@
         }
     }
 
-    /// Records a heartbeat of a member; returns whether its state changed.
-    pub fn record_heartbeat(
-        &mut self,
-        now: Instant,
-        node: &str,
-        ready: bool,
-        follows_store: bool,
-    ) -> bool {
+    /// Records a heartbeat of a member, with the state that it reports of itself; returns whether its
+    /// state changed.
+    pub fn record_heartbeat(&mut self, now: Instant, node: &str, state: Presence) -> bool {
         let timeout = self.settings.timeout;
         let Some(entry) = self.entries.get_mut(node) else {
             return false;
         };
         entry.last_heartbeat = Some(now);
-        entry.record(now, timeout, ready, follows_store)
+        entry.record(now, timeout, state)
     }
 
     /// Merges what another node reports about members; returns whether any state changed. A recent
@@ -106,7 +104,7 @@
                 continue;
             };
             if !entry.has_recent_heartbeat(now, timeout) {
-                changed |= entry.record(now, timeout, presence.ready, presence.follows_store);
+                changed |= entry.record(now, timeout, *presence);
             }
         }
         changed
@@ -136,6 +134,7 @@
                     tag,
                     ready: entry.ready,
                     follows_store: entry.follows_store,
+                    reaches_servers: entry.reaches_servers,
                 })
             })
             .collect();
@@ -187,22 +186,29 @@
             .filter(move |entry| entry.ready && entry.is_alive(now, timeout))
             .map(|entry| &entry.member)
     }
+
+    /// Returns the live members that accept requests and reach backend servers themselves.
+    pub fn reaching(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        let timeout = self.settings.timeout;
+        let entries = self.entries.values();
+        entries
+            .filter(move |entry| {
+                entry.ready && entry.reaches_servers && entry.is_alive(now, timeout)
+            })
+            .map(|entry| &entry.member)
+    }
 }
 
 impl Entry {
-    fn record(
-        &mut self,
-        now: Instant,
-        timeout: Duration,
-        ready: bool,
-        follows_store: bool,
-    ) -> bool {
+    fn record(&mut self, now: Instant, timeout: Duration, state: Presence) -> bool {
         let unchanged = self.is_alive(now, timeout)
-            && self.ready == ready
-            && self.follows_store == follows_store;
+            && self.ready == state.ready
+            && self.follows_store == state.follows_store
+            && self.reaches_servers == state.reaches_servers;
         self.last_seen = Some(now);
-        self.ready = ready;
-        self.follows_store = follows_store;
+        self.ready = state.ready;
+        self.follows_store = state.follows_store;
+        self.reaches_servers = state.reaches_servers;
         self.expiry_reported = false;
         !unchanged
     }
--- a/crates/route/src/relay/presence.rs
+++ b/crates/route/src/relay/presence.rs
@@ -9,6 +9,8 @@
     pub ready: bool,
     /// Whether it follows the store and the store responds to it.
     pub follows_store: bool,
+    /// Whether it reaches backend servers itself.
+    pub reaches_servers: bool,
 }
 
 impl Presence {
--- a/crates/route/tests/members.rs
+++ b/crates/route/tests/members.rs
@@ -15,6 +15,16 @@
     }
 }
 
+/// State of a node that follows the store and reaches backend servers.
+fn presence(node: &str, ready: bool) -> Presence {
+    Presence {
+        tag: Presence::tag(node),
+        ready,
+        follows_store: true,
+        reaches_servers: true,
+    }
+}
+
 #[test]
 fn a_member_without_heartbeats_is_not_listed() {
     let mut members = Members::default();
@@ -22,7 +32,7 @@
     assert!(members.add(member("n")), "new member");
     assert!(!members.add(member("n")), "known member");
     assert!(members.ready(now).next().is_none(), "no heartbeat yet");
-    members.record_heartbeat(now, "n", true, true);
+    members.record_heartbeat(now, "n", presence("n", true));
     assert_eq!(members.ready(now).count(), 1);
     let later = now + Duration::from_millis(1300);
     assert!(members.ready(later).next().is_none());
@@ -36,29 +46,46 @@
     let mut members = Members::default();
     let now = Instant::now();
     members.add(member("n"));
-    members.record_heartbeat(now, "n", false, true);
+    members.record_heartbeat(now, "n", presence("n", false));
     assert!(members.ready(now).next().is_none());
     assert_eq!(members.alive(now).count(), 1);
 }
 
+/// A tunnel through a node that is cut from the backend servers as well would fail.
+#[test]
+fn a_member_without_a_path_to_servers_gets_no_tunnels() {
+    let mut members = Members::default();
+    let now = Instant::now();
+    members.add(member("n"));
+    let sound = presence("n", true);
+    let cut = Presence {
+        reaches_servers: false,
+        ..sound
+    };
+    for (state, reaching) in [(sound, 1), (cut, 0), (presence("n", false), 0), (sound, 1)] {
+        assert!(members.record_heartbeat(now, "n", state), "a change");
+        assert_eq!(members.reaching(now).count(), reaching);
+    }
+    assert_eq!(members.ready(now).count(), 1, "it still accepts requests");
+}
+
 #[test]
 fn a_members_own_heartbeat_takes_precedence_over_reports() {
     let mut members = Members::default();
     let now = Instant::now();
     members.add(member("n"));
     let old = [Presence {
-        tag: Presence::tag("n"),
-        ready: false,
         follows_store: false,
+        ..presence("n", false)
     }];
-    assert!(members.record_heartbeat(now, "n", true, true));
+    assert!(members.record_heartbeat(now, "n", presence("n", true)));
     assert!(
         !members.merge_presences(now, &old),
         "the report may be older"
     );
     assert_eq!(members.ready(now).count(), 1);
     assert!(
-        !members.record_heartbeat(now, "n", true, true),
+        !members.record_heartbeat(now, "n", presence("n", true)),
         "the state is the same"
     );
     members.mark_lost("n");
--- a/crates/route/tests/relay/world.rs
+++ b/crates/route/tests/relay/world.rs
@@ -279,6 +279,7 @@
                 tag: Presence::tag(&name),
                 ready: false,
                 follows_store: false,
+                reaches_servers: true,
             });
             self.mark_unreachable(index, &gone);
         }
@@ -344,7 +345,13 @@
                 .sum::<f64>();
         let node = &mut self.nodes[to];
         node.relays.record_heartbeat(now, &sender, role);
-        node.members.record_heartbeat(now, &sender, true, false);
+        let presence = Presence {
+            tag: Presence::tag(&sender),
+            ready: true,
+            follows_store: false,
+            reaches_servers: true,
+        };
+        node.members.record_heartbeat(now, &sender, presence);
         let gone = match node.relays.presences(&sender) == presences {
             true => Vec::new(),
             false => node.relays.set_presences(&sender, presences),
