Connect to backend servers through another node while this one reaches none

Each server's breaker counted the failed connects, and nothing told a server that is down from a lost path. Change: once route::reach finds the path lost, connections go through a ready node that reaches servers; while it is in doubt, a failed connect is followed by a tunnel. Failures on the lost path count neither for breakers, roll-outs nor crashes, and breakers that opened since the last success close. Where packets vanish, repeatable requests on open connections go on elsewhere at once.

--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -80,6 +80,10 @@
     pub heartbeat_requested: Notify,
     /// Signals that the grace period is over: requests without an answer get one now.
     pub grace_over: Notify,
+    /// Requests a probe of the direct path to backend servers.
+    pub probe_requested: Notify,
+    /// Signals that the direct path to backend servers was found lost.
+    pub path_lost: Notify,
     /// Signals that announcements are queued for the links.
     pub announcement_queued: Notify,
     /// Batches of frames for all links.
@@ -110,6 +114,8 @@
             store_recovered: Notify::new(),
             heartbeat_requested: Notify::new(),
             grace_over: Notify::new(),
+            probe_requested: Notify::new(),
+            path_lost: Notify::new(),
             announcement_queued: Notify::new(),
             batches: broadcast::Sender::new(MAX_BATCHES),
             announcements: broadcast::Sender::new(MAX_ANNOUNCEMENTS),
--- a/crates/edge/src/app/crash.rs
+++ b/crates/edge/src/app/crash.rs
@@ -13,6 +13,11 @@
         self.losses.record(loss);
     }
 
+    /// Forgets the requests that a backend server just lost: this node's path had failed.
+    pub fn drop_losses(&mut self, now: Instant, server: &str) {
+        self.losses.take(now, server);
+    }
+
     /// Records that a backend server has ended: the requests that just lost it become suspects.
     pub fn record_server_end(&mut self, now: Instant, server: &str) {
         for loss in self.losses.take(now, server) {
--- a/crates/edge/src/app/mod.rs
+++ b/crates/edge/src/app/mod.rs
@@ -5,6 +5,7 @@
 mod losses;
 mod mirror;
 mod outage;
+mod reach;
 mod state;
 mod table;
 
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -6,7 +6,9 @@
 use super::headers::text;
 use super::wait::{Deadlines, Wait, wait};
 use crate::app::{App, Loss, Notice, State};
+use crate::connect::{self, connect};
 use crate::metrics;
+use crate::stream::Via;
 use crate::upstream;
 use hyper::StatusCode;
 use hyper::header::CONTENT_ENCODING;
@@ -15,9 +17,10 @@
 use rand::{Rng, SeedableRng};
 use route::ServerId;
 use route::pool::{self, Load, Outcome, Prefill, Query, Refusal, Stage};
+use route::reach::Failure::Broken;
 use route::server::Listing;
 use route::zone::Decision;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 /// Statuses of final responses. The HTTP library passes on all numbers of three digits, and a switch of
@@ -33,6 +36,9 @@
     /// The request wasn't sent, so it hasn't run.
     #[error("not sent: {0}")]
     NotSent(#[source] std::io::Error),
+    /// The request wasn't sent because this node has no path to the backend server.
+    #[error("not sent, no path: {0}")]
+    NoPath(#[source] std::io::Error),
     /// The request was sent and no response arrived.
     #[error("sent, but no response arrived: {0}")]
     NoResponse(#[source] hyper::Error),
@@ -84,6 +90,8 @@
     /// Whether a roll-out ignores the outcome, which says nothing of the version: the backend server
     /// timed out, couldn't be reached, or its crash has been counted already.
     ignored_by_rollout: bool,
+    /// How the request gets to its backend server, once it is connected.
+    via: OnceLock<Via>,
     first_event: Option<Instant>,
     event_count: u32,
 }
@@ -98,34 +106,75 @@
     pub fn fail(&mut self, exchange: &Exchange, failure: &Failure) {
         self.outcome = match failure {
             Failure::NotRun(_) => Outcome::Full,
+            Failure::NoPath(_) => Outcome::Unknown,
             _ => Outcome::Failed,
         };
-        let mut state = self.app.state();
-        let now = Instant::now();
         match failure {
             Failure::NotSent(_) => {
                 self.ignored_by_rollout = true;
-                state.record_server_end(now, &self.server.id);
+                let server = (*self.server).clone();
+                let is_cut = self.app.state().is_cut(Instant::now());
+                match is_cut {
+                    // Another node, which reaches backend servers, says so.
+                    true => self
+                        .app
+                        .state()
+                        .record_server_end(Instant::now(), &server.id),
+                    false => drop(tokio::spawn(report_end(Arc::clone(&self.app), server))),
+                }
             }
             Failure::TimedOut => {
                 self.ignored_by_rollout = true;
-                state.record_silence(&self.server);
-            }
-            Failure::NoResponse(_) | Failure::Truncated => {
-                // A crash ends all requests on the backend server, but counts only once.
-                self.ignored_by_rollout = !state.pool.record_break(now, &self.server.id);
-                state.record_loss(self.loss(now, exchange));
-                tokio::spawn(confirm_end(Arc::clone(&self.app), (*self.server).clone()));
+                match self.is_on_lost_path() {
+                    true => self.outcome = Outcome::Unknown,
+                    false => self.app.state().record_silence(&self.server),
+                }
             }
+            Failure::NoResponse(_) | Failure::Truncated => self.fail_broken(exchange),
             _ => (),
         }
-        drop(state);
         log::warn!(event = 1731, request = exchange.log_id(), server = self.server.id.as_str(),
             version = self.server.version.as_str(), sends = exchange.attempts,
             waited_ms = self.elapsed().as_millis() as u64, last_event = exchange.last_event_id.unwrap_or(0),
             left_ms = exchange.remaining().as_millis() as u64; "attempt failed: {failure}");
     }
 
+    /// Whether its connection is direct and this node was found to have lost its path, which says nothing
+    /// of the backend server.
+    pub fn is_on_lost_path(&self) -> bool {
+        let is_tunnelled = self.via.get() == Some(&Via::Tunnel);
+        !is_tunnelled && self.app.state().is_cut(Instant::now())
+    }
+
+    /// Whether nothing will arrive: its connection is direct, and packets vanish on the direct path.
+    pub fn is_hung(&self, now: Instant) -> bool {
+        let is_direct = self.via.get() == Some(&Via::Direct);
+        let state = self.app.state();
+        is_direct
+            && state.is_cut(now)
+            && state.reach.is_silent()
+            && !state.pool.is_active(now, &self.server.id)
+    }
+
+    /// Records that the connection broke off.
+    fn fail_broken(&mut self, exchange: &Exchange) {
+        // What it says of the version is recorded once it is known whether the path has failed.
+        self.ignored_by_rollout = true;
+        let is_direct = self.via.get() == Some(&Via::Direct);
+        if is_direct {
+            let id = &self.server.id;
+            self.app.record_failed_connection(id, Broken, false);
+        }
+        if self.is_on_lost_path() {
+            self.outcome = Outcome::Unknown;
+            return;
+        }
+        let loss = self.loss(Instant::now(), exchange);
+        self.app.state().record_loss(loss);
+        let (app, server) = (Arc::clone(&self.app), (*self.server).clone());
+        tokio::spawn(confirm_end(app, server, is_direct));
+    }
+
     /// Describes the loss of the request with its backend server.
     fn loss(&self, now: Instant, exchange: &Exchange) -> Loss {
         let begun = self.first_event.is_some() || exchange.last_event_id.is_some();
@@ -247,13 +296,33 @@
     }
 }
 
-/// Checks whether a backend server that broke off has ended: it refuses connections then.
-async fn confirm_end(app: Arc<App>, server: Listing) {
-    if upstream::is_refused(server.address).await {
+/// Records that a backend server refuses connections, unless this node's path has failed.
+async fn report_end(app: Arc<App>, server: Listing) {
+    if connect::is_sound(&app).await {
         app.state().record_server_end(Instant::now(), &server.id);
     }
 }
 
+/// Records that a backend server broke off, and that it has ended if it refuses connections. Otherwise this
+/// node's path may have failed, which says nothing of the server.
+async fn confirm_end(app: Arc<App>, server: Listing, is_direct: bool) {
+    // Asked at once: it may soon be back.
+    let has_ended = connect::is_refused(&app, &server).await;
+    if is_direct && !has_ended && !connect::is_sound(&app).await {
+        app.state().drop_losses(Instant::now(), &server.id);
+        return;
+    }
+    let now = Instant::now();
+    let mut state = app.state();
+    // A crash ends all requests on the backend server, but counts only once.
+    if state.pool.record_break(now, &server.id) {
+        state.record_answer(&server, true);
+    }
+    if has_ended {
+        state.record_server_end(now, &server.id);
+    }
+}
+
 /// Result of sending a request to a backend server.
 #[derive(Debug)]
 pub enum Delivery {
@@ -325,6 +394,7 @@
         was_limited,
         model: model.map_or(String::new(), |model| model.name.clone()),
         ignored_by_rollout: false,
+        via: OnceLock::new(),
         first_event: None,
         event_count: 0,
     }))
@@ -362,10 +432,13 @@
 ) -> Delivery {
     let deadlines = Deadlines::uniform(failover_at);
     let request = exchange.upstream_request(Instant::now(), attempt.server_id());
-    let address = attempt.server.address;
     exchange.tried_servers.push(attempt.server_id().clone());
     exchange.attempts += 1;
-    let sending = upstream::send(address, request);
+    let sending = async {
+        let stream = connect(app, &attempt.server).await?;
+        attempt.via.get_or_init(|| stream.via());
+        upstream::send(stream, request).await
+    };
     let response = match wait(app, exchange, &attempt, deadlines, sending).await {
         Wait::Done(Ok(response)) => response,
         Wait::Done(Err(upstream::Error::NotSent(error))) => {
@@ -374,6 +447,12 @@
             attempt.fail(exchange, &Failure::NotSent(error));
             return Delivery::NotRun;
         }
+        Wait::Done(Err(upstream::Error::NoPath(error))) => {
+            exchange.attempts -= 1;
+            exchange.retry_granted = exchange.attempts > 0;
+            attempt.fail(exchange, &Failure::NoPath(error));
+            return Delivery::NotRun;
+        }
         Wait::Done(Err(upstream::Error::NoResponse(error))) => {
             attempt.fail(exchange, &Failure::NoResponse(error));
             return Delivery::Unknown;
@@ -387,6 +466,9 @@
             return Delivery::Unknown;
         }
     };
+    if attempt.via.get() == Some(&Via::Direct) {
+        app.record_direct_response(attempt.started);
+    }
     let status = response.head.status;
     let headers = &response.head.headers;
     // A late response to another request says nothing of this one, not even that it hasn't run.
--- a/crates/edge/src/forward/wait.rs
+++ b/crates/edge/src/forward/wait.rs
@@ -9,7 +9,7 @@
 use route::server::Listing;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::time::timeout_at;
+use tokio::time::sleep_until;
 
 /// Interval at which a failover is tried once a backend server has exceeded its deadline.
 const FAILOVER_INTERVAL: Duration = Duration::from_millis(250);
@@ -64,13 +64,24 @@
     let time_limit = deadlines.silent.saturating_duration_since(begun);
     loop {
         let until = next_check.min(exchange.deadline);
-        if let Ok(done) = timeout_at(until.into(), operation.as_mut()).await {
-            return Wait::Done(done);
+        tokio::select! {
+            done = operation.as_mut() => return Wait::Done(done),
+            () = sleep_until(until.into()) => (),
+            () = app.path_lost.notified() => (),
         }
         let now = Instant::now();
         if now >= exchange.deadline {
             return Wait::Expired;
         }
+        let is_hung = current.is_hung(now);
+        if is_hung && let Some(attempt) = leave_hung(app, exchange) {
+            return Wait::Failover(attempt);
+        }
+        if now < next_check {
+            // The loss of the path has ended the wait early.
+            next_check = next_check.min(now + FAILOVER_INTERVAL);
+            continue;
+        }
         next_check = now + FAILOVER_INTERVAL;
         if now < deadlines.busy && app.state().pool.is_active(now, current.server_id()) {
             continue;
@@ -81,6 +92,23 @@
     }
 }
 
+/// Starts another attempt for a request whose connection hangs, if it may be sent again.
+fn leave_hung(app: &Arc<App>, exchange: &Exchange) -> Option<Attempt> {
+    if !exchange.is_repeatable() {
+        return None;
+    }
+    let mut granted = None;
+    let attempt = start_attempt_if(app, exchange, |state, _, _| {
+        let now = Instant::now();
+        let taken = state.take_retry(now, &exchange.service, Purpose::Recovery);
+        *granted.insert(taken)
+    });
+    if let Some(granted) = granted {
+        app.count_retry(Purpose::Recovery, granted);
+    }
+    attempt.ok().flatten()
+}
+
 /// Starts an attempt on another backend server if the request may be sent again, and is likely to be
 /// answered sooner there.
 fn failover(
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,6 +6,7 @@
 mod bind;
 mod body;
 mod closer;
+mod connect;
 mod directory;
 mod error;
 mod explain;
--- a/crates/edge/src/metrics/label.rs
+++ b/crates/edge/src/metrics/label.rs
@@ -77,6 +77,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a connection to a backend server.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Path {
+    /// `direct`, or `tunnel` for one through another node.
+    pub path: &'static str,
+}
+
 /// Labels of a task that runs for as long as the node does.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Task {
--- a/crates/edge/src/metrics/metrics.rs
+++ b/crates/edge/src/metrics/metrics.rs
@@ -1,7 +1,7 @@
 //! The metrics of a node.
 
 use super::{
-    Announcement, Call, Confidence, Request, Retry, Send, Service, Task, Tunnel, ZoneSend,
+    Announcement, Call, Confidence, Path, Request, Retry, Send, Service, Task, Tunnel, ZoneSend,
 };
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -29,6 +29,8 @@
     pub announcements: Family<Announcement, Counter>,
     /// Tasks that panicked and were started again, by name.
     pub task_restarts: Family<Task, Counter>,
+    /// Connections to backend servers, by path.
+    pub connects: Family<Path, Counter>,
     /// Tunnels that other nodes have asked for, by outcome.
     pub tunnels: Family<Tunnel, Counter>,
     /// Further sends of requests by purpose and outcome.
@@ -51,6 +53,7 @@
     pub(super) limited_servers: Gauge,
     pub(super) in_flight: Gauge,
     pub(super) open_tunnels: Gauge,
+    pub(super) path_lost: Gauge,
     pub(super) list_age_ms: Gauge,
     pub(super) dropped_lines: Gauge,
     pub(super) buffered_bytes: Gauge,
@@ -77,6 +80,7 @@
             confidences: Family::default(),
             announcements: Family::default(),
             task_restarts: Family::default(),
+            connects: Family::default(),
             tunnels: Family::default(),
             retries: Family::default(),
             zone_sends: Family::default(),
@@ -92,6 +96,7 @@
             limited_servers: Gauge::default(),
             in_flight: Gauge::default(),
             open_tunnels: Gauge::default(),
+            path_lost: Gauge::default(),
             list_age_ms: Gauge::default(),
             dropped_lines: Gauge::default(),
             buffered_bytes: Gauge::default(),
@@ -135,6 +140,11 @@
             "Tasks that panicked and were started again",
             self.task_restarts.clone(),
         );
+        registry.register(
+            "connects",
+            "Connections to backend servers, direct or through another node",
+            self.connects.clone(),
+        );
         registry.register(
             "tunnels",
             "Tunnels to backend servers that other nodes have asked for, by outcome",
@@ -197,6 +207,11 @@
                 "Tunnels that this node serves",
                 &self.open_tunnels,
             ),
+            (
+                "path_lost",
+                "Whether the direct path to backend servers is lost",
+                &self.path_lost,
+            ),
             (
                 "list_age_ms",
                 "Age of the list of backend servers",
--- a/crates/edge/src/metrics/mod.rs
+++ b/crates/edge/src/metrics/mod.rs
@@ -5,7 +5,7 @@
 mod serve;
 
 pub use label::{
-    Announcement, Call, Confidence, Request, Retry, Send, Service, Task, Tunnel, ZoneSend,
+    Announcement, Call, Confidence, Path, Request, Retry, Send, Service, Task, Tunnel, ZoneSend,
 };
 pub use metrics::Metrics;
 pub use serve::serve;
--- a/crates/edge/src/metrics/serve.rs
+++ b/crates/edge/src/metrics/serve.rs
@@ -6,6 +6,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use prometheus_client::encoding::text::encode;
+use route::reach::Path;
 use std::time::Instant;
 
 /// Path at which the metrics are served.
@@ -50,6 +51,8 @@
     let servers = state.pool.servers().values();
     let limited = servers.filter(|server| server.limit().is_some());
     metrics.limited_servers.set(limited.count() as i64);
+    let is_lost = state.reach.path() == Path::Lost;
+    metrics.path_lost.set(i64::from(is_lost));
     metrics
         .list_age_ms
         .set(state.list_age(now).as_millis() as i64);
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -4,7 +4,7 @@
 use crate::shutdown::{self, Shutdown};
 use crate::supervise::supervise;
 use crate::{
-    Error, directory, explain, follow, forward, link, listen, membership, metrics, status,
+    Error, connect, directory, explain, follow, forward, link, listen, membership, metrics, status,
 };
 use bpaf::{OptionParser, Parser, long};
 use hyper::Request;
@@ -108,6 +108,7 @@
     supervise(&app, "heartbeats", link::send_heartbeats);
     supervise(&app, "announcements", link::send_announcements);
     supervise(&app, "dial", link::dial);
+    supervise(&app, "probe", connect::probe);
     supervise(&app, "status", status::publish);
     loop {
         tokio::select! {
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -16,6 +16,25 @@
     Tunnelled(Tunnel),
 }
 
+/// How a request gets to its backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Via {
+    /// Over a connection of this node.
+    Direct,
+    /// Over a connection of another node.
+    Tunnel,
+}
+
+impl Stream {
+    /// How a request gets to its backend server on it.
+    pub fn via(&self) -> Via {
+        match self {
+            Self::Direct(_) => Via::Direct,
+            Self::Tunnelled(_) => Via::Tunnel,
+        }
+    }
+}
+
 impl From<TcpStream> for Stream {
     fn from(stream: TcpStream) -> Self {
         Self::Direct(stream)
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -4,7 +4,9 @@
 //! request is being sent, which leaves it unknown whether the request ran. A new connection has
 //! none of these problems, and opening it costs a backend server about a millisecond.
 
+use crate::connect;
 use crate::socket::Socket;
+use crate::stream::Stream;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -22,7 +24,7 @@
 
 /// Timeout for opening a connection: well above the round trip to any zone, and below the
 /// retransmission timeout of a lost packet.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Idle time after which TCP keepalive probes start, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keepalive probes after which a connection counts as dead.
@@ -39,11 +41,24 @@
     /// The request wasn't sent, so it hasn't run.
     #[error("not sent: {0}")]
     NotSent(#[source] io::Error),
+    /// The request wasn't sent because this node has no path to the backend server, of which that says
+    /// nothing.
+    #[error("not sent, no path: {0}")]
+    NoPath(#[source] io::Error),
     /// The request was sent and no response arrived, so it may have run.
     #[error("sent, no response: {0}")]
     NoResponse(#[source] hyper::Error),
 }
 
+impl From<connect::Error> for Error {
+    fn from(error: connect::Error) -> Self {
+        match error {
+            connect::Error::Server(error) => Self::NotSent(error),
+            connect::Error::NoPath(error) => Self::NoPath(error),
+        }
+    }
+}
+
 /// The connection of one request, closed on drop.
 #[derive(Debug)]
 struct Connection(JoinHandle<()>);
@@ -64,9 +79,8 @@
     _connection: Connection,
 }
 
-/// Sends a request and waits for the head of the response.
-pub async fn send(address: SocketAddrV4, request: Request<Full<Bytes>>) -> Result<Response, Error> {
-    let stream = connect(address).await.map_err(Error::NotSent)?;
+/// Sends a request over a connection and waits for the head of the response.
+pub async fn send(stream: Stream, request: Request<Full<Bytes>>) -> Result<Response, Error> {
     let body_bytes = request.body().size_hint().lower() as usize;
     let socket = Socket::new(stream, body_bytes).map_err(Error::NotSent)?;
     let (mut sender, connection) = http1::Builder::new()
@@ -93,13 +107,7 @@
     })
 }
 
-/// Whether an address refuses connections: nothing listens there.
-pub async fn is_refused(address: SocketAddrV4) -> bool {
-    let refused = |error: io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
-    connect(address).await.is_err_and(refused)
-}
-
-/// Opens a connection to a backend server.
+/// Opens a direct connection to a backend server.
 pub(crate) async fn connect(address: SocketAddrV4) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -540,6 +540,39 @@
         before.is_none_or(|at| now.saturating_duration_since(at) >= self.settings.crash_window)
     }
 
+    /// Forgets the failures of backend servers that have failed since the given time, which were
+    /// this node's own: it doesn't reach them.
+    pub fn forgive(&mut self, since: Option<Instant>) {
+        for server in self.servers.values_mut() {
+            server.forgive(since);
+        }
+    }
+
+    /// Returns the number of backend servers that accept new work.
+    pub fn open_count(&self) -> usize {
+        let servers = self.servers.values();
+        servers.filter(|server| server.accepts_work()).count()
+    }
+
+    /// Chooses the backend server that a probe of this node's path connects to: one that hasn't failed, and
+    /// as unlike those that have as there is, since a whole service or zone may be down.
+    pub fn probe_target(&self, draw: u64, has_failed: impl Fn(&str) -> bool) -> Option<&Listing> {
+        let failed = self.servers.values();
+        let failed = failed.map(|server| &server.listing);
+        let failed: Vec<_> = failed.filter(|listing| has_failed(&listing.id)).collect();
+        let services: Set<_> = failed.iter().map(|listing| &listing.service).collect();
+        let zones: Set<_> = failed.iter().map(|listing| &listing.zone).collect();
+        let open = self.servers.values().filter(|server| server.accepts_work());
+        let target = open.min_by_key(|server| {
+            let listing = &server.listing;
+            let likeness = u8::from(zones.contains(&listing.zone))
+                + u8::from(services.contains(&listing.service));
+            let failed = has_failed(&listing.id);
+            (failed, likeness, rank(draw, server.hash))
+        });
+        target.map(|server| &server.listing)
+    }
+
     /// Records that a backend server has sent something.
     pub fn record_activity(&mut self, now: Instant, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -70,6 +70,8 @@
     pub(super) last_activity: Option<Instant>,
     /// When it last broke off an answer.
     pub(super) last_break: Option<Instant>,
+    /// When a request on it last failed.
+    last_failure: Option<Instant>,
     pub(super) breaker: Breaker,
     pub(super) cold_limiter: Limiter,
 }
@@ -99,6 +101,7 @@
             limit: None,
             last_activity: None,
             last_break: None,
+            last_failure: None,
             breaker: Breaker::new(settings),
             cold_limiter: Limiter::default(),
             listing,
@@ -197,6 +200,15 @@
         self.slowness += settings.slowness_weight * (ratio - self.slowness);
     }
 
+    /// Forgets its failures if the last one was after the given time. Its breaker closes.
+    pub(super) fn forgive(&mut self, since: Option<Instant>) {
+        if self.last_failure.is_some_and(|at| Some(at) >= since) {
+            self.breaker.record_success();
+            self.failure_rate = 0.0;
+            self.last_failure = None;
+        }
+    }
+
     /// Records the outcome of a send.
     pub fn record_outcome(
         &mut self,
@@ -207,7 +219,10 @@
     ) {
         match outcome {
             Outcome::Succeeded => self.breaker.record_success(),
-            Outcome::Failed => self.breaker.record_failure(now, rng),
+            Outcome::Failed => {
+                self.last_failure = Some(now);
+                self.breaker.record_failure(now, rng);
+            }
             Outcome::Full => self.full_until = Some(now + FULL_PAUSE),
             Outcome::Unknown => return,
         }
--- a/crates/route/src/reach/failure.rs
+++ b/crates/route/src/reach/failure.rs
@@ -1,10 +1,12 @@
-//! How a connect failed.
+//! How a connection failed.
 
-/// How a connect to a backend server failed.
+/// How a direct connection to a backend server failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Failure {
     /// Nothing came back in time.
     Silent,
-    /// The connect was refused or reset.
+    /// The connect was refused.
     Refused,
+    /// The connection was established and broke off.
+    Broken,
 }
--- a/crates/route/src/reach/reach.rs
+++ b/crates/route/src/reach/reach.rs
@@ -16,20 +16,21 @@
 
 /// Evidence of this node's direct path to backend servers.
 ///
-/// Only connects count. Connections that are open may live on while new ones are refused, so the
-/// bytes that arrive on them say nothing of the path for new ones.
+/// Only new connections show that the path is sound: open ones may live on while new ones are refused.
+/// Once established connections have broken off, connects alone don't show it either.
 ///
-/// The path is lost once connects to several backend servers have failed without a success in between,
+/// The path is lost once connections to several backend servers have failed without a success in between,
 /// and a probe has failed as well. A probe goes to a backend server unlike those that have failed, so
 /// that a crashed service or zone isn't taken for a lost path.
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
     settings: Settings,
-    /// Backend servers whose connects have failed since the last success.
+    /// Backend servers whose connections have failed since the last success.
     failures: Map<ServerId, Failure>,
     /// Whether a probe has failed since the last success.
     probe_failed: bool,
     last_success: Option<Instant>,
+    last_failure: Option<Instant>,
     last_probe: Option<Instant>,
     /// When the path was found lost.
     lost: Option<Instant>,
@@ -70,16 +71,6 @@
         }
     }
 
-    /// Whether the path is known to be sound or lost. After a failed connect it is unknown whether the
-    /// backend server or the path has failed, until the next success or the loss.
-    ///
-    /// ```
-    /// assert!(route::reach::Reach::default().is_settled());
-    /// ```
-    pub fn is_settled(&self) -> bool {
-        self.lost.is_some() || self.failures.is_empty()
-    }
-
     /// When the path was found lost, if it is.
     ///
     /// ```
@@ -118,7 +109,18 @@
         self.failures.len()
     }
 
-    /// Records a connect that failed, where `listed` backend servers take work.
+    /// Whether established connections have broken off since the last success, so that a connect shows
+    /// nothing until something was sent on the connection.
+    ///
+    /// ```
+    /// assert!(!route::reach::Reach::default().is_broken());
+    /// ```
+    pub fn is_broken(&self) -> bool {
+        let mut failures = self.failures.values();
+        failures.any(|failure| *failure == Failure::Broken)
+    }
+
+    /// Records a connection that failed, where `listed` backend servers take work.
     ///
     /// ```
     /// use route::reach::{Failure, Reach};
@@ -134,6 +136,7 @@
         listed: usize,
     ) -> Option<Change> {
         self.recovering = None;
+        self.last_failure = Some(now);
         self.failures.insert(server.to_owned(), failure);
         self.judge(now, listed)
     }
@@ -167,7 +170,39 @@
         Some(Change::Lost(self.last_success))
     }
 
-    /// Records a direct connect that succeeded.
+    /// Records that a connection was established.
+    ///
+    /// ```
+    /// let mut reach = route::reach::Reach::default();
+    /// assert_eq!(reach.record_connect(std::time::Instant::now()), None);
+    /// ```
+    pub fn record_connect(&mut self, now: Instant) -> Option<Change> {
+        match self.is_broken() {
+            true => None,
+            false => self.record_success(now),
+        }
+    }
+
+    /// Records a response on a connection that was opened at the given time. It shows that the path was
+    /// sound then.
+    ///
+    /// ```
+    /// use route::reach::{Failure, Reach};
+    /// let mut reach = Reach::default();
+    /// let opened = std::time::Instant::now();
+    /// let now = opened + std::time::Duration::from_secs(1);
+    /// reach.record_failure(now, "i-1", Failure::Refused, 9);
+    /// reach.record_response(now, opened);
+    /// assert!(reach.has_failed("i-1"), "the connection was opened before");
+    /// ```
+    pub fn record_response(&mut self, now: Instant, opened: Instant) -> Option<Change> {
+        match self.last_failure {
+            Some(at) if at > opened => None,
+            _ => self.record_success(now),
+        }
+    }
+
+    /// Records a probe that succeeded.
     ///
     /// ```
     /// let mut reach = route::reach::Reach::default();
--- a/crates/route/tests/reach.rs
+++ b/crates/route/tests/reach.rs
@@ -54,7 +54,8 @@
         for (_, server, is_probe, failure) in open.extract_if(.., |(end, ..)| *end <= step) {
             let id = server.to_string();
             let change = match failure {
-                None => node.reach.record_success(now),
+                None if is_probe => node.reach.record_success(now),
+                None => node.reach.record_connect(now),
                 Some(failure) if is_probe => {
                     node.reach.record_failed_probe(now, &id, failure, servers)
                 }
@@ -114,6 +115,7 @@
 cut! {
     a_path_that_hangs_is_lost_within_a_second: 20, Failure::Silent;
     a_path_that_refuses_is_lost_within_a_second: 20, Failure::Refused;
+    a_path_that_resets_is_lost_within_a_second: 20, Failure::Broken;
     a_path_to_two_servers_is_lost_within_a_second: 2, Failure::Silent;
     a_path_to_one_server_is_lost_within_a_second: 1, Failure::Silent;
 }
@@ -129,7 +131,8 @@
 /// A path that lets single connects through must not change its state each time.
 #[test]
 fn a_flapping_path_stays_lost() {
-    let fails = |step: usize, _| (step >= 20 && step % 9 != 0).then_some(Failure::Refused);
+    let fails =
+        |step: usize, _| (step >= 20 && !step.is_multiple_of(9)).then_some(Failure::Refused);
     let node = play(20, true, fails);
     assert_eq!(node.changes, [], "idle");
     let node = play(20, false, fails);
