--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod member;
 pub mod pool;
 mod position;
+pub mod reach;
 pub mod relay;
 pub mod rollout;
 pub mod server;
