--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -13,7 +13,7 @@
 use route::cascade::{Answer, Cascade};
 use route::config::Config;
 use route::member::Members;
-use route::pool::{self, Capacity, Load, Naming, Pool, Query, Refusal, Server, Stage, Tag};
+use route::pool::{self, Capacity, Load, Naming, Pool, Query, Refusal, Stage, Tag};
 use route::reach::Reach;
 use route::relay::{self, Relays};
 use route::rollout::{self, Side, Spec, Status, Tally, Trial};
@@ -21,6 +21,7 @@
 use route::session::Sessions;
 use route::site::{Bounds, Site};
 use route::{NodeName, Position, ServerId, ServiceName, Version, table};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -93,6 +94,9 @@
     pub draining: bool,
     /// Roll-outs that the operator has ordered, by service.
     pub trials: Map<ServiceName, Trial>,
+    /// Roll-outs whose orders a restored store has lost and nobody has written again within the grace, by
+    /// service. They go on if the same order is written later.
+    lost_trials: Map<ServiceName, Trial>,
     /// Versions that did not complete their roll-out, by service: they get no more requests.
     rejected: Map<ServiceName, Set<Version>>,
     /// Versions that sessions are assigned to.
@@ -161,6 +165,7 @@
             stopping: false,
             draining: false,
             trials: Map::default(),
+            lost_trials: Map::default(),
             rejected: Map::default(),
             sessions: Sessions::default(),
             announce_sessions: false,
@@ -367,15 +372,16 @@
             Table::Servers => {
                 let value = row.value.as_deref().unwrap_or_default();
                 let listing = platform::parse_listing(&row.key, value).ok();
-                let known = self.pool.servers().get(&row.key);
-                let is_same_start = known.is_some_and(|known| {
-                    listing.is_some_and(|listing| listing.started_ms == known.listing.started_ms)
-                });
-                match known.is_some_and(Server::accepts_work) {
-                    _ if !is_same_start => Fate::Withheld,
-                    true => Fate::Applied,
-                    // A start of a backend server that leaves doesn't become ready again.
-                    false => Fate::Ignored,
+                let (Some(listing), Some(known)) = (listing, self.pool.servers().get(&row.key))
+                else {
+                    return Fate::Withheld;
+                };
+                match listing.started_ms.cmp(&known.listing.started_ms) {
+                    Ordering::Greater => Fate::Withheld,
+                    Ordering::Equal if known.accepts_work() => Fate::Applied,
+                    // A start that leaves doesn't become ready again, and a start that is over doesn't
+                    // come back.
+                    Ordering::Equal | Ordering::Less => Fate::Ignored,
                 }
             }
             Table::Members | Table::Status => Fate::Applied,
@@ -390,6 +396,12 @@
             .collect();
         for (table, key, _) in due {
             let row = self.mirror(table).last_change(&key).cloned();
+            if let (Table::Intents, Intent::Rollout(service)) = (table, platform::parse_key(&key))
+                && row.as_ref().is_some_and(|row| row.removed)
+                && let Some(trial) = self.trials.get(service)
+            {
+                self.lost_trials.insert(service.to_owned(), trial.clone());
+            }
             self.apply(now, table, row.into_iter().collect());
         }
     }
@@ -451,6 +463,9 @@
     }
 
     fn apply_rollout(&mut self, now: Instant, spec: Spec) {
+        if let Some(lost) = self.lost_trials.remove(&spec.service) {
+            self.trials.entry(spec.service.clone()).or_insert(lost);
+        }
         let known = self.trials.get(&spec.service);
         if known.is_some_and(|trial| trial.spec == spec) {
             return;
