--- a/crates/edge/src/app/app.rs
+++ b/crates/edge/src/app/app.rs
@@ -80,6 +80,10 @@
     pub heartbeat_requested: Notify,
     /// Signals that the grace period is over: requests without an answer get one now.
     pub grace_over: Notify,
+    /// Requests a probe of the direct path to backend servers.
+    pub probe_requested: Notify,
+    /// Signals that the direct path to backend servers was found lost.
+    pub path_lost: Notify,
     /// Signals that announcements are queued for the links.
     pub announcement_queued: Notify,
     /// Batches of frames for all links.
@@ -90,6 +94,8 @@
     pub in_flight: Arc<inflight::Counter>,
     /// Connections that have carried a request, until all of their responses are written.
     pub connections: Arc<inflight::Counter>,
+    /// Tunnels of other nodes that this node serves.
+    pub tunnels: Arc<inflight::Counter>,
     /// Memory for bodies of requests and responses.
     pub memory: Arc<memory::Budget>,
     /// Counters and latencies.
@@ -108,11 +114,14 @@
             store_recovered: Notify::new(),
             heartbeat_requested: Notify::new(),
             grace_over: Notify::new(),
+            probe_requested: Notify::new(),
+            path_lost: Notify::new(),
             announcement_queued: Notify::new(),
             batches: broadcast::Sender::new(MAX_BATCHES),
             announcements: broadcast::Sender::new(MAX_ANNOUNCEMENTS),
             in_flight: Arc::default(),
             connections: Arc::default(),
+            tunnels: Arc::default(),
             memory: memory::Budget::new((site.memory_bytes as f64 * BODY_MEMORY_RATIO) as usize),
             metrics: Metrics::default(),
             log_counts,
--- a/crates/edge/src/metrics/label.rs
+++ b/crates/edge/src/metrics/label.rs
@@ -70,6 +70,20 @@
     pub kind: &'static str,
 }
 
+/// Labels of a tunnel that another node has asked for.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Tunnel {
+    /// `served`, or the name of the refusal.
+    pub outcome: &'static str,
+}
+
+/// Labels of a connection to a backend server.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Path {
+    /// `direct`, or `tunnel` for one through another node.
+    pub path: &'static str,
+}
+
 /// Labels of a task that runs for as long as the node does.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Task {
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -11,7 +11,7 @@
 use standin::Error;
 use standin::fleet::node_binary;
 use standin::proxy::{self, Proxy};
-use standin::site::{self, Run, Settings, Site, StoreFault, Worker, WorkerFault};
+use standin::site::{self, Cut, Path, Run, Settings, Site, StoreFault, Worker, WorkerFault};
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -136,6 +136,25 @@
     an_evacuation_after_the_store_was_restored_is_obeyed(three_nodes())
     a_restored_store_reverts_nothing(three_nodes())
     a_restored_store_is_read_once(plain())
+    callers_of_a_node_whose_connections_to_servers_hang_are_served(three_nodes_with_models())
+    callers_of_a_node_whose_connections_to_servers_are_reset_are_served(three_nodes_with_models())
+    callers_of_a_node_whose_new_connections_to_servers_are_refused_are_served(
+        three_nodes_with_models()
+    )
+    callers_of_a_node_that_is_cut_while_idle_are_served(three_nodes_with_models())
+    callers_of_two_cut_nodes_are_served_through_the_third(three_nodes_with_models())
+    requests_go_straight_after_a_cut_has_healed(three_nodes_with_models())
+    a_caller_that_leaves_a_cut_node_ends_the_work(three_nodes_with_models())
+    an_answer_that_is_reset_never_looks_complete_at_a_cut_node(Settings { nodes: 3, ..many() })
+    an_answer_that_ends_during_the_upload_never_looks_complete_at_a_cut_node(Settings {
+        nodes: 3,
+        ..many()
+    })
+    an_answer_without_a_length_is_complete_at_a_cut_node(three_nodes_with_models())
+    a_leaving_backend_server_gets_nothing_of_a_cut_node(three_nodes_with_models())
+    a_stream_of_a_cut_node_stays_on_its_open_connection(three_nodes_with_models())
+    a_cut_node_alone_refuses_at_once(Settings { nodes: 1, ..three_nodes_with_models() })
+    nodes_that_are_all_cut_refuse_at_once(three_nodes_with_models())
     a_leaving_backend_server_gets_nothing(plain())
     a_zone_that_is_out_gets_nothing(plain())
     rows_that_cannot_be_read_change_nothing(plain())
@@ -205,6 +224,15 @@
     }
 }
 
+fn three_nodes_with_models() -> Settings {
+    Settings {
+        nodes: 3,
+        desks: 3,
+        models: 3,
+        ..Settings::default()
+    }
+}
+
 /// A request to a path of a node, as the platform's callers send it.
 fn request(client: &Client, site: &Site, node: usize, path: &str) -> reqwest::RequestBuilder {
     client
@@ -294,6 +322,39 @@
     ids.filter_map(|id| id.parse().ok()).collect()
 }
 
+/// Pause between two first tries.
+const TRY_PAUSE: Duration = Duration::from_millis(20);
+/// Time for which first tries at a cut node and at others are counted.
+const COUNTED_TIME: Duration = Duration::from_secs(6);
+/// Time that a caller allows for a connection.
+const CALLER_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a caller gives up.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(5);
+/// First tries, of all kinds, that show which way a node's requests go.
+const PROBES: usize = 12;
+/// Time after which a caller leaves.
+const LEAVE_TIME: Duration = Duration::from_millis(300);
+/// Time within which work for a caller that has left ends, as the rules say.
+const GONE_TIME: Duration = Duration::from_millis(500);
+/// Time within which a node that reaches no server refuses a request: a third of its deadline.
+const REFUSAL_TIME: Duration = Duration::from_millis(1600);
+/// Starts of a node after which its connections run over its own path.
+const MAX_STARTS: usize = 3;
+
+/// A request that its caller doesn't send again.
+#[derive(Debug)]
+struct FirstTry {
+    node: usize,
+    path: &'static str,
+    id: String,
+    /// None without an answer.
+    status: Option<u16>,
+    /// Time until its end.
+    time: Duration,
+    /// Whether the answer is a whole success.
+    is_served: bool,
+}
+
 /// Waits until something holds; false when it doesn't in time.
 async fn within<F>(time: Duration, mut holds: impl FnMut() -> F) -> bool
 where
@@ -1913,6 +1974,406 @@
         Ok(())
     }
 
+    /// Sends a first try of a kind over a connection of its own.
+    async fn first_try(site: &Site, node: usize, path: &'static str) -> FirstTry {
+        let builder = Client::builder().connect_timeout(CALLER_CONNECT_TIMEOUT);
+        let client = builder.build().expect("a client");
+        let id = format!("{:016x}", rand::random::<u64>());
+        let request = match path {
+            "/stream/a" => stream(&client, site, node, &id),
+            _ => request(&client, site, node, path),
+        };
+        let mut request = request.build().expect("a request");
+        let value = id.parse().expect("a value of a header");
+        request.headers_mut().insert("request-id", value);
+        let mut tried = FirstTry {
+            node,
+            path,
+            id,
+            status: None,
+            time: Duration::ZERO,
+            is_served: false,
+        };
+        let begun = Instant::now();
+        let ended = timeout(CALLER_TIMEOUT, async {
+            let answer = client.execute(request).await?;
+            tried.status = Some(answer.status().as_u16());
+            let text = answer.text().await?;
+            let is_whole = match path {
+                "/stream/a" => numbers(&text) == [1, 2, 3, 4, 5],
+                _ => text.starts_with("answer of "),
+            };
+            tried.is_served = tried.status == Some(200) && is_whole;
+            Ok::<_, Error>(())
+        });
+        // A failure and an answer that comes too late are both not served.
+        let _ = ended.await;
+        tried.time = begun.elapsed();
+        tried
+    }
+
+    /// Sends first tries of all kinds to all nodes in turn at a steady pace, and waits for their ends.
+    async fn first_tries(site: &Site, time: Duration) -> Vec<FirstTry> {
+        let nodes = site.nodes.len();
+        let count = time.as_millis() / TRY_PAUSE.as_millis();
+        let tries = (0..count as usize).map(async |number| {
+            sleep(TRY_PAUSE * number as u32).await;
+            first_try(site, number % nodes, PATHS[number / nodes % PATHS.len()]).await
+        });
+        futures::future::join_all(tries).await
+    }
+
+    /// All runs of all backend servers.
+    fn all_runs(site: &Site) -> Vec<Run> {
+        let mut all = runs(&site.desks);
+        all.extend(runs(&site.models));
+        all
+    }
+
+    /// Whether a run's request came over a path.
+    fn came_over(path: &Path, run: &Run) -> bool {
+        run.peer.is_some_and(|peer| path.has_opened(peer))
+    }
+
+    /// The runs of first tries of all kinds at a node.
+    async fn probe(site: &Site, node: usize) -> Vec<Run> {
+        let mut ids = Vec::new();
+        for path in PATHS.into_iter().cycle().take(PROBES) {
+            ids.push(first_try(site, node, path).await.id);
+        }
+        let mut all = all_runs(site);
+        all.retain(|run| ids.iter().any(|id| id == run.request.header("request-id")));
+        all
+    }
+
+    /// Gives a node a path of its own to the backend servers. It is started again if it has learned their
+    /// addresses from another node before it read them.
+    async fn separate(site: &mut Site, node: usize) -> Result<Path, Error> {
+        for _ in 0..MAX_STARTS {
+            let path = site.separate(node).await?;
+            site.nodes[node].until_ready(true).await?;
+            sleep(CONTACT).await;
+            let own = probe(site, node).await;
+            if !own.is_empty() && own.iter().all(|run| came_over(&path, run)) {
+                let other = probe(site, (node + 1) % site.nodes.len()).await;
+                // A local port may be one that the path had before.
+                let strays = other.iter().filter(|run| came_over(&path, run)).count();
+                assert!(
+                    site.nodes.len() == 1 || strays < other.len() / 2,
+                    "another node uses the path of node {node}"
+                );
+                return Ok(path);
+            }
+        }
+        panic!("node {node} doesn't use its path");
+    }
+
+    /// Checks that requests which may not be repeated ran once at most, and those refused not at all.
+    fn check_runs(site: &Site, tries: &[FirstTry]) {
+        let all = all_runs(site);
+        for tried in tries {
+            let of_it = |run: &&Run| run.request.header("request-id") == tried.id;
+            let count = all.iter().filter(of_it).count();
+            let promised = matches!(tried.status, Some(408 | 421 | 429 | 503));
+            let most = if promised { 0 } else { 1 };
+            assert!(
+                tried.path != "/once/a" || count <= most,
+                "ran {count} times: {tried:?}"
+            );
+        }
+    }
+
+    /// Checks that the first tries at cut nodes are served as the rules say.
+    fn check_served(tries: &[FirstTry], cut: &[usize]) {
+        let share = |is_cut: bool, path: Option<&str>| {
+            let those = tries.iter().filter(|tried| {
+                cut.contains(&tried.node) == is_cut && path.is_none_or(|path| path == tried.path)
+            });
+            let served = those.clone().filter(|tried| tried.is_served).count();
+            (served, those.count())
+        };
+        let by_path = PATHS.map(|path| (path, share(true, Some(path))));
+        let (at_cut, at_others) = (share(true, None), share(false, None));
+        let failed = at_cut.1 - at_cut.0;
+        let rate = |(served, count): (usize, usize)| served as f64 / count as f64;
+        assert!(
+            rate(at_cut) * 3.0 >= rate(at_others) * 2.0 && failed <= 10 + tries.len() / 50,
+            "served at cut nodes {at_cut:?}, at others {at_others:?}; at cut nodes {by_path:?}"
+        );
+    }
+
+    /// The first tries of the time after a cut began in which nothing is asked, and of the time that counts.
+    async fn tries_of_cut(site: &Site) -> (Vec<FirstTry>, Vec<FirstTry>) {
+        let counted = async {
+            sleep(CONTACT).await;
+            first_tries(site, COUNTED_TIME).await
+        };
+        futures::join!(first_tries(site, CONTACT), counted)
+    }
+
+    /// Cuts a node's path and checks that its callers are served from `CONTACT` on.
+    async fn callers_are_served(site: &mut Site, cut: Cut) -> Result<(), Error> {
+        let path = separate(site, 2).await?;
+        path.cut(cut);
+        let (early, tries) = tries_of_cut(site).await;
+        path.heal();
+        sleep(CONTACT).await;
+        check_runs(site, &early);
+        check_runs(site, &tries);
+        check_served(&tries, &[2]);
+        Ok(())
+    }
+
+    /// Guards against a node that nobody helps while its connections to all backend servers hang.
+    pub async fn callers_of_a_node_whose_connections_to_servers_hang_are_served(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        callers_are_served(site, Cut::Hang).await
+    }
+
+    /// Guards against a node that nobody helps while its connections to all backend servers are reset.
+    pub async fn callers_of_a_node_whose_connections_to_servers_are_reset_are_served(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        callers_are_served(site, Cut::Reset).await
+    }
+
+    /// Guards against a node that nobody helps while all backend servers refuse its connections.
+    pub async fn callers_of_a_node_whose_new_connections_to_servers_are_refused_are_served(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        callers_are_served(site, Cut::RefuseNew).await
+    }
+
+    /// Guards against a node that has to lose many requests before it notices the cut.
+    pub async fn callers_of_a_node_that_is_cut_while_idle_are_served(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let path = separate(site, 2).await?;
+        path.cut(Cut::Hang);
+        sleep(CONTACT).await;
+        let tries = first_tries(site, COUNTED_TIME).await;
+        path.heal();
+        sleep(CONTACT).await;
+        check_runs(site, &tries);
+        check_served(&tries, &[2]);
+        Ok(())
+    }
+
+    /// Guards against cut nodes that ask each other for help.
+    pub async fn callers_of_two_cut_nodes_are_served_through_the_third(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let paths = [separate(site, 1).await?, separate(site, 2).await?];
+        paths.iter().for_each(|path| path.cut(Cut::Hang));
+        let (early, tries) = tries_of_cut(site).await;
+        paths.iter().for_each(Path::heal);
+        sleep(CONTACT).await;
+        check_runs(site, &early);
+        check_runs(site, &tries);
+        check_served(&tries, &[1, 2]);
+        Ok(())
+    }
+
+    /// Gives a node a path of its own and cuts it; returns when the callers of the node are to be served.
+    async fn cut_off(site: &mut Site, node: usize, cut: Cut) -> Result<Path, Error> {
+        let path = separate(site, node).await?;
+        path.cut(cut);
+        first_tries(site, CONTACT).await;
+        Ok(path)
+    }
+
+    /// Guards against a node that goes on sending through others after it reaches the servers again.
+    pub async fn requests_go_straight_after_a_cut_has_healed(site: &mut Site) -> Result<(), Error> {
+        let path = separate(site, 2).await?;
+        for cut in [Cut::Hang, Cut::Reset, Cut::RefuseNew] {
+            path.cut(cut);
+            first_tries(site, CONTACT).await;
+            path.heal();
+            first_tries(site, CONTACT).await;
+            let own = probe(site, 2).await;
+            let straight = own.iter().filter(|run| came_over(&path, run)).count();
+            assert_eq!((straight, own.len()), (PROBES, PROBES), "{cut:?}");
+        }
+        Ok(())
+    }
+
+    /// Guards against work that goes on behind another node after the caller of the cut node has left.
+    pub async fn a_caller_that_leaves_a_cut_node_ends_the_work(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let _path = cut_off(site, 2, Cut::Hang).await?;
+        let client = Client::new();
+        for model in &site.models {
+            model.set_events(100, Duration::from_millis(50));
+        }
+        for desk in &site.desks {
+            desk.set_fault(WorkerFault::Mute);
+        }
+        let before = all_runs(site).len();
+        let mut answer = stream(&client, site, 2, "left").send().await?;
+        assert_eq!(answer.status(), 200);
+        answer.chunk().await?;
+        drop(answer);
+        for path in ["/again/a", "/once/a"] {
+            let left = timeout(LEAVE_TIME, request(&client, site, 2, path).send()).await;
+            assert!(left.is_err(), "{path} was answered: {left:?}");
+        }
+        sleep(GONE_TIME).await;
+        let mut all = all_runs(site);
+        all.sort_by_key(|run| run.at);
+        let late: Vec<_> = all[before..]
+            .iter()
+            .map(|run| (run.request.path.as_str(), run.cut))
+            .collect();
+        for path in PATHS {
+            assert!(late.contains(&(path, true)), "{path} hasn't run: {late:?}");
+        }
+        assert!(late.iter().all(|(_, cut)| *cut), "{late:?}");
+        Ok(())
+    }
+
+    /// Guards against a reset that becomes an orderly end, and so a whole answer, on its way through another
+    /// node.
+    pub async fn an_answer_that_is_reset_never_looks_complete_at_a_cut_node(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let _path = cut_off(site, 0, Cut::RefuseNew).await?;
+        never_complete(site, usize::MAX, None, b"a body").await
+    }
+
+    /// Guards against the part of an answer that passes for the whole since another node has read the
+    /// rest of the upload in place of the server.
+    pub async fn an_answer_that_ends_during_the_upload_never_looks_complete_at_a_cut_node(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        allow_uploads(site).await;
+        let _path = cut_off(site, 0, Cut::RefuseNew).await?;
+        let cases = [
+            (UPLOAD, None),
+            (UPLOAD, Some(Duration::from_millis(100))),
+            (UPLOAD / 6, Some(Duration::ZERO)),
+        ];
+        for (size, pause) in cases {
+            never_complete(site, 0, pause, &vec![b'x'; size]).await?;
+        }
+        Ok(())
+    }
+
+    /// Checks that no answer looks complete whose server breaks it off after it has read so much of the
+    /// request.
+    async fn never_complete(
+        site: &Site,
+        read: usize,
+        pause: Option<Duration>,
+        body: &[u8],
+    ) -> Result<(), Error> {
+        let fault = WorkerFault::EarlyEnd(read, pause);
+        for path in PATHS {
+            for (status, text) in ask_until_run(site, fault, path, body).await? {
+                let is_complete = (200..300).contains(&status) && text.is_some();
+                let size = body.len();
+                assert!(!is_complete, "{path}, {size} bytes, {fault:?}: {text:?}");
+            }
+        }
+        Ok(())
+    }
+
+    /// Guards against a sound answer that is given up since it ends with its connection to another node.
+    pub async fn an_answer_without_a_length_is_complete_at_a_cut_node(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let _path = cut_off(site, 2, Cut::Reset).await?;
+        for desk in &site.desks {
+            desk.set_fault(WorkerFault::NoLength);
+        }
+        for path in ["/once/a", "/again/a"].repeat(4) {
+            let tried = first_try(site, 2, path).await;
+            assert!(tried.is_served, "{tried:?}");
+        }
+        Ok(())
+    }
+
+    /// Guards against requests of a cut node that reach a leaving server through another node.
+    pub async fn a_leaving_backend_server_gets_nothing_of_a_cut_node(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let _path = cut_off(site, 2, Cut::Hang).await?;
+        site.list(&site.desks[0], "desk", "v1", "draining");
+        site.store.put("servers", site.desks[1].id(), None);
+        first_tries(site, DRAIN).await;
+        let gone = || {
+            site.desks[..2]
+                .iter()
+                .map(|desk| desk.runs().len())
+                .sum::<usize>()
+        };
+        let before = gone();
+        let tries = first_tries(site, DRAIN).await;
+        assert_eq!(gone() - before, 0, "requests at leaving servers");
+        check_served(&tries, &[2]);
+        Ok(())
+    }
+
+    /// Guards against a node that drops its open connections once new ones are refused.
+    pub async fn a_stream_of_a_cut_node_stays_on_its_open_connection(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        const EVENTS: u64 = 40;
+        let path = separate(site, 2).await?;
+        let set_events = |count, pause| {
+            let models = site.models.iter();
+            models.for_each(|model| model.set_events(count, Duration::from_millis(pause)));
+        };
+        set_events(EVENTS, 100);
+        let answer = stream(&Client::new(), site, 2, "open").send().await?;
+        assert_eq!(answer.status(), 200);
+        set_events(5, 10);
+        path.cut(Cut::RefuseNew);
+        let (text, _) = futures::join!(answer.text(), first_tries(site, CONTACT));
+        assert_eq!(numbers(&text?), (1..=EVENTS).collect::<Vec<_>>());
+        let mut own = all_runs(site);
+        own.retain(|run| run.request.header("session") == "open");
+        assert_eq!(own.len(), 1, "it ran once");
+        assert!(!own[0].cut);
+        Ok(())
+    }
+
+    /// Guards against callers that wait for servers which no node reaches.
+    pub async fn a_cut_node_alone_refuses_at_once(site: &mut Site) -> Result<(), Error> {
+        for cut in [Cut::Hang, Cut::RefuseNew] {
+            let _path = cut_off(site, 0, cut).await?;
+            let tries = first_tries(site, CONTACT).await;
+            check_refused(site, &tries);
+        }
+        Ok(())
+    }
+
+    /// Guards against requests that go round among nodes of which none reaches a server.
+    pub async fn nodes_that_are_all_cut_refuse_at_once(site: &mut Site) -> Result<(), Error> {
+        let mut paths = Vec::new();
+        for node in 0..site.nodes.len() {
+            paths.push(separate(site, node).await?);
+        }
+        paths.iter().for_each(|path| path.cut(Cut::Hang));
+        first_tries(site, CONTACT).await;
+        let tries = first_tries(site, CONTACT).await;
+        check_refused(site, &tries);
+        Ok(())
+    }
+
+    /// Checks that first tries are refused unsent and at once.
+    fn check_refused(site: &Site, tries: &[FirstTry]) {
+        let slowest = tries.iter().max_by_key(|tried| tried.time);
+        let refused = tries.iter().filter(|tried| tried.status == Some(503));
+        assert_eq!(refused.count(), tries.len());
+        assert!(
+            slowest.is_some_and(|tried| tried.time < REFUSAL_TIME),
+            "{slowest:?}"
+        );
+        check_runs(site, tries);
+    }
+
     pub async fn a_leaving_backend_server_gets_nothing(site: &mut Site) -> Result<(), Error> {
         site.list(&site.desks[0], "desk", "v1", "draining");
         sleep(Duration::from_millis(300)).await;
