Keep the operator's orders for five seconds after a restore

Cause: orders that a restored store has lost stood for 1.94 s, the time that the platform gives for entries of backend servers. The operator has no such time: written again later, an evacuation would have sent requests to the zone in between (found in review). Change: a grace of five seconds for the operator's table, the time within which an evacuation must be obeyed.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -55,6 +55,19 @@
 /// Hash key that ranks nodes as followers.
 const FOLLOWERS_KEY: &str = "followers";
 
+/// Time after a restore of the store for which the operator's orders stand that it may have lost. Unlike
+/// backend servers, an operator has no set time for writing them again; within this one an evacuation
+/// must be obeyed on any site.
+const ORDER_GRACE: Duration = Duration::from_secs(5);
+
+/// Time after a restore of the store in which rows of a table are written again.
+fn grace(table: Table) -> Duration {
+    match table {
+        Table::Intents => ORDER_GRACE,
+        Table::Servers | Table::Members | Table::Status => ENTRY_GRACE,
+    }
+}
+
 /// Logs that a row can't be used; the previous state stays in effect.
 pub fn log_unreadable_row(row: &str, why: &impl std::fmt::Display) {
     log::warn!(event = 1720, row = row; "ignoring an unusable row: {why}");
@@ -336,7 +349,7 @@
     /// Keeps what a restored store may have lost until those who wrote it have had the time to write it
     /// again. What can't take back anything in force is applied at once.
     fn apply_doubtful(&mut self, now: Instant, table: Table, rows: Vec<Row>) {
-        let until = now + ENTRY_GRACE;
+        let until = now + grace(table);
         for row in rows {
             match (table, self.fate(table, &row)) {
                 (_, Fate::Applied) => self.apply(now, table, vec![row]),
@@ -352,7 +365,7 @@
     /// Begins the grace of rows anew that an earlier restore of the store or an outage has left
     /// unsettled: their writers couldn't know before that the store has lost them once more.
     fn extend_grace(&mut self, now: Instant, table: Table) {
-        let until = now + ENTRY_GRACE;
+        let until = now + grace(table);
         for (_, _, end) in self.withheld.iter_mut().filter(|row| row.0 == table) {
             *end = until;
         }
