Record a backend server's end without delay where it is certain

Cause: a_trial_that_has_begun_is_resumed and a_sound_part_is_served_beside_a_poison_part_as_new failed in some runs. While the path was in doubt, the end of a server that refuses connections was recorded up to 0.9 s late, after the decision that it was evidence for: the log has the crashes of two servers after 1766, and then 1793 for one of the two parts that the crashes had in common. Change: the end is recorded at once if the path is sound or another node has found that the server refuses connections. A success in between ends the wait for the others; it was missed when the path was in doubt again within 20 ms.

--- a/crates/edge/src/connect.rs
+++ b/crates/edge/src/connect.rs
@@ -5,7 +5,7 @@
 use crate::stream::Stream;
 use crate::tunnel::{self, Refusal, Tunnel};
 use crate::upstream;
-use route::reach::{Failure, Path};
+use route::reach::{Failure, Path, Reach};
 use route::server::Listing;
 use std::io;
 use std::sync::Arc;
@@ -183,11 +183,23 @@
     matches!(connect(app, server).await, Err(Error::Server(error)) if refused(&error))
 }
 
+/// Whether another node, which reaches backend servers, has found that this one can't be connected to.
+pub fn is_confirmed(error: &io::Error) -> bool {
+    error
+        .get_ref()
+        .is_some_and(|source| source.is::<tunnel::Error>())
+}
+
 /// Waits until it is known whether the path is sound; returns whether a failure on it says something
 /// of its backend server.
 pub async fn is_sound(app: &App) -> bool {
+    let started = Instant::now();
+    let is_known = |reach: &Reach| {
+        // A sound path may be in doubt again before this is checked.
+        reach.path() != Path::Doubtful || reach.last_success() > Some(started)
+    };
     let settled = async {
-        while app.state().reach.path() == Path::Doubtful {
+        while !is_known(&app.state().reach) {
             sleep(SETTLE_INTERVAL).await;
         }
     };
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -17,7 +17,7 @@
 use rand::{Rng, SeedableRng};
 use route::ServerId;
 use route::pool::{self, Load, Outcome, Prefill, Query, Refusal, Stage};
-use route::reach::Failure::Broken;
+use route::reach::{Failure::Broken, Path};
 use route::server::Listing;
 use route::zone::Decision;
 use std::sync::{Arc, OnceLock};
@@ -110,17 +110,15 @@
             _ => Outcome::Failed,
         };
         match failure {
-            Failure::NotSent(_) => {
+            Failure::NotSent(error) => {
                 self.ignored_by_rollout = true;
-                let server = (*self.server).clone();
-                let is_cut = self.app.state().is_cut(Instant::now());
-                match is_cut {
-                    // Another node, which reaches backend servers, says so.
-                    true => self
-                        .app
-                        .state()
-                        .record_server_end(Instant::now(), &server.id),
-                    false => drop(tokio::spawn(report_end(Arc::clone(&self.app), server))),
+                let mut state = self.app.state();
+                let is_doubtful = state.reach.path() == Path::Doubtful;
+                if is_doubtful && !connect::is_confirmed(error) {
+                    tokio::spawn(report_end(Arc::clone(&self.app), (*self.server).clone()));
+                } else {
+                    // Without delay: what crashes backend servers is told apart by the order of events.
+                    state.record_server_end(Instant::now(), &self.server.id);
                 }
             }
             Failure::TimedOut => {
--- a/crates/route/src/reach/reach.rs
+++ b/crates/route/src/reach/reach.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    /// When a connection last showed that the path was sound.
+    ///
+    /// ```
+    /// assert_eq!(route::reach::Reach::default().last_success(), None);
+    /// ```
+    pub fn last_success(&self) -> Option<Instant> {
+        self.last_success
+    }
+
     /// When the path was found lost, if it is.
     ///
     /// ```
