Settle a doubt about the path by a probe before a crash is recorded

Cause: while several servers crash one after the other, the path is in doubt, and each check whether a server has ended asked other nodes first. The nodes then learnt of the crashes in different orders and blocked different parts. Change: such a check connects to the server directly and, if the path is in doubt, to one server that is unlike those that have failed. Only if that fails as well, or the path is lost, other nodes are asked.

--- a/crates/edge/src/connect.rs
+++ b/crates/edge/src/connect.rs
@@ -139,29 +139,33 @@
             () = app.probe_requested.notified() => (),
             () = sleep(CHECK_INTERVAL) => (),
         }
-        let target = {
-            let mut state = app.state();
-            let state = &mut *state;
-            if !state.reach.start_probe(Instant::now()) {
-                continue;
-            }
-            let has_failed = |id: &str| state.reach.has_failed(id);
-            let target = state.pool.probe_target(rand::random(), has_failed);
-            target.map(|target| (target.clone(), state.reach.is_broken()))
-        };
-        let Some((server, is_broken)) = target else {
-            continue;
-        };
-        let probed = timeout(PROBE_TIMEOUT, probe_server(&server, is_broken)).await;
-        let probed = probed.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
-        log::debug!(event = 1778, server = server.id.as_str(), sound = probed.is_ok(); "direct path to backend servers probed");
-        match probed {
-            Ok(()) => app.record_probe(),
-            Err(error) => record_failure(&app, &server, &error, true),
+        if app.state().reach.start_probe(Instant::now()) {
+            probe_once(&app).await;
         }
     }
 }
 
+/// Probes the direct path; returns whether it is sound.
+async fn probe_once(app: &App) -> bool {
+    let target = {
+        let state = app.state();
+        let has_failed = |id: &str| state.reach.has_failed(id);
+        let target = state.pool.probe_target(rand::random(), has_failed);
+        target.map(|target| (target.clone(), state.reach.is_broken()))
+    };
+    let Some((server, is_broken)) = target else {
+        return false;
+    };
+    let probed = timeout(PROBE_TIMEOUT, probe_server(&server, is_broken)).await;
+    let probed = probed.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+    log::debug!(event = 1778, server = server.id.as_str(), sound = probed.is_ok(); "direct path to backend servers probed");
+    match &probed {
+        Ok(()) => app.record_probe(),
+        Err(error) => record_failure(app, &server, error, true),
+    }
+    probed.is_ok()
+}
+
 /// Connects to a backend server. Where connections break off after they were established, an empty line
 /// is sent, which servers ignore before a request, and a reset is waited for.
 async fn probe_server(server: &Listing, is_broken: bool) -> io::Result<()> {
@@ -176,10 +180,19 @@
     }
 }
 
-/// Checks whether a backend server refuses connections. While the direct path is in doubt or lost,
-/// another node is asked.
+/// Checks whether a backend server refuses connections. While the direct path is lost, another node is
+/// asked.
 pub async fn is_refused(app: &App, server: &Listing) -> bool {
     let refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+    if app.state().reach.path() != Path::Lost {
+        match connect_direct(app, server).await {
+            Err(error) if refused(&error) => (),
+            Ok(_) | Err(_) => return false,
+        }
+        if is_sound(app).await {
+            return true;
+        }
+    }
     matches!(connect(app, server).await, Err(Error::Server(error)) if refused(&error))
 }
 
@@ -193,6 +206,10 @@
 /// Waits until it is known whether the path is sound; returns whether a failure on it says something
 /// of its backend server.
 pub async fn is_sound(app: &App) -> bool {
+    // At once: what crashes backend servers is told apart by the order of events.
+    if app.state().reach.path() == Path::Doubtful && probe_once(app).await {
+        return true;
+    }
     let started = Instant::now();
     let is_known = |reach: &Reach| {
         // A sound path may be in doubt again before this is checked.
