Count the connects of served tunnels as evidence of the own path

Cause: found by reading. A node without requests of its own that is cut as well never learns it, stays a preferred node for tunnels of its zone, and reports sound backend servers as refusing connections, which the opener takes as confirmed ends. Change: a served tunnel connects like a request of the node, records the result, and is refused with 'no path' while the path is in doubt or lost.

--- a/crates/edge/src/connect.rs
+++ b/crates/edge/src/connect.rs
@@ -100,7 +100,7 @@
 }
 
 /// Connects directly, and records the result as evidence. Gives up once the path is found lost.
-async fn connect_direct(app: &App, server: &Listing) -> io::Result<TcpStream> {
+pub(crate) async fn connect_direct(app: &App, server: &Listing) -> io::Result<TcpStream> {
     let limit = match app.state().reach.path() {
         Path::Sound => upstream::CONNECT_TIMEOUT,
         Path::Doubtful | Path::Lost => DOUBTFUL_TIMEOUT,
--- a/crates/edge/src/tunnel/refusal.rs
+++ b/crates/edge/src/tunnel/refusal.rs
@@ -14,6 +14,9 @@
     /// The backend server refuses connections.
     #[error("connection refused by the backend server")]
     ConnectionRefused,
+    /// The node's own path to backend servers is in doubt or lost.
+    #[error("no path to backend servers")]
+    NoPath,
     /// The node serves as many tunnels as it can.
     #[error("too many tunnels")]
     TooMany,
@@ -33,6 +36,7 @@
             Self::UnknownServer => "unknown_server",
             Self::Unreachable => "unreachable",
             Self::ConnectionRefused => "connection_refused",
+            Self::NoPath => "no_path",
             Self::TooMany => "too_many",
             Self::Stopping => "stopping",
         }
--- a/crates/edge/src/tunnel/serve.rs
+++ b/crates/edge/src/tunnel/serve.rs
@@ -4,10 +4,11 @@
 use super::inbox::{Inbox, WINDOW};
 use super::{Failure, Hello, Refusal, Reply};
 use crate::app::App;
+use crate::connect::connect_direct;
 use crate::metrics;
-use crate::upstream::connect;
 use bytes::BytesMut;
 use futures::{SinkExt, StreamExt};
+use route::reach::Path;
 use socket2::SockRef;
 use std::io;
 use std::sync::Arc;
@@ -72,26 +73,37 @@
     }
 }
 
-/// Connects to the backend server of a tunnel, always directly.
+/// Connects to the backend server of a tunnel, always directly. The result is evidence of this node's own path,
+/// which may be all there is: a node without requests of its own makes no other connections.
 async fn connect_server(app: &App, hello: &Hello) -> Result<TcpStream, Refusal> {
-    let address = {
+    let listing = {
         let state = app.state();
         if state.draining {
             return Err(Refusal::Stopping);
         }
         let server = state.pool.servers().get(&hello.server);
-        server.ok_or(Refusal::UnknownServer)?.listing.address
+        let listing = server.ok_or(Refusal::UnknownServer)?.listing.clone();
+        if state.reach.path() == Path::Lost {
+            return Err(Refusal::NoPath);
+        }
+        listing
     };
     if app.tunnels.count() > MAX_TUNNELS {
         return Err(Refusal::TooMany);
     }
-    let connected = connect(address).await.and_then(|stream| {
+    let connected = connect_direct(app, &listing).await.and_then(|stream| {
         SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER)?;
         Ok(stream)
     });
-    connected.map_err(|error| match error.kind() {
-        io::ErrorKind::ConnectionRefused => Refusal::ConnectionRefused,
-        _ => Refusal::Unreachable,
+    connected.map_err(|error| {
+        // The failure may be one of this node's path, which says nothing of the backend server.
+        if app.state().reach.path() != Path::Sound {
+            return Refusal::NoPath;
+        }
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Refusal::ConnectionRefused,
+            _ => Refusal::Unreachable,
+        }
     })
 }
 
--- a/crates/edge/tests/tunnel.rs
+++ b/crates/edge/tests/tunnel.rs
@@ -336,6 +336,23 @@
     a_stopping_node_refuses: "i-1", |node: &Fixture| node.app.state().draining = true => Refusal::Stopping,
 }
 
+/// A node without requests of its own learns only from tunnels that it has lost its path. A failure here reports
+/// sound backend servers as ended to the opener.
+#[tokio::test]
+async fn a_node_without_a_path_says_nothing_of_backend_servers() {
+    let fixture = Fixture::start().await;
+    for id in ["i-2", "i-3"] {
+        fixture.list(id, address().into());
+    }
+    let first = fixture.try_open("i-2").await;
+    let refused = matches!(first, Err(Error::Refused(Refusal::ConnectionRefused)));
+    assert!(refused, "{first:?}");
+    let second = fixture.try_open("i-3").await;
+    let refused = matches!(second, Err(Error::Refused(Refusal::NoPath)));
+    assert!(refused, "{second:?}");
+    assert_eq!(fixture.app.state().reach.failed_count(), 2);
+}
+
 #[tokio::test]
 async fn an_opener_that_gives_no_credit_is_sent_one_window() {
     let fixture = Fixture::start().await;
