Leave only hung connections early when the path is lost

Cause: found by reading. The loss of the path ended the wait of all requests early, and 250 ms later each one was weighed for a failover though its backend server wasn't late. A plain request on a connection that lives on was broken off and used the retry budget. Change: before the deadline of the backend server only hung connections are looked for. No test covers it yet; the tests of tunnels were run.

--- a/crates/edge/src/forward/wait.rs
+++ b/crates/edge/src/forward/wait.rs
@@ -77,9 +77,11 @@
         if is_hung && let Some(attempt) = leave_hung(app, exchange) {
             return Wait::Failover(attempt);
         }
-        if now < next_check {
-            // The loss of the path has ended the wait early.
-            next_check = next_check.min(now + FAILOVER_INTERVAL);
+        // Only a hung connection is left before the deadline of the backend server: the others may live on
+        // while the path is lost.
+        let next = next_check.max(deadlines.silent);
+        if now < next {
+            next_check = next.min(now + FAILOVER_INTERVAL);
             continue;
         }
         next_check = now + FAILOVER_INTERVAL;
