--- a/crates/edge/src/app/reach.rs
+++ b/crates/edge/src/app/reach.rs
@@ -64,7 +64,7 @@
         let Some(Change::Lost(last_success)) = change else {
             return;
         };
-        state.pool.forgive(last_success);
+        state.pool.reset_failures(last_success);
         let helpers = state.members.reaching(now).count();
         drop(state);
         let idle = last_success.map(|at| now.saturating_duration_since(at).as_millis() as u64);
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -75,7 +75,7 @@
 
 /// What becomes of a row in which a restored store may hold an older state.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Fate {
+enum Resolution {
     /// It takes effect at once.
     Applied,
     /// It takes effect unless it is written again within the grace.
@@ -351,13 +351,13 @@
     fn apply_doubtful(&mut self, now: Instant, table: Table, rows: Vec<Row>) {
         let until = now + grace(table);
         for row in rows {
-            match (table, self.fate(table, &row)) {
-                (_, Fate::Applied) => self.apply(now, table, vec![row]),
-                (Table::Servers, Fate::Withheld) if row.removed => {
+            match (table, self.resolution(table, &row)) {
+                (_, Resolution::Applied) => self.apply(now, table, vec![row]),
+                (Table::Servers, Resolution::Withheld) if row.removed => {
                     self.expired.push((row.key, until));
                 }
-                (_, Fate::Withheld) => self.withheld.push((table, row.key, until)),
-                (_, Fate::Ignored) => (),
+                (_, Resolution::Withheld) => self.withheld.push((table, row.key, until)),
+                (_, Resolution::Ignored) => (),
             }
         }
     }
@@ -377,27 +377,29 @@
     }
 
     /// What becomes of a doubtful row of a restored store.
-    fn fate(&self, table: Table, row: &Row) -> Fate {
+    fn resolution(&self, table: Table, row: &Row) -> Resolution {
         match table {
             // Configurations are compared by their revision.
-            Table::Intents if platform::parse_key(&row.key) == Intent::Config => Fate::Applied,
-            Table::Intents => Fate::Withheld,
+            Table::Intents if platform::parse_key(&row.key) == Intent::Config => {
+                Resolution::Applied
+            }
+            Table::Intents => Resolution::Withheld,
             Table::Servers => {
                 let value = row.value.as_deref().unwrap_or_default();
                 let listing = platform::parse_listing(&row.key, value).ok();
                 let (Some(listing), Some(known)) = (listing, self.pool.servers().get(&row.key))
                 else {
-                    return Fate::Withheld;
+                    return Resolution::Withheld;
                 };
                 match listing.started_ms.cmp(&known.listing.started_ms) {
-                    Ordering::Greater => Fate::Withheld,
-                    Ordering::Equal if known.accepts_work() => Fate::Applied,
+                    Ordering::Greater => Resolution::Withheld,
+                    Ordering::Equal if known.accepts_work() => Resolution::Applied,
                     // A start that leaves doesn't become ready again, and a start that is over doesn't
                     // come back.
-                    Ordering::Equal | Ordering::Less => Fate::Ignored,
+                    Ordering::Equal | Ordering::Less => Resolution::Ignored,
                 }
             }
-            Table::Members | Table::Status => Fate::Applied,
+            Table::Members | Table::Status => Resolution::Applied,
         }
     }
 
--- a/crates/route/src/pool/pool.rs
+++ b/crates/route/src/pool/pool.rs
@@ -545,9 +545,9 @@
 
     /// Forgets the failures of backend servers that have failed since the given time, which were
     /// this node's own: it doesn't reach them.
-    pub fn forgive(&mut self, since: Option<Instant>) {
+    pub fn reset_failures(&mut self, since: Option<Instant>) {
         for server in self.servers.values_mut() {
-            server.forgive(since);
+            server.reset_failures(since);
         }
     }
 
--- a/crates/route/src/pool/server.rs
+++ b/crates/route/src/pool/server.rs
@@ -201,7 +201,7 @@
     }
 
     /// Forgets its failures if the last one was after the given time. Its breaker closes.
-    pub(super) fn forgive(&mut self, since: Option<Instant>) {
+    pub(super) fn reset_failures(&mut self, since: Option<Instant>) {
         if self.last_failure.is_some_and(|at| Some(at) >= since) {
             self.breaker.record_success();
             self.failure_rate = 0.0;
