--- a/crates/edge/src/app/mod.rs
+++ b/crates/edge/src/app/mod.rs
@@ -6,6 +6,7 @@
 mod mirror;
 mod outage;
 mod reach;
+mod restore;
 mod state;
 mod table;
 
--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -1,6 +1,5 @@
 //! A node's view of the system.
 
-use super::outage::ENTRY_GRACE;
 use super::{Assignment, Losses, Mirror, Notice, Outage, Table, Update};
 use crate::follow::Role;
 use crate::membership;
@@ -21,7 +20,6 @@
 use route::session::Sessions;
 use route::site::{Bounds, Site};
 use route::{NodeName, Position, ServerId, ServiceName, Version, table};
-use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -55,35 +53,11 @@
 /// Hash key that ranks nodes as followers.
 const FOLLOWERS_KEY: &str = "followers";
 
-/// Time after a restore of the store for which the operator's orders stand that it may have lost. Unlike
-/// backend servers, an operator has no set time for writing them again; within this one an evacuation
-/// must be obeyed on any site.
-const ORDER_GRACE: Duration = Duration::from_secs(5);
-
-/// Time after a restore of the store in which rows of a table are written again.
-fn grace(table: Table) -> Duration {
-    match table {
-        Table::Intents => ORDER_GRACE,
-        Table::Servers | Table::Members | Table::Status => ENTRY_GRACE,
-    }
-}
-
 /// Logs that a row can't be used; the previous state stays in effect.
 pub fn log_unreadable_row(row: &str, why: &impl std::fmt::Display) {
     log::warn!(event = 1720, row = row; "ignoring an unusable row: {why}");
 }
 
-/// What becomes of a row in which a restored store may hold an older state.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Resolution {
-    /// It takes effect at once.
-    Applied,
-    /// It takes effect unless it is written again within the grace.
-    Withheld,
-    /// It never takes effect.
-    Ignored,
-}
-
 /// A node's view of the system.
 #[derive(Debug)]
 pub struct State {
@@ -109,7 +83,7 @@
     pub trials: Map<ServiceName, Trial>,
     /// Roll-outs whose orders a restored store has lost and nobody has written again within the grace, by
     /// service. They go on if the same order is written later.
-    lost_trials: Map<ServiceName, Trial>,
+    pub(super) lost_trials: Map<ServiceName, Trial>,
     /// Versions that did not complete their roll-out, by service: they get no more requests.
     rejected: Map<ServiceName, Set<Version>>,
     /// Versions that sessions are assigned to.
@@ -140,9 +114,9 @@
     /// Whether this node follows the store as a fallback for followers that can't reach it.
     fallback_active: bool,
     /// Backend servers whose entries expired during an outage, and until when they are kept.
-    expired: Vec<(ServerId, Instant)>,
+    pub(super) expired: Vec<(ServerId, Instant)>,
     /// Rows of a restored store that may hold an older state, and until when they are withheld.
-    withheld: Vec<(Table, String, Instant)>,
+    pub(super) withheld: Vec<(Table, String, Instant)>,
     budgets: Map<ServiceName, Window>,
     /// Choice of the models that answer, by service.
     cascades: Map<ServiceName, Cascade>,
@@ -346,82 +320,7 @@
         self.listed |= table == Table::Servers;
     }
 
-    /// Keeps what a restored store may have lost until those who wrote it have had the time to write it
-    /// again. What can't take back anything in force is applied at once.
-    fn apply_doubtful(&mut self, now: Instant, table: Table, rows: Vec<Row>) {
-        let until = now + grace(table);
-        for row in rows {
-            match (table, self.resolution(table, &row)) {
-                (_, Resolution::Applied) => self.apply(now, table, vec![row]),
-                (Table::Servers, Resolution::Withheld) if row.removed => {
-                    self.expired.push((row.key, until));
-                }
-                (_, Resolution::Withheld) => self.withheld.push((table, row.key, until)),
-                (_, Resolution::Ignored) => (),
-            }
-        }
-    }
-
-    /// Begins the grace of rows anew that an earlier restore of the store or an outage has left
-    /// unsettled: their writers couldn't know before that the store has lost them once more.
-    fn extend_grace(&mut self, now: Instant, table: Table) {
-        let until = now + grace(table);
-        for (_, _, end) in self.withheld.iter_mut().filter(|row| row.0 == table) {
-            *end = until;
-        }
-        if table == Table::Servers {
-            for (_, end) in &mut self.expired {
-                *end = until;
-            }
-        }
-    }
-
-    /// What becomes of a doubtful row of a restored store.
-    fn resolution(&self, table: Table, row: &Row) -> Resolution {
-        match table {
-            // Configurations are compared by their revision.
-            Table::Intents if platform::parse_key(&row.key) == Intent::Config => {
-                Resolution::Applied
-            }
-            Table::Intents => Resolution::Withheld,
-            Table::Servers => {
-                let value = row.value.as_deref().unwrap_or_default();
-                let listing = platform::parse_listing(&row.key, value).ok();
-                let (Some(listing), Some(known)) = (listing, self.pool.servers().get(&row.key))
-                else {
-                    return Resolution::Withheld;
-                };
-                match listing.started_ms.cmp(&known.listing.started_ms) {
-                    Ordering::Greater => Resolution::Withheld,
-                    Ordering::Equal if known.accepts_work() => Resolution::Applied,
-                    // A start that leaves doesn't become ready again, and a start that is over doesn't
-                    // come back.
-                    Ordering::Equal | Ordering::Less => Resolution::Ignored,
-                }
-            }
-            Table::Members | Table::Status => Resolution::Applied,
-        }
-    }
-
-    /// Applies rows that were withheld after the store had been restored and that it still holds.
-    fn apply_withheld(&mut self, now: Instant) {
-        let due: Vec<_> = self
-            .withheld
-            .extract_if(.., |(.., until)| now >= *until)
-            .collect();
-        for (table, key, _) in due {
-            let row = self.mirror(table).last_change(&key).cloned();
-            if let (Table::Intents, Intent::Rollout(service)) = (table, platform::parse_key(&key))
-                && row.as_ref().is_some_and(|row| row.removed)
-                && let Some(trial) = self.trials.get(service)
-            {
-                self.lost_trials.insert(service.to_owned(), trial.clone());
-            }
-            self.apply(now, table, row.into_iter().collect());
-        }
-    }
-
-    fn apply(&mut self, now: Instant, table: Table, changes: Vec<Row>) {
+    pub(super) fn apply(&mut self, now: Instant, table: Table, changes: Vec<Row>) {
         self.updated[table as usize] = Some(now);
         for row in &changes {
             self.withheld
