Count only broken connections as evidence of the path

Cause: a response that was left because it came late was recorded as a broken connection. Change: a late response has a failure of its own, which says nothing of the path; what it says of the server is unchanged.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -57,6 +57,9 @@
     /// The response ended early.
     #[error("response truncated")]
     Truncated,
+    /// The response was left before its end, since it came too late.
+    #[error("response late")]
+    Late,
     /// The response had no end by the deadline, though bytes of it still came.
     #[error("response without an end in time")]
     Unfinished,
@@ -128,7 +131,15 @@
                     false => self.app.state().record_silence(&self.server),
                 }
             }
-            Failure::NoResponse(_) | Failure::Truncated => self.fail_broken(exchange),
+            Failure::NoResponse(_) | Failure::Truncated => {
+                if self.via.get() == Some(&Via::Direct) {
+                    let id = &self.server.id;
+                    self.app.record_failed_connection(id, Broken, false);
+                }
+                self.fail_broken(exchange);
+            }
+            // Its connection lives, so it says nothing of the path.
+            Failure::Late => self.fail_broken(exchange),
             _ => (),
         }
         log::warn!(event = 1731, request = exchange.log_id(), server = self.server.id.as_str(),
@@ -154,15 +165,11 @@
             && !state.pool.is_active(now, &self.server.id)
     }
 
-    /// Records that the connection broke off.
+    /// Records that the response has no end, which may be a crash of the backend server.
     fn fail_broken(&mut self, exchange: &Exchange) {
         // What it says of the version is recorded once it is known whether the path has failed.
         self.ignored_by_rollout = true;
         let is_direct = self.via.get() == Some(&Via::Direct);
-        if is_direct {
-            let id = &self.server.id;
-            self.app.record_failed_connection(id, Broken, false);
-        }
         if self.is_on_lost_path() {
             self.outcome = Outcome::Unknown;
             return;
--- a/crates/edge/src/forward/buffered.rs
+++ b/crates/edge/src/forward/buffered.rs
@@ -65,7 +65,7 @@
                         if let Wait::Failover(next) = unfinished {
                             reserved = Some(next);
                         }
-                        attempt.fail(exchange, &Failure::Truncated);
+                        attempt.fail(exchange, &Failure::Late);
                         continue;
                     }
                 };
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -192,7 +192,9 @@
                 return Ok(First::Complete(complete(head, Bytes::new())));
             }
             Item::Interrupted(next) => {
-                source.attempt.fail(exchange, &interruption(&next));
+                source
+                    .attempt
+                    .fail(exchange, &interruption(exchange, &next));
                 reserved = next;
             }
         }
@@ -200,9 +202,10 @@
 }
 
 /// Why a stream was interrupted: an attempt is only reserved after a timeout.
-fn interruption(reserved: &Option<Attempt>) -> Failure {
+fn interruption(exchange: &Exchange, reserved: &Option<Attempt>) -> Failure {
     match reserved {
         Some(_) => Failure::TimedOut,
+        None if exchange.remaining().is_zero() => Failure::Late,
         None => Failure::Truncated,
     }
 }
@@ -267,7 +270,9 @@
                 return;
             }
             Item::Interrupted(reserved) => {
-                source.attempt.fail(&exchange, &interruption(&reserved));
+                source
+                    .attempt
+                    .fail(&exchange, &interruption(&exchange, &reserved));
                 drop(source);
                 let resumed = tokio::select! {
                     resumed = resume(app, &mut exchange, reserved) => resumed,
