--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -436,12 +436,14 @@
     failover_at: Instant,
 ) -> Delivery {
     let deadlines = Deadlines::uniform(failover_at);
-    let request = exchange.upstream_request(Instant::now(), attempt.server_id());
     exchange.tried_servers.push(attempt.server_id().clone());
     exchange.attempts += 1;
+    let current = &*exchange;
     let sending = async {
         let stream = connect(app, &attempt.server).await?;
         attempt.via.get_or_init(|| stream.via());
+        // A tunnel may take a while to open, so the time left is that of now.
+        let request = current.upstream_request(Instant::now(), attempt.server_id());
         upstream::send(stream, request).await
     };
     let response = match wait(app, exchange, &attempt, deadlines, sending).await {
