Refuse tunnels to backend servers that are leaving or have paused the node

Cause: a node that carries connections looked at neither: a request of an opener whose list lags reached a server that the node knew to be leaving (DRAIN), and a server that had asked the node for a pause went on getting requests from its address (BUDGET). Change: such a tunnel is refused, and the opener chooses another server.

--- a/crates/edge/src/tunnel/refusal.rs
+++ b/crates/edge/src/tunnel/refusal.rs
@@ -14,6 +14,9 @@
     /// The backend server refuses connections.
     #[error("connection refused by the backend server")]
     ConnectionRefused,
+    /// The backend server is leaving, or has asked the node for a pause.
+    #[error("the backend server wants no requests of the node")]
+    Unwanted,
     /// The node's own path to backend servers is in doubt or lost.
     #[error("no path to backend servers")]
     NoPath,
@@ -36,6 +39,7 @@
             Self::UnknownServer => "unknown_server",
             Self::Unreachable => "unreachable",
             Self::ConnectionRefused => "connection_refused",
+            Self::Unwanted => "unwanted",
             Self::NoPath => "no_path",
             Self::TooMany => "too_many",
             Self::Stopping => "stopping",
--- a/crates/edge/src/tunnel/serve.rs
+++ b/crates/edge/src/tunnel/serve.rs
@@ -12,7 +12,7 @@
 use socket2::SockRef;
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncWriteExt, Interest, Ready};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -82,7 +82,13 @@
             return Err(Refusal::Stopping);
         }
         let server = state.pool.servers().get(&hello.server);
-        let listing = server.ok_or(Refusal::UnknownServer)?.listing.clone();
+        let server = server.ok_or(Refusal::UnknownServer)?;
+        // What the backend server has asked of this node holds for what it carries, too: the opener may not
+        // know of it.
+        if !server.accepts_work() || server.pause_left(Instant::now()).is_some() {
+            return Err(Refusal::Unwanted);
+        }
+        let listing = server.listing.clone();
         if state.reach.path() == Path::Lost {
             return Err(Refusal::NoPath);
         }
--- a/crates/edge/tests/tunnel.rs
+++ b/crates/edge/tests/tunnel.rs
@@ -333,6 +333,13 @@
     a_tunnel_too_many_is_refused: "i-1",
         |node: &Fixture| (0..256).map(|_| node.app.tunnels.track()).collect::<Vec<_>>() =>
         Refusal::TooMany,
+    a_server_that_leaves_gets_nothing_through_a_node_that_knows_it: "i-1",
+        |node: &Fixture| node.app.state().pool.record_leaving("i-1", 1) => Refusal::Unwanted,
+    a_server_that_paused_a_node_gets_nothing_through_it: "i-1",
+        |node: &Fixture| {
+            let pause = Duration::from_secs(5);
+            node.app.state().pool.record_pause(Instant::now(), "i-1", 1, pause);
+        } => Refusal::Unwanted,
     a_stopping_node_refuses: "i-1", |node: &Fixture| node.app.state().draining = true => Refusal::Stopping,
 }
 
