Log when another node changes the nodes that it reports on

Logs tell when links open and close, but not what a node reports over a link that stays open, so a stale list of a former relay can't be told from heartbeats that arrive late or from a link that was never closed. Change: event 1783, with the scope before and after and the length of the last list.

--- a/crates/edge/src/link/handle.rs
+++ b/crates/edge/src/link/handle.rs
@@ -104,9 +104,12 @@
     let now = Instant::now();
     let mut state = app.state();
     let state = &mut *state;
-    state
-        .relays
-        .record_heartbeat(now, peer, heartbeat.role.into());
+    let role = Role::from(heartbeat.role);
+    let listed = state.relays.presences(peer).len();
+    if let Some(before) = state.relays.record_heartbeat(now, peer, role) {
+        log::info!(event = 1783, peer = peer.as_str(), before = format!("{before:?}").as_str(),
+            scope = format!("{:?}", role.scope).as_str(), listed = listed; "another node reports on other nodes than before");
+    }
     let presence = Presence {
         tag: Presence::tag(peer),
         ready: heartbeat.ready,
--- a/crates/route/src/relay/relays.rs
+++ b/crates/route/src/relay/relays.rs
@@ -141,12 +141,13 @@
         self.links.remove(peer).map(|link| link.presences)
     }
 
-    /// Records a heartbeat of a node on its link.
-    pub fn record_heartbeat(&mut self, now: Instant, peer: &str, role: Role) {
-        if let Some(link) = self.links.get_mut(peer) {
-            link.last_heartbeat = Some(now);
-            link.role = role;
-        }
+    /// Records a heartbeat of a node on its link. Returns the scope of its reports before if it has
+    /// changed.
+    pub fn record_heartbeat(&mut self, now: Instant, peer: &str, role: Role) -> Option<Scope> {
+        let link = self.links.get_mut(peer)?;
+        link.last_heartbeat = Some(now);
+        let before = std::mem::replace(&mut link.role, role).scope;
+        (before != role.scope).then_some(before)
     }
 
     /// Sets the nodes that a peer reports as alive; returns those that it no longer reports.
