Count a relay's list of nodes only while it is a relay

Cause: each heartbeat of a node confirmed the last list that it had sent. A node that is no relay any more sends no list, so its last one stayed at the other relays and was confirmed for good.

Evidence: event 1783 on the unmended code: edge-z-a-3 goes from Group to Own with 16 nodes on its last list; the link of edge-z-a-19, one of them, is reset 4 s later; the two relays name it to the end.

Ruled out: heartbeats that arrive late (the killed node's link is reset in the same second), and a link that stays open elsewhere (all other nodes stop naming it within a second).

Change: a list counts only while the role of its link is to report on other nodes. A node that reports itself alone clears its list at the receiver after 1.3 s, for receivers of earlier builds; one that an earlier build sends counts again when that node is a relay again, since it sends an unchanged list only once. The simulation of fleets sends what real nodes send.

--- a/crates/edge/src/link/batch.rs
+++ b/crates/edge/src/link/batch.rs
@@ -1,12 +1,9 @@
 //! Frames that a node sends on all its links at one time.
 
 use contract::Map;
-use route::relay::{Role, Scope};
+use route::relay::{ListId, Role, Scope};
 use tokio_tungstenite::tungstenite::Message;
 
-/// Version of a list of nodes; it changes with the list.
-pub type ListId = u64;
-
 /// Frames that a node sends on all its links at one time, encoded once for all of them.
 #[derive(Clone, Debug, Default)]
 pub struct Batch {
--- a/crates/edge/src/link/run.rs
+++ b/crates/edge/src/link/run.rs
@@ -1,6 +1,6 @@
 //! Runs an open link.
 
-use super::batch::{Batch, ListId};
+use super::batch::Batch;
 use super::frame::Frame;
 use super::handle::{close_link, handle};
 use super::outbox::Outbox;
@@ -8,7 +8,7 @@
 use futures::{SinkExt, StreamExt};
 use route::NodeName;
 use route::member::Member;
-use route::relay::{LinkId, Scope};
+use route::relay::{Delivery, LinkId, Step};
 use std::io;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -55,8 +55,7 @@
 struct Sender {
     peer: NodeName,
     outbox: Outbox,
-    /// The list of nodes that was sent last.
-    list: Option<(Scope, ListId)>,
+    list: Delivery,
     /// Time since which this node hasn't needed the link; only checked if this node opened it.
     unneeded: Option<Instant>,
 }
@@ -88,7 +87,7 @@
     let sender = Sender {
         outbox: Outbox::new(app, peer.clone()),
         peer,
-        list: None,
+        list: Delivery::default(),
         unneeded: None,
     };
     let ended = exchange(app, &mut link, sender, batches, id, opened.is_some()).await;
@@ -162,9 +161,16 @@
     let now = Instant::now();
     let role = app.state().relays.role_for(now, &sender.peer);
     let list = batch.presences.get(&role.scope);
-    if let Some((id, message)) = list.filter(|(id, _)| sender.list != Some((role.scope, *id))) {
-        sender.list = Some((role.scope, *id));
-        link.feed(message.clone()).await?;
+    let message = match sender
+        .list
+        .advance(now, role.scope, list.map(|(id, _)| *id))
+    {
+        Step::Keep => None,
+        Step::Replace => list.map(|(_, message)| message.clone()),
+        Step::Clear => Frame::Presences(Vec::new()).encode(),
+    };
+    if let Some(message) = message {
+        link.feed(message).await?;
     }
     let notices = sender.outbox.take(app, now, role);
     if let Some(message) = notices.and_then(|frame| frame.encode()) {
--- a/crates/edge/src/link/tick.rs
+++ b/crates/edge/src/link/tick.rs
@@ -1,11 +1,11 @@
 //! Periodic heartbeats and announcements of this node, encoded once for all links.
 
-use super::batch::{Batch, ListId};
+use super::batch::Batch;
 use super::frame::{Frame, encode_presence};
 use super::handle::heartbeat;
 use crate::app::{App, Notice};
 use contract::Map;
-use route::relay::{Presence, Scope};
+use route::relay::{ListId, Presence, Scope};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
--- a/crates/route/src/relay/link.rs
+++ b/crates/route/src/relay/link.rs
@@ -29,6 +29,18 @@
     pub(super) last_heartbeat: Option<Instant>,
     /// Role of the other node as of the last heartbeat.
     pub(super) role: Role,
-    /// Nodes that the other node reports as alive.
+    /// The last list of nodes from the other node; see [`Link::reported`].
     pub(super) presences: Vec<Presence>,
 }
+
+impl Link {
+    /// Returns the nodes that the other node reports as alive. A node that is no relay any more sends no
+    /// lists, so its last one doesn't count; it counts again, unchanged, if the node becomes a relay again
+    /// and doesn't send another.
+    pub(super) fn reported(&self) -> &[Presence] {
+        match self.role.scope {
+            Scope::Own => &[],
+            Scope::Group | Scope::Fleet => &self.presences,
+        }
+    }
+}
--- a/crates/route/src/relay/mod.rs
+++ b/crates/route/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! zones are linked to each other and report the state of their groups: their own and that of the
 //! nodes attached to them. In a small fleet all nodes are relays.
 
+mod delivery;
 mod link;
 mod plan;
 mod presence;
@@ -12,6 +13,7 @@
 mod scope;
 mod settings;
 
+pub use delivery::{Delivery, ListId, Step};
 pub use link::{Link, LinkId, Role};
 pub use presence::Presence;
 pub use relays::Relays;
--- a/crates/route/src/relay/relays.rs
+++ b/crates/route/src/relay/relays.rs
@@ -138,7 +138,8 @@
         if self.primary.as_deref() == Some(peer) {
             self.primary = None;
         }
-        self.links.remove(peer).map(|link| link.presences)
+        let link = self.links.remove(peer)?;
+        Some(link.reported().to_vec())
     }
 
     /// Records a heartbeat of a node on its link. Returns the scope of its reports before if it has
@@ -150,20 +151,22 @@
         (before != role.scope).then_some(before)
     }
 
-    /// Sets the nodes that a peer reports as alive; returns those that it no longer reports.
+    /// Records a list of nodes from a peer; returns the nodes that it no longer reports. The list counts
+    /// while the peer's role is to report more than itself.
     pub fn set_presences(&mut self, peer: &str, presences: Vec<Presence>) -> Vec<Presence> {
         let Some(link) = self.links.get_mut(peer) else {
             return Vec::new();
         };
         let tags: Set<u32> = presences.iter().map(|presence| presence.tag).collect();
-        let mut before = std::mem::replace(&mut link.presences, presences);
+        let mut before = link.reported().to_vec();
+        link.presences = presences;
         before.retain(|presence| !tags.contains(&presence.tag));
         before
     }
 
     /// Returns the nodes that a peer reports as alive.
     pub fn presences(&self, peer: &str) -> &[Presence] {
-        self.links.get(peer).map_or(&[], |link| &link.presences)
+        self.links.get(peer).map_or(&[], Link::reported)
     }
 
     /// Whether a node is reachable, over a direct link or through another node.
@@ -173,7 +176,7 @@
             .links
             .get(node)
             .is_some_and(|link| self.is_fresh(now, link));
-        let reports = |link: &Link| link.presences.iter().any(|presence| presence.tag == tag);
+        let reports = |link: &Link| link.reported().iter().any(|presence| presence.tag == tag);
         direct
             || self
                 .links
@@ -251,7 +254,7 @@
                 tags.insert(Presence::tag(node));
             }
             if scope == Scope::Fleet && link.role.scope == Scope::Group {
-                tags.extend(link.presences.iter().map(|presence| presence.tag));
+                tags.extend(link.reported().iter().map(|presence| presence.tag));
             }
         }
         tags
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -4,7 +4,7 @@
 mod world;
 
 use std::time::Duration;
-use world::World;
+use world::{Build, World};
 
 /// Time in which all nodes of a fleet that has just started know each other.
 const START: Duration = Duration::from_secs(3);
@@ -131,3 +131,92 @@
         assert_eq!(world.total_load(index), 195.0, "of node {index}");
     }
 }
+
+/// Builds of the nodes of a fleet of one zone, and the nodes that must know at the end how many are left.
+struct Fleet {
+    /// Nodes of the earlier build; all others are of the current one.
+    earlier: Vec<usize>,
+    judged: Vec<usize>,
+}
+
+/// The relay of a fleet of 20 is replaced while it restarts; later a node ends for good. Of the first two
+/// nodes in the order of relays the first one restarts, and `substitute` is a relay meanwhile.
+fn a_node_ends_after_a_relay_stepped_down(fleet: impl Fn(usize) -> Fleet) {
+    let mut world = World::new(20, 1);
+    world.advance(START);
+    let before = world.relays_of(0);
+    world.stop(0);
+    world.advance(DETECTION);
+    let relays = world.relays_of(0);
+    let substitute = relays.into_iter().find(|index| !before.contains(index));
+    let substitute = substitute.expect("a relay in place of the one that stopped");
+    let fleet = fleet(substitute);
+    world.set_build(fleet.earlier, Build::Earlier);
+    for _ in 0..3 {
+        world.restart(0);
+        world.advance(DETECTION);
+        world.stop(0);
+        world.advance(DETECTION);
+    }
+    world.restart(0);
+    world.advance(DETECTION);
+    assert!(!world.relays_of(0).contains(&substitute));
+    let ended = (1..20).find(|index| !before.contains(index) && *index != substitute);
+    let ended = ended.expect("a node that is no relay");
+    world.stop(ended);
+    world.advance(DETECTION);
+    for index in fleet.judged.into_iter().filter(|index| *index != ended) {
+        assert_eq!(world.live_peers(index), 18, "of node {index}");
+    }
+}
+
+/// Guards against counting the last list of a node that is no relay any more: the directory named nodes that
+/// had ended.
+#[test]
+fn a_relay_that_stepped_down_keeps_no_ended_node_alive() {
+    a_node_ends_after_a_relay_stepped_down(|_| Fleet {
+        earlier: Vec::new(),
+        judged: (0..20).collect(),
+    });
+}
+
+/// Guards against the same in an upgrade: nodes of the earlier build send no empty list.
+#[test]
+fn a_relay_of_the_earlier_build_that_stepped_down_keeps_no_ended_node_alive() {
+    a_node_ends_after_a_relay_stepped_down(|substitute| Fleet {
+        earlier: vec![substitute],
+        judged: (0..20).filter(|index| *index != substitute).collect(),
+    });
+}
+
+/// Guards against the same in an upgrade: nodes of the earlier build count the last list of each link.
+#[test]
+fn a_relay_that_stepped_down_clears_its_list_at_nodes_of_the_earlier_build() {
+    a_node_ends_after_a_relay_stepped_down(|substitute| Fleet {
+        earlier: (0..20).filter(|index| *index != substitute).collect(),
+        judged: (0..20).collect(),
+    });
+}
+
+/// Guards against a list that is neither sent nor counted when a node of either build is a relay again.
+#[test]
+fn a_node_that_is_a_relay_again_reports_its_group() {
+    for earlier in [vec![], (0..195).step_by(2).collect(), (0..195).collect()] {
+        let mut world = World::new(195, 6);
+        world.set_build(earlier, Build::Earlier);
+        world.advance(START);
+        let relay = world.relays_of(0)[0];
+        for _ in 0..3 {
+            world.stop(relay);
+            world.advance(DETECTION);
+            for index in (0..195).filter(|index| *index != relay) {
+                assert_eq!(world.live_peers(index), 193, "of node {index}");
+            }
+            world.restart(relay);
+            world.advance(DETECTION);
+            for index in 0..195 {
+                assert_eq!(world.live_peers(index), 194, "of node {index}");
+            }
+        }
+    }
+}
--- a/crates/route/tests/relay/world.rs
+++ b/crates/route/tests/relay/world.rs
@@ -2,7 +2,7 @@
 
 use route::NodeName;
 use route::member::{Member, Members};
-use route::relay::{LinkId, Presence, Relays, Scope, Settings};
+use route::relay::{Delivery, LinkId, ListId, Presence, Relays, Role, Scope, Settings, Step};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -23,9 +23,31 @@
     ends: [usize; 2],
     ids: [LinkId; 2],
     last_heartbeat: [Instant; 2],
+    /// What each end was sent last.
+    sent: [Sent; 2],
+}
+
+/// The list of nodes that a node was sent last over a link.
+#[derive(Default)]
+struct Sent {
+    list: Option<(Scope, Vec<Presence>)>,
+    id: ListId,
+    delivery: Delivery,
+}
+
+/// Build of a node.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Build {
+    Current,
+    /// It doesn't clear the lists that it has sent, and counts the last list of a link whatever the role
+    /// of the other node is.
+    Earlier,
 }
 
 struct Node {
+    build: Build,
+    /// The last lists of open links, as a node of the earlier build counts them.
+    lists: BTreeMap<NodeName, Vec<Presence>>,
     member: Member,
     members: Members,
     relays: Relays,
@@ -68,6 +90,8 @@
                 members.add(member.clone());
             }
             Node {
+                build: Build::Current,
+                lists: BTreeMap::new(),
                 member: all[index].clone(),
                 members,
                 relays: Relays::new(Settings::default()),
@@ -86,6 +110,13 @@
         }
     }
 
+    /// Sets the build of some nodes.
+    pub fn set_build(&mut self, nodes: impl IntoIterator<Item = usize>, build: Build) {
+        for index in nodes {
+            self.nodes[index].build = build;
+        }
+    }
+
     /// Returns the number of other nodes that a node considers alive.
     pub fn live_peers(&self, index: usize) -> usize {
         self.nodes[index].members.alive(self.now).count()
@@ -142,6 +173,7 @@
         node.running = true;
         node.relays = Relays::new(Settings::default());
         node.reports.clear();
+        node.lists.clear();
         let known: Vec<_> = node.members.all().cloned().collect();
         node.members = Members::default();
         for member in known {
@@ -255,6 +287,7 @@
             ends: [index, peer],
             ids: [near, far],
             last_heartbeat: [now; 2],
+            sent: Default::default(),
         });
     }
 
@@ -275,6 +308,7 @@
                 node.relays.dial_failed(self.now, member_address(peer));
             }
             node.reports.remove(&name);
+            gone.extend(node.lists.remove(&name).into_iter().flatten());
             gone.push(Presence {
                 tag: Presence::tag(&name),
                 ready: false,
@@ -288,9 +322,14 @@
     fn mark_unreachable(&mut self, index: usize, gone: &[Presence]) {
         let now = self.now;
         let node = &mut self.nodes[index];
+        let is_listed = |tag: u32| {
+            let mut listed = node.lists.values().flatten();
+            listed.any(|presence| presence.tag == tag)
+        };
         for presence in gone {
             let name = node.members.by_tag(presence.tag).cloned();
-            if let Some(name) = name.filter(|name| !node.relays.is_reachable(now, name)) {
+            let name = name.filter(|name| !node.relays.is_reachable(now, name));
+            if let Some(name) = name.filter(|_| !is_listed(presence.tag)) {
                 node.members.mark_lost(&name);
             }
         }
@@ -306,7 +345,7 @@
                     continue;
                 }
                 self.links[at].last_heartbeat[1 - side] = now;
-                self.send_heartbeat(from, to);
+                self.send_heartbeat(at, side);
             }
         }
         let unneeded: Vec<_> = (0..self.links.len())
@@ -323,17 +362,16 @@
         }
     }
 
-    fn send_heartbeat(&mut self, from: usize, to: usize) {
+    /// Sends the list of nodes, if it is to be sent, and the heartbeat of one end of a link.
+    fn send_heartbeat(&mut self, at: usize, side: usize) {
         let now = self.now;
+        let (from, to) = (self.links[at].ends[side], self.links[at].ends[1 - side]);
         let (sender, receiver) = (self.name(from), self.name(to));
+        let role = self.nodes[from].relays.role_for(now, &receiver);
+        if let Some(list) = self.next_list(at, side, role.scope) {
+            self.receive_list(to, &sender, list);
+        }
         let node = &self.nodes[from];
-        let role = node.relays.role_for(now, &receiver);
-        let presences = match role.scope {
-            Scope::Own => Vec::new(),
-            scope => node
-                .members
-                .presences(now, node.relays.advertised(now, scope)),
-        };
         let reported =
             |(name, _): &(&NodeName, &f64)| node.relays.is_reported(now, role.scope, name);
         let load = 1.0
@@ -343,27 +381,69 @@
                 .filter(reported)
                 .map(|(_, load)| load)
                 .sum::<f64>();
+        self.receive_heartbeat(to, &sender, role, load);
+    }
+
+    /// Returns the list to send over a link; none if the other end holds the current one.
+    fn next_list(&mut self, at: usize, side: usize, scope: Scope) -> Option<Vec<Presence>> {
+        let node = &self.nodes[self.links[at].ends[side]];
+        let presences = node
+            .members
+            .presences(self.now, node.relays.advertised(self.now, scope));
+        let sent = &mut self.links[at].sent[1 - side];
+        if scope == Scope::Own && node.build == Build::Earlier {
+            return None;
+        }
+        let current = Some((scope, presences.clone()));
+        if scope != Scope::Own && sent.list != current {
+            sent.id += 1;
+            sent.list = current;
+        }
+        let id = (scope != Scope::Own).then_some(sent.id);
+        match sent.delivery.advance(self.now, scope, id) {
+            Step::Keep => None,
+            Step::Replace => Some(presences),
+            Step::Clear => Some(Vec::new()),
+        }
+    }
+
+    fn receive_list(&mut self, to: usize, sender: &NodeName, list: Vec<Presence>) {
+        let now = self.now;
+        let node = &mut self.nodes[to];
+        let mut gone = node.relays.set_presences(sender, list.clone());
+        if node.build == Build::Earlier {
+            let before = node.lists.insert(sender.clone(), list).unwrap_or_default();
+            let listed = &node.lists[sender];
+            let missing = |one: &Presence| !listed.iter().any(|other| other.tag == one.tag);
+            gone.extend(before.into_iter().filter(missing));
+        }
+        self.mark_unreachable(to, &gone);
+        let node = &mut self.nodes[to];
+        node.members
+            .merge_presences(now, node.relays.presences(sender));
+    }
+
+    fn receive_heartbeat(&mut self, to: usize, sender: &NodeName, role: Role, load: f64) {
+        let now = self.now;
         let node = &mut self.nodes[to];
-        node.relays.record_heartbeat(now, &sender, role);
+        node.relays.record_heartbeat(now, sender, role);
         let presence = Presence {
-            tag: Presence::tag(&sender),
+            tag: Presence::tag(sender),
             ready: true,
             follows_store: false,
             reaches_servers: true,
         };
-        node.members.record_heartbeat(now, &sender, presence);
-        let gone = match node.relays.presences(&sender) == presences {
-            true => Vec::new(),
-            false => node.relays.set_presences(&sender, presences),
-        };
+        node.members.record_heartbeat(now, sender, presence);
         node.members
-            .merge_presences(now, node.relays.presences(&sender));
-        match node.relays.accepts_reports(&sender) {
-            true if role.scope == Scope::Fleet => node.reports.insert(sender, load - 1.0),
-            true => node.reports.insert(sender, load),
-            false => node.reports.remove(&sender),
+            .merge_presences(now, node.relays.presences(sender));
+        if let Some(list) = node.lists.get(sender) {
+            node.members.merge_presences(now, list);
+        }
+        match node.relays.accepts_reports(sender) {
+            true if role.scope == Scope::Fleet => node.reports.insert(sender.clone(), load - 1.0),
+            true => node.reports.insert(sender.clone(), load),
+            false => node.reports.remove(sender),
         };
-        self.mark_unreachable(to, &gone);
     }
 }
 
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -3,6 +3,7 @@
 mod fault;
 mod node;
 mod path;
+mod peer;
 mod plain;
 mod site;
 mod store;
@@ -12,6 +13,7 @@
 pub use fault::{StoreFault, WorkerFault};
 pub use node::Node;
 pub use path::{Cut, Path};
+pub use peer::Peer;
 pub use site::{Settings, Site, config};
 pub use store::{Copy, Store};
 pub use wire::Request;
--- a/crates/standin/src/site/node.rs
+++ b/crates/standin/src/site/node.rs
@@ -91,6 +91,11 @@
         [0, 1, 2, 3].map(|port| (self.ip, self.ports + port).into())
     }
 
+    /// Where it takes links of other nodes.
+    pub fn link_address(&self) -> SocketAddr {
+        (self.ip, self.ports + 3).into()
+    }
+
     /// Whether it says that it is ready.
     pub async fn is_ready(&self) -> bool {
         let url = format!("http://{}:{}/sardinebank/ready", self.ip, self.ports + 1);
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -11,7 +11,7 @@
 use standin::Error;
 use standin::fleet::node_binary;
 use standin::proxy::{self, Proxy};
-use standin::site::{self, Cut, Path, Run, Settings, Site, StoreFault, Worker, WorkerFault};
+use standin::site::{self, Cut, Path, Peer, Run, Settings, Site, StoreFault, Worker, WorkerFault};
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -160,6 +160,7 @@
     rows_that_cannot_be_read_change_nothing(plain())
     entries_that_lapse_in_an_outage_are_kept_a_while(plain())
     the_directory_names_those_that_live(three_nodes())
+    a_node_that_only_a_former_relay_has_listed_is_not_named(plain())
     a_stop_finishes_what_is_inside(models())
     an_answer_counts_as_memory_until_it_is_written(plain())
     a_stop_waits_for_callers_that_read_slowly(plain())
@@ -2462,6 +2463,38 @@
         Ok(())
     }
 
+    /// Role of a node that reports on its group, as it stands in heartbeats.
+    const RELAY: (u8, bool, bool) = (1, false, false);
+    /// Role of a node that reports on itself alone.
+    const ATTACHED: (u8, bool, bool) = (0, true, false);
+
+    /// Guards against counting the last list of a node that is no relay any more: the directory named nodes
+    /// that had ended.
+    pub async fn a_node_that_only_a_former_relay_has_listed_is_not_named(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let (node, address) = ("edge-ended", "127.0.1.240:80");
+        let row =
+            json!({"zone": "z-0", "requests": address, "link": "127.0.1.240:81", "capacity": 250});
+        site.store.put("sardinebank-nodes", node, Some(&row));
+        let beat = |role| json!({"g": role, "r": true});
+        let peer = Peer::connect(&site.nodes[0], "edge-relay", beat(RELAY)).await?;
+        let is_named = async |named: bool| {
+            let list = site.nodes[0].addresses().await.unwrap_or_default();
+            list.iter().any(|other| other == address) == named
+        };
+        let tag = contract::stable_hash([node]) as u32;
+        peer.send(json!({"Presences": [[tag, 1]]}));
+        assert!(within(CONTACT, async || is_named(true).await).await);
+        // It goes on sending heartbeats.
+        peer.set_heartbeat(beat(ATTACHED));
+        assert!(within(CONTACT, async || is_named(false).await).await);
+        // A relay of an earlier build sends an unchanged list only once over a link.
+        peer.set_heartbeat(beat(RELAY));
+        assert!(within(CONTACT, async || is_named(true).await).await);
+        Ok(())
+    }
+
     pub async fn a_stop_finishes_what_is_inside(site: &mut Site) -> Result<(), Error> {
         site.models
             .iter()
