Learn changes only from nodes that name the era of the store

What callers saw: in an upgrade, a node that was replaced while all nodes that follow the store were of a build before eras missed every change: requests ran by the old service and with a key that had been taken away.

Cause: such nodes tell of changes by numbers without an era. A node whose position has an era took none of them, rightly, but counted these nodes among those that follow the store for it, so it didn't follow the store itself.

Ruled out: the other direction. Nodes of earlier builds ask by number and get full tables, which they can use; the test of that held before.

Change: a node that knows an era goes by followers that name one, and ranks itself among these. Presences of relays tell which nodes name none, by a bit that earlier builds neither set nor read; reports of a node that names none don't count, since no change with an era comes through it.

What is left: while the relays of a zone are old, each new node behind them follows the store itself. A node of an earlier build goes on missing changes once the store is restored.

--- a/crates/edge/src/app/state.rs
+++ b/crates/edge/src/app/state.rs
@@ -11,7 +11,7 @@
 use platform::store::{Page, Row};
 use route::cascade::{Answer, Cascade};
 use route::config::Config;
-use route::member::Members;
+use route::member::{Member, Members};
 use route::pool::{self, Capacity, Load, Naming, Pool, Query, Refusal, Stage, Tag};
 use route::reach::Reach;
 use route::relay::{self, Relays};
@@ -249,6 +249,13 @@
         Some(position)
     }
 
+    /// Whether the store names its era, as far as this node knows. Changes without an era can't be compared
+    /// with its own then, so it learns nothing from nodes of earlier versions, which name none.
+    fn needs_era(&self) -> bool {
+        let mut positions = self.mirrors.iter().filter_map(Mirror::position);
+        positions.any(|position| position.era > 0)
+    }
+
     /// This node's role in following a table.
     pub fn follow_role(&self, now: Instant, table: Table) -> Role {
         let rank = self.rank(now);
@@ -256,7 +263,8 @@
             return Role::Follower;
         }
         let weight = self.weight(&self.node);
-        let mut following = self.members.store_followers(now).peekable();
+        let following = self.members.store_followers(now, self.needs_era());
+        let mut following = following.peekable();
         let followed = following.peek().is_some();
         if following.any(|node| self.weight(node) > weight) {
             return Role::Learner;
@@ -276,10 +284,11 @@
     /// Number of nodes ranked before this one as followers.
     fn rank(&self, now: Instant) -> usize {
         let own = self.weight(&self.node);
-        let nodes = self.members.alive(now);
-        nodes
-            .filter(|member| self.weight(&member.node) > own)
-            .count()
+        let is_before = |member: &&Member| self.weight(&member.node) > own;
+        match self.needs_era() {
+            true => self.members.naming_era(now).filter(is_before).count(),
+            false => self.members.alive(now).filter(is_before).count(),
+        }
     }
 
     /// Rank weight of a node as a follower; all nodes compute the same.
@@ -295,7 +304,7 @@
     /// Whether no other node that follows the store is ranked before this one.
     pub fn is_lead_follower(&self, now: Instant) -> bool {
         let own = self.weight(&self.node);
-        let mut following = self.members.store_followers(now);
+        let mut following = self.members.store_followers(now, self.needs_era());
         following.all(|node| self.weight(node) < own)
     }
 
--- a/crates/edge/src/link/frame.rs
+++ b/crates/edge/src/link/frame.rs
@@ -136,6 +136,12 @@
         }
     }
 
+    /// Whether it names the eras of all changes.
+    pub fn names_era(&self) -> bool {
+        let mut changes = self.newest.iter().zip(self.eras);
+        changes.all(|(number, era)| *number == 0 || era > 0)
+    }
+
     /// Sets the latest change of each table, in the order of their indexes.
     pub fn set_newest(&mut self, newest: [Position; 4]) {
         self.newest = newest.map(|position| position.number);
@@ -269,6 +275,8 @@
 const FOLLOWS: u8 = 2;
 /// Set if it doesn't reach backend servers, since nodes of earlier versions leave it out.
 const CUT: u8 = 4;
+/// Set if it names no era of the store; nodes of earlier versions never set it.
+const NO_ERA: u8 = 8;
 
 /// Encodes the presence of a node.
 pub fn encode_presence(presence: &Presence) -> (u32, u8) {
@@ -277,7 +285,8 @@
         presence.tag,
         flag(presence.ready, READY)
             | flag(presence.follows_store, FOLLOWS)
-            | flag(!presence.reaches_servers, CUT),
+            | flag(!presence.reaches_servers, CUT)
+            | flag(!presence.names_era, NO_ERA),
     )
 }
 
@@ -288,6 +297,7 @@
         ready: flags & READY != 0,
         follows_store: flags & FOLLOWS != 0,
         reaches_servers: flags & CUT == 0,
+        names_era: flags & NO_ERA == 0,
     }
 }
 
--- a/crates/edge/src/link/handle.rs
+++ b/crates/edge/src/link/handle.rs
@@ -115,11 +115,12 @@
         ready: heartbeat.ready,
         follows_store: heartbeat.follows_store,
         reaches_servers: !heartbeat.is_cut,
+        names_era: heartbeat.names_era(),
     };
     let mut changed = state.members.record_heartbeat(now, peer, presence);
     changed |= state
         .members
-        .merge_presences(now, state.relays.presences(peer));
+        .merge_presences(now, peer, state.relays.presences(peer));
     if changed && state.relays.is_relay() {
         app.heartbeat_requested.notify_one();
     }
@@ -200,7 +201,7 @@
     let lost = drop_unreachable(state, now, &gone);
     let changed = state
         .members
-        .merge_presences(now, state.relays.presences(peer));
+        .merge_presences(now, peer, state.relays.presences(peer));
     if (changed || lost) && state.relays.is_relay() {
         app.heartbeat_requested.notify_one();
     }
@@ -243,6 +244,7 @@
         ready: false,
         follows_store: false,
         reaches_servers: true,
+        names_era: true,
     });
     state.pool.set_remote_loads(peer, Map::default());
     drop_unreachable(state, now, &gone);
--- a/crates/edge/tests/frames.rs
+++ b/crates/edge/tests/frames.rs
@@ -1,8 +1,9 @@
 //! Decoding of frames: any bytes from another node are decoded or rejected without a panic.
 
-use edge::link::{Frame, Notices};
+use edge::link::{Frame, Notices, decode_presence, encode_presence};
 use proptest::prelude::*;
 use route::member::Member;
+use route::relay::Presence;
 use serde_json::{Value, json};
 use tokio_tungstenite::tungstenite::Message;
 
@@ -113,3 +114,34 @@
         assert!(matches!(frame, Some(Frame::Heartbeat(heartbeat)) if heartbeat.is_cut == cut));
     }
 }
+
+/// Nodes of earlier versions know two flags of a presence; the others are left out for most nodes.
+#[test]
+fn presences_bear_nodes_of_earlier_versions() {
+    let ready = decode_presence((7, 3));
+    assert!(ready.ready && ready.follows_store && ready.reaches_servers && ready.names_era);
+    assert_eq!(encode_presence(&ready), (7, 3));
+    let other = Presence {
+        reaches_servers: false,
+        names_era: false,
+        ..ready
+    };
+    assert_eq!(decode_presence(encode_presence(&other)), other);
+}
+
+/// Nodes of the versions before eras tell of changes by their numbers alone.
+#[test]
+fn a_heartbeat_says_whether_it_names_eras() {
+    for (heartbeat, names_era) in [
+        (json!({"n": [0, 0, 0, 0]}), true),
+        (json!({"n": [4, 0, 0, 9]}), false),
+        (json!({"n": [4, 0, 0, 9], "e": [1, 0, 0, 1]}), true),
+        (json!({"n": [4, 0, 0, 9], "e": [1, 0, 0, 0]}), false),
+    ] {
+        let frame = decode(&json!({ "Beat": heartbeat }));
+        let Some(Frame::Heartbeat(heartbeat)) = frame else {
+            panic!("{frame:?}");
+        };
+        assert_eq!(heartbeat.names_era(), names_era, "{heartbeat:?}");
+    }
+}
--- a/crates/edge/tests/state.rs
+++ b/crates/edge/tests/state.rs
@@ -64,6 +64,7 @@
         ready: true,
         follows_store,
         reaches_servers: true,
+        names_era: true,
     }
 }
 
@@ -185,6 +186,37 @@
     );
 }
 
+/// Guards against learning changes in an upgrade from nodes whose changes name no era: they can't be compared,
+/// and were missed.
+#[test]
+fn a_node_follows_the_store_beside_followers_that_name_no_era() {
+    let now = Instant::now();
+    for (names_era, era) in [(false, 0), (true, 1), (false, 1)] {
+        let follows = |index: usize| {
+            let mut state = node(now, index, true);
+            let page = Page {
+                position: Position { era, number: 5 },
+                ..Page::default()
+            };
+            state.replace(now, Table::Servers, page);
+            for other in (0..FLEET).filter(|other| *other != index).map(name) {
+                let state_of_other = Presence {
+                    names_era,
+                    ..presence(&other, true)
+                };
+                state.members.record_heartbeat(now, &other, state_of_other);
+            }
+            let is_lead = state.is_lead_follower(now);
+            let role = state.follow_role(now, Table::Servers);
+            assert!(role == Role::Follower || !is_lead, "of node {index}");
+            role == Role::Follower
+        };
+        let following = (0..FLEET).filter(|index| follows(*index)).count();
+        let expected = if era > 0 && !names_era { FLEET } else { 4 };
+        assert_eq!(following, expected, "names eras: {names_era}, era {era}");
+    }
+}
+
 /// Limit on the calls per second of all fallback followers while no follower reaches the store.
 const MAX_CALLS: f64 = 30.0;
 
--- a/crates/route/src/member/members.rs
+++ b/crates/route/src/member/members.rs
@@ -34,6 +34,8 @@
     follows_store: bool,
     /// Whether it reaches backend servers itself.
     reaches_servers: bool,
+    /// Whether it names the era of the store with the changes that it knows.
+    names_era: bool,
     /// Whether `take_expired` has returned it since it was last alive.
     expiry_reported: bool,
 }
@@ -72,6 +74,7 @@
                     ready: false,
                     follows_store: false,
                     reaches_servers: true,
+                    names_era: true,
                     expiry_reported: true,
                 };
                 let tag = Presence::tag(&member.node);
@@ -94,9 +97,17 @@
     }
 
     /// Merges what another node reports about members; returns whether any state changed. A recent
-    /// heartbeat of the member itself takes precedence, because the report may be older.
-    pub fn merge_presences(&mut self, now: Instant, presences: &[Presence]) -> bool {
+    /// heartbeat of the member itself takes precedence, because the report may be older. A reporter that
+    /// names no era doesn't say which other nodes do, and passes on no changes with an era.
+    pub fn merge_presences(
+        &mut self,
+        now: Instant,
+        reporter: &str,
+        presences: &[Presence],
+    ) -> bool {
         let timeout = self.settings.timeout;
+        let reporter = self.entries.get(reporter);
+        let names_era = reporter.is_none_or(|reporter| reporter.names_era);
         let mut changed = false;
         for presence in presences {
             let node = self.tags.get(&presence.tag);
@@ -104,7 +115,11 @@
                 continue;
             };
             if !entry.has_recent_heartbeat(now, timeout) {
-                changed |= entry.record(now, timeout, *presence);
+                let state = Presence {
+                    names_era: presence.names_era && names_era,
+                    ..*presence
+                };
+                changed |= entry.record(now, timeout, state);
             }
         }
         changed
@@ -135,6 +150,7 @@
                     ready: entry.ready,
                     follows_store: entry.follows_store,
                     reaches_servers: entry.reaches_servers,
+                    names_era: entry.names_era,
                 })
             })
             .collect();
@@ -142,12 +158,14 @@
         presences
     }
 
-    /// Returns the names of live members that follow the store.
-    pub fn store_followers(&self, now: Instant) -> impl Iterator<Item = &str> {
+    /// Returns the names of live members that follow the store; with `needs_era`, only of those that name
+    /// its era.
+    pub fn store_followers(&self, now: Instant, needs_era: bool) -> impl Iterator<Item = &str> {
         let timeout = self.settings.timeout;
         let entries = self.entries.values();
         entries
             .filter(move |entry| entry.follows_store && entry.is_alive(now, timeout))
+            .filter(move |entry| entry.names_era || !needs_era)
             .map(|entry| entry.member.node.as_str())
     }
 
@@ -178,6 +196,15 @@
             .map(|entry| &entry.member)
     }
 
+    /// Returns the live members that name the era of the store.
+    pub fn naming_era(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        let timeout = self.settings.timeout;
+        let entries = self.entries.values();
+        entries
+            .filter(move |entry| entry.names_era && entry.is_alive(now, timeout))
+            .map(|entry| &entry.member)
+    }
+
     /// Returns the live members that accept requests.
     pub fn ready(&self, now: Instant) -> impl Iterator<Item = &Member> {
         let timeout = self.settings.timeout;
@@ -204,11 +231,13 @@
         let unchanged = self.is_alive(now, timeout)
             && self.ready == state.ready
             && self.follows_store == state.follows_store
-            && self.reaches_servers == state.reaches_servers;
+            && self.reaches_servers == state.reaches_servers
+            && self.names_era == state.names_era;
         self.last_seen = Some(now);
         self.ready = state.ready;
         self.follows_store = state.follows_store;
         self.reaches_servers = state.reaches_servers;
+        self.names_era = state.names_era;
         self.expiry_reported = false;
         !unchanged
     }
--- a/crates/route/src/relay/presence.rs
+++ b/crates/route/src/relay/presence.rs
@@ -11,6 +11,9 @@
     pub follows_store: bool,
     /// Whether it reaches backend servers itself.
     pub reaches_servers: bool,
+    /// Whether it names the era of the store with the changes that it knows. Nodes of earlier versions
+    /// don't, so their changes can't be compared with those of other nodes.
+    pub names_era: bool,
 }
 
 impl Presence {
--- a/crates/route/tests/members.rs
+++ b/crates/route/tests/members.rs
@@ -22,6 +22,7 @@
         ready,
         follows_store: true,
         reaches_servers: true,
+        names_era: true,
     }
 }
 
@@ -36,7 +37,7 @@
     assert_eq!(members.ready(now).count(), 1);
     let later = now + Duration::from_millis(1300);
     assert!(members.ready(later).next().is_none());
-    assert!(members.store_followers(later).next().is_none());
+    assert!(members.store_followers(later, false).next().is_none());
     assert_eq!(members.take_expired(later), ["n"]);
     assert!(members.take_expired(later).is_empty(), "reported once");
 }
@@ -80,7 +81,7 @@
     }];
     assert!(members.record_heartbeat(now, "n", presence("n", true)));
     assert!(
-        !members.merge_presences(now, &old),
+        !members.merge_presences(now, "other", &old),
         "the report may be older"
     );
     assert_eq!(members.ready(now).count(), 1);
@@ -90,7 +91,7 @@
     );
     members.mark_lost("n");
     assert!(
-        members.merge_presences(now, &old),
+        members.merge_presences(now, "other", &old),
         "it is alive again by the report of another node"
     );
     assert_eq!(members.alive(now).count(), 1);
@@ -180,3 +181,29 @@
         "equal lookups give equal results"
     );
 }
+
+/// A node of an earlier version passes on which nodes follow the store, but no changes with an era.
+#[test]
+fn a_follower_behind_a_node_without_eras_is_not_relied_on() {
+    let now = Instant::now();
+    let follower = presence("n", true);
+    for (relay_names_era, follower_names_era) in [(true, true), (true, false), (false, true)] {
+        let mut members = Members::default();
+        members.add(member("n"));
+        members.add(member("relay"));
+        let relay = Presence {
+            follows_store: false,
+            names_era: relay_names_era,
+            ..presence("relay", true)
+        };
+        members.record_heartbeat(now, "relay", relay);
+        let reported = Presence {
+            names_era: follower_names_era,
+            ..follower
+        };
+        members.merge_presences(now, "relay", &[reported]);
+        let expected = usize::from(relay_names_era && follower_names_era);
+        assert_eq!(members.store_followers(now, true).count(), expected);
+        assert_eq!(members.store_followers(now, false).count(), 1);
+    }
+}
--- a/crates/route/tests/relay/world.rs
+++ b/crates/route/tests/relay/world.rs
@@ -314,6 +314,7 @@
                 ready: false,
                 follows_store: false,
                 reaches_servers: true,
+                names_era: true,
             });
             self.mark_unreachable(index, &gone);
         }
@@ -420,7 +421,7 @@
         self.mark_unreachable(to, &gone);
         let node = &mut self.nodes[to];
         node.members
-            .merge_presences(now, node.relays.presences(sender));
+            .merge_presences(now, sender, node.relays.presences(sender));
     }
 
     fn receive_heartbeat(&mut self, to: usize, sender: &NodeName, role: Role, load: f64) {
@@ -432,12 +433,13 @@
             ready: true,
             follows_store: false,
             reaches_servers: true,
+            names_era: true,
         };
         node.members.record_heartbeat(now, sender, presence);
         node.members
-            .merge_presences(now, node.relays.presences(sender));
+            .merge_presences(now, sender, node.relays.presences(sender));
         if let Some(list) = node.lists.get(sender) {
-            node.members.merge_presences(now, list);
+            node.members.merge_presences(now, sender, list);
         }
         match node.relays.accepts_reports(sender) {
             true if role.scope == Scope::Fleet => node.reports.insert(sender.clone(), load - 1.0),
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -111,6 +111,11 @@
         self.put_bytes(table, key, bytes.as_deref());
     }
 
+    /// Number of the last change.
+    pub fn position(&self) -> u64 {
+        self.shared.rows().position
+    }
+
     /// Writes a row of any bytes.
     pub fn put_bytes(&self, table: &str, key: &str, value: Option<&[u8]>) {
         let mut rows = self.shared.rows();
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -1,6 +1,7 @@
 //! An entry node on the operators' platform, as a process before stand-ins of store and backend
 //! servers.
 
+use ciborium::Value as Cbor;
 use futures::StreamExt;
 use nix::sys::signal::Signal;
 use nix::sys::stat::Mode;
@@ -136,6 +137,8 @@
     an_evacuation_after_the_store_was_restored_is_obeyed(three_nodes())
     a_restored_store_reverts_nothing(three_nodes())
     a_restored_store_is_read_once(plain())
+    a_change_reaches_a_node_beside_followers_that_name_no_era(plain())
+    a_node_of_an_earlier_build_learns_changes(plain())
     callers_of_a_node_whose_connections_to_servers_hang_are_served(three_nodes_with_models())
     callers_of_a_node_whose_connections_to_servers_are_reset_are_served(three_nodes_with_models())
     callers_of_a_node_whose_new_connections_to_servers_are_refused_are_served(
@@ -1976,6 +1979,81 @@
     }
 
     /// Sends a first try of a kind over a connection of its own.
+    /// Number of nodes of an earlier build that follow the store, of the largest table.
+    const EARLIER_FOLLOWERS: usize = 6;
+
+    /// Names of nodes that follow the store before the node of a site does.
+    fn names_of_followers(site: &Site) -> Vec<String> {
+        let weight = |node: &str| contract::stable_hash(["followers", node]);
+        let own = weight(&site.nodes[0].name);
+        let names = (0..).map(|index| format!("edge-earlier-{index}"));
+        let names = names.filter(|name| weight(name) > own);
+        names.take(EARLIER_FOLLOWERS).collect()
+    }
+
+    /// Guards against changes that are missed in an upgrade, because the nodes that follow the store are of
+    /// an earlier build and name no era.
+    pub async fn a_change_reaches_a_node_beside_followers_that_name_no_era(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let position = site.store.position();
+        let beat = |position: u64| json!({"g": (1, false, false), "r": true, "f": true, "n": vec![position; 4]});
+        let mut peers = Vec::new();
+        for name in names_of_followers(site) {
+            peers.push(Peer::connect(&site.nodes[0], &name, beat(position)).await?);
+        }
+        sleep(CONTACT).await;
+        site.store.put("op", "config", Some(&moved(2)));
+        peers
+            .iter()
+            .for_each(|peer| peer.set_heartbeat(beat(position + 1)));
+        sleep(APPLY).await;
+        assert_eq!(statuses(site, "/moved/a").await?, [200]);
+        assert_eq!(statuses(site, "/once/a").await?, [404]);
+        Ok(())
+    }
+
+    /// A field of a frame.
+    fn field(map: &Cbor, name: &str) -> Option<Cbor> {
+        let fields = map.as_map()?.iter();
+        let mut values = fields.filter(|(key, _)| key.as_text() == Some(name));
+        values.next().map(|(_, value)| value.clone())
+    }
+
+    /// Guards against rows that a node of an earlier build can't use in an upgrade: it asks by the number of
+    /// a change, and takes full tables and single changes by their numbers.
+    pub async fn a_node_of_an_earlier_build_learns_changes(site: &mut Site) -> Result<(), Error> {
+        let beat = json!({"g": (1, false, false), "r": true, "f": false, "n": vec![0; 4]});
+        let peer = Peer::connect(&site.nodes[0], "edge-earlier", beat).await?;
+        let known = site.store.position();
+        site.list(&site.desks[0], "desk", "v1", "draining");
+        let newest = site.store.position();
+        // The table of backend servers.
+        let table = 1;
+        let tells = async || {
+            let beats = peer.received("Beat");
+            let numbers = beats
+                .last()
+                .and_then(|beat| field(beat, "n")?.into_array().ok());
+            numbers.is_some_and(|numbers| numbers[table] == Cbor::Integer(newest.into()))
+        };
+        assert!(within(APPLY, tells).await);
+        peer.send(json!({"Fetch": {"table": table, "after": known}}));
+        let answers = async || !peer.received("Rows").is_empty();
+        assert!(within(APPLY, answers).await);
+        let rows = peer.received("Rows").remove(0);
+        let position =
+            |row: &Cbor| u64::try_from(field(row, "position")?.into_integer().ok()?).ok();
+        // Rows of other tables may have been written meanwhile.
+        assert!(position(&rows) >= Some(newest));
+        assert_eq!(field(&rows, "whole"), Some(Cbor::Bool(true)));
+        let listed = field(&rows, "rows").and_then(|rows| rows.into_array().ok());
+        let listed = listed.unwrap_or_default();
+        assert_eq!(listed.len(), site.desks.len());
+        assert_eq!(listed.iter().filter_map(position).max(), Some(newest));
+        Ok(())
+    }
+
     async fn first_try(site: &Site, node: usize, path: &'static str) -> FirstTry {
         let builder = Client::builder().connect_timeout(CALLER_CONNECT_TIMEOUT);
         let client = builder.build().expect("a client");
