Show that a list counts again when its sender is a relay again

Cause: a_node_that_is_a_relay_again_reports_its_group was to guard against receivers that forget the list of a former relay, but passes on such a receiver: another relay reports the same nodes. Change: the test keeps its checks under the name of what it shows; a test of one link guards against the fault.

--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -3,7 +3,8 @@
 
 mod world;
 
-use std::time::Duration;
+use route::relay::{Presence, Relays, Role, Scope, Settings};
+use std::time::{Duration, Instant};
 use world::{Build, World};
 
 /// Time in which all nodes of a fleet that has just started know each other.
@@ -139,8 +140,8 @@
     judged: Vec<usize>,
 }
 
-/// The relay of a fleet of 20 is replaced while it restarts; later a node ends for good. Of the first two
-/// nodes in the order of relays the first one restarts, and `substitute` is a relay meanwhile.
+/// One of the two relays of a fleet of 20 nodes restarts several times, and a substitute is a relay meanwhile;
+/// later a node that is no relay ends for good. `fleet` gets the index of the substitute.
 fn a_node_ends_after_a_relay_stepped_down(fleet: impl Fn(usize) -> Fleet) {
     let mut world = World::new(20, 1);
     world.advance(START);
@@ -198,9 +199,43 @@
     });
 }
 
-/// Guards against a list that is neither sent nor counted when a node of either build is a relay again.
+/// Guards against a list that is neither sent nor counted: nodes of earlier builds send an unchanged list
+/// only once over a link, also if they are no relays in between.
 #[test]
-fn a_node_that_is_a_relay_again_reports_its_group() {
+fn a_list_counts_again_when_its_sender_is_a_relay_again() {
+    let now = Instant::now();
+    let (peer, listed) = ("n-1".to_owned(), "n-2");
+    let presence = Presence {
+        tag: Presence::tag(listed),
+        ready: true,
+        follows_store: false,
+        reaches_servers: true,
+        names_era: true,
+    };
+    let mut relays = Relays::new(Settings::default());
+    relays.add_link(now, "n-0", &peer, true);
+    relays.set_presences(&peer, vec![presence]);
+    for (scope, counts) in [
+        (Scope::Group, true),
+        (Scope::Own, false),
+        (Scope::Group, true),
+    ] {
+        let role = Role {
+            scope,
+            ..Role::default()
+        };
+        relays.record_heartbeat(now, &peer, role);
+        let expected: &[Presence] = if counts { &[presence] } else { &[] };
+        assert_eq!(relays.presences(&peer), expected, "{scope:?}");
+        assert_eq!(relays.is_reachable(now, listed), counts, "{scope:?}");
+        let advertised = relays.advertised(now, Scope::Fleet);
+        assert_eq!(advertised.contains(&presence.tag), counts, "{scope:?}");
+    }
+}
+
+/// Guards against nodes that are missing while relays of two builds come and go.
+#[test]
+fn no_node_is_missing_while_a_relay_of_either_build_restarts() {
     for earlier in [vec![], (0..195).step_by(2).collect(), (0..195).collect()] {
         let mut world = World::new(195, 6);
         world.set_build(earlier, Build::Earlier);
