--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -199,6 +199,31 @@
     });
 }
 
+/// Guards against the same in a small fleet whose nodes are replaced: the rows of those that ended stay, so
+/// that it has relays.
+#[test]
+fn a_small_fleet_of_replaced_nodes_keeps_no_ended_node_alive() {
+    let mut world = World::new(24, 1);
+    // Of these, seven are left.
+    (7..24).for_each(|index| world.stop(index));
+    world.advance(START);
+    let before = world.relays_of(0);
+    assert!(before.len() < 7, "relays {before:?}");
+    for _ in 0..2 {
+        world.stop(before[0]);
+        world.advance(DETECTION);
+        world.restart(before[0]);
+        world.advance(DETECTION);
+    }
+    let ended = (0..7).find(|index| !world.relays_of(0).contains(index));
+    let ended = ended.expect("a node that is no relay");
+    world.stop(ended);
+    world.advance(DETECTION);
+    for index in (0..7).filter(|index| *index != ended) {
+        assert_eq!(world.live_peers(index), 5, "of node {index}");
+    }
+}
+
 /// Guards against a list that is neither sent nor counted: nodes of earlier builds send an unchanged list
 /// only once over a link, also if they are no relays in between.
 #[test]
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -164,6 +164,7 @@
     entries_that_lapse_in_an_outage_are_kept_a_while(plain())
     the_directory_names_those_that_live(three_nodes())
     a_node_that_only_a_former_relay_has_listed_is_not_named(plain())
+    followers_that_only_a_former_relay_has_listed_are_not_relied_on(plain())
     a_stop_finishes_what_is_inside(models())
     an_answer_counts_as_memory_until_it_is_written(plain())
     a_stop_waits_for_callers_that_read_slowly(plain())
@@ -2543,6 +2544,9 @@
 
     /// Role of a node that reports on its group, as it stands in heartbeats.
     const RELAY: (u8, bool, bool) = (1, false, false);
+    /// Flags of a node in a list.
+    const READY: u8 = 1;
+    const FOLLOWS: u8 = 2;
     /// Role of a node that reports on itself alone.
     const ATTACHED: (u8, bool, bool) = (0, true, false);
 
@@ -2562,7 +2566,7 @@
             list.iter().any(|other| other == address) == named
         };
         let tag = contract::stable_hash([node]) as u32;
-        peer.send(json!({"Presences": [[tag, 1]]}));
+        peer.send(json!({"Presences": [(tag, READY)]}));
         assert!(within(CONTACT, async || is_named(true).await).await);
         // It goes on sending heartbeats.
         peer.set_heartbeat(beat(ATTACHED));
@@ -2573,6 +2577,32 @@
         Ok(())
     }
 
+    /// Guards against relying on nodes that have ended to follow the store, because a node that is no relay any
+    /// more had listed them: changes were missed.
+    pub async fn followers_that_only_a_former_relay_has_listed_are_not_relied_on(
+        site: &mut Site,
+    ) -> Result<(), Error> {
+        let names = names_of_followers(site);
+        let row = json!({"zone": "z-0", "requests": "127.0.1.240:80", "link": "127.0.1.240:81"});
+        for name in &names {
+            site.store.put("sardinebank-nodes", name, Some(&row));
+        }
+        let beat = |role| json!({"g": role, "r": true});
+        let peer = Peer::connect(&site.nodes[0], "edge-relay", beat(RELAY)).await?;
+        let tags = names
+            .iter()
+            .map(|name| contract::stable_hash([name.as_str()]) as u32);
+        let list: Vec<_> = tags.map(|tag| (tag, READY | FOLLOWS)).collect();
+        peer.send(json!({"Presences": list}));
+        sleep(CONTACT).await;
+        peer.set_heartbeat(beat(ATTACHED));
+        sleep(CONTACT).await;
+        site.store.put("op", "config", Some(&moved(2)));
+        sleep(APPLY).await;
+        assert_eq!(statuses(site, "/moved/a").await?, [200]);
+        Ok(())
+    }
+
     pub async fn a_stop_finishes_what_is_inside(site: &mut Site) -> Result<(), Error> {
         site.models
             .iter()
