Say in each test of two builds which failure it guards against

Cause: three comments told what nodes of earlier versions do, not what goes wrong, and two names were hard to read. Change: names and comments alone; the checks are the same.

--- a/crates/edge/tests/frames.rs
+++ b/crates/edge/tests/frames.rs
@@ -115,9 +115,9 @@
     }
 }
 
-/// Nodes of earlier versions know two flags of a presence; the others are left out for most nodes.
+/// Guards against flags that nodes of earlier versions set or read otherwise: these know the first two alone.
 #[test]
-fn presences_bear_nodes_of_earlier_versions() {
+fn presence_flags_suit_earlier_versions() {
     let ready = decode_presence((7, 3));
     assert!(ready.ready && ready.follows_store && ready.reaches_servers && ready.names_era);
     assert_eq!(encode_presence(&ready), (7, 3));
@@ -129,7 +129,8 @@
     assert_eq!(decode_presence(encode_presence(&other)), other);
 }
 
-/// Nodes of the versions before eras tell of changes by their numbers alone.
+/// Guards against taking changes without an era for comparable ones: nodes of versions before eras tell of them
+/// by their numbers alone.
 #[test]
 fn a_heartbeat_says_whether_it_names_eras() {
     for (heartbeat, names_era) in [
--- a/crates/route/tests/members.rs
+++ b/crates/route/tests/members.rs
@@ -182,7 +182,8 @@
     );
 }
 
-/// A node of an earlier version passes on which nodes follow the store, but no changes with an era.
+/// Guards against relying on a follower whose changes don't arrive: a node of an earlier version reports which
+/// nodes follow the store, but passes on no changes with an era.
 #[test]
 fn a_follower_behind_a_node_without_eras_is_not_relied_on() {
     let now = Instant::now();
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -2031,14 +2031,14 @@
         let newest = site.store.position();
         // The table of backend servers.
         let table = 1;
-        let tells = async || {
+        let is_told = async || {
             let beats = peer.received("Beat");
             let numbers = beats
                 .last()
                 .and_then(|beat| field(beat, "n")?.into_array().ok());
             numbers.is_some_and(|numbers| numbers[table] == Cbor::Integer(newest.into()))
         };
-        assert!(within(APPLY, tells).await);
+        assert!(within(APPLY, is_told).await);
         peer.send(json!({"Fetch": {"table": table, "after": known}}));
         let answers = async || !peer.received("Rows").is_empty();
         assert!(within(APPLY, answers).await);
