Play nodes of an earlier build in simulated fleets with less code

The simulation kept the lists of earlier builds beside those of the product, and the played node had a second function for its log line. Change: an earlier node is given the role of a relay for each heartbeat that names none, which is what its handling comes to.

--- a/crates/route/tests/relay/world.rs
+++ b/crates/route/tests/relay/world.rs
@@ -46,8 +46,6 @@
 
 struct Node {
     build: Build,
-    /// The last lists of open links, as a node of the earlier build counts them.
-    lists: BTreeMap<NodeName, Vec<Presence>>,
     member: Member,
     members: Members,
     relays: Relays,
@@ -91,7 +89,6 @@
             }
             Node {
                 build: Build::Current,
-                lists: BTreeMap::new(),
                 member: all[index].clone(),
                 members,
                 relays: Relays::new(Settings::default()),
@@ -173,7 +170,6 @@
         node.running = true;
         node.relays = Relays::new(Settings::default());
         node.reports.clear();
-        node.lists.clear();
         let known: Vec<_> = node.members.all().cloned().collect();
         node.members = Members::default();
         for member in known {
@@ -308,7 +304,6 @@
                 node.relays.dial_failed(self.now, member_address(peer));
             }
             node.reports.remove(&name);
-            gone.extend(node.lists.remove(&name).into_iter().flatten());
             gone.push(Presence {
                 tag: Presence::tag(&name),
                 ready: false,
@@ -323,14 +318,9 @@
     fn mark_unreachable(&mut self, index: usize, gone: &[Presence]) {
         let now = self.now;
         let node = &mut self.nodes[index];
-        let is_listed = |tag: u32| {
-            let mut listed = node.lists.values().flatten();
-            listed.any(|presence| presence.tag == tag)
-        };
         for presence in gone {
             let name = node.members.by_tag(presence.tag).cloned();
-            let name = name.filter(|name| !node.relays.is_reachable(now, name));
-            if let Some(name) = name.filter(|_| !is_listed(presence.tag)) {
+            if let Some(name) = name.filter(|name| !node.relays.is_reachable(now, name)) {
                 node.members.mark_lost(&name);
             }
         }
@@ -411,13 +401,7 @@
     fn receive_list(&mut self, to: usize, sender: &NodeName, list: Vec<Presence>) {
         let now = self.now;
         let node = &mut self.nodes[to];
-        let mut gone = node.relays.set_presences(sender, list.clone());
-        if node.build == Build::Earlier {
-            let before = node.lists.insert(sender.clone(), list).unwrap_or_default();
-            let listed = &node.lists[sender];
-            let missing = |one: &Presence| !listed.iter().any(|other| other.tag == one.tag);
-            gone.extend(before.into_iter().filter(missing));
-        }
+        let gone = node.relays.set_presences(sender, list);
         self.mark_unreachable(to, &gone);
         let node = &mut self.nodes[to];
         node.members
@@ -427,7 +411,15 @@
     fn receive_heartbeat(&mut self, to: usize, sender: &NodeName, role: Role, load: f64) {
         let now = self.now;
         let node = &mut self.nodes[to];
-        node.relays.record_heartbeat(now, sender, role);
+        // Lists count whatever the role is, as if it were always that of a relay.
+        let seen = match (node.build, role.scope) {
+            (Build::Earlier, Scope::Own) => Role {
+                scope: Scope::Group,
+                ..role
+            },
+            _ => role,
+        };
+        node.relays.record_heartbeat(now, sender, seen);
         let presence = Presence {
             tag: Presence::tag(sender),
             ready: true,
@@ -438,9 +430,6 @@
         node.members.record_heartbeat(now, sender, presence);
         node.members
             .merge_presences(now, sender, node.relays.presences(sender));
-        if let Some(list) = node.lists.get(sender) {
-            node.members.merge_presences(now, sender, list);
-        }
         match node.relays.accepts_reports(sender) {
             true if role.scope == Scope::Fleet => node.reports.insert(sender.clone(), load - 1.0),
             true => node.reports.insert(sender.clone(), load),
--- a/crates/standin/src/site/peer.rs
+++ b/crates/standin/src/site/peer.rs
@@ -26,7 +26,8 @@
     heartbeat: Arc<Mutex<Value>>,
     frames: UnboundedSender<Value>,
     received: Arc<Mutex<Vec<Cbor>>>,
-    task: JoinHandle<()>,
+    /// It ends with the link; a test sees that at the node.
+    task: JoinHandle<Result<(), tungstenite::Error>>,
 }
 
 impl Drop for Peer {
@@ -55,12 +56,7 @@
         let heartbeat = Arc::new(Mutex::new(heartbeat));
         let received = Arc::default();
         let (frames, queue) = mpsc::unbounded_channel();
-        let task = tokio::spawn(run(
-            link,
-            Arc::clone(&heartbeat),
-            queue,
-            Arc::clone(&received),
-        ));
+        let task = tokio::spawn(run(link, heartbeat.clone(), queue, Arc::clone(&received)));
         Ok(Self {
             heartbeat,
             frames,
@@ -106,23 +102,12 @@
     heartbeat: Arc<Mutex<Value>>,
     mut frames: UnboundedReceiver<Value>,
     received: Arc<Mutex<Vec<Cbor>>>,
-) {
-    if let Err(error) = exchange(&mut link, &heartbeat, &mut frames, &received).await {
-        log::info!("the link of a peer ended: {error}");
-    }
-}
-
-async fn exchange(
-    link: &mut Link,
-    heartbeat: &Mutex<Value>,
-    frames: &mut UnboundedReceiver<Value>,
-    received: &Mutex<Vec<Cbor>>,
 ) -> Result<(), tungstenite::Error> {
     let mut ticks = interval(HEARTBEAT_INTERVAL);
     loop {
         tokio::select! {
             _ = ticks.tick() => {
-                let heartbeat = lock(heartbeat).clone();
+                let heartbeat = lock(&heartbeat).clone();
                 link.send(encode(&json!({"Beat": heartbeat}))).await?;
             }
             Some(frame) = frames.recv() => link.send(encode(&frame)).await?,
@@ -131,7 +116,7 @@
                     return Ok(());
                 };
                 if let Ok(frame) = ciborium::from_reader(&message.into_data()[..]) {
-                    lock(received).push(frame);
+                    lock(&received).push(frame);
                 }
             }
         }
